Serve a request from caller through two nodes to the owner of its key

Cause: the repository was empty. Holders are still chosen from the bundle alone, so nothing survives the loss of a node yet.

--- /dev/null
+++ b/cmd/chervilbench/main.go
@@ -0,0 +1,42 @@
+// Command chervilbench measures the router's decisions in virtual time, and the
+// cost of its real code on this machine.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// subcommand is one measurement.
+type subcommand struct {
+	name    string
+	text    string
+	command any
+}
+
+// subcommands lists the measurements; each stands in a file of its own.
+func subcommands() []subcommand {
+	return []subcommand{}
+}
+
+func main() {
+	pr := flags.NewParser(nil, flags.HelpFlag|flags.PassDoubleDash)
+	pr.Name = "chervilbench"
+	for _, sc := range subcommands() {
+		if _, err := pr.AddCommand(sc.name, sc.text, "", sc.command); err != nil {
+			panic(err)
+		}
+	}
+	if _, err := pr.Parse(); err != nil {
+		var fe *flags.Error
+		if errors.As(err, &fe) && fe.Type == flags.ErrHelp {
+			fmt.Println(fe.Message)
+			return
+		}
+		fmt.Fprintln(os.Stderr, "chervilbench:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/cmd/chervilwalk/main.go
@@ -0,0 +1,34 @@
+// Command chervilwalk is the router: it runs a node, and tries a whole fleet on
+// loopback.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+)
+
+func main() {
+	pr := flags.NewParser(nil, flags.HelpFlag|flags.PassDoubleDash)
+	pr.Name = "chervilwalk"
+	mustAdd(pr, "node", "Run one node of the router", &nodeCommand{})
+	mustAdd(pr, "try", "Try a whole fleet on loopback", &tryCommand{})
+	if _, err := pr.Parse(); err != nil {
+		var fe *flags.Error
+		if errors.As(err, &fe) && fe.Type == flags.ErrHelp {
+			fmt.Println(fe.Message)
+			return
+		}
+		fmt.Fprintln(os.Stderr, "chervilwalk:", err)
+		os.Exit(1)
+	}
+}
+
+// mustAdd registers a command; a failure is a mistake in the program.
+func mustAdd(pr *flags.Parser, name, text string, command any) {
+	if _, err := pr.AddCommand(name, text, "", command); err != nil {
+		panic(err)
+	}
+}
--- /dev/null
+++ b/internal/fleet/node/node.go
@@ -0,0 +1,259 @@
+// Package node is one running router process: the tasks that own its sockets
+// and drive its decision cores.
+//
+//	nd, err := node.Start(ctx, node.Config{Host: "n1", Domain: "north", …})
+//	defer nd.Close(ctx)
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"chervilwalk/internal/fleet/clock"
+	"chervilwalk/internal/fleet/ident"
+	"chervilwalk/internal/fleet/inner"
+	"chervilwalk/internal/fleet/route"
+	"chervilwalk/internal/operations/bundle"
+	"chervilwalk/internal/ownership/authority"
+	"chervilwalk/internal/platform/client"
+	"chervilwalk/internal/serving/dispatch"
+	"chervilwalk/internal/serving/entry"
+	"chervilwalk/internal/serving/verdict"
+)
+
+// Config is what a node must be told.
+type Config struct {
+	Host     ident.Host
+	Domain   ident.Domain
+	Platform string
+	// Callers and Inner are listeners that the node takes over.
+	Callers net.Listener
+	Inner   net.Listener
+	// TrustedKeys are the keys trusted before the first bundle.
+	TrustedKeys []bundle.TrustedKey
+	// Peers are inner addresses to ask for a bundle before one is known.
+	Peers []string
+}
+
+// Node is a running node.
+type Node struct {
+	config   Config
+	clock    clock.Clock
+	log      log.Interface
+	platform *client.Client
+	entry    *entry.Entry
+	inner    *http.Server
+	owner    *ownerTask
+	bundles  *bundleTask
+	routes   atomic.Pointer[route.Table]
+	draining atomic.Bool
+	stop     context.CancelFunc
+	group    *errgroup.Group
+
+	mu    sync.Mutex
+	pools map[ident.Pool]*poolTask
+	peers map[string]*inner.Peer
+}
+
+// Start makes a node and runs its tasks until Close.
+func Start(cf Config) (*Node, error) {
+	if cf.Host == "" || cf.Domain == "" || cf.Callers == nil || cf.Inner == nil {
+		return nil, eris.New("node: host, domain and both listeners must be set")
+	}
+	nd := &Node{
+		config:   cf,
+		clock:    clock.Boot{},
+		log:      log.WithField("host", string(cf.Host)),
+		platform: client.New(cf.Platform, client.WithDomain(cf.Domain)),
+		pools:    map[ident.Pool]*poolTask{},
+		peers:    map[string]*inner.Peer{},
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	nd.stop = stop
+	nd.group, ctx = errgroup.WithContext(ctx)
+	nd.entry = entry.New(nd)
+	nd.inner = inner.NewServer(nd)
+	nd.owner = newOwnerTask(nd, authority.New(cf.Host, cf.Domain))
+	nd.bundles = newBundleTask(nd)
+	nd.group.Go(func() error { return nd.owner.run(ctx) })
+	nd.group.Go(func() error { return nd.bundles.run(ctx) })
+	nd.group.Go(func() error { return ignoreClosed(nd.inner.Serve(cf.Inner)) })
+	nd.group.Go(func() error { return ignoreClosed(nd.entry.Serve(cf.Callers)) })
+	return nd, nil
+}
+
+func ignoreClosed(err error) error {
+	if eris.Is(err, http.ErrServerClosed) || eris.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+// Close stops accepting callers, waits for what is in flight until the context
+// ends, then stops the tasks and waits for them.
+func (nd *Node) Close(ctx context.Context) error {
+	nd.draining.Store(true)
+	first := nd.entry.Close(ctx)
+	second := nd.inner.Shutdown(ctx)
+	nd.stop()
+	nd.closePools()
+	third := nd.group.Wait()
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	for _, pe := range nd.peers {
+		pe.Close()
+	}
+	nd.platform.Close()
+	return eris.Wrap(firstError(first, second, third), "node: close")
+}
+
+func firstError(errs ...error) error {
+	for _, err := range errs {
+		if err != nil && !eris.Is(err, context.Canceled) {
+			return err
+		}
+	}
+	return nil
+}
+
+func (nd *Node) closePools() {
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	for _, pt := range nd.pools {
+		pt.close()
+	}
+}
+
+// Bundle returns the bundle in force; nil before the first.
+func (nd *Node) Bundle() *bundle.Bundle {
+	return nd.bundles.current()
+}
+
+// Health tells the balancer whether to send callers here.
+func (nd *Node) Health() (healthy bool, state string) {
+	switch {
+	case nd.draining.Load():
+		return false, "draining"
+	case nd.routes.Load() == nil:
+		return false, "starting"
+	default:
+		return true, "serving"
+	}
+}
+
+// Route runs a call at the holder of its pool, here or over one hop.
+func (nd *Node) Route(ctx context.Context, sv *bundle.Service, ca *inner.Call) (*dispatch.Answer, error) {
+	rt := nd.routes.Load()
+	if rt == nil {
+		return nil, verdict.Refuse(http.StatusServiceUnavailable, "this node has no routes yet", time.Second)
+	}
+	pool, ok := poolFor(rt, sv, ca)
+	if !ok {
+		return nil, verdict.Refuse(http.StatusServiceUnavailable, "no pool serves this request now", time.Second)
+	}
+	ca.Pool = pool
+	holder, ok := rt.Holder(pool)
+	if !ok {
+		return nil, verdict.Refuse(http.StatusServiceUnavailable, "the pool has no holder now", time.Second)
+	}
+	if holder == nd.config.Host {
+		return nd.Serve(ctx, ca)
+	}
+	pe, ok := nd.peer(holder)
+	if !ok {
+		return nil, verdict.Refuse(http.StatusServiceUnavailable, "the pool's holder is not known here", time.Second)
+	}
+	return nd.forward(ctx, pe, ca)
+}
+
+// forward runs a call over the hop; a broken hop is followed by a bar, which
+// may prove that the call was not run.
+func (nd *Node) forward(ctx context.Context, pe *inner.Peer, ca *inner.Call) (*dispatch.Answer, error) {
+	answer, err := pe.Forward(ctx, ca)
+	if err == nil || verdict.Of(err) != verdict.MayHaveRun {
+		return answer, err
+	}
+	br, cancel := context.WithTimeout(context.Background(), barTimeout)
+	defer cancel()
+	if barred, berr := pe.Bar(br, ca.Pool, ca.ID); berr == nil && barred {
+		return nil, verdict.Refuse(http.StatusServiceUnavailable, "the request was withdrawn before its dispatch", time.Second)
+	}
+	return nil, err
+}
+
+// barTimeout bounds the asking whether a call was kept from its dispatch.
+const barTimeout = 300 * time.Millisecond
+
+func poolFor(rt *route.Table, sv *bundle.Service, ca *inner.Call) (ident.Pool, bool) {
+	if sv.Keyed {
+		return rt.PoolOf(sv.Name, ca.Slice)
+	}
+	near := rt.Nearest[sv.Name]
+	if len(near) == 0 {
+		return "", false
+	}
+	return near[0], true
+}
+
+// Serve runs a call on a pool that this node holds.
+func (nd *Node) Serve(ctx context.Context, ca *inner.Call) (*dispatch.Answer, error) {
+	pt := nd.pool(ca.Pool)
+	if pt == nil {
+		return nil, verdict.Refuse(http.StatusServiceUnavailable, "this node does not hold the pool", time.Second)
+	}
+	return pt.serve(ctx, ca)
+}
+
+// Bar forbids the dispatch of a queued call.
+func (nd *Node) Bar(ctx context.Context, pl ident.Pool, id ident.Request) bool {
+	pt := nd.pool(pl)
+	return pt != nil && pt.bar(ctx, id)
+}
+
+// Notice hears that a peer has a bundle of this version.
+func (nd *Node) Notice(from ident.Host, vs bundle.Version) {
+	nd.bundles.notice(from, vs)
+}
+
+// Seal returns the signed bundle in force.
+func (nd *Node) Seal() (bundle.Seal, bool) {
+	return nd.bundles.seal()
+}
+
+func (nd *Node) pool(pl ident.Pool) *poolTask {
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	return nd.pools[pl]
+}
+
+// peer returns the way to a host of the bundle.
+func (nd *Node) peer(ho ident.Host) (*inner.Peer, bool) {
+	bn := nd.Bundle()
+	if bn == nil {
+		return nil, false
+	}
+	host, ok := bn.Host(ho)
+	if !ok {
+		return nil, false
+	}
+	return nd.peerAt(host.Inner), true
+}
+
+func (nd *Node) peerAt(address string) *inner.Peer {
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	pe := nd.peers[address]
+	if pe == nil {
+		pe = inner.NewPeer(address)
+		nd.peers[address] = pe
+	}
+	return pe
+}
--- /dev/null
+++ b/internal/serving/verdict/verdict.go
@@ -0,0 +1,80 @@
+// Package verdict says of a failed request whether an upstream may have run it.
+//
+//	if verdict.Of(err) == verdict.NotRun { /* safe to send again */ }
+package verdict
+
+import (
+	"errors"
+	"net/http"
+	"time"
+)
+
+// Verdict tells what is known of a request's execution.
+type Verdict int
+
+const (
+	// MayHaveRun means that nothing proves the request was not run.
+	MayHaveRun Verdict = iota
+	// NotRun means that the request was not run and never will be.
+	NotRun
+	// Ran means that an upstream answered the request.
+	Ran
+)
+
+// String is the form used in headers, logs and dumps.
+func (vd Verdict) String() string {
+	switch vd {
+	case NotRun:
+		return "not-run"
+	case Ran:
+		return "ran"
+	default:
+		return "may-have-run"
+	}
+}
+
+// Error is a request's failure with its verdict.
+type Error struct {
+	Verdict Verdict
+	// Status is the HTTP status for the caller.
+	Status int
+	// Reason is one line for the caller; it holds no internals.
+	Reason string
+	// RetryAfter tells the caller when to ask again; zero when it should not.
+	RetryAfter time.Duration
+}
+
+// Error gives the reason with the verdict.
+func (er *Error) Error() string {
+	return er.Reason + " (" + er.Verdict.String() + ")"
+}
+
+// Refuse builds the error of a request that was not run.
+func Refuse(status int, reason string, retryAfter time.Duration) *Error {
+	return &Error{Verdict: NotRun, Status: status, Reason: reason, RetryAfter: retryAfter}
+}
+
+// Doubt builds the error of a request that may have run.
+func Doubt(status int, reason string) *Error {
+	return &Error{Verdict: MayHaveRun, Status: status, Reason: reason}
+}
+
+// Of returns the verdict that an error carries; an error without one proves
+// nothing and so may have run.
+func Of(err error) Verdict {
+	var er *Error
+	if errors.As(err, &er) {
+		return er.Verdict
+	}
+	return MayHaveRun
+}
+
+// From returns the verdict error in err's chain; an error without one becomes
+// one that says "may have run".
+func From(err error) *Error {
+	var er *Error
+	if errors.As(err, &er) {
+		return er
+	}
+	return Doubt(http.StatusBadGateway, "the request failed inside the router")
+}
