--- a/cmd/chervilstand/main.go
+++ b/cmd/chervilstand/main.go
@@ -36,6 +36,8 @@
 	Slots        int           `long:"slots" default:"2" description:"Requests served at a time"`
 	ServiceTime  time.Duration `long:"service-time" default:"2ms" description:"Time of one request"`
 	ChecksTokens bool          `long:"checks-tokens" description:"Refuse stale tokens"`
+	ColdLimit    int           `long:"cold-limit" default:"1" description:"Requests borne at a time after a start"`
+	ColdFor      time.Duration `long:"cold-for" default:"0s" description:"How long the cold limit holds after a start"`
 }
 
 // Execute implements flags.Commander.
@@ -43,6 +45,7 @@
 	us := upstream.New(ident.Upstream(uc.Name),
 		upstream.WithSlots(uc.Slots),
 		upstream.WithServiceTime(uc.ServiceTime),
+		upstream.WithColdStart(uc.ColdLimit, uc.ColdFor),
 		upstream.WithTokenCheck(uc.ChecksTokens))
 	return serve(uc.Listen, us.Handler())
 }
--- a/internal/platform/control/control.go
+++ b/internal/platform/control/control.go
@@ -46,6 +46,8 @@
 const (
 	RefusalShed  = "shed"
 	RefusalStale = "stale-token"
+	// RefusalCancelled refuses a request whose cancellation came before it.
+	RefusalCancelled = "cancelled"
 )
 
 type tokenJSON struct {
--- a/internal/stand/platform/platform.go
+++ b/internal/stand/platform/platform.go
@@ -118,7 +118,9 @@
 
 func (pf *Platform) serveFault(rw http.ResponseWriter, rq *http.Request) {
 	var fa Faults
-	if err := json.NewDecoder(io.LimitReader(rq.Body, maxBodyBytes)).Decode(&fa); err != nil {
+	dc := json.NewDecoder(io.LimitReader(rq.Body, maxBodyBytes))
+	dc.DisallowUnknownFields()
+	if err := dc.Decode(&fa); err != nil {
 		http.Error(rw, err.Error(), http.StatusBadRequest)
 		return
 	}
