--- a/internal/fleet/node/pool.go
+++ b/internal/fleet/node/pool.go
@@ -68,7 +68,7 @@
 		bars:  map[ident.Request]chan<- bool{},
 	}
 	for _, up := range pl.Upstreams {
-		pt.lanes[up.Name] = dispatch.New(up.Address)
+		pt.lanes[up.Name] = dispatch.New(up.Address, dispatch.WithConnections(up.Slots))
 	}
 	return pt
 }
--- a/internal/serving/dispatch/dispatch.go
+++ b/internal/serving/dispatch/dispatch.go
@@ -1,30 +1,41 @@
 // Package dispatch sends one request to one upstream over connections that it
 // owns, and knows after every failure whether the request may have run.
 //
-//	ln := dispatch.New("127.0.0.1:7101", 2)
+//	ln := dispatch.New("127.0.0.1:7101", dispatch.WithConnections(2))
 //	an, err := ln.Do(ctx, rq)
 //	defer an.Body.Close()
 package dispatch
 
 import (
-	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
+	"net/url"
 	"sync"
-	"time"
 
+	"github.com/rotisserie/eris"
+
+	"chervilwalk/internal/fleet/ident"
 	"chervilwalk/internal/platform/control"
 	"chervilwalk/internal/serving/verdict"
 )
 
-// dialTimeout bounds the making of a connection.
-const dialTimeout = time.Second
+const (
+	// defaultConnections is the bound of a lane that is told none.
+	defaultConnections = 2
+	// wholeBytes is the length up to which an answer is read whole before its
+	// head is passed on. A cut within it is an error and no broken answer.
+	wholeBytes = 64 << 10
+)
 
-// errNoLength says that an answer's end could not be told from a cut.
-var errNoLength = errors.New("the upstream's answer has neither length nor chunks")
+// Errors of Cancel.
+var (
+	// ErrNotConfirmed says that the upstream did not confirm a cancellation, so
+	// that the request's slot must be taken to be in use.
+	ErrNotConfirmed = eris.New("dispatch: the upstream did not confirm the cancellation")
+)
 
 // Answer is an upstream's answer. Body must be closed; a body that was cut ends
 // in an error, never in io.EOF.
@@ -36,30 +47,44 @@
 	Body   io.ReadCloser
 }
 
-// Lane is the connections to one upstream. Its methods may be called from many
-// goroutines.
+// Lane is the connections to one upstream: a bounded number for requests and
+// one for control. Its methods may be called from many goroutines.
 type Lane struct {
 	address string
+	// permits holds one item for each connection that carries a request.
+	permits chan struct{}
+	control *http.Client
 
 	mu     sync.Mutex
 	idle   []*link
 	closed bool
 }
 
-// link is one connection with its reader.
-type link struct {
-	conn   net.Conn
-	reader *bufio.Reader
-	reused bool
+// Option changes a lane at its making.
+type Option func(*Lane)
+
+// WithConnections bounds the connections for requests. As many as the
+// upstream has slots are enough.
+func WithConnections(count int) Option {
+	return func(ln *Lane) { ln.permits = make(chan struct{}, max(1, count)) }
 }
 
 // New makes the lane to an IP and port; it dials when first needed.
-func New(address string) *Lane {
-	return &Lane{address: address}
+func New(address string, opts ...Option) *Lane {
+	ln := &Lane{
+		address: address,
+		permits: make(chan struct{}, defaultConnections),
+		control: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1}},
+	}
+	for _, opt := range opts {
+		opt(ln)
+	}
+	return ln
 }
 
 // Close closes the idle connections; those in use close when they are done.
 func (ln *Lane) Close() {
+	ln.control.CloseIdleConnections()
 	ln.mu.Lock()
 	defer ln.mu.Unlock()
 	ln.closed = true
@@ -72,131 +97,118 @@
 // Do sends the request once and returns the head of the answer. Errors are
 // *verdict.Error. The context's end breaks the connection.
 func (ln *Lane) Do(ctx context.Context, rq *http.Request) (*Answer, error) {
-	lk, err := ln.take(ctx)
-	if err != nil {
-		return nil, verdict.Refuse(http.StatusBadGateway, "the upstream refused the connection", 0)
+	select {
+	case ln.permits <- struct{}{}:
+	case <-ctx.Done():
+		return nil, tooLate()
 	}
-	stop := context.AfterFunc(ctx, func() { _ = lk.conn.Close() })
-	answer, err := lk.exchange(rq)
+	answer, lk, err := ln.exchange(ctx, rq)
 	if err != nil {
-		stop()
-		_ = lk.conn.Close()
-		return nil, verdict.Doubt(http.StatusBadGateway, "the upstream broke off before its answer")
+		<-ln.permits
+		return nil, err
 	}
-	if refusal := answer.Header.Get(control.RefusalHeader); refusal != "" {
-		stop()
-		_ = lk.conn.Close()
-		return nil, verdict.Refuse(http.StatusServiceUnavailable, "the upstream refused: "+refusal, 0)
+	bd := &body{lane: ln, link: lk, answer: answer}
+	bd.stop = context.AfterFunc(ctx, lk.abort)
+	an := &Answer{Status: answer.StatusCode, Header: answer.Header, Length: answer.ContentLength, Body: bd}
+	if err := ln.check(ctx, an, answer); err != nil {
+		_ = bd.Close()
+		return nil, err
 	}
-	if answer.ContentLength < 0 && len(answer.TransferEncoding) == 0 {
-		stop()
-		_ = lk.conn.Close()
-		return nil, verdict.Doubt(http.StatusBadGateway, errNoLength.Error())
-	}
-	return &Answer{
-		Status: answer.StatusCode,
-		Header: answer.Header,
-		Length: answer.ContentLength,
-		Body:   &body{lane: ln, link: lk, stop: stop, answer: answer},
-	}, nil
+	return an, nil
+}
+
+func tooLate() *verdict.Error {
+	return verdict.Refuse(http.StatusGatewayTimeout, "the deadline passed before the request was sent", 0)
 }
 
-// take returns an idle connection that is still open, or dials.
-func (ln *Lane) take(ctx context.Context) (*link, error) {
+// exchange sends the request and reads the head of its answer. A connection
+// that took no byte of the request is replaced, since that proves that the
+// request was not run.
+func (ln *Lane) exchange(ctx context.Context, rq *http.Request) (*http.Response, *link, error) {
 	for {
-		lk := ln.pop()
-		if lk == nil {
-			break
+		lk, err := ln.take(ctx)
+		if err != nil {
+			return nil, nil, notConnected(ctx)
 		}
-		if lk.open() {
-			lk.reused = true
-			return lk, nil
+		stop := context.AfterFunc(ctx, lk.abort)
+		answer, err := lk.exchange(rq)
+		stop()
+		if err == nil {
+			return answer, lk, nil
 		}
 		_ = lk.conn.Close()
+		if lk.reused && lk.written == 0 && ctx.Err() == nil {
+			if err := rewind(rq); err != nil {
+				return nil, nil, verdict.Refuse(http.StatusBadGateway, "the upstream closed the connection", 0)
+			}
+			continue
+		}
+		return nil, nil, lk.verdict(ctx)
 	}
-	dl := net.Dialer{Timeout: dialTimeout}
-	conn, err := dl.DialContext(ctx, "tcp", ln.address)
-	if err != nil {
-		return nil, err
-	}
-	return &link{conn: conn, reader: bufio.NewReader(conn)}, nil
 }
 
-func (ln *Lane) pop() *link {
-	ln.mu.Lock()
-	defer ln.mu.Unlock()
-	if len(ln.idle) == 0 {
+// rewind makes the request's body readable from its start again.
+func rewind(rq *http.Request) error {
+	if rq.GetBody == nil {
 		return nil
 	}
-	last := len(ln.idle) - 1
-	lk := ln.idle[last]
-	ln.idle = ln.idle[:last]
-	return lk
+	var err error
+	rq.Body, err = rq.GetBody()
+	return err
 }
 
-func (ln *Lane) put(lk *link) {
-	ln.mu.Lock()
-	defer ln.mu.Unlock()
-	if ln.closed {
-		_ = lk.conn.Close()
-		return
+func notConnected(ctx context.Context) *verdict.Error {
+	if ctx.Err() != nil {
+		return tooLate()
 	}
-	ln.idle = append(ln.idle, lk)
+	return verdict.Refuse(http.StatusBadGateway, "the upstream refused the connection", 0)
 }
 
-// probeTime is how long open looks for the end of an idle connection.
-const probeTime = 20 * time.Microsecond
-
-// open tells whether the peer has neither closed an idle connection nor sent
-// bytes that no request asked for.
-func (lk *link) open() bool {
-	_ = lk.conn.SetReadDeadline(time.Now().Add(probeTime))
-	_, err := lk.reader.Peek(1)
-	_ = lk.conn.SetReadDeadline(time.Time{})
-	var ne net.Error
-	return errors.As(err, &ne) && ne.Timeout()
-}
-
-func (lk *link) exchange(rq *http.Request) (*http.Response, error) {
-	wr := bufio.NewWriter(lk.conn)
-	if err := rq.Write(wr); err != nil {
-		return nil, err
+// check turns answers that are none into errors, and reads short ones whole.
+func (ln *Lane) check(ctx context.Context, an *Answer, answer *http.Response) error {
+	if refusal := answer.Header.Get(control.RefusalHeader); refusal != "" {
+		_, _ = io.CopyN(io.Discard, an.Body, wholeBytes)
+		return verdict.Refuse(http.StatusServiceUnavailable, "the upstream refused: "+refusal, 0)
 	}
-	if err := wr.Flush(); err != nil {
-		return nil, err
+	headOnly := answer.Request.Method == http.MethodHead
+	if answer.ContentLength < 0 && len(answer.TransferEncoding) == 0 && !headOnly {
+		return verdict.Doubt(http.StatusBadGateway, "the upstream's answer has neither length nor chunks")
 	}
-	return http.ReadResponse(lk.reader, rq)
-}
-
-// body reads an answer and gives its connection back at a clean end.
-type body struct {
-	lane   *Lane
-	link   *link
-	stop   func() bool
-	answer *http.Response
-	ended  bool
-	closed bool
+	if answer.ContentLength < 0 || answer.ContentLength > wholeBytes {
+		return nil
+	}
+	whole, err := io.ReadAll(an.Body)
+	if err != nil {
+		return cutOff(ctx)
+	}
+	_ = an.Body.Close()
+	an.Body = io.NopCloser(bytes.NewReader(whole))
+	return nil
 }
 
-// Read reads on; a cut body gives io.ErrUnexpectedEOF or the connection's error.
-func (bd *body) Read(buffer []byte) (int, error) {
-	count, err := bd.answer.Body.Read(buffer)
-	if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
-		bd.ended = true
+func cutOff(ctx context.Context) *verdict.Error {
+	if ctx.Err() != nil {
+		return verdict.Doubt(http.StatusGatewayTimeout, "the deadline passed while the upstream answered")
 	}
-	return count, err
+	return verdict.Doubt(http.StatusBadGateway, "the upstream cut its answer")
 }
 
-// Close keeps the connection if the answer was read to its end.
-func (bd *body) Close() error {
-	if bd.closed {
-		return nil
+// Cancel asks the upstream to give up a request. It returns nil once the
+// upstream has confirmed that the request's slot is free.
+func (ln *Lane) Cancel(ctx context.Context, id ident.Request) error {
+	target := "http://" + ln.address + control.CancelPath + "?id=" + url.QueryEscape(string(id))
+	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, target, nil)
+	if err != nil {
+		return err
 	}
-	bd.closed = true
-	kept := bd.stop()
-	if bd.ended && kept && !bd.answer.Close {
-		bd.lane.put(bd.link)
-		return nil
+	rs, err := ln.control.Do(rq)
+	if err != nil {
+		return errors.Join(ErrNotConfirmed, err)
+	}
+	_, _ = io.CopyN(io.Discard, rs.Body, wholeBytes)
+	_ = rs.Body.Close()
+	if rs.StatusCode != http.StatusOK {
+		return ErrNotConfirmed
 	}
-	return bd.link.conn.Close()
+	return nil
 }
