Take compression and a timer's wait off the path of a request

Cause: profiles of the hop and of the dispatcher. connect-go compressed every part of an answer, which took 38% of the hop's samples; the check for a closed idle connection waited for a read deadline of 20 us, which the timer's grain turns into about 1 ms for each request. Conclusion: both were waste. The check for a closed connection now peeks without waiting.

--- a/internal/fleet/inner/inner.go
+++ b/internal/fleet/inner/inner.go
@@ -138,7 +138,9 @@
 // NewPeer makes the way to a node's inner IP and port.
 func NewPeer(address string) *Peer {
 	hc := &http.Client{Transport: &http.Transport{Protocols: protocols()}}
-	return &Peer{client: innerpb.NewInnerClient(hc, "http://"+address), http: hc}
+	// Compression costs more processor time than all the rest of the hop.
+	plain := connect.WithAcceptCompression("gzip", nil, nil)
+	return &Peer{client: innerpb.NewInnerClient(hc, "http://"+address, plain), http: hc}
 }
 
 // Close drops the idle connections.
--- a/internal/serving/dispatch/dispatch.go
+++ b/internal/serving/dispatch/dispatch.go
@@ -14,8 +14,11 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"chervilwalk/internal/platform/control"
 	"chervilwalk/internal/serving/verdict"
 )
@@ -144,17 +147,27 @@
 	ln.idle = append(ln.idle, lk)
 }
 
-// probeTime is how long open looks for the end of an idle connection.
-const probeTime = 20 * time.Microsecond
-
 // open tells whether the peer has neither closed an idle connection nor sent
-// bytes that no request asked for.
+// bytes that no request asked for. It looks without waiting: a read deadline
+// would cost a timer's grain, about 1 ms, for each request.
 func (lk *link) open() bool {
-	_ = lk.conn.SetReadDeadline(time.Now().Add(probeTime))
-	_, err := lk.reader.Peek(1)
-	_ = lk.conn.SetReadDeadline(time.Time{})
-	var ne net.Error
-	return errors.As(err, &ne) && ne.Timeout()
+	if lk.reader.Buffered() > 0 {
+		return false
+	}
+	sc, ok := lk.conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	rc, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var peeked error
+	err = rc.Read(func(fd uintptr) bool {
+		_, _, peeked = unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		return true
+	})
+	return err == nil && errors.Is(peeked, unix.EAGAIN)
 }
 
 func (lk *link) exchange(rq *http.Request) (*http.Response, error) {
