--- a/cmd/chervilbench/main.go
+++ b/cmd/chervilbench/main.go
@@ -19,7 +19,9 @@
 
 // subcommands lists the measurements; each stands in a file of its own.
 func subcommands() []subcommand {
-	return []subcommand{}
+	return []subcommand{
+		{"slopes", "Measure how the costs of the roles grow", &slopesCommand{}},
+	}
 }
 
 func main() {
