Check bundles strictly, with every fault's place and remedy

A bundle was read by the library's own decoder, which stops at the first fault and knows nothing of names, addresses or limits. The text is now walked node by node: all faults are listed at once with file, line, column and remedy.

Seals bind the version to the signed text and carry the lineage of trusted keys, so that a node that missed a rotation can still check the next bundle. Edits take hosts and domains out and in without touching the rest of the text; Effective joins the operators' word with the census; Losses names what an edit takes below half.

--- a/internal/fleet/node/bundles.go
+++ b/internal/fleet/node/bundles.go
@@ -116,7 +116,7 @@
 	if err != nil {
 		return err
 	}
-	return bt.apply(ctx, bundle.Seal{Version: pt.Version, Key: pt.Key, Signature: pt.Signature, Body: body})
+	return bt.apply(ctx, pt.Seal(body))
 }
 
 func (bt *bundleTask) fromHost(ctx context.Context, ho ident.Host) {
@@ -137,12 +137,12 @@
 
 // apply puts a sealed bundle in force if it is trusted and of a higher version.
 func (bt *bundleTask) apply(ctx context.Context, sl bundle.Seal) error {
-	trusted := bt.node.config.TrustedKeys
+	trust := bundle.Trust{Keys: bt.node.config.TrustedKeys}
 	current := bt.current()
 	if current != nil {
-		trusted = current.TrustedKeys
+		trust = bundle.TrustOf(current)
 	}
-	bn, err := bundle.Open(sl, trusted)
+	bn, err := bundle.Open(sl, trust)
 	if err != nil {
 		bt.node.log.WithError(err).WithField("version", sl.Version).Warn("bundle refused")
 		return err
--- a/internal/operations/bundle/bundle.go
+++ b/internal/operations/bundle/bundle.go
@@ -65,6 +65,9 @@
 	// Inner is the IP and port of the inner protocol.
 	Inner string
 	Out   bool
+	// HeldIn is an operator's word ("out: false") that the census cannot
+	// overrule.
+	HeldIn bool
 }
 
 // Service is a kind of request with the upstreams that answer it.
@@ -102,6 +105,9 @@
 	// ChecksTokens tells whether it refuses stale grants by itself.
 	ChecksTokens bool
 	Out          bool
+	// HeldIn is an operator's word ("out: false") that the census cannot
+	// overrule.
+	HeldIn bool
 }
 
 // TrustedKey is a key whose signature makes a bundle acceptable.
--- /dev/null
+++ b/internal/operations/bundle/edit_test.go
@@ -0,0 +1,147 @@
+package bundle_test
+
+import (
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"chervilwalk/internal/fleet/ident"
+	"chervilwalk/internal/operations/bundle"
+	"chervilwalk/internal/platform/census"
+)
+
+func TestEditsChangeOneEntryAndTheVersion(t *testing.T) {
+	for name, tc := range map[string]struct {
+		edits []bundle.Edit
+		want  []string
+	}{
+		"host out":        {[]bundle.Edit{{Name: "n1", Out: true}}, []string{"~ host n1: out - -> true"}},
+		"upstream out":    {[]bundle.Edit{{Name: "l2", Out: true}}, []string{"~ upstream l2: out - -> true"}},
+		"host held in":    {[]bundle.Edit{{Name: "n1"}}, []string{"~ host n1: out - -> false"}},
+		"follows census":  {[]bundle.Edit{{Name: "n1"}, {Name: "n1", FollowCensus: true}}, nil},
+		"domain out":      {[]bundle.Edit{{Target: bundle.DomainTarget, Name: "south", Out: true}}, []string{"~ domain south: out false -> true"}},
+		"domain dark":     {[]bundle.Edit{{Target: bundle.DomainTarget, Name: "south", Out: true, Dark: true}}, []string{"~ domain south: out false -> true", "~ domain south: dark false -> true"}},
+		"domain and back": {[]bundle.Edit{{Target: bundle.DomainTarget, Name: "south", Out: true, Dark: true}, {Target: bundle.DomainTarget, Name: "south"}}, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			gm := NewWithT(t)
+			body := []byte("# kept\n" + sample)
+			var err error
+			for _, ed := range tc.edits {
+				body, err = ed.Apply(body)
+				gm.Expect(err).NotTo(HaveOccurred())
+			}
+			gm.Expect(string(body)).To(HavePrefix("# kept\n"))
+			before, err := bundle.Parse("before", []byte(sample))
+			gm.Expect(err).NotTo(HaveOccurred())
+			after, err := bundle.Parse("after", body)
+			gm.Expect(err).NotTo(HaveOccurred())
+			gm.Expect(after.Version).To(Equal(before.Version + bundle.Version(len(tc.edits))))
+			gm.Expect(bundle.Diff(before, after)[1:]).To(ConsistOf(tc.want))
+		})
+	}
+}
+
+func TestEditsThatChangeNothingAreRefused(t *testing.T) {
+	for name, tc := range map[string]struct {
+		edit bundle.Edit
+		want error
+	}{
+		"unknown host":     {bundle.Edit{Name: "x1", Out: true}, bundle.ErrUnknownName},
+		"domain as host":   {bundle.Edit{Name: "north", Out: true}, bundle.ErrUnknownName},
+		"domain already":   {bundle.Edit{Target: bundle.DomainTarget, Name: "north"}, bundle.ErrUnchanged},
+		"census already":   {bundle.Edit{Name: "n1", FollowCensus: true}, bundle.ErrUnchanged},
+		"unknown upstream": {bundle.Edit{Name: "l9", Out: true}, bundle.ErrUnknownName},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := tc.edit.Apply([]byte(sample))
+			NewWithT(t).Expect(err).To(MatchError(tc.want))
+		})
+	}
+}
+
+func TestEffectiveViewWeighsOperatorAgainstCensus(t *testing.T) {
+	leaving := func(names ...string) []census.Entry {
+		var list []census.Entry
+		for _, name := range names {
+			list = append(list, census.Entry{Host: ident.Host(name), State: census.Leaving})
+		}
+		return list
+	}
+	for name, tc := range map[string]struct {
+		old, new string
+		census   []census.Entry
+		out      []string
+	}{
+		"nothing said":                 {"", "", nil, nil},
+		"census drains":                {"", "", leaving("n1", "l2", "unknown"), []string{"n1", "l2"}},
+		"live in the census":           {"", "", []census.Entry{{Host: "n1", State: census.Live}}, nil},
+		"operator out, census live":    {"10.0.0.1:7300}", "10.0.0.1:7300, out: true}", []census.Entry{{Host: "n1", State: census.Live}}, []string{"n1"}},
+		"operator in, census leaving":  {"10.0.0.1:7300}", "10.0.0.1:7300, out: false}", leaving("n1"), nil},
+		"domain out takes all with it": {"south, region: hills", "south, region: hills, out: true", nil, []string{"s1", "l2"}},
+		"domain out beats host in":     {"south, region: hills}\nhosts:", "south, region: hills, out: true}\nhosts:", nil, []string{"s1", "l2"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			gm := NewWithT(t)
+			bn, err := bundle.Parse("b", []byte(strings.Replace(sample, tc.old, tc.new, 1)))
+			gm.Expect(err).NotTo(HaveOccurred())
+			before, err := bundle.Format(bn)
+			gm.Expect(err).NotTo(HaveOccurred())
+			gm.Expect(outs(bundle.Effective(bn, tc.census))).To(ConsistOf(tc.out))
+			after, err := bundle.Format(bn)
+			gm.Expect(err).NotTo(HaveOccurred())
+			gm.Expect(after).To(Equal(before))
+		})
+	}
+}
+
+func outs(bn *bundle.Bundle) []string {
+	var names []string
+	for _, ho := range bn.Hosts {
+		if ho.Out {
+			names = append(names, string(ho.Name))
+		}
+	}
+	for _, sv := range bn.Services {
+		for _, up := range sv.Upstreams {
+			if up.Out {
+				names = append(names, string(up.Name))
+			}
+		}
+	}
+	return names
+}
+
+func TestHalfMayGoAndMoreNeedsForce(t *testing.T) {
+	for name, tc := range map[string]struct {
+		edits []bundle.Edit
+		want  []string
+	}{
+		"half of the upstreams":    {[]bundle.Edit{{Name: "l1", Out: true}}, nil},
+		"half by a domain":         {[]bundle.Edit{{Target: bundle.DomainTarget, Name: "south", Out: true}}, nil},
+		"the only hosts of both":   {[]bundle.Edit{{Name: "s1", Out: true}, {Name: "n1", Out: true}}, []string{"entry hosts would keep 0 of 2 hosts (now 1, needed 1)", "service lookup would keep 0 of 4 slots (now 2, needed 2)"}},
+		"domain, then the rest":    {[]bundle.Edit{{Target: bundle.DomainTarget, Name: "south", Out: true}, {Name: "l1", Out: true}}, []string{"service lookup would keep 0 of 4 slots (now 2, needed 2)"}},
+		"the hosts of a domain":    {[]bundle.Edit{{Name: "l1", Out: true}, {Name: "s1", Out: true}}, []string{"service lookup would keep 0 of 4 slots (now 2, needed 2)"}},
+		"bringing back is no loss": {[]bundle.Edit{{Name: "l1", Out: true}, {Name: "l1"}}, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			gm := NewWithT(t)
+			body, last := []byte(sample), []byte(nil)
+			for _, ed := range tc.edits {
+				next, err := ed.Apply(body)
+				gm.Expect(err).NotTo(HaveOccurred())
+				last, body = body, next
+			}
+			before, err := bundle.Parse("before", last)
+			gm.Expect(err).NotTo(HaveOccurred())
+			after, err := bundle.Parse("after", body)
+			gm.Expect(err).NotTo(HaveOccurred())
+			var lines []string
+			for _, ls := range bundle.Losses(before, after) {
+				lines = append(lines, ls.String())
+			}
+			gm.Expect(lines).To(Equal(tc.want))
+		})
+	}
+}
--- a/internal/operations/bundle/parse.go
+++ b/internal/operations/bundle/parse.go
@@ -2,161 +2,158 @@
 
 import (
 	"bytes"
-	"encoding/base64"
 	"errors"
+	"fmt"
 	"io"
-	"time"
+	"strings"
 
-	"github.com/rotisserie/eris"
 	"gopkg.in/yaml.v3"
 
 	"chervilwalk/internal/fleet/ident"
 )
 
-type fileYAML struct {
-	Version     uint64        `yaml:"version"`
-	Domains     []domainYAML  `yaml:"domains"`
-	Hosts       []hostYAML    `yaml:"hosts"`
-	Services    []serviceYAML `yaml:"services"`
-	TrustedKeys []keyYAML     `yaml:"trustedKeys"`
-}
-
-type domainYAML struct {
-	Name   string `yaml:"name"`
-	Region string `yaml:"region"`
-	Out    bool   `yaml:"out,omitempty"`
-	Dark   bool   `yaml:"dark,omitempty"`
-}
-
-type hostYAML struct {
-	Name   string `yaml:"name"`
-	Domain string `yaml:"domain"`
-	Inner  string `yaml:"inner"`
-	Out    bool   `yaml:"out,omitempty"`
-}
+const (
+	// MaxBodyBytes bounds a bundle's text.
+	MaxBodyBytes = 8 << 20
+	// MaxSlices bounds the parts of one service's key space.
+	MaxSlices = 1 << 16
+	// maxNameBytes bounds every name.
+	maxNameBytes = 63
+	// maxSlots bounds the slots and connections of one upstream.
+	maxSlots = 1 << 16
+	// maxRequestBytes is the largest body that an entry takes from a caller.
+	maxRequestBytes = 8 << 20
+)
 
-type serviceYAML struct {
-	Name              string         `yaml:"name"`
-	Keyed             bool           `yaml:"keyed,omitempty"`
-	Key               string         `yaml:"key,omitempty"`
-	Slices            uint32         `yaml:"slices,omitempty"`
-	IdempotentMethods []string       `yaml:"idempotentMethods,flow"`
-	DefaultTimeout    time.Duration  `yaml:"defaultTimeout"`
-	MaxTimeout        time.Duration  `yaml:"maxTimeout"`
-	MaxBodyBytes      int            `yaml:"maxBodyBytes"`
-	WhenCutOff        string         `yaml:"whenCutOff,omitempty"`
-	KeepFor           time.Duration  `yaml:"keepFor,omitempty"`
-	Upstreams         []upstreamYAML `yaml:"upstreams"`
+// Parse reads a bundle's YAML strictly. Its error is a *Problems that lists
+// every fault; the name stands in it for the file.
+func Parse(name string, body []byte) (*Bundle, error) {
+	rd := newReader()
+	root := rd.document(body)
+	if root == nil {
+		return nil, rd.err(name)
+	}
+	bn := rd.bundle(root)
+	if err := rd.err(name); err != nil {
+		return nil, err
+	}
+	return bn, nil
 }
 
-type upstreamYAML struct {
-	Name         string `yaml:"name"`
-	Domain       string `yaml:"domain"`
-	Address      string `yaml:"address"`
-	Slots        int    `yaml:"slots"`
-	Connections  int    `yaml:"connections"`
-	ColdLimit    int    `yaml:"coldLimit"`
-	ChecksTokens bool   `yaml:"checksTokens,omitempty"`
-	Out          bool   `yaml:"out,omitempty"`
+// document returns the single YAML document of a text; nil when there is none.
+func (rd *reader) document(body []byte) *yaml.Node {
+	place := &yaml.Node{Line: 1, Column: 1}
+	if len(body) > MaxBodyBytes {
+		rd.add(place, "split the fleet", "the bundle is larger than %d bytes", MaxBodyBytes)
+		return nil
+	}
+	dc := yaml.NewDecoder(bytes.NewReader(body))
+	var dt yaml.Node
+	if err := dc.Decode(&dt); err != nil {
+		rd.syntax(err)
+		return nil
+	}
+	var rest yaml.Node
+	switch err := dc.Decode(&rest); {
+	case errors.Is(err, io.EOF):
+	case err != nil:
+		rd.syntax(err)
+		return nil
+	default:
+		rd.add(&rest, "keep one document in a file", "more than one YAML document")
+		return nil
+	}
+	if al := findAlias(&dt); al != nil {
+		rd.add(al, "write the value out", "aliases are not allowed")
+		return nil
+	}
+	return dt.Content[0]
 }
 
-type keyYAML struct {
-	Name   string `yaml:"name"`
-	Public string `yaml:"public"`
+// syntax turns an error of the YAML library into a problem with its line.
+func (rd *reader) syntax(err error) {
+	place := &yaml.Node{Line: 1, Column: 1}
+	if errors.Is(err, io.EOF) {
+		rd.add(place, "write version, domains, hosts and services", "the bundle is empty")
+		return
+	}
+	text := strings.TrimPrefix(err.Error(), "yaml: ")
+	if _, serr := fmt.Sscanf(text, "line %d:", &place.Line); serr == nil {
+		_, text, _ = strings.Cut(text, ": ")
+	}
+	rd.add(place, "mend the YAML at or just above this line", "%s", text)
 }
 
-// Parse reads a bundle's YAML; the name stands in the errors.
-func Parse(name string, body []byte) (*Bundle, error) {
-	var fy fileYAML
-	dc := yaml.NewDecoder(bytes.NewReader(body))
-	dc.KnownFields(true)
-	if err := dc.Decode(&fy); err != nil && !errors.Is(err, io.EOF) {
-		return nil, eris.Wrapf(err, "bundle %s", name)
+func findAlias(nd *yaml.Node) *yaml.Node {
+	if nd.Kind == yaml.AliasNode || nd.Anchor != "" {
+		return nd
 	}
-	bn, err := fy.bundle()
-	if err != nil {
-		return nil, eris.Wrapf(err, "bundle %s", name)
+	for _, child := range nd.Content {
+		if al := findAlias(child); al != nil {
+			return al
+		}
 	}
-	return bn, nil
+	return nil
 }
 
-func (fy *fileYAML) bundle() (*Bundle, error) {
-	bn := &Bundle{Version: Version(fy.Version)}
-	for _, dy := range fy.Domains {
-		bn.Domains = append(bn.Domains, Domain{
-			Name: ident.Domain(dy.Name), Region: ident.Region(dy.Region), Out: dy.Out, Dark: dy.Dark,
-		})
-	}
-	for _, hy := range fy.Hosts {
-		bn.Hosts = append(bn.Hosts, Host{
-			Name: ident.Host(hy.Name), Domain: ident.Domain(hy.Domain), Inner: hy.Inner, Out: hy.Out,
-		})
-	}
-	for _, sy := range fy.Services {
-		bn.Services = append(bn.Services, sy.service())
-	}
-	for _, ky := range fy.TrustedKeys {
-		public, err := base64.StdEncoding.DecodeString(ky.Public)
-		if err != nil {
-			return nil, eris.Wrapf(err, "trusted key %s", ky.Name)
+func (rd *reader) bundle(nd *yaml.Node) *Bundle {
+	mp := rd.mapping(nd, "the bundle", "version", "domains", "hosts", "services", "trustedKeys")
+	bn := &Bundle{Version: Version(mp.count("version", 1<<62))}
+	for _, child := range mp.list("domains") {
+		bn.Domains = append(bn.Domains, rd.domain(child))
+	}
+	for _, child := range mp.list("hosts") {
+		bn.Hosts = append(bn.Hosts, rd.host(child, bn))
+	}
+	for _, child := range mp.list("services") {
+		bn.Services = append(bn.Services, rd.service(child, bn))
+	}
+	for _, child := range mp.list("trustedKeys") {
+		bn.TrustedKeys = append(bn.TrustedKeys, rd.trustedKey(child))
+	}
+	for field, size := range map[string]int{"domains": len(bn.Domains), "hosts": len(bn.Hosts), "services": len(bn.Services)} {
+		if size == 0 {
+			rd.add(mp.at(field), "add at least one", "the bundle has no %s", field)
 		}
-		bn.TrustedKeys = append(bn.TrustedKeys, TrustedKey{Name: ky.Name, Public: public})
 	}
-	return bn, nil
+	for ix, child := range mp.list("domains") {
+		if dm := bn.Domains[ix]; dm.Name != "" && len(bn.HostsOf(dm.Name)) == 0 {
+			rd.add(child, "add a host with domain: "+string(dm.Name)+", or remove the domain", "domain %q has no hosts", dm.Name)
+		}
+	}
+	return bn
 }
 
-func (sy *serviceYAML) service() Service {
-	sv := Service{
-		Name:              ident.Service(sy.Name),
-		Keyed:             sy.Keyed,
-		Key:               KeySource(sy.Key),
-		Slices:            sy.Slices,
-		IdempotentMethods: sy.IdempotentMethods,
-		DefaultTimeout:    sy.DefaultTimeout,
-		MaxTimeout:        sy.MaxTimeout,
-		MaxBodyBytes:      sy.MaxBodyBytes,
-		WhenCutOff:        CutOff(sy.WhenCutOff),
-		KeepFor:           sy.KeepFor,
-	}
-	for _, uy := range sy.Upstreams {
-		sv.Upstreams = append(sv.Upstreams, Upstream{
-			Name: ident.Upstream(uy.Name), Domain: ident.Domain(uy.Domain), Address: uy.Address,
-			Slots: uy.Slots, Connections: uy.Connections, ColdLimit: uy.ColdLimit,
-			ChecksTokens: uy.ChecksTokens, Out: uy.Out,
-		})
-	}
-	return sv
+func (rd *reader) domain(nd *yaml.Node) Domain {
+	mp := rd.mapping(nd, "a domain", "name", "region", "out", "dark")
+	dm := Domain{Name: ident.Domain(mp.name("name")), Region: ident.Region(mp.name("region"))}
+	dm.Out, _ = mp.flag("out")
+	dm.Dark, _ = mp.flag("dark")
+	rd.claim(mp.at("name"), "domain name", string(dm.Name))
+	if dm.Dark && !dm.Out {
+		rd.add(mp.at("dark"), "add out: true, or remove dark", "domain %q is declared dark but not out", dm.Name)
+	}
+	return dm
 }
 
-// Format writes a bundle as YAML that Parse reads back.
-func Format(bn *Bundle) ([]byte, error) {
-	fy := fileYAML{Version: uint64(bn.Version)}
-	for _, dm := range bn.Domains {
-		fy.Domains = append(fy.Domains, domainYAML{Name: string(dm.Name), Region: string(dm.Region), Out: dm.Out, Dark: dm.Dark})
+func (rd *reader) host(nd *yaml.Node, bn *Bundle) Host {
+	mp := rd.mapping(nd, "a host", "name", "domain", "inner", "out")
+	ho := Host{
+		Name:   ident.Host(mp.name("name")),
+		Domain: rd.domainOf(mp, bn),
+		Inner:  rd.address(mp, "inner"),
 	}
-	for _, ho := range bn.Hosts {
-		fy.Hosts = append(fy.Hosts, hostYAML{Name: string(ho.Name), Domain: string(ho.Domain), Inner: ho.Inner, Out: ho.Out})
-	}
-	for ix := range bn.Services {
-		fy.Services = append(fy.Services, formatService(&bn.Services[ix]))
-	}
-	for _, tk := range bn.TrustedKeys {
-		fy.TrustedKeys = append(fy.TrustedKeys, keyYAML{Name: tk.Name, Public: base64.StdEncoding.EncodeToString(tk.Public)})
-	}
-	return yaml.Marshal(fy)
+	out, stated := mp.flag("out")
+	ho.Out, ho.HeldIn = out, stated && !out
+	rd.claim(mp.at("name"), "host or upstream name", string(ho.Name))
+	return ho
 }
 
-func formatService(sv *Service) serviceYAML {
-	sy := serviceYAML{
-		Name: string(sv.Name), Keyed: sv.Keyed, Key: string(sv.Key), Slices: sv.Slices,
-		IdempotentMethods: sv.IdempotentMethods, DefaultTimeout: sv.DefaultTimeout, MaxTimeout: sv.MaxTimeout,
-		MaxBodyBytes: sv.MaxBodyBytes, WhenCutOff: string(sv.WhenCutOff), KeepFor: sv.KeepFor,
-	}
-	for _, up := range sv.Upstreams {
-		sy.Upstreams = append(sy.Upstreams, upstreamYAML{
-			Name: string(up.Name), Domain: string(up.Domain), Address: up.Address, Slots: up.Slots,
-			Connections: up.Connections, ColdLimit: up.ColdLimit, ChecksTokens: up.ChecksTokens, Out: up.Out,
-		})
-	}
-	return sy
+// domainOf reads the name of a domain that the bundle must have.
+func (rd *reader) domainOf(mp *mapping, bn *Bundle) ident.Domain {
+	name := ident.Domain(mp.name("domain"))
+	if _, ok := bn.Domain(name); name != "" && !ok {
+		rd.add(mp.at("domain"), "use a name of the list domains, or add it there", "%s is in the unknown domain %q", mp.what, name)
+	}
+	return name
 }
--- a/internal/operations/trial/fleet.go
+++ b/internal/operations/trial/fleet.go
@@ -167,7 +167,7 @@
 	if row.Outcome != table.Done {
 		return eris.New("the bundle's row cannot be read")
 	}
-	value, err := bundle.EncodePointer(bundle.Pointer{Version: sl.Version, Digest: dg, Key: sl.Key, Signature: sl.Signature})
+	value, err := bundle.EncodePointer(bundle.PointerOf(sl))
 	if err != nil {
 		return err
 	}
