Forward calls as plain HTTP/2 exchanges in place of a connect-go stream

Cause: a small call over the hop took a head, a chunk and an end, each in an envelope of its own, through connect-go's stream. Conclusion: the call is now the body of a plain HTTP/2 request, the answer's body follows its head as it is, and a cut resets the stream. Control messages stay with connect-go. Header values, paths and keys are bytes on the wire, since protobuf refuses strings that are not UTF-8.

--- a/internal/fleet/inner/codec.go
+++ b/internal/fleet/inner/codec.go
@@ -1,7 +1,9 @@
 package inner
 
 import (
+	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"chervilwalk/internal/fleet/ident"
@@ -15,10 +17,10 @@
 		Id:              string(ca.ID),
 		Pool:            string(ca.Pool),
 		Service:         string(ca.Service),
-		Key:             string(ca.Key),
+		Key:             []byte(ca.Key),
 		Slice:           uint32(ca.Slice),
 		Method:          ca.Method,
-		Path:            ca.Path,
+		Path:            []byte(ca.Path),
 		Headers:         encodeHeader(ca.Header),
 		Body:            ca.Body,
 		RemainingMicros: time.Until(ca.Deadline).Microseconds(),
@@ -34,7 +36,7 @@
 		Key:        ident.Key(pb.GetKey()),
 		Slice:      ident.Slice(pb.GetSlice()),
 		Method:     pb.GetMethod(),
-		Path:       pb.GetPath(),
+		Path:       string(pb.GetPath()),
 		Header:     decodeHeader(pb.GetHeaders()),
 		Body:       pb.GetBody(),
 		Deadline:   time.Now().Add(time.Duration(pb.GetRemainingMicros()) * time.Microsecond),
@@ -46,7 +48,7 @@
 	var list []*innerpb.Header
 	for name, values := range hd {
 		for _, value := range values {
-			list = append(list, &innerpb.Header{Name: name, Value: value})
+			list = append(list, &innerpb.Header{Name: name, Value: []byte(value)})
 		}
 	}
 	return list
@@ -55,7 +57,7 @@
 func decodeHeader(list []*innerpb.Header) http.Header {
 	hd := http.Header{}
 	for _, pb := range list {
-		hd.Add(pb.GetName(), pb.GetValue())
+		hd[pb.GetName()] = append(hd[pb.GetName()], string(pb.GetValue()))
 	}
 	return hd
 }
@@ -69,7 +71,7 @@
 	}}}
 }
 
-func answerOf(hd *innerpb.Head, bd *streamBody) *dispatch.Answer {
+func answerOf(hd *innerpb.Head, bd io.ReadCloser) *dispatch.Answer {
 	return &dispatch.Answer{
 		Status: int(hd.GetStatus()),
 		Header: decodeHeader(hd.GetHeaders()),
@@ -97,3 +99,7 @@
 		RetryAfter: time.Duration(en.GetRetryAfterMillis()) * time.Millisecond,
 	}
 }
+
+func formatLength(length int64) string {
+	return strconv.FormatInt(length, 10)
+}
--- a/internal/fleet/inner/inner.go
+++ b/internal/fleet/inner/inner.go
@@ -8,7 +8,7 @@
 import (
 	"context"
 	"errors"
-	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -18,11 +18,16 @@
 	"chervilwalk/internal/fleet/inner/innerpb"
 	"chervilwalk/internal/operations/bundle"
 	"chervilwalk/internal/serving/dispatch"
-	"chervilwalk/internal/serving/verdict"
 )
 
-// chunkBytes is the size of the pieces in which a body crosses the hop.
-const chunkBytes = 32 << 10
+const (
+	// dialTimeout bounds the making of a connection to another node.
+	dialTimeout = 500 * time.Millisecond
+	// idleTimeout bounds how long a connection to a node is kept without calls.
+	idleTimeout = 90 * time.Second
+	// retryAfterHop is what a caller is told whose pool's holder is away.
+	retryAfterHop = time.Second
+)
 
 // UpstreamHeader names to the caller the upstream that answered.
 const UpstreamHeader = "Chervilwalk-Upstream"
@@ -67,6 +72,7 @@
 // a listener.
 func NewServer(sv Service) *http.Server {
 	mx := http.NewServeMux()
+	mx.Handle("POST "+forwardPath, &forwardHandler{service: sv})
 	mx.Handle(innerpb.NewInnerHandler(&handler{service: sv}))
 	return &http.Server{Handler: mx, Protocols: protocols(), ReadHeaderTimeout: 5 * time.Second}
 }
@@ -76,34 +82,6 @@
 	service Service
 }
 
-// Forward serves one call and streams its answer; the stream ends with an End.
-func (hn *handler) Forward(ctx context.Context, rq *connect.Request[innerpb.ForwardRequest], st *connect.ServerStream[innerpb.ForwardReply]) error {
-	answer, err := hn.service.Serve(ctx, decodeCall(rq.Msg))
-	if err != nil {
-		return st.Send(endOf(err))
-	}
-	defer func() { _ = answer.Body.Close() }()
-	if err := st.Send(headOf(answer)); err != nil {
-		return err
-	}
-	buffer := make([]byte, chunkBytes)
-	for {
-		count, err := answer.Body.Read(buffer)
-		if count > 0 {
-			part := &innerpb.ForwardReply{Part: &innerpb.ForwardReply_Chunk{Chunk: buffer[:count]}}
-			if err := st.Send(part); err != nil {
-				return err
-			}
-		}
-		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
-			return st.Send(&innerpb.ForwardReply{Part: &innerpb.ForwardReply_End{End: &innerpb.End{Verdict: int32(verdict.Ran)}}})
-		}
-		if err != nil {
-			return st.Send(endOf(verdict.Doubt(http.StatusBadGateway, "the upstream cut its answer")))
-		}
-	}
-}
-
 // Bar answers whether a request was kept from its dispatch.
 func (hn *handler) Bar(ctx context.Context, rq *connect.Request[innerpb.BarRequest]) (*connect.Response[innerpb.BarReply], error) {
 	barred := hn.service.Bar(ctx, ident.Pool(rq.Msg.GetPool()), ident.Request(rq.Msg.GetId()))
@@ -131,16 +109,33 @@
 
 // Peer is the way to one other node.
 type Peer struct {
-	client innerpb.InnerClient
-	http   *http.Client
+	client     innerpb.InnerClient
+	http       *http.Client
+	forwardURL string
 }
 
 // NewPeer makes the way to a node's inner IP and port.
 func NewPeer(address string) *Peer {
-	hc := &http.Client{Transport: &http.Transport{Protocols: protocols()}}
+	hc := &http.Client{Transport: &http.Transport{
+		Protocols:          protocols(),
+		DisableCompression: true,
+		DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		IdleConnTimeout:    idleTimeout,
+	}}
 	// Compression costs more processor time than all the rest of the hop.
 	plain := connect.WithAcceptCompression("gzip", nil, nil)
-	return &Peer{client: innerpb.NewInnerClient(hc, "http://"+address, plain), http: hc}
+	return &Peer{
+		client:     innerpb.NewInnerClient(hc, "http://"+address, plain),
+		http:       hc,
+		forwardURL: "http://" + address + forwardPath,
+	}
+}
+
+// neverSent tells whether the connection to a node was never made, so that no
+// byte of a call was sent.
+func neverSent(err error) bool {
+	var oe *net.OpError
+	return errors.As(err, &oe) && oe.Op == "dial"
 }
 
 // Close drops the idle connections.
@@ -148,34 +143,6 @@
 	pe.http.CloseIdleConnections()
 }
 
-// Forward runs a call at the holder. A broken hop is a *verdict.Error that says
-// "may have run"; the caller may Bar the id to learn more.
-func (pe *Peer) Forward(ctx context.Context, ca *Call) (*dispatch.Answer, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	st, err := pe.client.Forward(ctx, connect.NewRequest(encodeCall(ca)))
-	if err != nil {
-		cancel()
-		return nil, hopBroken()
-	}
-	if !st.Receive() {
-		cancel()
-		_ = st.Close()
-		return nil, hopBroken()
-	}
-	switch part := st.Msg().GetPart().(type) {
-	case *innerpb.ForwardReply_Head:
-		return answerOf(part.Head, &streamBody{stream: st, cancel: cancel}), nil
-	case *innerpb.ForwardReply_End:
-		cancel()
-		_ = st.Close()
-		return nil, errorOf(part.End)
-	default:
-		cancel()
-		_ = st.Close()
-		return nil, hopBroken()
-	}
-}
-
 // Bar asks the holder to forbid the dispatch of a call.
 func (pe *Peer) Bar(ctx context.Context, pl ident.Pool, id ident.Request) (bool, error) {
 	rs, err := pe.client.Bar(ctx, connect.NewRequest(&innerpb.BarRequest{Id: string(id), Pool: string(pl)}))
@@ -205,46 +172,3 @@
 		Signature: rs.Msg.GetSignature(), Body: rs.Msg.GetBody(),
 	}, nil
 }
-
-// hopBroken is the error of a call whose fate at the holder is not known.
-func hopBroken() error {
-	return verdict.Doubt(http.StatusBadGateway, "the way to the pool's holder broke")
-}
-
-// streamBody reads a body off the stream; only an End without failure is EOF.
-type streamBody struct {
-	stream *connect.ServerStreamForClient[innerpb.ForwardReply]
-	cancel context.CancelFunc
-	rest   []byte
-	ended  bool
-}
-
-// Read reads on; a stream that ends without a clean End was cut.
-func (sb *streamBody) Read(buffer []byte) (int, error) {
-	for len(sb.rest) == 0 {
-		if sb.ended {
-			return 0, io.EOF
-		}
-		if !sb.stream.Receive() {
-			return 0, io.ErrUnexpectedEOF
-		}
-		switch part := sb.stream.Msg().GetPart().(type) {
-		case *innerpb.ForwardReply_Chunk:
-			sb.rest = part.Chunk
-		case *innerpb.ForwardReply_End:
-			if part.End.GetFailed() {
-				return 0, io.ErrUnexpectedEOF
-			}
-			sb.ended = true
-		}
-	}
-	count := copy(buffer, sb.rest)
-	sb.rest = sb.rest[count:]
-	return count, nil
-}
-
-// Close ends the stream; before the End it cancels the call.
-func (sb *streamBody) Close() error {
-	sb.cancel()
-	return sb.stream.Close()
-}
--- a/internal/fleet/inner/innerpb/inner.connect.go
+++ b/internal/fleet/inner/innerpb/inner.connect.go
@@ -33,8 +33,6 @@
 // reflection-formatted method names, remove the leading slash and convert the remaining slash to a
 // period.
 const (
-	// InnerForwardProcedure is the fully-qualified name of the Inner's Forward RPC.
-	InnerForwardProcedure = "/chervilwalk.inner.v1.Inner/Forward"
 	// InnerBarProcedure is the fully-qualified name of the Inner's Bar RPC.
 	InnerBarProcedure = "/chervilwalk.inner.v1.Inner/Bar"
 	// InnerTellProcedure is the fully-qualified name of the Inner's Tell RPC.
@@ -45,8 +43,6 @@
 
 // InnerClient is a client for the chervilwalk.inner.v1.Inner service.
 type InnerClient interface {
-	// Forward hands one request to the holder of its pool and streams the answer.
-	Forward(context.Context, *connect.Request[ForwardRequest]) (*connect.ServerStreamForClient[ForwardReply], error)
 	// Bar forbids the dispatch of a request that is still queued at the holder.
 	Bar(context.Context, *connect.Request[BarRequest]) (*connect.Response[BarReply], error)
 	// Tell carries one control message; its answer, if any, is another Tell.
@@ -66,12 +62,6 @@
 	baseURL = strings.TrimRight(baseURL, "/")
 	innerMethods := File_inner_proto.Services().ByName("Inner").Methods()
 	return &innerClient{
-		forward: connect.NewClient[ForwardRequest, ForwardReply](
-			httpClient,
-			baseURL+InnerForwardProcedure,
-			connect.WithSchema(innerMethods.ByName("Forward")),
-			connect.WithClientOptions(opts...),
-		),
 		bar: connect.NewClient[BarRequest, BarReply](
 			httpClient,
 			baseURL+InnerBarProcedure,
@@ -95,17 +85,11 @@
 
 // innerClient implements InnerClient.
 type innerClient struct {
-	forward     *connect.Client[ForwardRequest, ForwardReply]
 	bar         *connect.Client[BarRequest, BarReply]
 	tell        *connect.Client[Envelope, TellReply]
 	fetchBundle *connect.Client[FetchBundleRequest, FetchBundleReply]
 }
 
-// Forward calls chervilwalk.inner.v1.Inner.Forward.
-func (c *innerClient) Forward(ctx context.Context, req *connect.Request[ForwardRequest]) (*connect.ServerStreamForClient[ForwardReply], error) {
-	return c.forward.CallServerStream(ctx, req)
-}
-
 // Bar calls chervilwalk.inner.v1.Inner.Bar.
 func (c *innerClient) Bar(ctx context.Context, req *connect.Request[BarRequest]) (*connect.Response[BarReply], error) {
 	return c.bar.CallUnary(ctx, req)
@@ -123,8 +107,6 @@
 
 // InnerHandler is an implementation of the chervilwalk.inner.v1.Inner service.
 type InnerHandler interface {
-	// Forward hands one request to the holder of its pool and streams the answer.
-	Forward(context.Context, *connect.Request[ForwardRequest], *connect.ServerStream[ForwardReply]) error
 	// Bar forbids the dispatch of a request that is still queued at the holder.
 	Bar(context.Context, *connect.Request[BarRequest]) (*connect.Response[BarReply], error)
 	// Tell carries one control message; its answer, if any, is another Tell.
@@ -140,12 +122,6 @@
 // and JSON codecs. They also support gzip compression.
 func NewInnerHandler(svc InnerHandler, opts ...connect.HandlerOption) (string, http.Handler) {
 	innerMethods := File_inner_proto.Services().ByName("Inner").Methods()
-	innerForwardHandler := connect.NewServerStreamHandler(
-		InnerForwardProcedure,
-		svc.Forward,
-		connect.WithSchema(innerMethods.ByName("Forward")),
-		connect.WithHandlerOptions(opts...),
-	)
 	innerBarHandler := connect.NewUnaryHandler(
 		InnerBarProcedure,
 		svc.Bar,
@@ -166,8 +142,6 @@
 	)
 	return "/chervilwalk.inner.v1.Inner/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
-		case InnerForwardProcedure:
-			innerForwardHandler.ServeHTTP(w, r)
 		case InnerBarProcedure:
 			innerBarHandler.ServeHTTP(w, r)
 		case InnerTellProcedure:
@@ -183,10 +157,6 @@
 // UnimplementedInnerHandler returns CodeUnimplemented from all methods.
 type UnimplementedInnerHandler struct{}
 
-func (UnimplementedInnerHandler) Forward(context.Context, *connect.Request[ForwardRequest], *connect.ServerStream[ForwardReply]) error {
-	return connect.NewError(connect.CodeUnimplemented, errors.New("chervilwalk.inner.v1.Inner.Forward is not implemented"))
-}
-
 func (UnimplementedInnerHandler) Bar(context.Context, *connect.Request[BarRequest]) (*connect.Response[BarReply], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("chervilwalk.inner.v1.Inner.Bar is not implemented"))
 }
--- a/internal/serving/entry/entry_test.go
+++ b/internal/serving/entry/entry_test.go
@@ -98,6 +98,7 @@
 		"body over service's": {raw: "POST /orders/1 HTTP/1.1\r\nHost: r\r\nContent-Length: 101\r\n\r\n" + strings.Repeat("x", 101), status: 413},
 		"body over router's":  {raw: "POST /orders/1 HTTP/1.1\r\nHost: r\r\nContent-Length: 99999999\r\n\r\n", status: 413},
 		"header too large":    {raw: "GET /lookup/1 HTTP/1.1\r\nHost: r\r\nX: " + strings.Repeat("x", 20<<10) + "\r\n\r\n", status: 431},
+		"odd method":          {raw: "G\"T /lookup/1 HTTP/1.1\r\nHost: r\r\n\r\n", status: 400},
 		"no HTTP":             {raw: "what is this\r\n\r\n", status: 400},
 	}
 	address := start(t, func(context.Context, *inner.Call) (*dispatch.Answer, error) {
--- a/internal/serving/entry/request.go
+++ b/internal/serving/entry/request.go
@@ -35,6 +35,9 @@
 
 // parse checks a request against the bundle; nothing is dispatched before it.
 func parse(bn *bundle.Bundle, cx *fasthttp.RequestCtx) (*bundle.Service, *inner.Call, *verdict.Error) {
+	if !plainMethod(cx.Method()) {
+		return nil, nil, verdict.Refuse(http.StatusBadRequest, "the method is malformed: it is a word in capitals", 0)
+	}
 	segments, er := segmentsOf(cx)
 	if er != nil {
 		return nil, nil, er
@@ -70,6 +73,16 @@
 	return sv, ca, nil
 }
 
+// plainMethod tells whether a method is a word in capitals.
+func plainMethod(method []byte) bool {
+	for _, letter := range method {
+		if letter < 'A' || letter > 'Z' {
+			return false
+		}
+	}
+	return len(method) > 0
+}
+
 // segmentsOf splits the path as it was sent, since it is passed on unchanged.
 // Dot segments are refused: the upstream would read another path than the
 // router did.
