--- a/internal/operations/capacity/probe_bundle.go
+++ b/internal/operations/capacity/probe_bundle.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 
 	"chervilwalk/internal/fleet/ident"
 	"chervilwalk/internal/fleet/route"
@@ -42,6 +43,7 @@
 		bn, err = bundle.Parse("stock", body)
 		return bn
 	})
+	runtime.KeepAlive(body)
 	return cost, err
 }
 
