Restore a lapsed domain by voters that released it to nobody

A domain that lost both the table and its promises for a moment stayed stopped until the table came back, although no other domain could have taken it over while the table was down. A voter now says with its promise whether it released the domain since that was last covered. A quorum of such voters ends the lapse: any takeover meanwhile would have needed a release of one of them. The same rule carries a leader that was elected without the table; since it has not confirmed its charter it needs one promise more.

Waits are counted on the steady clock and rights on the raw one, as in the election.

--- a/internal/ownership/domain/domain.go
+++ b/internal/ownership/domain/domain.go
@@ -20,6 +20,7 @@
 	"chervilwalk/internal/fleet/clock"
 	"chervilwalk/internal/fleet/ident"
 	"chervilwalk/internal/operations/bundle"
+	"chervilwalk/internal/ownership/lease"
 	"chervilwalk/internal/platform/table"
 )
 
@@ -56,6 +57,16 @@
 	Reading clock.Instant
 	// Row is the version of the sender's term row.
 	Row table.Version
+	// Covered says that the sender's domain goes on.
+	Covered bool
+	// Echo is the receiver's latest word to this sender.
+	Echo Echo
+}
+
+// Echo is a reading of a leader's clock that another leader has heard.
+type Echo struct {
+	Term    uint64
+	Reading clock.Instant
 }
 
 // SupportMsg promises a domain support until a deadline on its own clock.
@@ -64,6 +75,11 @@
 	// Term is that of the heartbeat; the deadline counts for this leader alone.
 	Term  uint64
 	Until clock.Instant
+	// Word is the sender's term and clock.
+	Word Echo
+	// Vouched says that the sender released the domain to no challenger since
+	// the domain was last covered.
+	Vouched bool
 }
 
 // AskReleaseMsg asks for a proof that a domain is not supported.
@@ -172,10 +188,16 @@
 	rowSince clock.Instant
 	// supports is the end of its promise to this domain.
 	supports clock.Instant
-	// bound is when the last promise to it has surely ended everywhere.
-	bound clock.Instant
-	// barred is when a promise to it is possible again after a release.
-	barred    clock.Instant
+	vouches  bool
+	word     Echo
+	// bound is when the last promise to it has surely ended everywhere, and
+	// barred when a promise to it is possible again after a release.
+	bound  clock.Instant
+	barred clock.Instant
+	// released is the reading of the last release; vouched tells that the domain
+	// was covered after it.
+	released  clock.Instant
+	vouched   bool
 	dark      bool
 	darkSince clock.Instant
 	// charter is what was read of its charter's row.
@@ -190,7 +212,7 @@
 	rules     rules
 	bundle    *bundle.Bundle
 	lead      Lead
-	since     clock.Instant
+	since     lease.Moment
 	book      book
 	peers     map[ident.Domain]*peer
 	cover     clock.Instant
@@ -203,13 +225,25 @@
 }
 
 // New makes the core of a node in a domain.
-func New(own ident.Domain) *Core {
-	return &Core{own: own, rules: soundRules(), peers: map[ident.Domain]*peer{}, lapsed: true}
+func New(own ident.Domain, opts ...Option) *Core {
+	co := &Core{own: own, rules: soundRules(lease.Default()), peers: map[ident.Domain]*peer{}, lapsed: true}
+	for _, opt := range opts {
+		opt(co)
+	}
+	return co
+}
+
+// Option changes a core at its making.
+type Option func(*Core)
+
+// WithLine sets the time line of terms and pool leases.
+func WithLine(ln lease.Line) Option {
+	return func(co *Core) { co.rules = soundRules(ln) }
 }
 
 // Update takes one message and returns what to do. A process that was frozen
 // finds its cover lapsed before it looks at the message.
-func (co *Core) Update(now clock.Instant, msg Msg) []Cmd {
+func (co *Core) Update(now lease.Moment, msg Msg) []Cmd {
 	co.lapse(now)
 	switch mg := msg.(type) {
 	case BundleMsg:
@@ -221,7 +255,7 @@
 	case HeartbeatMsg:
 		return co.hear(now, mg)
 	case SupportMsg:
-		co.support(mg)
+		co.support(now, mg)
 	case AskReleaseMsg:
 		return co.release(now, mg)
 	case ReleaseMsg:
@@ -240,7 +274,7 @@
 
 // adopt puts a bundle in force; domains that left it are forgotten, but not
 // before the promises to them have ended.
-func (co *Core) adopt(now clock.Instant, bn *bundle.Bundle) {
+func (co *Core) adopt(now lease.Moment, bn *bundle.Bundle) {
 	co.bundle = bn
 	for _, dm := range bn.Domains {
 		if dm.Name == co.own {
@@ -248,18 +282,18 @@
 		}
 		pe := co.peer(now, dm.Name)
 		if dm.Dark && !pe.dark {
-			pe.darkSince = now
+			pe.darkSince = now.Steady
 		}
 		pe.dark = dm.Dark
 	}
 }
 
-func (co *Core) peer(now clock.Instant, dm ident.Domain) *peer {
+func (co *Core) peer(now lease.Moment, dm ident.Domain) *peer {
 	pe := co.peers[dm]
 	if pe == nil {
 		pe = &peer{
-			heard: now, rowSince: now,
-			bound: co.since.Add(co.rules.bound), barred: co.since.Add(stretch(ReleaseTime)),
+			heard: now.Steady, rowSince: now.Steady, released: co.since.Now,
+			bound: co.since.Steady.Add(co.rules.bound), barred: co.since.Steady.Add(co.rules.barred),
 		}
 		co.peers[dm] = pe
 	}
@@ -278,7 +312,7 @@
 
 // follow takes a change of the lead. A node that begins a term knows nothing
 // of the promises and releases of the leader before it, and waits both out.
-func (co *Core) follow(now clock.Instant, ld Lead) []Cmd {
+func (co *Core) follow(now lease.Moment, ld Lead) []Cmd {
 	if ld.Term != co.lead.Term {
 		co.begin(now)
 	}
@@ -287,44 +321,45 @@
 	if ld.Term == 0 {
 		return nil
 	}
-	if co.lapsed && now.Before(ld.Table) {
+	if co.lapsed && now.Now.Before(ld.Table) {
 		co.lapsed = false
 		co.recovered++
 	}
 	co.extend()
 	if renewed && co.bundle != nil && co.leads(now) {
-		co.nextBeat = now.Add(HeartbeatEvery)
+		co.nextBeat = now.Now.Add(HeartbeatEvery)
 		return co.beat(now)
 	}
 	return nil
 }
 
-func (co *Core) begin(now clock.Instant) {
+func (co *Core) begin(now lease.Moment) {
 	co.since = now
 	co.lapsed = true
 	co.cover = 0
 	co.book = book{}
-	co.nextBook = now
+	co.nextBook = now.Now
 	for _, pe := range co.peers {
-		pe.heard, pe.rowSince, pe.row = now, now, 0
-		pe.supports, pe.challenge = 0, nil
-		pe.bound = now.Add(co.rules.bound)
-		pe.barred = now.Add(stretch(ReleaseTime))
+		pe.heard, pe.rowSince, pe.row = now.Steady, now.Steady, 0
+		pe.supports, pe.vouches, pe.word, pe.challenge = 0, false, Echo{}, nil
+		pe.bound = now.Steady.Add(co.rules.bound)
+		pe.barred = now.Steady.Add(co.rules.barred)
+		pe.released, pe.vouched = now.Now, false
 	}
 }
 
 // leads tells whether the node may speak for its domain.
-func (co *Core) leads(now clock.Instant) bool {
-	return co.lead.Term > 0 && now.Before(co.lead.Inner)
+func (co *Core) leads(now lease.Moment) bool {
+	return co.lead.Term > 0 && now.Now.Before(co.lead.Inner)
 }
 
-func (co *Core) tick(now clock.Instant) []Cmd {
+func (co *Core) tick(now lease.Moment) []Cmd {
 	if co.bundle == nil || !co.leads(now) {
 		return nil
 	}
 	var cmds []Cmd
-	if !now.Before(co.nextBeat) {
-		co.nextBeat = now.Add(HeartbeatEvery)
+	if !now.Now.Before(co.nextBeat) {
+		co.nextBeat = now.Now.Add(HeartbeatEvery)
 		cmds = co.beat(now)
 	}
 	cmds = append(cmds, co.write(now)...)
--- a/internal/ownership/domain/domain_test.go
+++ b/internal/ownership/domain/domain_test.go
@@ -84,6 +84,10 @@
 		"the platform silent for all": {
 			{do: func(wo *world) { wo.down = true }, after: 10 * time.Second, yielding: "d0", keeping: "d0"},
 		},
+		"the platform silent for all, all links cut and healed": {
+			{do: func(wo *world) { wo.down = true; cutBoth(wo) }, after: 4 * time.Second, unserved: 4},
+			{do: func(wo *world) { clear(wo.cut) }, after: time.Second, yielding: "d0", keeping: "d0"},
+		},
 		"the platform silent for all, one link cut": {
 			{do: func(wo *world) { wo.down, wo.cut[pair("d0", "d1")] = true, true }, after: 10 * time.Second, yielding: "d0", keeping: "d0"},
 		},
@@ -250,6 +254,7 @@
 		"takeover without release":        domain.BreakReleases,
 		"no wait for a lapse":             domain.BreakLapse,
 		"release before the promise ends": domain.BreakBound,
+		"a lapse ended by promises alone": domain.BreakWord,
 	}
 	for name, change := range variants {
 		t.Run(name, func(t *testing.T) {
--- a/internal/ownership/domain/export_test.go
+++ b/internal/ownership/domain/export_test.go
@@ -15,7 +15,7 @@
 	co.rules.bound = 0
 }
 
-// ReleaseAll asks every voter for its release.
-func ReleaseAll(co *Core) {
-	co.rules.quorum = func(others int) Quorum { return Quorum{Support: QuorumOf(others).Support, Releases: others} }
+// BreakWord makes a core that ends a lapse by promises alone.
+func BreakWord(co *Core) {
+	co.rules.restores = func(*peer) bool { return true }
 }
--- a/internal/ownership/domain/quorum.go
+++ b/internal/ownership/domain/quorum.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"chervilwalk/internal/fleet/ident"
+	"chervilwalk/internal/ownership/lease"
 )
 
 const (
@@ -13,28 +14,16 @@
 	SupportTime = 600 * time.Millisecond
 	// ReleaseTime is how long a release counts, from the asker's reading.
 	ReleaseTime = 300 * time.Millisecond
-	// TermLease is how long a renewal of a term's row counts.
-	TermLease = 700 * time.Millisecond
-	// LeaseTail is how much longer than its leader's cover a pool's lease lasts.
-	LeaseTail = 500 * time.Millisecond
 	// suspectAfter is the silence of a domain that starts a challenge.
 	suspectAfter = 350 * time.Millisecond
 	// rankDelay keeps the challengers of one domain apart.
-	rankDelay = 400 * time.Millisecond
+	rankDelay = 500 * time.Millisecond
 	// retryEvery is the time between two tries of a challenger's step.
-	retryEvery = 150 * time.Millisecond
+	retryEvery = 100 * time.Millisecond
 	// bookEvery is the time between two tries of writing the charter.
 	bookEvery = 500 * time.Millisecond
-	// driftPart bounds the difference of two clocks' rates to 1 in driftPart.
-	driftPart = 32
 )
 
-// stretch lengthens a wait for a lease that another clock counts, so that it
-// outlasts the lease when the clocks drift.
-func stretch(dr time.Duration) time.Duration {
-	return dr + dr/driftPart
-}
-
 // Quorum says how many of a domain's other voters carry it, and how many can
 // stop it. The two numbers exceed the voters together, so they share a voter.
 type Quorum struct {
@@ -57,14 +46,19 @@
 	termLease time.Duration
 	leaseTail time.Duration
 	bound     time.Duration
+	barred    time.Duration
+	// restores tells whether a voter's promise may end a lapse.
+	restores func(*peer) bool
 }
 
-func soundRules() rules {
+func soundRules(ln lease.Line) rules {
 	return rules{
 		quorum:    QuorumOf,
-		termLease: stretch(TermLease),
-		leaseTail: stretch(LeaseTail),
-		bound:     stretch(SupportTime),
+		termLease: lease.Longest(ln.Term),
+		leaseTail: lease.Longest(ln.Tail),
+		bound:     lease.Longest(SupportTime),
+		barred:    lease.Longest(ReleaseTime),
+		restores:  func(pe *peer) bool { return pe.vouches },
 	}
 }
 
--- a/internal/ownership/domain/support.go
+++ b/internal/ownership/domain/support.go
@@ -6,46 +6,71 @@
 
 	"chervilwalk/internal/fleet/clock"
 	"chervilwalk/internal/fleet/ident"
+	"chervilwalk/internal/ownership/lease"
 	"chervilwalk/internal/platform/table"
 )
 
-// lapse notes that the cover has ended. Promises alone never restore it: only
-// a renewal of the term's row shows that no other domain has taken over.
-func (co *Core) lapse(now clock.Instant) {
-	if !now.Before(co.cover) {
+// lapse notes that the cover has ended. Only two things restore it, because only
+// they show that no other domain has taken over: a renewal of the term's row,
+// and a quorum of voters that released the domain to nobody since it was
+// covered.
+func (co *Core) lapse(now lease.Moment) {
+	if !now.Now.Before(co.cover) {
 		co.lapsed = true
 	}
 }
 
+// restore ends a lapse by the voters' word. No takeover can have succeeded
+// meanwhile, for it needs a release of at least one of them.
+func (co *Core) restore(now lease.Moment) {
+	if !co.lapsed || !co.leads(now) {
+		return
+	}
+	until := co.carried(co.rules.restores)
+	if now.Now.Before(until) {
+		co.lapsed, co.cover = false, until
+	}
+}
+
 // extend sets the end of the cover from the table and the promises.
 func (co *Core) extend() {
 	if co.lapsed {
 		return
 	}
-	co.cover = max(co.cover, co.lead.Table, co.carried())
+	co.cover = max(co.cover, co.lead.Table, co.carried(func(*peer) bool { return true }))
 }
 
 // carried is when the promises that count fall below the quorum, by every
-// charter that may be in force; 0 before the charter is confirmed.
-func (co *Core) carried() clock.Instant {
+// charter that may be in force. A leader that was elected without the table has
+// not confirmed its charter; one more promise than the quorum makes good that
+// the charter in the table may name one voter more or less.
+func (co *Core) carried(counts func(*peer) bool) clock.Instant {
 	if !co.book.confirmed {
-		return 0
+		if co.bundle == nil {
+			return 0
+		}
+		voters := charterOf(co.bundle, co.own).Voters
+		return co.carriedBy(voters, co.rules.quorum(len(voters)).Support+1, counts)
 	}
-	until := co.carriedBy(co.book.inForce)
+	until := co.carriedByCharter(co.book.inForce, counts)
 	if co.book.pending != nil {
-		until = min(until, co.carriedBy(*co.book.pending))
+		until = min(until, co.carriedByCharter(*co.book.pending, counts))
 	}
 	return until
 }
 
-func (co *Core) carriedBy(ch Charter) clock.Instant {
-	need := co.rules.quorum(len(ch.Voters)).Support
-	if need == 0 {
+func (co *Core) carriedByCharter(ch Charter, counts func(*peer) bool) clock.Instant {
+	return co.carriedBy(ch.Voters, co.rules.quorum(len(ch.Voters)).Support, counts)
+}
+
+// carriedBy is when fewer than the needed promises are left.
+func (co *Core) carriedBy(voters []ident.Domain, need int, counts func(*peer) bool) clock.Instant {
+	if need == 0 || len(voters) == 0 {
 		return clock.Never
 	}
-	ends := make([]clock.Instant, 0, len(ch.Voters))
-	for _, dm := range ch.Voters {
-		if pe := co.peers[dm]; pe != nil {
+	ends := make([]clock.Instant, 0, len(voters))
+	for _, dm := range voters {
+		if pe := co.peers[dm]; pe != nil && counts(pe) {
 			ends = append(ends, pe.supports)
 		}
 	}
@@ -57,8 +82,8 @@
 }
 
 // CutOff tells whether the domain has neither the table nor enough promises.
-func (co *Core) CutOff(now clock.Instant) bool {
-	return co.lapsed || !now.Before(co.cover)
+func (co *Core) CutOff(now lease.Moment) bool {
+	return co.lapsed || !now.Now.Before(co.cover)
 }
 
 // Until is when the leader's right to a service's slices ends; leases handed
@@ -91,28 +116,37 @@
 	return ok && dm.Dark
 }
 
-func (co *Core) beat(now clock.Instant) []Cmd {
+func (co *Core) beat(now lease.Moment) []Cmd {
 	var cmds []Cmd
 	for _, dm := range co.names() {
-		cmds = append(cmds, SendCmd{To: dm, Msg: HeartbeatMsg{From: co.own, Term: co.lead.Term, Reading: now, Row: co.lead.Row}})
+		cmds = append(cmds, SendCmd{To: dm, Msg: HeartbeatMsg{
+			From: co.own, Term: co.lead.Term, Reading: now.Now, Row: co.lead.Row,
+			Covered: !co.CutOff(now), Echo: co.peers[dm].word,
+		}})
 	}
 	return cmds
 }
 
 // hear takes a heartbeat and promises support, unless the domain was released
 // or this one has retired.
-func (co *Core) hear(now clock.Instant, mg HeartbeatMsg) []Cmd {
+func (co *Core) hear(now lease.Moment, mg HeartbeatMsg) []Cmd {
 	pe := co.peer(now, mg.From)
-	pe.heard = now
+	pe.heard = now.Steady
 	pe.see(now, mg.Row)
+	if mg.Covered && mg.Echo.Term == co.lead.Term && pe.released.Before(mg.Echo.Reading) {
+		pe.vouched = true
+	}
 	if pe.challenge != nil && !pe.dark {
 		pe.challenge = nil
 	}
-	if !co.leads(now) || !co.votes() || now.Before(pe.barred) {
+	if !co.leads(now) || !co.votes() || now.Steady.Before(pe.barred) {
 		return nil
 	}
-	pe.bound = max(pe.bound, now.Add(co.rules.bound))
-	return []Cmd{SendCmd{To: mg.From, Msg: SupportMsg{From: co.own, Term: mg.Term, Until: mg.Reading.Add(SupportTime)}}}
+	pe.bound = max(pe.bound, now.Steady.Add(co.rules.bound))
+	return []Cmd{SendCmd{To: mg.From, Msg: SupportMsg{
+		From: co.own, Term: mg.Term, Until: mg.Reading.Add(SupportTime),
+		Word: Echo{Term: co.lead.Term, Reading: now.Now}, Vouched: pe.vouched,
+	}}}
 }
 
 // votes tells whether the domain may give promises: its charter says so, and
@@ -134,9 +168,9 @@
 }
 
 // see notes a newer version of the domain's term row, which ends every proof.
-func (pe *peer) see(now clock.Instant, row table.Version) {
+func (pe *peer) see(now lease.Moment, row table.Version) {
 	if row > pe.row {
-		pe.row, pe.rowSince = row, now
+		pe.row, pe.rowSince = row, now.Steady
 		if pe.challenge != nil {
 			pe.challenge.read, pe.challenge.isProof, pe.challenge.fenced = false, false, false
 		}
@@ -144,30 +178,40 @@
 }
 
 // support counts a promise that was made to this leader.
-func (co *Core) support(mg SupportMsg) {
-	if pe := co.peers[mg.From]; pe != nil && mg.Term == co.lead.Term {
-		pe.supports = max(pe.supports, mg.Until)
-		co.extend()
+func (co *Core) support(now lease.Moment, mg SupportMsg) {
+	pe := co.peers[mg.From]
+	if pe == nil || mg.Term != co.lead.Term || mg.Until < pe.supports {
+		return
 	}
+	pe.supports, pe.vouches, pe.word = mg.Until, mg.Vouched, mg.Word
+	co.extend()
+	co.restore(now)
 }
 
 // release answers a challenger once the last promise has surely ended.
-func (co *Core) release(now clock.Instant, mg AskReleaseMsg) []Cmd {
+func (co *Core) release(now lease.Moment, mg AskReleaseMsg) []Cmd {
 	pe := co.peers[mg.About]
-	if pe == nil || !co.leads(now) || now.Before(pe.bound) {
+	if pe == nil || !co.leads(now) || now.Steady.Before(pe.bound) {
 		return nil
 	}
-	pe.barred = max(pe.barred, now.Add(stretch(ReleaseTime)))
+	pe.free(now, co.rules)
 	return []Cmd{SendCmd{To: mg.From, Msg: ReleaseMsg{From: co.own, Term: mg.Term, About: mg.About, Until: mg.Reading.Add(ReleaseTime)}}}
 }
 
+// free notes a release: no promise for its time, and no word for the domain
+// until it was covered after this.
+func (pe *peer) free(now lease.Moment, ru rules) {
+	pe.barred = max(pe.barred, now.Steady.Add(ru.barred))
+	pe.released, pe.vouched = now.Now, false
+}
+
 // write brings the own charter in line with the bundle. A term begins by
 // writing it, which ends whatever an earlier leader may still have under way.
-func (co *Core) write(now clock.Instant) []Cmd {
-	if now.Before(co.nextBook) || !now.Before(co.lead.Table) {
+func (co *Core) write(now lease.Moment) []Cmd {
+	if now.Now.Before(co.nextBook) || !now.Now.Before(co.lead.Table) {
 		return nil
 	}
-	co.nextBook = now.Add(bookEvery)
+	co.nextBook = now.Now.Add(bookEvery)
 	if !co.book.read {
 		return []Cmd{ReadCmd{Domain: co.own}}
 	}
@@ -182,7 +226,7 @@
 }
 
 // wanted is the charter to write; false when none is due.
-func (co *Core) wanted(now clock.Instant) (Charter, bool) {
+func (co *Core) wanted(now lease.Moment) (Charter, bool) {
 	want := charterOf(co.bundle, co.own)
 	want.Retired = co.retiring() && co.unbound(now)
 	if !co.book.confirmed {
@@ -196,9 +240,9 @@
 }
 
 // unbound tells whether no promise of this domain counts anywhere.
-func (co *Core) unbound(now clock.Instant) bool {
+func (co *Core) unbound(now lease.Moment) bool {
 	for _, pe := range co.peers {
-		if now.Before(pe.bound) {
+		if now.Steady.Before(pe.bound) {
 			return false
 		}
 	}
--- a/internal/ownership/domain/takeover.go
+++ b/internal/ownership/domain/takeover.go
@@ -9,6 +9,7 @@
 	"chervilwalk/internal/fleet/clock"
 	"chervilwalk/internal/fleet/ident"
 	"chervilwalk/internal/operations/bundle"
+	"chervilwalk/internal/ownership/lease"
 	"chervilwalk/internal/platform/table"
 )
 
@@ -37,7 +38,7 @@
 }
 
 // pursue carries on the challenge of one domain.
-func (co *Core) pursue(now clock.Instant, dm ident.Domain, pe *peer) []Cmd {
+func (co *Core) pursue(now lease.Moment, dm ident.Domain, pe *peer) []Cmd {
 	if !co.due(now, dm, pe) {
 		return nil
 	}
@@ -46,11 +47,11 @@
 	}
 	ch := pe.challenge
 	co.prove(now, pe)
-	if now.Before(ch.next) || ch.pending != "" {
+	if now.Steady.Before(ch.next) || ch.pending != "" {
 		return nil
 	}
 	if !ch.isProof {
-		ch.next = now.Add(retryEvery)
+		ch.next = now.Steady.Add(retryEvery)
 		return co.ask(now, dm)
 	}
 	return co.take(now, dm, pe)
@@ -58,15 +59,15 @@
 
 // due tells whether the own domain should challenge another one: it has the
 // table, is in service, and hears nothing; the domains go one after the other.
-func (co *Core) due(now clock.Instant, dm ident.Domain, pe *peer) bool {
-	if !now.Before(co.lead.Table) || co.lapsed || !co.votes() || !co.listed(dm) {
+func (co *Core) due(now lease.Moment, dm ident.Domain, pe *peer) bool {
+	if !now.Now.Before(co.lead.Table) || co.lapsed || !co.votes() || !co.listed(dm) {
 		return false
 	}
 	if own, ok := co.bundle.Domain(co.own); !ok || own.Out {
 		return false
 	}
 	wait := suspectAfter + time.Duration(co.rank(now, dm))*rankDelay
-	return pe.dark || !now.Before(pe.heard.Add(wait))
+	return pe.dark || !now.Steady.Before(pe.heard.Add(wait))
 }
 
 func (co *Core) listed(dm ident.Domain) bool {
@@ -76,12 +77,12 @@
 
 // rank is the own place, by weight for the lost domain, among the domains in
 // service that are heard.
-func (co *Core) rank(now clock.Instant, lost ident.Domain) int {
+func (co *Core) rank(now lease.Moment, lost ident.Domain) int {
 	rank := 0
 	own := ident.Weight(string(lost), string(co.own))
 	for _, dm := range co.bundle.Domains {
 		pe := co.peers[dm.Name]
-		if pe == nil || dm.Name == lost || dm.Out || dm.Dark || !now.Before(pe.heard.Add(suspectAfter)) {
+		if pe == nil || dm.Name == lost || dm.Out || dm.Dark || !now.Steady.Before(pe.heard.Add(suspectAfter)) {
 			continue
 		}
 		if ident.Weight(string(lost), string(dm.Name)) > own {
@@ -92,7 +93,7 @@
 }
 
 // ask reads the rows that a takeover rests on, and asks for releases.
-func (co *Core) ask(now clock.Instant, lost ident.Domain) []Cmd {
+func (co *Core) ask(now lease.Moment, lost ident.Domain) []Cmd {
 	cmds := []Cmd{ReadCmd{Domain: lost}}
 	for _, dm := range co.names() {
 		if dm == lost {
@@ -101,13 +102,13 @@
 		if out, ok := co.bundle.Domain(dm); ok && out.Out {
 			cmds = append(cmds, ReadCmd{Domain: dm})
 		}
-		cmds = append(cmds, SendCmd{To: dm, Msg: AskReleaseMsg{From: co.own, Term: co.lead.Term, About: lost, Reading: now}})
+		cmds = append(cmds, SendCmd{To: dm, Msg: AskReleaseMsg{From: co.own, Term: co.lead.Term, About: lost, Reading: now.Now}})
 	}
 	return cmds
 }
 
 // learn takes what was read of a domain's rows.
-func (co *Core) learn(now clock.Instant, mg RowsMsg) {
+func (co *Core) learn(now lease.Moment, mg RowsMsg) {
 	if mg.Domain == co.own {
 		co.learnOwn(mg)
 		return
@@ -167,26 +168,26 @@
 
 // prove notes the instant from which the lost domain surely goes on no more:
 // its renewal has ended, and too few voters are left to carry it.
-func (co *Core) prove(now clock.Instant, pe *peer) {
+func (co *Core) prove(now lease.Moment, pe *peer) {
 	ch := pe.challenge
 	if ch.isProof || !ch.read {
 		return
 	}
 	if pe.dark || ch.fenced {
-		ch.isProof, ch.proven = true, now
+		ch.isProof, ch.proven = true, now.Steady
 		return
 	}
-	if now.Before(pe.rowSince.Add(co.rules.termLease)) || pe.charterVersion == 0 {
+	if now.Steady.Before(pe.rowSince.Add(co.rules.termLease)) || pe.charterVersion == 0 {
 		return
 	}
 	need := co.rules.quorum(len(pe.charter.Voters)).Releases
 	if co.released(now, pe) >= need {
-		ch.isProof, ch.proven = true, now
+		ch.isProof, ch.proven = true, now.Steady
 	}
 }
 
 // released counts the voters of a lost domain that do not support it now.
-func (co *Core) released(now clock.Instant, lost *peer) int {
+func (co *Core) released(now lease.Moment, lost *peer) int {
 	count := 0
 	for _, dm := range lost.charter.Voters {
 		if co.isReleased(now, dm, lost) {
@@ -196,32 +197,32 @@
 	return count
 }
 
-func (co *Core) isReleased(now clock.Instant, voter ident.Domain, lost *peer) bool {
+func (co *Core) isReleased(now lease.Moment, voter ident.Domain, lost *peer) bool {
 	if voter == co.own {
-		if now.Before(lost.bound) {
+		if now.Steady.Before(lost.bound) {
 			return false
 		}
-		lost.barred = max(lost.barred, now.Add(stretch(ReleaseTime)))
+		lost.free(now, co.rules)
 		return true
 	}
 	pe := co.peers[voter]
 	if pe == nil {
 		return false
 	}
-	if pe.charter.Retired || (pe.dark && !now.Before(pe.darkSince.Add(co.rules.bound))) {
+	if pe.charter.Retired || (pe.dark && !now.Steady.Before(pe.darkSince.Add(co.rules.bound))) {
 		return true
 	}
-	return now.Before(lost.challenge.releases[voter])
+	return now.Now.Before(lost.challenge.releases[voter])
 }
 
 // take moves the services whose time has come: yielded ones once the pools'
 // leases have ended, kept ones after their keep as well.
-func (co *Core) take(now clock.Instant, dm ident.Domain, pe *peer) []Cmd {
+func (co *Core) take(now lease.Moment, dm ident.Domain, pe *peer) []Cmd {
 	ch := pe.challenge
 	var ready []ident.Service
 	for ix := range co.bundle.Services {
 		sv := &co.bundle.Services[ix]
-		if sv.Keyed && !ch.taken[sv.Name] && !now.Before(ch.proven.Add(co.waitFor(pe, sv))) {
+		if sv.Keyed && !ch.taken[sv.Name] && !now.Steady.Before(ch.proven.Add(co.waitFor(pe, sv))) {
 			ready = append(ready, sv.Name)
 		}
 	}
@@ -246,7 +247,7 @@
 	if pe.dark {
 		return co.rules.termLease + co.rules.leaseTail
 	}
-	return co.rules.leaseTail + stretch(pe.charter.Keeps[sv.Name])
+	return co.rules.leaseTail + lease.Longest(pe.charter.Keeps[sv.Name])
 }
 
 // checks are the charters that the proof rests on; a fence needs none, since it
@@ -268,19 +269,19 @@
 // taken takes the outcome of a takeover. All but Done is settled by reading the
 // rows anew; trying again meanwhile is safe, since both tries rest on the same
 // version of the term's row.
-func (co *Core) taken(now clock.Instant, mg TakenMsg) []Cmd {
+func (co *Core) taken(now lease.Moment, mg TakenMsg) []Cmd {
 	pe := co.peers[mg.Cmd.Domain]
 	if pe == nil || pe.challenge == nil || pe.challenge.pending != mg.Cmd.Attempt {
 		return nil
 	}
 	ch := pe.challenge
 	ch.pending = ""
-	ch.next = now.Add(retryEvery)
+	ch.next = now.Steady.Add(retryEvery)
 	if mg.Outcome != table.Done {
 		return co.ask(now, mg.Cmd.Domain)
 	}
 	ch.mark(mg.Cmd.Services)
-	pe.row, pe.rowSince = max(pe.row, mg.Term), now
+	pe.row, pe.rowSince = max(pe.row, mg.Term), now.Steady
 	ch.fenced = true
 	return nil
 }
--- a/internal/ownership/domain/world_test.go
+++ b/internal/ownership/domain/world_test.go
@@ -8,6 +8,7 @@
 	"chervilwalk/internal/fleet/ident"
 	"chervilwalk/internal/operations/bundle"
 	"chervilwalk/internal/ownership/domain"
+	"chervilwalk/internal/ownership/lease"
 	"chervilwalk/internal/platform/table"
 	"chervilwalk/internal/stand/timeline"
 )
@@ -19,6 +20,8 @@
 	parts = 4
 )
 
+var line = lease.Default()
+
 var services = []ident.Service{"yielding", "keeping"}
 
 // part is one slice of a service.
@@ -42,6 +45,7 @@
 	core   *domain.Core
 	rate   float64
 	offset time.Duration
+	watch  lease.Watch
 	term   uint64
 	lead   domain.Lead
 	paused bool
@@ -146,7 +150,7 @@
 		wo.watched[name] = &watch{version: rw.version, since: at}
 		return
 	}
-	wait := domain.TermLease + domain.TermLease/16
+	wait := line.Term + line.Term/16
 	if rw.attempt != "" || rw.version == 0 {
 		wait = 0
 	}
@@ -166,7 +170,7 @@
 	rw.version, rw.term, rw.attempt = rw.version+1, rw.term+1, ""
 	ld.term = rw.term
 	local := ld.local(at)
-	ld.lead = domain.Lead{Term: ld.term, Inner: local.Add(domain.TermLease), Table: local.Add(domain.TermLease), Row: rw.version}
+	ld.lead = domain.Lead{Term: ld.term, Inner: local.Add(line.Term), Table: local.Add(line.Term), Row: rw.version}
 	wo.tell(ld, domain.LeadMsg{Lead: ld.lead})
 }
 
@@ -183,7 +187,7 @@
 
 func (wo *world) tell(ld *leader, msg domain.Msg) {
 	wo.post(ld, func() {
-		for _, cmd := range ld.core.Update(ld.local(wo.line.Now()), msg) {
+		for _, cmd := range ld.core.Update(ld.watch.At(ld.local(wo.line.Now())), msg) {
 			wo.do(ld, cmd)
 		}
 	})
@@ -322,7 +326,7 @@
 		until := ld.core.Until(sv)
 		for nr, owner := range owners {
 			if owner == ld.name && at.Before(until) {
-				ld.leases[part{sv, nr}] = until.Add(domain.LeaseTail)
+				ld.leases[part{sv, nr}] = until.Add(line.Tail)
 			}
 		}
 	}
@@ -358,7 +362,7 @@
 			}
 			switch oc {
 			case table.Done:
-				ld.lead.Row, ld.lead.Table = version, max(ld.lead.Table, at.Add(domain.TermLease))
+				ld.lead.Row, ld.lead.Table = version, max(ld.lead.Table, at.Add(line.Term))
 				ld.lead.Inner = max(ld.lead.Inner, ld.lead.Table)
 			case table.Failed:
 				ld.lead.Row = max(ld.lead.Row, version)
