Rebuild admission with exact slots, ramps, straggler estimates and one outcome

Cause: the thin core popped and pushed its whole queue at every message, freed a slot when a connection broke although the upstream might still serve, said 'barred before dispatch' of any id it did not know, and knew neither cold upstreams nor stragglers.

Now: a heap by deadline for unkeyed services and one for each owner of keyed slices; a slot is free only after a whole answer, a proven refusal or the upstream's confirmation of a cancellation; ramps from the cold limit; estimates of service time that count the ages of what is in flight; retries and hedges under a budget; refusals ahead of time; one outcome for each request. A stateful test drives the real core against fake upstreams; seven broken variants are caught, each for what it breaks.

Found by that test and mended: an answer of the process before a restart raised the ramp of the one after; a slot freed at a new incarnation, although the dispatch could still arrive there.

TestDispatchKeepsSlotsAndDeadlineOrder now states that the answer was whole, since a dispatch that ended in doubt no longer frees its slot.

--- a/internal/fleet/node/pool.go
+++ b/internal/fleet/node/pool.go
@@ -1,53 +1,72 @@
 package node
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net/http"
-	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"chervilwalk/internal/fleet/clock"
 	"chervilwalk/internal/fleet/ident"
 	"chervilwalk/internal/fleet/inner"
 	"chervilwalk/internal/operations/bundle"
 	"chervilwalk/internal/ownership/authority"
-	"chervilwalk/internal/ownership/grant"
-	"chervilwalk/internal/platform/control"
 	"chervilwalk/internal/serving/admission"
 	"chervilwalk/internal/serving/dispatch"
+	"chervilwalk/internal/serving/policy"
 	"chervilwalk/internal/serving/verdict"
 )
 
-// poolTick is how often an admission core is told the time.
-const poolTick = 5 * time.Millisecond
+const (
+	// poolTick is how often an admission core is told the time.
+	poolTick = 5 * time.Millisecond
+	// nodeMaxQueued bounds what all pools of a node queue together, in requests.
+	nodeMaxQueued = 8192
+	// poolMinQueued is the part that a pool has at least.
+	poolMinQueued = 256
+)
 
 // poolTask drives the admission core of one pool and owns the connections to
-// its upstreams.
+// its upstreams. All maps belong to its goroutine.
 type poolTask struct {
 	node  *Node
+	keyed bool
 	pool  bundle.Pool
-	core  *admission.Core
+	core  *admission.Core[policy.Soonest]
 	inbox chan poolMsg
-	done  chan struct{}
-	once  sync.Once
-	lanes map[ident.Upstream]*dispatch.Lane
-	calls map[ident.Request]*poolCall
-	bars  map[ident.Request]chan<- bool
+	// closing ends the arrivals, done all messages.
+	closing   chan struct{}
+	done      chan struct{}
+	closeOnce sync.Once
+	lanes     map[ident.Upstream]*dispatch.Lane
+	calls     map[ident.Request]*poolCall
+	bars      map[ident.Request]chan<- bool
+	sends     map[sendKey]context.CancelFunc
+	// shown is the bundle that the pool was last taken from.
+	shown atomic.Pointer[bundle.Bundle]
+}
+
+// sendKey names one dispatch in flight.
+type sendKey struct {
+	id       ident.Request
+	upstream ident.Upstream
 }
 
 // poolMsg is a message to the core with what the shell must remember of it.
 type poolMsg struct {
-	msg  admission.Msg
-	call *poolCall
-	bar  chan<- bool
+	msg    admission.Msg
+	call   *poolCall
+	bar    chan<- bool
+	answer *dispatch.Answer
 }
 
-// poolCall is a call that waits for its dispatch or its refusal.
+// poolCall is a call that waits for its outcome.
 type poolCall struct {
 	ctx    context.Context
 	call   *inner.Call
+	sent   bool
+	heads  map[ident.Upstream]*dispatch.Answer
 	result chan poolResult
 }
 
@@ -56,35 +75,54 @@
 	err    error
 }
 
+// newPoolTask makes the task of a pool. Pools of one node share its memory and
+// processor; each queues at most its part, so that a flood at one leaves the
+// others theirs. The caller holds the node's lock.
 func newPoolTask(nd *Node, pl bundle.Pool) *poolTask {
+	part := max(poolMinQueued, nodeMaxQueued/(len(nd.pools)+1))
 	pt := &poolTask{
-		node:  nd,
-		pool:  pl,
-		core:  admission.New(pl),
-		inbox: make(chan poolMsg, 256),
-		done:  make(chan struct{}),
-		lanes: map[ident.Upstream]*dispatch.Lane{},
-		calls: map[ident.Request]*poolCall{},
-		bars:  map[ident.Request]chan<- bool{},
+		node:    nd,
+		keyed:   pl.Service.Keyed,
+		core:    admission.New(pl, admission.WithMaxQueued(part)),
+		inbox:   make(chan poolMsg, 256),
+		closing: make(chan struct{}),
+		done:    make(chan struct{}),
+		lanes:   map[ident.Upstream]*dispatch.Lane{},
+		calls:   map[ident.Request]*poolCall{},
+		bars:    map[ident.Request]chan<- bool{},
+		sends:   map[sendKey]context.CancelFunc{},
 	}
+	pt.shown.Store(nd.Bundle())
+	pt.adopt(pl)
+	return pt
+}
+
+// adopt takes the pool's upstreams; an address that moved gets a new lane.
+func (pt *poolTask) adopt(pl bundle.Pool) {
 	for _, up := range pl.Upstreams {
-		pt.lanes[up.Name] = dispatch.New(up.Address)
+		moved := false
+		for _, old := range pt.pool.Upstreams {
+			moved = moved || (old.Name == up.Name && old.Address != up.Address)
+		}
+		if ln := pt.lanes[up.Name]; ln != nil && moved {
+			ln.Close()
+			delete(pt.lanes, up.Name)
+		}
+		if pt.lanes[up.Name] == nil {
+			pt.lanes[up.Name] = dispatch.New(up.Address)
+		}
 	}
-	return pt
+	pt.pool = pl
 }
 
-// close ends the task; calls that were not dispatched are refused as not run.
+// close refuses what is queued as not run, lets what is in flight end, and then
+// ends the task.
 func (pt *poolTask) close() {
-	pt.once.Do(func() { close(pt.done) })
+	pt.closeOnce.Do(func() { close(pt.closing) })
 }
 
 // post hands a message to the task; false when it has ended.
 func (pt *poolTask) post(pm poolMsg) bool {
-	select {
-	case <-pt.done:
-		return false
-	default:
-	}
 	select {
 	case pt.inbox <- pm:
 		return true
@@ -93,18 +131,30 @@
 	}
 }
 
+// show hands on a view, and the pool's upstreams when the bundle has changed.
 func (pt *poolTask) show(vw authority.View) {
+	bn := pt.node.Bundle()
+	if pt.shown.Swap(bn) != bn {
+		if pl, ok := poolOf(bn, vw.Pool); ok {
+			pt.post(poolMsg{msg: admission.PoolMsg{Pool: pl}})
+		}
+	}
 	pt.post(poolMsg{msg: admission.ViewMsg{View: vw}})
 }
 
 // serve queues a call and waits for the head of its answer. Its refusal comes
 // from the core alone, since only the core knows whether it was dispatched.
 func (pt *poolTask) serve(ctx context.Context, ca *inner.Call) (*dispatch.Answer, error) {
-	pc := &poolCall{ctx: ctx, call: ca, result: make(chan poolResult, 1)}
+	select {
+	case <-pt.closing:
+		return nil, poolGone()
+	default:
+	}
+	pc := &poolCall{ctx: ctx, call: ca, heads: map[ident.Upstream]*dispatch.Answer{}, result: make(chan poolResult, 1)}
 	left := time.Until(ca.Deadline)
 	arrive := admission.ArriveMsg{Request: admission.Request{
 		ID:         ca.ID,
-		Keyed:      pt.pool.Service.Keyed,
+		Keyed:      pt.keyed,
 		Slice:      ca.Slice,
 		Idempotent: ca.Idempotent,
 		Deadline:   pt.node.clock.Now().Add(left),
@@ -112,8 +162,24 @@
 	if !pt.post(poolMsg{msg: arrive, call: pc}) {
 		return nil, poolGone()
 	}
-	rs := <-pc.result
-	return rs.answer, rs.err
+	stop := context.AfterFunc(ctx, func() { pt.post(poolMsg{msg: admission.CancelMsg{ID: ca.ID}}) })
+	defer stop()
+	select {
+	case rs := <-pc.result:
+		return rs.answer, rs.err
+	case <-pt.done:
+		return pc.afterEnd()
+	}
+}
+
+// afterEnd is the outcome of a call that the ended task may not have read.
+func (pc *poolCall) afterEnd() (*dispatch.Answer, error) {
+	select {
+	case rs := <-pc.result:
+		return rs.answer, rs.err
+	default:
+		return nil, poolGone()
+	}
 }
 
 func poolGone() error {
@@ -140,28 +206,45 @@
 	tick := time.NewTicker(poolTick)
 	defer tick.Stop()
 	defer pt.end()
+	closing := pt.closing
 	for {
-		var pm poolMsg
+		pm := poolMsg{msg: admission.TickMsg{}}
 		select {
 		case <-ctx.Done():
-			pt.close()
-			return nil
-		case <-pt.done:
 			return nil
+		case <-closing:
+			closing = nil
+			pm.msg = admission.ViewMsg{View: authority.View{Pool: pt.pool.Name, Until: lapsedNow}}
 		case <-tick.C:
-			pm.msg = admission.TickMsg{}
 		case pm = <-pt.inbox:
 		}
 		pt.take(pm)
+		if closing == nil && len(pt.calls) == 0 && len(pt.sends) == 0 {
+			return nil
+		}
 	}
 }
 
+// lapsedNow is a lease that has ended.
+const lapsedNow clock.Instant = 0
+
+// take gives a message to the core and carries out what it decides.
 func (pt *poolTask) take(pm poolMsg) {
 	switch mg := pm.msg.(type) {
 	case admission.ArriveMsg:
+		if pt.calls[mg.Request.ID] != nil {
+			pm.call.result <- poolResult{err: verdict.Doubt(http.StatusConflict, "the request is here already")}
+			return
+		}
 		pt.calls[mg.Request.ID] = pm.call
 	case admission.BarMsg:
 		pt.bars[mg.ID] = pm.bar
+	case admission.PoolMsg:
+		pt.adopt(mg.Pool)
+	case admission.HeadMsg:
+		pt.keepHead(mg, pm.answer)
+	case admission.DoneMsg:
+		delete(pt.sends, sendKey{mg.ID, mg.Upstream})
 	}
 	for _, cmd := range pt.core.Update(pt.node.clock.Now(), pm.msg) {
 		pt.do(cmd)
@@ -171,14 +254,19 @@
 func (pt *poolTask) do(cmd admission.Cmd) {
 	switch cm := cmd.(type) {
 	case admission.DispatchCmd:
-		pc := pt.calls[cm.ID]
-		delete(pt.calls, cm.ID)
-		go pt.exchange(pc, cm)
-	case admission.RefuseCmd:
+		pt.send(cm)
+	case admission.AnswerCmd:
 		if pc := pt.calls[cm.ID]; pc != nil {
-			delete(pt.calls, cm.ID)
-			pc.result <- poolResult{err: cm.Err}
+			pt.finish(cm.ID, poolResult{answer: pc.heads[cm.Upstream]})
 		}
+	case admission.RefuseCmd:
+		pt.finish(cm.ID, poolResult{err: cm.Err})
+	case admission.FailCmd:
+		pt.finish(cm.ID, poolResult{err: cm.Err})
+	case admission.CancelCmd:
+		pt.cancel(cm)
+	case admission.ProbeCmd:
+		go pt.probe(cm.Upstream, pt.lanes[cm.Upstream])
 	case admission.BarredCmd:
 		if reply := pt.bars[cm.ID]; reply != nil {
 			delete(pt.bars, cm.ID)
@@ -187,73 +275,30 @@
 	}
 }
 
-// end refuses what was never dispatched and closes the idle connections.
+// finish gives a call its outcome, once.
+func (pt *poolTask) finish(id ident.Request, rs poolResult) {
+	if pc := pt.calls[id]; pc != nil {
+		delete(pt.calls, id)
+		pc.result <- rs
+	}
+}
+
+// end gives the calls that are left their outcome: those that were dispatched
+// may have run, all others were not.
 func (pt *poolTask) end() {
-	for {
-		select {
-		case pm := <-pt.inbox:
-			if pm.call != nil {
-				pm.call.result <- poolResult{err: poolGone()}
-			}
-			continue
-		default:
+	pt.close()
+	close(pt.done)
+	for id, pc := range pt.calls {
+		err := poolGone()
+		if pc.sent {
+			err = verdict.Doubt(http.StatusServiceUnavailable, "this node stopped before the answer")
 		}
-		break
+		pt.finish(id, poolResult{err: err})
 	}
-	for _, pc := range pt.calls {
-		pc.result <- poolResult{err: poolGone()}
+	for _, stop := range pt.sends {
+		stop()
 	}
 	for _, ln := range pt.lanes {
 		ln.Close()
 	}
 }
-
-// exchange sends a dispatched call; its slot is freed when its answer's body
-// is closed.
-func (pt *poolTask) exchange(pc *poolCall, cm admission.DispatchCmd) {
-	rq := upstreamRequest(pc.call, pt.pool, cm.Token)
-	answer, err := pt.lanes[cm.Upstream].Do(pc.ctx, rq)
-	free := func() {
-		pt.post(poolMsg{msg: admission.DoneMsg{ID: cm.ID, Upstream: cm.Upstream}})
-	}
-	if err != nil {
-		free()
-		pc.result <- poolResult{err: err}
-		return
-	}
-	answer.Header.Set(inner.UpstreamHeader, string(cm.Upstream))
-	answer.Body = &slotBody{ReadCloser: answer.Body, free: free}
-	pc.result <- poolResult{answer: answer}
-}
-
-func upstreamRequest(ca *inner.Call, pl bundle.Pool, tk grant.Token) *http.Request {
-	rq, err := http.NewRequest(ca.Method, "http://"+string(pl.Service.Name)+ca.Path, bytes.NewReader(ca.Body))
-	if err != nil {
-		rq, _ = http.NewRequest(ca.Method, "http://"+string(pl.Service.Name)+"/", bytes.NewReader(ca.Body))
-	}
-	for name, values := range ca.Header {
-		rq.Header[name] = values
-	}
-	rq.Header.Set(control.RequestHeader, string(ca.ID))
-	rq.Header.Set(control.PoolHeader, string(pl.Name))
-	rq.Header.Set(control.TokenHeader, control.FormatToken(tk))
-	rq.Header.Set(control.RemainingHeader, strconv.FormatInt(time.Until(ca.Deadline).Milliseconds(), 10))
-	if pl.Service.Keyed {
-		rq.Header.Set(control.SliceHeader, strconv.FormatUint(uint64(ca.Slice), 10))
-	}
-	return rq
-}
-
-// slotBody frees the upstream's slot when the answer is closed.
-type slotBody struct {
-	io.ReadCloser
-	free func()
-	once sync.Once
-}
-
-// Close closes the answer and frees the slot once.
-func (sb *slotBody) Close() error {
-	err := sb.ReadCloser.Close()
-	sb.once.Do(sb.free)
-	return err
-}
--- a/internal/serving/admission/admission.go
+++ b/internal/serving/admission/admission.go
@@ -1,232 +1,238 @@
 // Package admission decides for one pool which request goes to which upstream
 // and when, so that no upstream ever gets more than its slots.
 //
+// The core is pure: it is told what happened and answers what to do. A request
+// gets exactly one outcome: AnswerCmd, RefuseCmd or FailCmd.
+//
 //	co := admission.New(pool)
 //	cmds := co.Update(now, admission.ArriveMsg{Request: rq})
 package admission
 
 import (
-	"container/heap"
-	"net/http"
 	"time"
 
 	"chervilwalk/internal/fleet/clock"
 	"chervilwalk/internal/fleet/ident"
 	"chervilwalk/internal/operations/bundle"
 	"chervilwalk/internal/ownership/authority"
-	"chervilwalk/internal/ownership/grant"
-	"chervilwalk/internal/serving/verdict"
+	"chervilwalk/internal/serving/budget"
+	"chervilwalk/internal/serving/policy"
 )
 
-// maxQueued bounds a pool's queue, in requests.
-const maxQueued = 4096
-
-// retryAfter is what a caller is told when its request was refused for load.
-const retryAfter = time.Second
-
-// Request is what admission knows of a request.
-type Request struct {
-	ID         ident.Request
-	Keyed      bool
-	Slice      ident.Slice
-	Idempotent bool
-	Deadline   clock.Instant
-}
-
-// Msg is something that happened.
-type Msg interface{ isMsg() }
-
-// ArriveMsg brings a new request.
-type ArriveMsg struct{ Request Request }
-
-// DoneMsg says that a dispatched request has left its slot.
-type DoneMsg struct {
-	ID       ident.Request
-	Upstream ident.Upstream
-}
-
-// BarMsg forbids a request's dispatch if it is still queued.
-type BarMsg struct{ ID ident.Request }
-
-// ViewMsg brings what may be dispatched.
-type ViewMsg struct{ View authority.View }
-
-// TickMsg says that time has passed.
-type TickMsg struct{}
-
-func (ArriveMsg) isMsg() {}
-func (DoneMsg) isMsg()   {}
-func (BarMsg) isMsg()    {}
-func (ViewMsg) isMsg()   {}
-func (TickMsg) isMsg()   {}
-
-// Cmd is something to do.
-type Cmd interface{ isCmd() }
-
-// DispatchCmd sends a request to an upstream.
-type DispatchCmd struct {
-	ID       ident.Request
-	Upstream ident.Upstream
-	Token    grant.Token
-	// Deadline is the earlier of the request's and the grant's.
-	Deadline clock.Instant
-}
-
-// RefuseCmd ends a queued request.
-type RefuseCmd struct {
-	ID  ident.Request
-	Err *verdict.Error
-}
-
-// BarredCmd answers a BarMsg.
-type BarredCmd struct {
-	ID ident.Request
-	// Barred is true when the request was never dispatched and never will be.
-	Barred bool
-}
-
-func (DispatchCmd) isCmd() {}
-func (RefuseCmd) isCmd()   {}
-func (BarredCmd) isCmd()   {}
-
-// Core is one pool's admission.
-type Core struct {
-	pool      bundle.Pool
-	view      authority.View
-	queue     queue
-	busy      map[ident.Upstream]int
-	inFlight  map[ident.Request]ident.Upstream
-	barred    map[ident.Request]clock.Instant
-	bookOrder uint64
-}
-
-// New makes the admission of a pool.
-func New(pl bundle.Pool) *Core {
-	return &Core{
-		pool:     pl,
-		busy:     map[ident.Upstream]int{},
-		inFlight: map[ident.Request]ident.Upstream{},
-		barred:   map[ident.Request]clock.Instant{},
+// Core is one pool's admission. P chooses among the upstreams with room.
+type Core[P policy.Policy] struct {
+	options  options
+	policy   P
+	pool     bundle.Pool
+	view     authority.View
+	seen     bool
+	began    clock.Instant
+	upstream map[ident.Upstream]*upstream
+	// order lists the upstreams as the bundle does, the leaving ones last.
+	order []*upstream
+	// common queues the requests of an unkeyed service; homeless those whose
+	// slice has no owner in the view. Each upstream has a queue for the rest.
+	common   queue
+	homeless queue
+	queued   int
+	callers  map[Caller][]*flow
+	flows    map[ident.Request]*flow
+	attempts map[attemptKey]*attempt
+	memory   memory
+	budget   budget.Budget
+	arrivals uint64
+	figures  figures
+	// candidates is the scratch space of choose.
+	candidates []policy.Candidate
+}
+
+// New makes the admission of a pool with the product's own policy.
+func New(pl bundle.Pool, opts ...Option) *Core[policy.Soonest] {
+	return NewWith(pl, policy.Soonest{}, opts...)
+}
+
+// NewWith makes the admission of a pool with any policy.
+func NewWith[P policy.Policy](pl bundle.Pool, py P, opts ...Option) *Core[P] {
+	co := &Core[P]{
+		options:  defaults(),
+		policy:   py,
+		began:    clock.Never,
+		upstream: map[ident.Upstream]*upstream{},
+		callers:  map[Caller][]*flow{},
+		flows:    map[ident.Request]*flow{},
+		attempts: map[attemptKey]*attempt{},
+		memory:   newMemory(),
+	}
+	for _, opt := range opts {
+		opt(&co.options)
 	}
+	co.budget = budget.New(co.options.extraShare)
+	co.resize(pl)
+	return co
 }
 
 // Update takes one message and returns what to do.
-func (co *Core) Update(now clock.Instant, msg Msg) []Cmd {
-	var cmds []Cmd
+func (co *Core[P]) Update(now clock.Instant, msg Msg) []Cmd {
+	co.began = min(co.began, now)
+	co.refresh(now)
+	cmds := co.take(now, msg)
+	return append(cmds, co.dispatch(now)...)
+}
+
+func (co *Core[P]) take(now clock.Instant, msg Msg) []Cmd {
 	switch mg := msg.(type) {
 	case ArriveMsg:
-		cmds = co.arrive(now, mg.Request)
+		return co.arrive(now, mg.Request)
+	case HeadMsg:
+		return co.head(now, mg)
 	case DoneMsg:
-		co.finish(mg)
+		return co.done(now, mg)
+	case CancelledMsg:
+		return co.confirm(now, mg)
+	case CancelMsg:
+		return co.withdraw(mg.ID)
 	case BarMsg:
-		cmds = co.bar(now, mg.ID)
+		return co.bar(now, mg.ID)
 	case ViewMsg:
-		co.view = mg.View
+		return co.show(mg.View)
+	case PoolMsg:
+		co.resize(mg.Pool)
+	case ReportMsg:
+		co.report(now, mg)
+	case ProbedMsg:
+		co.probed(now, mg)
 	case TickMsg:
-		co.forget(now)
+		return co.tick(now)
 	}
-	return append(cmds, co.dispatch(now)...)
+	return nil
 }
 
-func (co *Core) arrive(now clock.Instant, rq Request) []Cmd {
-	if _, ok := co.barred[rq.ID]; ok {
-		return refuse(rq.ID, http.StatusServiceUnavailable, "the request was barred before it arrived", 0)
+// show takes a view: grants, owners and the lease's end. Queued requests follow
+// their slices.
+func (co *Core[P]) show(vw authority.View) []Cmd {
+	co.view = vw
+	co.seen = true
+	for _, up := range co.order {
+		co.regrant(up)
 	}
-	if !now.Before(rq.Deadline) {
-		return refuse(rq.ID, http.StatusGatewayTimeout, "the deadline has passed", 0)
-	}
-	if co.queue.Len() >= maxQueued {
-		return refuse(rq.ID, http.StatusServiceUnavailable, "the queue is full", retryAfter)
-	}
-	co.bookOrder++
-	heap.Push(&co.queue, waiting{request: rq, order: co.bookOrder})
+	co.rehome()
+	co.changedAll()
 	return nil
 }
 
-func refuse(id ident.Request, status int, reason string, after time.Duration) []Cmd {
-	return []Cmd{RefuseCmd{ID: id, Err: verdict.Refuse(status, reason, after)}}
-}
-
-func (co *Core) finish(mg DoneMsg) {
-	if _, ok := co.inFlight[mg.ID]; !ok {
+// regrant takes an upstream's grant. A new incarnation starts cold. It may hold
+// what was sent to the one before and came late, so that no slot is freed here.
+func (co *Core[P]) regrant(up *upstream) {
+	gr, ok := co.view.Grants[up.spec.Name]
+	up.granted = ok
+	if !ok {
 		return
 	}
-	delete(co.inFlight, mg.ID)
-	co.busy[mg.Upstream]--
-}
-
-// bar forbids the dispatch of a request that is queued or has not come yet.
-func (co *Core) bar(now clock.Instant, id ident.Request) []Cmd {
-	if _, ok := co.inFlight[id]; ok {
-		return []Cmd{BarredCmd{ID: id}}
+	if up.grant.Incarnation != gr.Incarnation {
+		up.restart()
 	}
-	co.barred[id] = now.Add(barTime)
-	cmds := []Cmd{BarredCmd{ID: id, Barred: true}}
-	if co.queue.remove(id) {
-		cmds = append(cmds, refuse(id, http.StatusServiceUnavailable, "the request was barred", 0)...)
+	if up.grant.Token != gr.Token {
+		up.staleUntil = 0
+	}
+	up.grant = gr
+}
+
+// resize takes the pool's upstreams. One that is no longer listed, or is out,
+// gets no new work and stays until its last dispatch has ended.
+func (co *Core[P]) resize(pl bundle.Pool) {
+	co.pool = pl
+	listed := make([]*upstream, 0, len(pl.Upstreams))
+	for _, sp := range pl.Upstreams {
+		up := co.upstream[sp.Name]
+		if up == nil {
+			up = newUpstream(sp)
+			co.upstream[sp.Name] = up
+		}
+		up.respec(sp)
+		co.regrant(up)
+		listed = append(listed, up)
 	}
-	return cmds
+	for _, up := range co.order {
+		if !listedIn(pl, up.spec.Name) {
+			up.leaving = true
+			listed = append(listed, up)
+		}
+	}
+	co.order = listed
+	co.forgetLeft()
+	co.rehome()
+	co.changedAll()
 }
 
-// barTime is how long a barred id is remembered; no request lives longer.
-const barTime = 2 * time.Minute
-
-func (co *Core) forget(now clock.Instant) {
-	for id, until := range co.barred {
-		if !now.Before(until) {
-			delete(co.barred, id)
+func listedIn(pl bundle.Pool, name ident.Upstream) bool {
+	for _, sp := range pl.Upstreams {
+		if sp.Name == name {
+			return true
 		}
 	}
+	return false
 }
 
-// dispatch gives free slots to the queue in order of deadline.
-func (co *Core) dispatch(now clock.Instant) []Cmd {
-	var cmds []Cmd
-	var held []waiting
-	for co.queue.Len() > 0 {
-		wt, _ := heap.Pop(&co.queue).(waiting)
-		if !now.Before(wt.request.Deadline) {
-			cmds = append(cmds, refuse(wt.request.ID, http.StatusGatewayTimeout, "the deadline passed in the queue", 0)...)
+// forgetLeft drops the upstreams that have left and hold nothing.
+func (co *Core[P]) forgetLeft() {
+	kept := co.order[:0]
+	for _, up := range co.order {
+		if !listedIn(co.pool, up.spec.Name) && len(up.held) == 0 && up.queue.length() == 0 {
+			delete(co.upstream, up.spec.Name)
 			continue
 		}
-		up, ok := co.choose(now, wt.request)
-		if !ok {
-			held = append(held, wt)
-			continue
+		kept = append(kept, up)
+	}
+	co.order = kept
+}
+
+// rehome moves every queued keyed request to its slice's owner of now.
+func (co *Core[P]) rehome() {
+	for _, up := range co.order {
+		co.rehomeQueue(&up.queue)
+	}
+	co.rehomeQueue(&co.homeless)
+}
+
+func (co *Core[P]) rehomeQueue(qu *queue) {
+	var moved []*flow
+	for _, fl := range qu.flows {
+		if co.queueOf(fl.request) != qu {
+			moved = append(moved, fl)
 		}
-		cmds = append(cmds, co.send(wt.request, up))
 	}
-	for _, wt := range held {
-		heap.Push(&co.queue, wt)
+	for _, fl := range moved {
+		fl.remove()
+		co.queueOf(fl.request).push(fl)
 	}
-	return cmds
 }
 
-// choose picks the owner of a keyed request's slice, or the least busy
-// upstream for any other, if it has a free slot and a grant.
-func (co *Core) choose(now clock.Instant, rq Request) (ident.Upstream, bool) {
-	if !now.Before(co.view.Until) {
-		return "", false
+// queueOf returns the queue that a request belongs to.
+func (co *Core[P]) queueOf(rq Request) *queue {
+	if !rq.Keyed {
+		return &co.common
 	}
-	best, found := ident.Upstream(""), false
-	for _, up := range co.pool.Upstreams {
-		if rq.Keyed && co.view.Owners[rq.Slice] != up.Name {
-			continue
-		}
-		gr, ok := co.view.Grants[up.Name]
-		if !ok || !now.Before(gr.Until) || co.busy[up.Name] >= up.Slots {
-			continue
-		}
-		if !found || co.busy[up.Name] < co.busy[best] {
-			best, found = up.Name, true
-		}
+	if up := co.upstream[co.view.Owners[rq.Slice]]; up != nil && !up.leaving {
+		return &up.queue
 	}
-	return best, found
+	return &co.homeless
+}
+
+// lapsed tells whether the node's right to the pool has ended.
+func (co *Core[P]) lapsed(now clock.Instant) bool {
+	return co.seen && !now.Before(co.view.Until)
 }
 
-func (co *Core) send(rq Request, up ident.Upstream) Cmd {
-	co.busy[up]++
-	co.inFlight[rq.ID] = up
-	gr := co.view.Grants[up]
-	return DispatchCmd{ID: rq.ID, Upstream: up, Token: gr.Token, Deadline: rq.Deadline}
+func (co *Core[P]) changed(up *upstream) {
+	co.common.changed = true
+	up.queue.changed = true
 }
+
+func (co *Core[P]) changedAll() {
+	for _, up := range co.order {
+		co.changed(up)
+	}
+}
+
+// minRetryAfter is the least that a caller is told to wait.
+const minRetryAfter = time.Second
--- a/internal/serving/admission/admission_test.go
+++ b/internal/serving/admission/admission_test.go
@@ -11,6 +11,7 @@
 	"chervilwalk/internal/operations/bundle"
 	"chervilwalk/internal/ownership/authority"
 	"chervilwalk/internal/serving/admission"
+	"chervilwalk/internal/serving/verdict"
 )
 
 func pool() bundle.Pool {
@@ -51,7 +52,7 @@
 	co.Update(0, arrive("soon", 2*time.Second))
 	co.Update(0, arrive("next", 3*time.Second))
 	gm.Expect(dispatched(co.Update(0, granted()))).To(Equal([]string{"soon", "next"}))
-	gm.Expect(dispatched(co.Update(1, admission.DoneMsg{ID: "soon", Upstream: "o1"}))).To(Equal([]string{"late"}))
+	gm.Expect(dispatched(co.Update(1, admission.DoneMsg{ID: "soon", Upstream: "o1", Verdict: verdict.Ran}))).To(Equal([]string{"late"}))
 }
 
 func TestBarProvesNotRunOnlyBeforeDispatch(t *testing.T) {
--- a/internal/serving/admission/queue.go
+++ b/internal/serving/admission/queue.go
@@ -4,51 +4,81 @@
 	"cmp"
 	"container/heap"
 
-	"chervilwalk/internal/fleet/ident"
+	"chervilwalk/internal/fleet/clock"
 )
 
-// waiting is a queued request; order breaks ties of the deadline.
-type waiting struct {
-	request Request
-	order   uint64
+// notQueued is the index of a flow that is in no queue.
+const notQueued = -1
+
+// queue is a heap of flows, the earliest deadline first. Keyed services have
+// one for each owner, so that one owner's full slots hold up nobody else.
+type queue struct {
+	flows flowHeap
+	// changed means that a dispatch may be possible that was not before.
+	changed bool
+}
+
+func (qu *queue) length() int { return len(qu.flows) }
+
+func (qu *queue) push(fl *flow) {
+	fl.queue = qu
+	qu.changed = true
+	heap.Push(&qu.flows, fl)
 }
 
-// queue is a heap of requests, the earliest deadline first.
-type queue []waiting
+func (qu *queue) first() *flow { return qu.flows[0] }
 
-// Len returns the number of queued requests.
-func (qu *queue) Len() int { return len(*qu) }
+// remove takes a flow out of the queue that it is in, if any.
+func (fl *flow) remove() {
+	if fl.queue == nil {
+		return
+	}
+	heap.Remove(&fl.queue.flows, fl.index)
+	fl.queue = nil
+}
+
+// ahead counts the flows that go before a deadline.
+func (qu *queue) ahead(deadline clock.Instant) int {
+	count := 0
+	for _, fl := range qu.flows {
+		if fl.request.Deadline <= deadline {
+			count++
+		}
+	}
+	return count
+}
+
+// flowHeap implements heap.Interface; each flow knows its index.
+type flowHeap []*flow
+
+// Len returns the number of flows.
+func (fh flowHeap) Len() int { return len(fh) }
 
 // Less orders by deadline, then by arrival.
-func (qu *queue) Less(left, right int) bool {
-	lw, rw := (*qu)[left], (*qu)[right]
-	return cmp.Or(cmp.Compare(lw.request.Deadline, rw.request.Deadline), cmp.Compare(lw.order, rw.order)) < 0
+func (fh flowHeap) Less(left, right int) bool {
+	lf, rf := fh[left], fh[right]
+	return cmp.Or(cmp.Compare(lf.request.Deadline, rf.request.Deadline), cmp.Compare(lf.order, rf.order)) < 0
 }
 
 // Swap exchanges two places.
-func (qu *queue) Swap(left, right int) { (*qu)[left], (*qu)[right] = (*qu)[right], (*qu)[left] }
+func (fh flowHeap) Swap(left, right int) {
+	fh[left], fh[right] = fh[right], fh[left]
+	fh[left].index, fh[right].index = left, right
+}
 
 // Push is part of heap.Interface.
-func (qu *queue) Push(item any) {
-	wt, _ := item.(waiting)
-	*qu = append(*qu, wt)
+func (fh *flowHeap) Push(item any) {
+	fl, _ := item.(*flow)
+	fl.index = len(*fh)
+	*fh = append(*fh, fl)
 }
 
 // Pop is part of heap.Interface.
-func (qu *queue) Pop() any {
-	last := len(*qu) - 1
-	wt := (*qu)[last]
-	*qu = (*qu)[:last]
-	return wt
-}
-
-// remove takes a request out of the queue.
-func (qu *queue) remove(id ident.Request) bool {
-	for ix := range *qu {
-		if (*qu)[ix].request.ID == id {
-			heap.Remove(qu, ix)
-			return true
-		}
-	}
-	return false
+func (fh *flowHeap) Pop() any {
+	last := len(*fh) - 1
+	fl := (*fh)[last]
+	(*fh)[last] = nil
+	*fh = (*fh)[:last]
+	fl.index = notQueued
+	return fl
 }
