Elect leaders, lease pools and grant slices with real losses in mind

Ownership was fixed by the bundle: no host could be lost. Now each domain elects a leader on a lease row, the leader leases pools to hosts by heartbeat, and each holder grants slices from what the table, the peers' copies and the upstreams say. Rights are counted on the raw clock and waits on one that no freeze or jump can shorten. A leader whose table is silent goes on by a majority's promises.

The faults are not shown yet.

--- a/internal/fleet/inner/inner.go
+++ b/internal/fleet/inner/inner.go
@@ -17,6 +17,7 @@
 	"chervilwalk/internal/fleet/ident"
 	"chervilwalk/internal/fleet/inner/innerpb"
 	"chervilwalk/internal/operations/bundle"
+	"chervilwalk/internal/ownership/exchange"
 	"chervilwalk/internal/serving/dispatch"
 	"chervilwalk/internal/serving/verdict"
 )
@@ -52,6 +53,8 @@
 	Bar(ctx context.Context, pl ident.Pool, id ident.Request) bool
 	// Notice says that a peer has a bundle of this version.
 	Notice(from ident.Host, vs bundle.Version)
+	// Hear takes a peer's notice on ownership.
+	Hear(from ident.Host, notice exchange.Notice)
 	// Seal returns the signed bundle in force.
 	Seal() (bundle.Seal, bool)
 }
@@ -115,6 +118,9 @@
 	if nt := rq.Msg.GetBundleNotice(); nt != nil {
 		hn.service.Notice(ident.Host(rq.Msg.GetFrom()), bundle.Version(nt.GetVersion()))
 	}
+	if notice, ok := DecodeNotice(rq.Msg); ok {
+		hn.service.Hear(ident.Host(rq.Msg.GetFrom()), notice)
+	}
 	return connect.NewResponse(&innerpb.TellReply{}), nil
 }
 
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -23,6 +23,7 @@
 	"chervilwalk/internal/fleet/route"
 	"chervilwalk/internal/operations/bundle"
 	"chervilwalk/internal/ownership/authority"
+	"chervilwalk/internal/ownership/exchange"
 	"chervilwalk/internal/platform/client"
 	"chervilwalk/internal/serving/dispatch"
 	"chervilwalk/internal/serving/entry"
@@ -81,7 +82,8 @@
 	nd.group, ctx = errgroup.WithContext(ctx)
 	nd.entry = entry.New(nd)
 	nd.inner = inner.NewServer(nd)
-	nd.owner = newOwnerTask(nd, authority.New(cf.Host, cf.Domain))
+	started := exchange.Incarnation(time.Now().UnixNano())
+	nd.owner = newOwnerTask(nd, authority.New(cf.Host, cf.Domain, authority.WithIncarnation(started)))
 	nd.bundles = newBundleTask(nd)
 	nd.group.Go(func() error { return nd.owner.run(ctx) })
 	nd.group.Go(func() error { return nd.bundles.run(ctx) })
@@ -97,10 +99,11 @@
 	return err
 }
 
-// Close stops accepting callers, waits for what is in flight until the context
+// Close hands over what the node holds, stops accepting callers, waits for what is in flight until the context
 // ends, then stops the tasks and waits for them.
 func (nd *Node) Close(ctx context.Context) error {
 	nd.draining.Store(true)
+	nd.owner.handOver(ctx)
 	first := nd.entry.Close(ctx)
 	second := nd.inner.Shutdown(ctx)
 	nd.stop()
@@ -223,6 +226,11 @@
 	nd.bundles.notice(from, vs)
 }
 
+// Hear takes a peer's notice on ownership.
+func (nd *Node) Hear(from ident.Host, notice exchange.Notice) {
+	nd.owner.hear(from, notice)
+}
+
 // Seal returns the signed bundle in force.
 func (nd *Node) Seal() (bundle.Seal, bool) {
 	return nd.bundles.seal()
--- a/internal/fleet/node/owner.go
+++ b/internal/fleet/node/owner.go
@@ -12,15 +12,23 @@
 	"chervilwalk/internal/fleet/ident"
 	"chervilwalk/internal/operations/bundle"
 	"chervilwalk/internal/ownership/authority"
+	"chervilwalk/internal/ownership/exchange"
 	"chervilwalk/internal/ownership/grant"
 	"chervilwalk/internal/platform/control"
+	"chervilwalk/internal/platform/table"
 )
 
 const (
 	// ownerTick is how often the ownership core is told the time.
 	ownerTick = 25 * time.Millisecond
 	// orderTimeout bounds the wait for an upstream's answer to an order.
-	orderTimeout = 200 * time.Millisecond
+	orderTimeout = 150 * time.Millisecond
+	// tableTimeout bounds one table operation.
+	tableTimeout = 150 * time.Millisecond
+	// noticeTimeout bounds the sending of a notice to a peer.
+	noticeTimeout = 150 * time.Millisecond
+	// ownerInbox is how many messages wait for the core at most.
+	ownerInbox = 1024
 	// maxReplyBytes bounds an upstream's answer to an order.
 	maxReplyBytes = 1 << 20
 )
@@ -32,15 +40,18 @@
 	inbox    chan authority.Msg
 	http     *http.Client
 	upstream map[ident.Upstream]string
+	// stopped is closed when the core has handed everything over.
+	stopped chan struct{}
 }
 
 func newOwnerTask(nd *Node, co *authority.Core) *ownerTask {
 	return &ownerTask{
 		node:     nd,
 		core:     co,
-		inbox:    make(chan authority.Msg, 256),
-		http:     &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1, IdleConnTimeout: time.Minute}},
+		inbox:    make(chan authority.Msg, ownerInbox),
+		http:     &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2, IdleConnTimeout: time.Minute}},
 		upstream: map[ident.Upstream]string{},
+		stopped:  make(chan struct{}),
 	}
 }
 
@@ -52,6 +63,24 @@
 	}
 }
 
+// hear takes a peer's notice; one that finds the inbox full is lost, as any
+// notice may be.
+func (ot *ownerTask) hear(from ident.Host, notice exchange.Notice) {
+	select {
+	case ot.inbox <- authority.PeerMsg{From: from, Notice: notice}:
+	default:
+	}
+}
+
+// handOver gives what this node holds to others and waits for it.
+func (ot *ownerTask) handOver(ctx context.Context) {
+	ot.tell(ctx, authority.StopMsg{})
+	select {
+	case <-ot.stopped:
+	case <-ctx.Done():
+	}
+}
+
 func (ot *ownerTask) run(ctx context.Context) error {
 	defer ot.http.CloseIdleConnections()
 	tick := time.NewTicker(ownerTick)
@@ -84,23 +113,53 @@
 
 func (ot *ownerTask) do(ctx context.Context, cmd authority.Cmd) {
 	switch cm := cmd.(type) {
-	case authority.OrderCmd:
+	case exchange.OrderCmd:
 		address := ot.upstream[cm.Upstream]
 		go ot.order(ctx, cm, address)
+	case exchange.SendCmd:
+		go ot.send(ctx, cm)
+	case exchange.TableCmd:
+		go ot.operate(ctx, cm)
 	case authority.PoolCmd:
 		ot.node.showPool(ctx, cm.View)
 	case authority.DropCmd:
 		ot.node.dropPool(cm.Pool)
 	case authority.RouteCmd:
 		ot.node.routes.Store(cm.Routes)
+	case authority.StoppedCmd:
+		close(ot.stopped)
+	}
+}
+
+func (ot *ownerTask) send(ctx context.Context, cm exchange.SendCmd) {
+	pe, ok := ot.node.peer(cm.To)
+	if !ok {
+		return
+	}
+	limited, cancel := context.WithTimeout(ctx, noticeTimeout)
+	defer cancel()
+	_ = pe.Tell(limited, ot.node.config.Host, cm.Notice)
+}
+
+func (ot *ownerTask) operate(ctx context.Context, cm exchange.TableCmd) {
+	limited, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	var rs table.Result
+	if len(cm.Writes) > 0 {
+		rs = ot.node.platform.Transact(limited, cm.Writes...)
+	} else {
+		rs = ot.node.platform.Read(limited, cm.Key)
 	}
+	ot.tell(ctx, authority.TableMsg{TableMsg: exchange.TableMsg{Tag: cm.Tag, Number: cm.Number, Result: rs}})
 }
 
-func (ot *ownerTask) order(ctx context.Context, cm authority.OrderCmd, address string) {
+func (ot *ownerTask) order(ctx context.Context, cm exchange.OrderCmd, address string) {
 	limited, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	rp, err := ot.post(limited, cm.Order, address)
-	ot.tell(ctx, authority.UpstreamMsg{Upstream: cm.Upstream, Order: cm.Order, Reply: rp, Err: err})
+	ot.tell(ctx, authority.UpstreamMsg{UpstreamMsg: exchange.UpstreamMsg{
+		Upstream: cm.Upstream, Number: cm.Number, Order: cm.Order, Reply: rp, Err: err,
+	}})
 }
 
 func (ot *ownerTask) post(ctx context.Context, od grant.Order, address string) (grant.Reply, error) {
--- a/internal/ownership/authority/authority.go
+++ b/internal/ownership/authority/authority.go
@@ -1,30 +1,26 @@
 // Package authority decides for one node which pools it holds, which upstream
 // owns which slice, and where requests go.
 //
-// The core is pure: it is given what happened and the time, and returns what
-// to do. The same core runs in the node, in the fuzzing and in the benchmarks:
+// It composes the election of the domain's leader, the leases of its pools and
+// the grants of the pools held here. The core is pure: it is given what
+// happened and the time, and returns what to do. The same core runs in the
+// node, in the fuzzing and in the benchmarks:
 //
-//	co := authority.New("n1", "north")
+//	co := authority.New("n1", "north", authority.WithIncarnation(7))
 //	for _, cmd := range co.Update(now, authority.BundleMsg{Bundle: bn}) {
 //		run(cmd)
 //	}
 package authority
 
 import (
-	"time"
-
 	"chervilwalk/internal/fleet/clock"
 	"chervilwalk/internal/fleet/ident"
 	"chervilwalk/internal/fleet/route"
 	"chervilwalk/internal/operations/bundle"
-	"chervilwalk/internal/ownership/grant"
-)
-
-const (
-	// RenewEvery is the time between two renewals of a grant.
-	RenewEvery = 250 * time.Millisecond
-	// GrantTime is how long a grant lasts from the upstream's reading.
-	GrantTime = 900 * time.Millisecond
+	"chervilwalk/internal/ownership/exchange"
+	"chervilwalk/internal/ownership/lease"
+	"chervilwalk/internal/ownership/pool"
+	"chervilwalk/internal/ownership/term"
 )
 
 // Msg is something that happened.
@@ -37,25 +33,30 @@
 type BundleMsg struct{ Bundle *bundle.Bundle }
 
 // UpstreamMsg is an upstream's answer to an order, or its absence.
-type UpstreamMsg struct {
-	Upstream ident.Upstream
-	Order    grant.Order
-	Reply    grant.Reply
-	Err      error
+type UpstreamMsg struct{ exchange.UpstreamMsg }
+
+// TableMsg is the result of a table operation.
+type TableMsg struct{ exchange.TableMsg }
+
+// PeerMsg is a peer's word.
+type PeerMsg struct {
+	From   ident.Host
+	Notice exchange.Notice
 }
 
+// StopMsg says that the node is about to stop: it hands over what it has and
+// answers with a StoppedCmd.
+type StopMsg struct{}
+
 func (TickMsg) isMsg()     {}
 func (BundleMsg) isMsg()   {}
 func (UpstreamMsg) isMsg() {}
+func (TableMsg) isMsg()    {}
+func (PeerMsg) isMsg()     {}
+func (StopMsg) isMsg()     {}
 
-// Cmd is something to do.
-type Cmd interface{ isCmd() }
-
-// OrderCmd sends an order to an upstream; its answer is an UpstreamMsg.
-type OrderCmd struct {
-	Upstream ident.Upstream
-	Order    grant.Order
-}
+// Cmd is something to do: a command of package exchange, or one of these.
+type Cmd = exchange.Cmd
 
 // PoolCmd tells serving what the node may dispatch for a pool it holds.
 type PoolCmd struct{ View View }
@@ -66,171 +67,198 @@
 // RouteCmd replaces the node's routes.
 type RouteCmd struct{ Routes *route.Table }
 
-func (OrderCmd) isCmd() {}
-func (PoolCmd) isCmd()  {}
-func (DropCmd) isCmd()  {}
-func (RouteCmd) isCmd() {}
-
-// View is what a holder may dispatch for one pool. It is never changed.
-type View struct {
-	Pool ident.Pool
-	// Until is the end of the holder's lease, on the node's clock.
-	Until clock.Instant
-	// Owners gives the upstream of each slice that the pool serves.
-	Owners map[ident.Slice]ident.Upstream
-	// Grants gives what each upstream was granted; one without is not served.
-	Grants map[ident.Upstream]Grant
-}
+// StoppedCmd says that all was handed over, or that the time for it is up.
+type StoppedCmd struct{}
+
+// Command marks a command.
+func (PoolCmd) Command() {}
+
+// Command marks a command.
+func (DropCmd) Command() {}
+
+// Command marks a command.
+func (RouteCmd) Command() {}
+
+// Command marks a command.
+func (StoppedCmd) Command() {}
+
+// View is what a holder may dispatch for one pool.
+type View = pool.View
 
 // Grant is what an upstream was granted and confirmed.
-type Grant struct {
-	Token grant.Token
-	// Until is the earliest end of the grant, on the node's clock.
-	Until       clock.Instant
-	Incarnation string
+type Grant = pool.Grant
+
+// Option changes a core at its making.
+type Option func(*Core)
+
+// WithIncarnation tells this process from earlier ones of its host; a later
+// process has a higher number.
+func WithIncarnation(inc exchange.Incarnation) Option {
+	return func(co *Core) { co.incarnation = inc }
+}
+
+// WithLine sets the time line.
+func WithLine(ln lease.Line) Option {
+	return func(co *Core) { co.line = ln }
+}
+
+// WithDefect breaks a rule, to show that a test's oracle notices.
+func WithDefect(df lease.Defect) Option {
+	return func(co *Core) { co.defect = df }
 }
 
 // Core is one node's decisions on ownership.
 type Core struct {
-	host   ident.Host
-	domain ident.Domain
-	bundle *bundle.Bundle
-	pools  map[ident.Pool]*held
-}
+	host        ident.Host
+	domain      ident.Domain
+	incarnation exchange.Incarnation
+	line        lease.Line
+	defect      lease.Defect
+	watch       lease.Watch
+	bundle      *bundle.Bundle
+	pools       map[ident.Pool]bundle.Pool
 
-// held is a pool that this node holds.
-type held struct {
-	pool      bundle.Pool
-	seq       uint64
-	owners    map[ident.Slice]ident.Upstream
-	grants    map[ident.Upstream]Grant
-	readings  map[ident.Upstream]clock.Instant
-	nextRenew clock.Instant
+	term    *term.Core
+	tables  tables
+	places  places
+	routes  routes
+	copies  map[ident.Pool]pool.Row
+	leader  *leader
+	holders map[ident.Pool]*pool.Holder
+	// applied is the assignment in force here, of the leader of appliedTerm.
+	applied     uint64
+	appliedTerm uint64
+	stopping    stopping
+	// own holds what this node says to itself.
+	own []exchange.Notice
 }
 
-// New makes the core of a node.
-func New(host ident.Host, domain ident.Domain) *Core {
-	return &Core{host: host, domain: domain, pools: map[ident.Pool]*held{}}
+// New makes the core of a node that has just started.
+func New(host ident.Host, domain ident.Domain, opts ...Option) *Core {
+	co := &Core{
+		host: host, domain: domain, incarnation: 1, line: lease.Default(),
+		pools:   map[ident.Pool]bundle.Pool{},
+		tables:  tables{operations: map[uint64]*operation{}},
+		places:  places{rows: map[ident.Service]place{}},
+		routes:  routes{holders: map[ident.Pool]ident.Host{}},
+		copies:  map[ident.Pool]pool.Row{},
+		holders: map[ident.Pool]*pool.Holder{},
+	}
+	for _, opt := range opts {
+		opt(co)
+	}
+	co.term = term.New(host, domain, co.incarnation, term.WithLine(co.line), term.WithDefect(co.defect))
+	return co
 }
 
 // Update takes one message and returns what to do.
 func (co *Core) Update(now clock.Instant, msg Msg) []Cmd {
+	at := co.watch.At(now)
+	cmds := co.take(at, msg)
+	cmds = append(cmds, co.lead(at)...)
+	for len(co.own) > 0 {
+		notice := co.own[0]
+		co.own = co.own[1:]
+		cmds = append(cmds, co.hear(at, co.host, notice)...)
+		cmds = append(cmds, co.lead(at)...)
+	}
+	cmds = append(cmds, co.finish(at)...)
+	return append(co.views(), cmds...)
+}
+
+func (co *Core) take(now lease.Moment, msg Msg) []Cmd {
 	switch mg := msg.(type) {
-	case BundleMsg:
-		return co.adopt(mg.Bundle)
 	case TickMsg:
-		return co.renew(now)
+		return co.tick(now)
+	case BundleMsg:
+		return co.adopt(now, mg.Bundle)
 	case UpstreamMsg:
-		return co.confirm(now, mg)
+		if ho := co.holders[mg.Order.Pool]; ho != nil {
+			return co.fromHolder(ho, ho.Hear(now, mg.UpstreamMsg))
+		}
+	case TableMsg:
+		return co.hearTable(now, mg.TableMsg)
+	case PeerMsg:
+		return co.hear(now, mg.From, mg.Notice)
+	case StopMsg:
+		return co.stop(now)
 	}
 	return nil
 }
 
-// adopt puts a bundle in force: pools whose holder this node is are taken.
-func (co *Core) adopt(bn *bundle.Bundle) []Cmd {
-	co.bundle = bn
-	rt := &route.Table{
-		Slices:  map[ident.Service][]ident.Pool{},
-		Nearest: map[ident.Service][]ident.Pool{},
-		Holders: map[ident.Pool]ident.Host{},
+func (co *Core) tick(now lease.Moment) []Cmd {
+	if co.bundle == nil {
+		return nil
 	}
-	for ix := range bn.Services {
-		co.adoptService(&bn.Services[ix], rt)
+	cmds := co.fromTerm(now, co.term.Update(now, term.TickMsg{}))
+	cmds = append(cmds, co.expire(now)...)
+	cmds = append(cmds, co.learnPlaces(now)...)
+	for _, name := range sortedKeys(co.holders) {
+		cmds = append(cmds, co.fromHolder(co.holders[name], co.holders[name].Tick(now))...)
 	}
-	return []Cmd{RouteCmd{Routes: rt}}
+	return append(cmds, co.showRoutes(now)...)
 }
 
-func (co *Core) adoptService(sv *bundle.Service, rt *route.Table) {
-	pools := sv.Pools()
-	sliceOwners := map[ident.Pool]map[ident.Slice]ident.Upstream{}
-	for _, pl := range pools {
-		sliceOwners[pl.Name] = map[ident.Slice]ident.Upstream{}
+// adopt puts a bundle in force.
+func (co *Core) adopt(now lease.Moment, bn *bundle.Bundle) []Cmd {
+	co.bundle = bn
+	co.pools = map[ident.Pool]bundle.Pool{}
+	for _, pl := range bn.Pools() {
+		co.pools[pl.Name] = pl
 	}
-	if sv.Keyed {
-		rt.Slices[sv.Name] = make([]ident.Pool, sv.Slices)
-		for sl := range ident.Slice(sv.Slices) {
-			pl, up := place(sv.Name, sl, pools)
-			rt.Slices[sv.Name][sl] = pl
-			sliceOwners[pl][sl] = up
+	cmds := co.fromTerm(now, co.term.Update(now, term.HostsMsg{Hosts: co.peersAndSelf()}))
+	for name, ho := range co.holders {
+		if pl, ok := co.pools[name]; ok {
+			ho.SetPool(pl)
 		}
-	} else {
-		rt.Nearest[sv.Name] = nearest(pools, co.domain)
+		ho.SetPeers(co.peers())
 	}
-	for _, pl := range pools {
-		holder := holderOf(co.bundle, pl)
-		rt.Holders[pl.Name] = holder
-		if holder == co.host {
-			co.pools[pl.Name] = &held{
-				pool:     pl,
-				owners:   sliceOwners[pl.Name],
-				grants:   map[ident.Upstream]Grant{},
-				readings: map[ident.Upstream]clock.Instant{},
-			}
-		}
+	if co.leader != nil {
+		co.leader.pools.SetPools(now, co.ownPools())
 	}
+	co.routes.changed = true
+	return append(cmds, co.tick(now)...)
 }
 
-// renew sends every held pool's grants when they are due.
-func (co *Core) renew(now clock.Instant) []Cmd {
-	var cmds []Cmd
-	for _, hd := range co.pools {
-		if now.Before(hd.nextRenew) {
-			continue
-		}
-		hd.nextRenew = now.Add(RenewEvery)
-		for _, up := range hd.pool.Upstreams {
-			cmds = append(cmds, OrderCmd{Upstream: up.Name, Order: hd.order(up.Name)})
+// peersAndSelf lists the hosts that take part in the domain's elections.
+func (co *Core) peersAndSelf() []ident.Host {
+	var list []ident.Host
+	for _, ho := range co.bundle.HostsOf(co.domain) {
+		if !ho.Out {
+			list = append(list, ho.Name)
 		}
 	}
-	return cmds
+	return list
 }
 
-// order builds the next order for an upstream: the first one only asks for its
-// clock, all others grant from the reading of the one before.
-func (hd *held) order(up ident.Upstream) grant.Order {
-	hd.seq++
-	od := grant.Order{Pool: hd.pool.Name, Token: grant.Token{Term: 1, Epoch: 1, Seq: hd.seq}}
-	reading, known := hd.readings[up]
-	if !known {
-		od.Keep = true
-		return od
-	}
-	od.Until = reading.Add(GrantTime)
-	for sl, owner := range hd.owners {
-		if owner == up {
-			od.Slices = append(od.Slices, sl)
+func (co *Core) peers() []ident.Host {
+	var list []ident.Host
+	for _, ho := range co.peersAndSelf() {
+		if ho != co.host {
+			list = append(list, ho)
 		}
 	}
-	return od
+	return list
 }
 
-func (co *Core) confirm(now clock.Instant, mg UpstreamMsg) []Cmd {
-	hd := co.pools[mg.Order.Pool]
-	if hd == nil || mg.Err != nil || !mg.Reply.Accepted {
-		return nil
-	}
-	_, known := hd.readings[mg.Upstream]
-	hd.readings[mg.Upstream] = mg.Reply.Reading
-	if mg.Order.Until == 0 {
-		if !known {
-			return []Cmd{OrderCmd{Upstream: mg.Upstream, Order: hd.order(mg.Upstream)}}
+func (co *Core) ownPools() []ident.Pool {
+	var list []ident.Pool
+	for _, pl := range co.bundle.Pools() {
+		if pl.Domain == co.domain {
+			list = append(list, pl.Name)
 		}
-		return nil
 	}
-	left := mg.Order.Until.Sub(mg.Reply.Reading)
-	hd.grants[mg.Upstream] = Grant{Token: mg.Order.Token, Until: now.Add(left), Incarnation: mg.Reply.Incarnation}
-	return []Cmd{PoolCmd{View: hd.view()}}
+	return list
 }
 
-func (hd *held) view() View {
-	vw := View{
-		Pool:   hd.pool.Name,
-		Until:  clock.Never,
-		Owners: hd.owners,
-		Grants: make(map[ident.Upstream]Grant, len(hd.grants)),
-	}
-	for up, gr := range hd.grants {
-		vw.Grants[up] = gr
+// views shows serving the pools whose view changed. It goes ahead of all other
+// commands, so that nothing is dispatched by a right that an order takes back.
+func (co *Core) views() []Cmd {
+	var cmds []Cmd
+	for _, name := range sortedKeys(co.holders) {
+		if co.holders[name].Changed() {
+			cmds = append(cmds, PoolCmd{View: co.holders[name].View()})
+		}
 	}
-	return vw
+	return cmds
 }
--- a/internal/ownership/authority/place.go
+++ b/internal/ownership/authority/place.go
@@ -1,39 +1,25 @@
 package authority
 
 import (
-	"strconv"
-
 	"chervilwalk/internal/fleet/ident"
 	"chervilwalk/internal/operations/bundle"
+	"chervilwalk/internal/ownership/pool"
 )
 
-// place chooses the pool and the upstream of a slice by rendezvous hashing, so
-// that few slices move when an upstream joins or leaves.
-func place(sv ident.Service, sl ident.Slice, pools []bundle.Pool) (ident.Pool, ident.Upstream) {
-	item := string(sv) + "/" + strconv.FormatUint(uint64(sl), 10)
+// heaviest chooses the pool of a slice by rendezvous hashing over upstreams, so
+// that pools get slices by their size and few move when an upstream joins.
+func heaviest(sv ident.Service, sl ident.Slice, pools []bundle.Pool) ident.Pool {
+	item := pool.Item(sv, sl)
 	var best uint64
-	var pool ident.Pool
-	var upstream ident.Upstream
+	var chosen ident.Pool
 	for _, pl := range pools {
 		for _, up := range pl.Upstreams {
-			if wt := ident.Weight(item, string(up.Name)); upstream == "" || wt > best {
-				best, pool, upstream = wt, pl.Name, up.Name
+			if wt := ident.Weight(item, string(up.Name)); !up.Out && (chosen == "" || wt > best) {
+				best, chosen = wt, pl.Name
 			}
 		}
 	}
-	return pool, upstream
-}
-
-// holderOf chooses the host that holds a pool among those of its domain.
-func holderOf(bn *bundle.Bundle, pl bundle.Pool) ident.Host {
-	var best uint64
-	var holder ident.Host
-	for _, ho := range bn.HostsOf(pl.Domain) {
-		if wt := ident.Weight(string(pl.Name), string(ho.Name)); holder == "" || wt > best {
-			best, holder = wt, ho.Name
-		}
-	}
-	return holder
+	return chosen
 }
 
 // nearest lists pools with those of the node's own domain first.
--- a/internal/ownership/exchange/exchange.go
+++ b/internal/ownership/exchange/exchange.go
@@ -17,8 +17,8 @@
 // higher one.
 type Incarnation uint64
 
-// Cmd is something to do.
-type Cmd interface{ isCmd() }
+// Cmd is something to do; Command marks its types.
+type Cmd interface{ Command() }
 
 // SendCmd sends a notice to a peer; it may be lost, late or repeated.
 type SendCmd struct {
@@ -36,15 +36,22 @@
 	Writes []table.Write
 }
 
-// OrderCmd sends an order to an upstream; its answer is an UpstreamMsg.
+// OrderCmd sends an order to an upstream; its answer is an UpstreamMsg with the
+// same number.
 type OrderCmd struct {
 	Upstream ident.Upstream
+	Number   uint64
 	Order    grant.Order
 }
 
-func (SendCmd) isCmd()  {}
-func (TableCmd) isCmd() {}
-func (OrderCmd) isCmd() {}
+// Command marks a command.
+func (SendCmd) Command() {}
+
+// Command marks a command.
+func (TableCmd) Command() {}
+
+// Command marks a command.
+func (OrderCmd) Command() {}
 
 // TableMsg is the result of a TableCmd.
 type TableMsg struct {
@@ -56,6 +63,7 @@
 // UpstreamMsg is an upstream's answer to an order, or its absence.
 type UpstreamMsg struct {
 	Upstream ident.Upstream
+	Number   uint64
 	Order    grant.Order
 	Reply    grant.Reply
 	Err      error
@@ -210,18 +218,30 @@
 	Routes []Holding
 }
 
-func (Beat) isNotice()     {}
-func (Lease) isNotice()    {}
-func (Ask) isNotice()      {}
-func (Vote) isNotice()     {}
-func (Lead) isNotice()     {}
-func (Seek) isNotice()     {}
-func (Carry) isNotice()    {}
-func (Carried) isNotice()  {}
-func (Copy) isNotice()     {}
-func (Copied) isNotice()   {}
-func (Recall) isNotice()   {}
-func (Recalled) isNotice() {}
-func (Offer) isNotice()    {}
-func (Want) isNotice()     {}
-func (Told) isNotice()     {}
+// Place is the row that gives each slice of a service its pool.
+type Place struct {
+	Service ident.Service
+	Version table.Version
+	Value   []byte
+}
+
+// WantPlace asks a peer for the Place of a service.
+type WantPlace struct{ Service ident.Service }
+
+func (Place) isNotice()     {}
+func (WantPlace) isNotice() {}
+func (Beat) isNotice()      {}
+func (Lease) isNotice()     {}
+func (Ask) isNotice()       {}
+func (Vote) isNotice()      {}
+func (Lead) isNotice()      {}
+func (Seek) isNotice()      {}
+func (Carry) isNotice()     {}
+func (Carried) isNotice()   {}
+func (Copy) isNotice()      {}
+func (Copied) isNotice()    {}
+func (Recall) isNotice()    {}
+func (Recalled) isNotice()  {}
+func (Offer) isNotice()     {}
+func (Want) isNotice()      {}
+func (Told) isNotice()      {}
--- a/internal/ownership/lease/lease.go
+++ b/internal/ownership/lease/lease.go
@@ -100,6 +100,9 @@
 	return Moment{Now: now, Steady: wt.steady}
 }
 
+// Last is the latest raw reading taken.
+func (wt *Watch) Last() clock.Instant { return wt.last }
+
 // Defect is a deliberately broken rule; tests set one to show that their
 // oracle can fail.
 type Defect int
