Let the bundle say how many upstreams a pool holds

Cause: at the full size about 3,100 upstreams in pools of 32 make 98 pools for 420 nodes; a holder would carry four times the work of an average node, and three nodes in four none. Conclusion: poolUpstreams, 1 to 32 and 32 when left out, spreads a service over more nodes. Pools of one size only are measured so far.

--- a/internal/operations/bundle/bundle.go
+++ b/internal/operations/bundle/bundle.go
@@ -12,7 +12,8 @@
 	"chervilwalk/internal/fleet/ident"
 )
 
-// MaxPoolUpstreams is how many upstreams one pool holds at most.
+// MaxPoolUpstreams is how many upstreams one pool holds at most, and when the
+// bundle says nothing.
 const MaxPoolUpstreams = 32
 
 // Version orders bundles; a node only ever moves to a higher one.
@@ -87,8 +88,11 @@
 	MaxBodyBytes int
 	WhenCutOff   CutOff
 	// KeepFor bounds WhenCutOff Keep.
-	KeepFor   time.Duration
-	Upstreams []Upstream
+	KeepFor time.Duration
+	// PoolUpstreams is how many upstreams one pool holds at most; 0 means
+	// MaxPoolUpstreams. Smaller pools spread a service over more nodes.
+	PoolUpstreams int
+	Upstreams     []Upstream
 }
 
 // Upstream is one back end.
@@ -168,6 +172,13 @@
 	Upstreams []Upstream
 }
 
+func (sv *Service) poolSize() int {
+	if sv.PoolUpstreams == 0 {
+		return MaxPoolUpstreams
+	}
+	return sv.PoolUpstreams
+}
+
 // Pools divides the service's upstreams into pools, in the bundle's order.
 func (sv *Service) Pools() []Pool {
 	byDomain := map[ident.Domain][]Upstream{}
@@ -181,7 +192,7 @@
 	var pools []Pool
 	for _, dm := range order {
 		number := 0
-		for part := range slices.Chunk(byDomain[dm], MaxPoolUpstreams) {
+		for part := range slices.Chunk(byDomain[dm], sv.poolSize()) {
 			pools = append(pools, Pool{Name: ident.NewPool(sv.Name, dm, number), Service: sv, Domain: dm, Upstreams: part})
 			number++
 		}
--- a/internal/operations/bundle/diff.go
+++ b/internal/operations/bundle/diff.go
@@ -60,7 +60,7 @@
 		sv := &bn.Services[ix]
 		fl.add("service "+string(sv.Name), "keyed", sv.Keyed, "key", sv.Key, "slices", sv.Slices,
 			"idempotentMethods", strings.Join(sv.IdempotentMethods, ","), "defaultTimeout", sv.DefaultTimeout,
-			"maxTimeout", sv.MaxTimeout, "maxBodyBytes", sv.MaxBodyBytes, "whenCutOff", sv.WhenCutOff, "keepFor", sv.KeepFor)
+			"maxTimeout", sv.MaxTimeout, "maxBodyBytes", sv.MaxBodyBytes, "whenCutOff", sv.WhenCutOff, "keepFor", sv.KeepFor, "poolUpstreams", sv.PoolUpstreams)
 		for _, up := range sv.Upstreams {
 			fl.add("upstream "+string(up.Name), "service", sv.Name, "domain", up.Domain, "address", up.Address,
 				"slots", up.Slots, "connections", up.Connections, "coldLimit", up.ColdLimit,
--- a/internal/operations/bundle/format.go
+++ b/internal/operations/bundle/format.go
@@ -40,6 +40,7 @@
 	MaxBodyBytes      int            `yaml:"maxBodyBytes"`
 	WhenCutOff        string         `yaml:"whenCutOff,omitempty"`
 	KeepFor           time.Duration  `yaml:"keepFor,omitempty"`
+	PoolUpstreams     int            `yaml:"poolUpstreams,omitempty"`
 	Upstreams         []upstreamYAML `yaml:"upstreams"`
 }
 
@@ -84,6 +85,7 @@
 		Name: string(sv.Name), Keyed: sv.Keyed, Key: string(sv.Key), Slices: sv.Slices,
 		IdempotentMethods: sv.IdempotentMethods, DefaultTimeout: sv.DefaultTimeout, MaxTimeout: sv.MaxTimeout,
 		MaxBodyBytes: sv.MaxBodyBytes, WhenCutOff: string(sv.WhenCutOff), KeepFor: sv.KeepFor,
+		PoolUpstreams: sv.PoolUpstreams,
 	}
 	for _, up := range sv.Upstreams {
 		sy.Upstreams = append(sy.Upstreams, upstreamYAML{
--- a/internal/operations/bundle/parse_test.go
+++ b/internal/operations/bundle/parse_test.go
@@ -56,6 +56,7 @@
 		"keyed no key":        {"    key: path\n", "", `:9:5: a service has no key: add key: one of path, query, header`},
 		"bad key source":      {"key: path", "key: body", `:11:10: key in a service is "body"`},
 		"keep without time":   {"    keepFor: 30s\n", "", `:9:5: a service has no keepFor`},
+		"pool too large":      {"    keepFor: 30s\n", "    keepFor: 30s\n    poolUpstreams: 33\n", `:15:20: poolUpstreams in a service is "33"`},
 		"keepFor with yield":  {"whenCutOff: keep", "whenCutOff: yield", `:14:14: keepFor has no meaning in a service`},
 		"key but not keyed":   {"    keyed: true\n", "", `:10:10: key has no meaning in a service: remove it, or add keyed: true`},
 		"host name for IP":    {"10.0.1.2:80", "backend:80", `:21:44: address "backend:80" in an upstream is no IP:PORT`},
--- a/internal/operations/bundle/parsefleet.go
+++ b/internal/operations/bundle/parsefleet.go
@@ -31,7 +31,7 @@
 
 var serviceFields = []string{
 	"name", "keyed", "key", "slices", "idempotentMethods", "defaultTimeout", "maxTimeout",
-	"maxBodyBytes", "whenCutOff", "keepFor", "upstreams",
+	"maxBodyBytes", "whenCutOff", "keepFor", "poolUpstreams", "upstreams",
 }
 
 func (rd *reader) service(nd *yaml.Node, bn *Bundle) Service {
@@ -49,6 +49,9 @@
 		rd.add(mp.at("maxTimeout"), "raise maxTimeout or lower defaultTimeout",
 			"maxTimeout %s is below defaultTimeout %s", sv.MaxTimeout, sv.DefaultTimeout)
 	}
+	if mp.has("poolUpstreams") {
+		sv.PoolUpstreams = int(mp.count("poolUpstreams", MaxPoolUpstreams))
+	}
 	rd.keyed(mp, &sv)
 	children := mp.list("upstreams")
 	for _, child := range children {
