Carry control messages on one stream for each pair of nodes

Cause: a call for each notice. A connection whose other side vanished is now tried after 1 s and given up 0.5 s later; before, notices went into a dead connection until TCP gave up. A leader of 52 hosts at five heartbeats a second still needs another mechanism.

--- a/internal/fleet/inner/inner.go
+++ b/internal/fleet/inner/inner.go
@@ -10,6 +10,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -25,6 +26,15 @@
 // chunkBytes is the size of the pieces in which a body crosses the hop.
 const chunkBytes = 32 << 10
 
+const (
+	// pingAfter is how long a connection may be silent before it is tried.
+	pingAfter = time.Second
+	// pingTimeout is how long the other side may take to show that it is
+	// there. A host that vanished without a word is given up after both, so
+	// that nothing waits on a dead connection once the host is back.
+	pingTimeout = 500 * time.Millisecond
+)
+
 // UpstreamHeader names to the caller the upstream that answered.
 const UpstreamHeader = "Chervilwalk-Upstream"
 
@@ -70,13 +80,18 @@
 // a listener.
 func NewServer(sv Service) *http.Server {
 	mx := http.NewServeMux()
-	mx.Handle(innerpb.NewInnerHandler(&handler{service: sv}))
-	return &http.Server{Handler: mx, Protocols: protocols(), ReadHeaderTimeout: 5 * time.Second}
+	hn := &handler{service: sv, closing: make(chan struct{})}
+	mx.Handle(innerpb.NewInnerHandler(hn))
+	server := &http.Server{Handler: mx, Protocols: protocols(), ReadHeaderTimeout: 5 * time.Second}
+	server.RegisterOnShutdown(sync.OnceFunc(func() { close(hn.closing) }))
+	return server
 }
 
 // handler maps the generated interface to Service.
 type handler struct {
 	service Service
+	// closing ends the conversations, which would hold up a planned stop.
+	closing chan struct{}
 }
 
 // Forward serves one call and streams its answer; the stream ends with an End.
@@ -115,13 +130,18 @@
 
 // Tell takes one control message.
 func (hn *handler) Tell(_ context.Context, rq *connect.Request[innerpb.Envelope]) (*connect.Response[innerpb.TellReply], error) {
-	if nt := rq.Msg.GetBundleNotice(); nt != nil {
-		hn.service.Notice(ident.Host(rq.Msg.GetFrom()), bundle.Version(nt.GetVersion()))
+	hn.hear(rq.Msg)
+	return connect.NewResponse(&innerpb.TellReply{}), nil
+}
+
+// hear hands a control message to the node.
+func (hn *handler) hear(en *innerpb.Envelope) {
+	if nt := en.GetBundleNotice(); nt != nil {
+		hn.service.Notice(ident.Host(en.GetFrom()), bundle.Version(nt.GetVersion()))
 	}
-	if notice, ok := DecodeNotice(rq.Msg); ok {
-		hn.service.Hear(ident.Host(rq.Msg.GetFrom()), notice)
+	if notice, ok := DecodeNotice(en); ok {
+		hn.service.Hear(ident.Host(en.GetFrom()), notice)
 	}
-	return connect.NewResponse(&innerpb.TellReply{}), nil
 }
 
 // FetchBundle returns the signed bundle in force.
@@ -139,18 +159,25 @@
 type Peer struct {
 	client innerpb.InnerClient
 	http   *http.Client
+	talk   *talk
 }
 
 // NewPeer makes the way to a node's inner IP and port.
 func NewPeer(address string) *Peer {
-	hc := &http.Client{Transport: &http.Transport{Protocols: protocols()}}
+	hc := &http.Client{Transport: &http.Transport{
+		Protocols: protocols(),
+		HTTP2:     &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+	}}
 	// Compression costs more processor time than all the rest of the hop.
 	plain := connect.WithAcceptCompression("gzip", nil, nil)
-	return &Peer{client: innerpb.NewInnerClient(hc, "http://"+address, plain), http: hc}
+	client := innerpb.NewInnerClient(hc, "http://"+address, plain)
+	return &Peer{client: client, http: hc, talk: newTalk(client)}
 }
 
-// Close drops the idle connections.
+// Close ends the conversation, waits for its task and drops the idle
+// connections.
 func (pe *Peer) Close() {
+	pe.talk.close()
 	pe.http.CloseIdleConnections()
 }
 
--- a/internal/fleet/inner/innerpb/inner.connect.go
+++ b/internal/fleet/inner/innerpb/inner.connect.go
@@ -39,6 +39,8 @@
 	InnerBarProcedure = "/chervilwalk.inner.v1.Inner/Bar"
 	// InnerTellProcedure is the fully-qualified name of the Inner's Tell RPC.
 	InnerTellProcedure = "/chervilwalk.inner.v1.Inner/Tell"
+	// InnerConverseProcedure is the fully-qualified name of the Inner's Converse RPC.
+	InnerConverseProcedure = "/chervilwalk.inner.v1.Inner/Converse"
 	// InnerFetchBundleProcedure is the fully-qualified name of the Inner's FetchBundle RPC.
 	InnerFetchBundleProcedure = "/chervilwalk.inner.v1.Inner/FetchBundle"
 )
@@ -51,6 +53,9 @@
 	Bar(context.Context, *connect.Request[BarRequest]) (*connect.Response[BarReply], error)
 	// Tell carries one control message; its answer, if any, is another Tell.
 	Tell(context.Context, *connect.Request[Envelope]) (*connect.Response[TellReply], error)
+	// Converse carries control messages on one long-lived stream, which costs far
+	// less than a call for each.
+	Converse(context.Context) *connect.ClientStreamForClient[Envelope, TellReply]
 	// FetchBundle returns the signed bundle in force at the node.
 	FetchBundle(context.Context, *connect.Request[FetchBundleRequest]) (*connect.Response[FetchBundleReply], error)
 }
@@ -84,6 +89,12 @@
 			connect.WithSchema(innerMethods.ByName("Tell")),
 			connect.WithClientOptions(opts...),
 		),
+		converse: connect.NewClient[Envelope, TellReply](
+			httpClient,
+			baseURL+InnerConverseProcedure,
+			connect.WithSchema(innerMethods.ByName("Converse")),
+			connect.WithClientOptions(opts...),
+		),
 		fetchBundle: connect.NewClient[FetchBundleRequest, FetchBundleReply](
 			httpClient,
 			baseURL+InnerFetchBundleProcedure,
@@ -98,6 +109,7 @@
 	forward     *connect.Client[ForwardRequest, ForwardReply]
 	bar         *connect.Client[BarRequest, BarReply]
 	tell        *connect.Client[Envelope, TellReply]
+	converse    *connect.Client[Envelope, TellReply]
 	fetchBundle *connect.Client[FetchBundleRequest, FetchBundleReply]
 }
 
@@ -116,6 +128,11 @@
 	return c.tell.CallUnary(ctx, req)
 }
 
+// Converse calls chervilwalk.inner.v1.Inner.Converse.
+func (c *innerClient) Converse(ctx context.Context) *connect.ClientStreamForClient[Envelope, TellReply] {
+	return c.converse.CallClientStream(ctx)
+}
+
 // FetchBundle calls chervilwalk.inner.v1.Inner.FetchBundle.
 func (c *innerClient) FetchBundle(ctx context.Context, req *connect.Request[FetchBundleRequest]) (*connect.Response[FetchBundleReply], error) {
 	return c.fetchBundle.CallUnary(ctx, req)
@@ -129,6 +146,9 @@
 	Bar(context.Context, *connect.Request[BarRequest]) (*connect.Response[BarReply], error)
 	// Tell carries one control message; its answer, if any, is another Tell.
 	Tell(context.Context, *connect.Request[Envelope]) (*connect.Response[TellReply], error)
+	// Converse carries control messages on one long-lived stream, which costs far
+	// less than a call for each.
+	Converse(context.Context, *connect.ClientStream[Envelope]) (*connect.Response[TellReply], error)
 	// FetchBundle returns the signed bundle in force at the node.
 	FetchBundle(context.Context, *connect.Request[FetchBundleRequest]) (*connect.Response[FetchBundleReply], error)
 }
@@ -158,6 +178,12 @@
 		connect.WithSchema(innerMethods.ByName("Tell")),
 		connect.WithHandlerOptions(opts...),
 	)
+	innerConverseHandler := connect.NewClientStreamHandler(
+		InnerConverseProcedure,
+		svc.Converse,
+		connect.WithSchema(innerMethods.ByName("Converse")),
+		connect.WithHandlerOptions(opts...),
+	)
 	innerFetchBundleHandler := connect.NewUnaryHandler(
 		InnerFetchBundleProcedure,
 		svc.FetchBundle,
@@ -172,6 +198,8 @@
 			innerBarHandler.ServeHTTP(w, r)
 		case InnerTellProcedure:
 			innerTellHandler.ServeHTTP(w, r)
+		case InnerConverseProcedure:
+			innerConverseHandler.ServeHTTP(w, r)
 		case InnerFetchBundleProcedure:
 			innerFetchBundleHandler.ServeHTTP(w, r)
 		default:
@@ -195,6 +223,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("chervilwalk.inner.v1.Inner.Tell is not implemented"))
 }
 
+func (UnimplementedInnerHandler) Converse(context.Context, *connect.ClientStream[Envelope]) (*connect.Response[TellReply], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("chervilwalk.inner.v1.Inner.Converse is not implemented"))
+}
+
 func (UnimplementedInnerHandler) FetchBundle(context.Context, *connect.Request[FetchBundleRequest]) (*connect.Response[FetchBundleReply], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("chervilwalk.inner.v1.Inner.FetchBundle is not implemented"))
 }
--- a/internal/fleet/inner/ownership.go
+++ b/internal/fleet/inner/ownership.go
@@ -1,11 +1,8 @@
 package inner
 
 import (
-	"context"
 	"time"
 
-	"connectrpc.com/connect"
-
 	"chervilwalk/internal/fleet/clock"
 	"chervilwalk/internal/fleet/ident"
 	"chervilwalk/internal/fleet/inner/innerpb"
@@ -13,10 +10,10 @@
 	"chervilwalk/internal/platform/table"
 )
 
-// Tell sends a notice on ownership; it may be lost without a word.
-func (pe *Peer) Tell(ctx context.Context, from ident.Host, notice exchange.Notice) error {
-	_, err := pe.client.Tell(ctx, connect.NewRequest(EncodeNotice(from, notice)))
-	return err
+// Tell sends a notice on ownership; it may be lost without a word. ErrBusy says
+// that it was not sent at all.
+func (pe *Peer) Tell(from ident.Host, notice exchange.Notice) error {
+	return pe.talk.send(EncodeNotice(from, notice))
 }
 
 // EncodeNotice writes a notice on ownership.
--- a/internal/fleet/node/owner.go
+++ b/internal/fleet/node/owner.go
@@ -25,8 +25,6 @@
 	orderTimeout = 150 * time.Millisecond
 	// tableTimeout bounds one table operation.
 	tableTimeout = 150 * time.Millisecond
-	// noticeTimeout bounds the sending of a notice to a peer.
-	noticeTimeout = 150 * time.Millisecond
 	// ownerInbox is how many messages wait for the core at most.
 	ownerInbox = 1024
 	// maxReplyBytes bounds an upstream's answer to an order.
@@ -117,7 +115,7 @@
 		address := ot.upstream[cm.Upstream]
 		go ot.order(ctx, cm, address)
 	case exchange.SendCmd:
-		go ot.send(ctx, cm)
+		ot.send(cm)
 	case exchange.TableCmd:
 		go ot.operate(ctx, cm)
 	case authority.PoolCmd:
@@ -131,14 +129,14 @@
 	}
 }
 
-func (ot *ownerTask) send(ctx context.Context, cm exchange.SendCmd) {
+func (ot *ownerTask) send(cm exchange.SendCmd) {
 	pe, ok := ot.node.peer(cm.To)
 	if !ok {
 		return
 	}
-	limited, cancel := context.WithTimeout(ctx, noticeTimeout)
-	defer cancel()
-	_ = pe.Tell(limited, ot.node.config.Host, cm.Notice)
+	if err := pe.Tell(ot.node.config.Host, cm.Notice); err != nil {
+		ot.node.log.WithError(err).WithField("to", string(cm.To)).Debug("notice dropped")
+	}
 }
 
 func (ot *ownerTask) operate(ctx context.Context, cm exchange.TableCmd) {
--- a/internal/operations/capacity/probe_serving.go
+++ b/internal/operations/capacity/probe_serving.go
@@ -268,7 +268,7 @@
 	defer lane.Close()
 	return cpuNanos(func() error {
 		for range size {
-			if err := exchange(lane); err != nil {
+			if err := exchangeOnce(lane); err != nil {
 				return err
 			}
 		}
@@ -276,7 +276,7 @@
 	})
 }
 
-func exchange(lane *dispatch.Lane) error {
+func exchangeOnce(lane *dispatch.Lane) error {
 	rq, err := http.NewRequest(http.MethodGet, "http://lookup/lookup/batch", nil)
 	if err != nil {
 		return err
