--- a/internal/ownership/authority/authority.go
+++ b/internal/ownership/authority/authority.go
@@ -251,6 +251,12 @@
 	return list
 }
 
+// Leads tells whether this node has the right to lead its domain now.
+func (co *Core) Leads(now clock.Instant) bool {
+	_, leads := co.term.Leads(lease.Moment{Now: max(now, co.watch.Last())})
+	return leads
+}
+
 // views shows serving the pools whose view changed. It goes ahead of all other
 // commands, so that nothing is dispatched by a right that an order takes back.
 func (co *Core) views() []Cmd {
--- a/internal/ownership/pool/leader.go
+++ b/internal/ownership/pool/leader.go
@@ -53,6 +53,11 @@
 	leaving    bool
 }
 
+// newMember starts at assignment 1, so that a host with none applied is behind.
+func newMember(inc exchange.Incarnation, until clock.Instant) *member {
+	return &member{incarnation: inc, until: until, assignment: 1}
+}
+
 // seat is a pool with its holder.
 type seat struct {
 	holder ident.Host
@@ -110,7 +115,7 @@
 
 // Beat takes a heartbeat. It returns the answer and whether there is one.
 func (ld *Leader) Beat(now lease.Moment, from ident.Host, bt exchange.Beat, answer exchange.Lease, right clock.Instant) (exchange.Lease, bool) {
-	mb, ok := ld.admit(now, from, bt)
+	mb, ok := ld.admit(from, bt)
 	if !ok {
 		return exchange.Lease{}, false
 	}
@@ -126,10 +131,10 @@
 
 // admit finds the sender's record. A first heartbeat claims what its sender
 // holds by an earlier leader's lease; a new process has nothing.
-func (ld *Leader) admit(now lease.Moment, from ident.Host, bt exchange.Beat) (*member, bool) {
+func (ld *Leader) admit(from ident.Host, bt exchange.Beat) (*member, bool) {
 	mb := ld.members[from]
 	if mb == nil {
-		mb = &member{incarnation: bt.Incarnation, until: ld.settled}
+		mb = newMember(bt.Incarnation, ld.settled)
 		ld.members[from] = mb
 		ld.claim(from, mb, bt.Held)
 		return mb, true
@@ -146,7 +151,7 @@
 				st.leaving = ""
 			}
 		}
-		ld.members[from] = &member{incarnation: bt.Incarnation, until: mb.until}
+		ld.members[from] = newMember(bt.Incarnation, mb.until)
 	}
 	return ld.members[from], true
 }
--- a/internal/ownership/pool/order.go
+++ b/internal/ownership/pool/order.go
@@ -177,7 +177,7 @@
 	if !us.inspected {
 		us.inspected, us.highest, us.reported = true, rp.Highest, rp.Slices
 	}
-	ho.confirm(now, us, mg.Order, rp)
+	ho.confirm(us, mg.Order, rp)
 	us.reading, us.asked, us.heard, us.settled, us.known = rp.Reading, us.pending.sent, now.Now, now.Steady, true
 	if us.pending.inspect || us.all || !us.complete {
 		us.nextOrder = now.Now
@@ -186,7 +186,7 @@
 }
 
 // confirm takes the answer to an order that carried this holder's token.
-func (ho *Holder) confirm(now lease.Moment, us *upstream, od grant.Order, rp grant.Reply) {
+func (ho *Holder) confirm(us *upstream, od grant.Order, rp grant.Reply) {
 	if us.pending.inspect {
 		return
 	}
--- a/internal/ownership/pool/record.go
+++ b/internal/ownership/pool/record.go
@@ -150,7 +150,7 @@
 // copies count as the record only while the table does not answer.
 func (ho *Holder) persist(now lease.Moment) []exchange.Cmd {
 	rc := &ho.record
-	if !ho.pool.Service.Keyed || rc.written == rc.number {
+	if !ho.pool.Service.Keyed || (rc.written == rc.number && ho.placed) {
 		return nil
 	}
 	cmds := ho.copy(now)
@@ -160,8 +160,11 @@
 	if rc.silent && now.Now.Before(rc.asked.Add(ho.line.Answer)) {
 		return cmds
 	}
-	if !rc.known {
+	switch {
+	case !rc.known:
 		return append(cmds, ho.read(now, readingRow))
+	case !ho.placed:
+		return append(cmds, ho.read(now, readingPlace))
 	}
 	ho.numbers++
 	rc.query, rc.busy, rc.doing, rc.asked = ho.numbers, true, writing, now.Now
@@ -279,6 +282,20 @@
 		return
 	}
 	ho.SetSlices(rs.Rows[0].Version, pw.Of(ho.claim.Pool))
+	if ho.collected {
+		ho.complete()
+	}
+}
+
+// complete adds the slices that a holder which began without the table did not
+// find then; those it has found since stay where they are.
+func (ho *Holder) complete() {
+	for sl, up := range ho.record.row.Owners {
+		if _, ok := ho.owners[sl]; !ok && ho.slices[sl] {
+			ho.owners[sl] = up
+			ho.touch()
+		}
+	}
 }
 
 // readDone compares the row with this holder's token: a newer one ends it.
--- a/internal/ownership/term/bid.go
+++ b/internal/ownership/term/bid.go
@@ -96,10 +96,9 @@
 
 // rank is how long this host holds back, so that challengers rarely meet.
 func (co *Core) rank() time.Duration {
-	own := ident.Weight(string(co.domain), string(co.host))
 	before := 0
 	for _, ho := range co.hosts {
-		if ho != co.follow.leader && ident.Weight(string(co.domain), string(ho)) > own {
+		if ho != co.follow.leader && co.weight(ho) > co.weight(co.host) {
 			before++
 		}
 	}
@@ -120,7 +119,7 @@
 
 // ask starts a round of votes, with this host's own.
 func (co *Core) ask(now lease.Moment, withTable bool, base table.Version) []exchange.Cmd {
-	if co.bid != nil && co.bid.write == nil && now.Now.Before(co.bid.sent.Add(readEvery)) {
+	if !co.mayPromise(now, co.host) || (co.bid != nil && now.Now.Before(co.bid.sent.Add(readEvery/2))) {
 		return nil
 	}
 	bd := &bid{round: co.number(), table: withTable, base: base, sent: now.Now, votes: map[ident.Host]bool{}}
@@ -142,12 +141,15 @@
 
 // answerAsk promises the challenger unless a promise to another is in force, or
 // this host knows a term as high. Without the table it must also know the
-// leader to be witnessed.
+// leader to be witnessed. A bid of this host's own that has not won yet is
+// withdrawn for a challenger of a higher rank, so that bids do not starve each
+// other; only this host has counted its own vote.
 func (co *Core) answerAsk(now lease.Moment, from ident.Host, ak exchange.Ask) exchange.Vote {
 	known := max(co.follow.term, co.vote.term)
 	vote := exchange.Vote{Round: ak.Round, Term: known}
-	repeated := co.vote.to == from && ak.Term == co.vote.term && ak.Term > co.follow.term
-	if (ak.Term <= known && !repeated) || co.lead != nil || !co.mayPromise(now, from) {
+	yields := co.yieldsTo(from)
+	again := (yields || co.vote.to == from) && ak.Term == co.vote.term && ak.Term > co.follow.term
+	if (ak.Term <= known && !again) || co.lead != nil || (!yields && !co.mayPromise(now, from)) {
 		return vote
 	}
 	if !ak.Table && (!co.vote.witnessed || co.vote.tableVoted) {
@@ -156,12 +158,26 @@
 	if ak.Table {
 		co.vote.tableVoted, co.vote.tableTerm = true, co.follow.term
 	}
+	if yields {
+		co.bid = nil
+	}
 	co.vote.to, co.vote.term = from, ak.Term
 	co.vote.until = now.Steady.Add(lease.Longest(co.line.Promise))
 	vote.Granted = true
 	return vote
 }
 
+// yieldsTo tells whether this host has a bid that another one outranks.
+func (co *Core) yieldsTo(other ident.Host) bool {
+	return co.bid != nil && co.bid.write == nil && co.vote.to == co.host && other != co.host &&
+		co.weight(other) > co.weight(co.host)
+}
+
+// weight ranks the hosts of the domain.
+func (co *Core) weight(ho ident.Host) uint64 {
+	return ident.Weight(string(co.domain), string(ho))
+}
+
 // hearVote counts a vote; enough of them end the round.
 func (co *Core) hearVote(now lease.Moment, from ident.Host, vt exchange.Vote) []exchange.Cmd {
 	bd := co.bid
