Elect anew after a fence, and give slices only to pools that have a holder

A fence names no host; a host that read it adopted nobody as its leader again and again and never bid. A domain that went out while another was lost held on to the slices whose home was with the lost one.

--- a/internal/ownership/authority/placement.go
+++ b/internal/ownership/authority/placement.go
@@ -66,7 +66,7 @@
 		return
 	}
 	leaving := !co.inService(name.Domain())
-	targets := co.targets(sv, pc.row, co.inService)
+	targets := co.targets(sv, pc.row, func(pl bundle.Pool) bool { return co.routes.holders[pl.Name] != "" })
 	every, share := homeEvery, co.homeBatch(sv, pc.row)
 	if leaving {
 		every, share = leaveEvery, co.leaveBatch(name, len(ho.Slices()))
@@ -75,7 +75,7 @@
 	part := map[ident.Slice]ident.Pool{}
 	for _, sl := range ho.Slices() {
 		home, ok := slice.Home(string(sv.Name), slice.Item{Slice: sl}.String(), targets)
-		if ok && home != name && co.routes.holders[home] != "" && len(part) < share {
+		if ok && home != name && len(part) < share {
 			part[sl] = home
 		}
 	}
@@ -101,27 +101,24 @@
 }
 
 // targets are the pools of a service in the domains that count, by the slots of
-// their upstreams. A pool that owns less than its fair share bears little more
-// than it has, so that it fills up step by step.
-func (co *Core) targets(sv *bundle.Service, row pool.PlaceRow, counts func(ident.Domain) bool) []slice.Target[ident.Pool] {
+// their upstreams. A pool that owns fewer slices than have their home with it
+// bears little more than it has, so that it fills up step by step.
+func (co *Core) targets(sv *bundle.Service, row pool.PlaceRow, counts func(bundle.Pool) bool) []slice.Target[ident.Pool] {
 	var list []slice.Target[ident.Pool]
-	total := 0.0
 	for _, pl := range sv.Pools() {
-		if tg := capacityOf(pl); counts(pl.Domain) && co.inService(pl.Domain) && tg.Capacity > 0 {
+		if tg := capacityOf(pl); co.inService(pl.Domain) && counts(pl) && tg.Capacity > 0 {
 			list = append(list, tg)
-			total += tg.Capacity
 		}
 	}
-	owned := map[ident.Pool]int{}
-	for _, name := range row.Pools {
+	owned, homes := map[ident.Pool]int{}, map[ident.Pool]int{}
+	for sl, name := range row.Pools {
+		home, _ := slice.Home(string(sv.Name), slice.Item{Slice: ident.Slice(sl)}.String(), list)
 		owned[name]++
+		homes[home]++
 	}
 	for ix := range list {
-		fair := list[ix].Capacity / total * float64(len(row.Pools))
-		list[ix].Ramp = min(1, float64(owned[list[ix].Name])/fair+rampStep)
-		if list[ix].Ramp > 1-2*rampStep {
-			list[ix].Ramp = 1
-		}
+		name := list[ix].Name
+		list[ix].Ramp = min(1, float64(owned[name]+1)/float64(homes[name]+1)+rampStep)
 	}
 	return list
 }
--- a/internal/ownership/authority/takeover.go
+++ b/internal/ownership/authority/takeover.go
@@ -2,6 +2,7 @@
 
 import (
 	"chervilwalk/internal/fleet/ident"
+	"chervilwalk/internal/operations/bundle"
 	"chervilwalk/internal/ownership/domain"
 	"chervilwalk/internal/ownership/exchange"
 	"chervilwalk/internal/ownership/lease"
@@ -92,8 +93,8 @@
 		if !ok || pc.version == 0 {
 			continue
 		}
-		targets := co.targets(sv, pc.row, func(dm ident.Domain) bool {
-			return dm == co.domain || (dm != cm.Domain && co.domains.core.Heard(now, dm, unheardTime))
+		targets := co.targets(sv, pc.row, func(pl bundle.Pool) bool {
+			return pl.Domain == co.domain || (pl.Domain != cm.Domain && co.domains.core.Heard(now, pl.Domain, unheardTime))
 		})
 		row, moved := vacate(name, pc.row, cm.Domain, targets)
 		if !moved {
--- a/internal/ownership/term/bid.go
+++ b/internal/ownership/term/bid.go
@@ -83,7 +83,7 @@
 	}
 	co.row.note(now, rw.Term, rw.Counter)
 	if rw.Term > co.follow.term || (rw.Term == co.follow.term && co.follow.leader == "") {
-		if rw.Host != co.host {
+		if rw.Host != co.host && rw.Host != "" {
 			co.adopt(rw.Host, rw.Term)
 			return co.beat(now, true)
 		}
