Roll bundles out by a few pollers and notices between nodes

Every node polled the platform's row once a second and told all others of a change: 420 reads a second and 420 x 419 notices at full size, and a fresh node took whatever answered first, so that it could go back behind its peers.

A pure core now decides: three hosts of a domain poll, each change is told to four neighbours and one host of another domain, and one exchange a second and node makes good lost notices. A fresh node asks platform and peers and takes the highest valid bundle. An older row is not followed and is written back. A refused source rests for 2 s. The census travels with the notices.

Settings are checked by themselves and against the bundle; metrics start with client_golang.

--- a/internal/fleet/inner/inner.go
+++ b/internal/fleet/inner/inner.go
@@ -50,8 +50,8 @@
 	// Bar forbids the dispatch of a queued call; true proves that it was not
 	// and will not be dispatched.
 	Bar(ctx context.Context, pl ident.Pool, id ident.Request) bool
-	// Notice says that a peer has a bundle of this version.
-	Notice(from ident.Host, vs bundle.Version)
+	// Notice takes what a peer has and returns what this node has.
+	Notice(from ident.Host, nt Notice) Notice
 	// Seal returns the signed bundle in force.
 	Seal() (bundle.Seal, bool)
 }
@@ -112,21 +112,11 @@
 
 // Tell takes one control message.
 func (hn *handler) Tell(_ context.Context, rq *connect.Request[innerpb.Envelope]) (*connect.Response[innerpb.TellReply], error) {
+	reply := &innerpb.TellReply{}
 	if nt := rq.Msg.GetBundleNotice(); nt != nil {
-		hn.service.Notice(ident.Host(rq.Msg.GetFrom()), bundle.Version(nt.GetVersion()))
+		reply.BundleNotice = encodeNotice(hn.service.Notice(ident.Host(rq.Msg.GetFrom()), decodeNotice(nt)))
 	}
-	return connect.NewResponse(&innerpb.TellReply{}), nil
-}
-
-// FetchBundle returns the signed bundle in force.
-func (hn *handler) FetchBundle(context.Context, *connect.Request[innerpb.FetchBundleRequest]) (*connect.Response[innerpb.FetchBundleReply], error) {
-	sl, ok := hn.service.Seal()
-	if !ok {
-		return nil, connect.NewError(connect.CodeNotFound, errors.New("this node has no bundle yet"))
-	}
-	return connect.NewResponse(&innerpb.FetchBundleReply{
-		Body: sl.Body, Signature: sl.Signature, Key: sl.Key, Version: uint64(sl.Version),
-	}), nil
+	return connect.NewResponse(reply), nil
 }
 
 // Peer is the way to one other node.
@@ -183,27 +173,6 @@
 	return rs.Msg.GetBarred(), nil
 }
 
-// Notice tells the peer of the bundle in force here.
-func (pe *Peer) Notice(ctx context.Context, from ident.Host, vs bundle.Version) error {
-	_, err := pe.client.Tell(ctx, connect.NewRequest(&innerpb.Envelope{
-		From: string(from),
-		Body: &innerpb.Envelope_BundleNotice{BundleNotice: &innerpb.BundleNotice{Version: uint64(vs)}},
-	}))
-	return err
-}
-
-// FetchBundle returns the peer's signed bundle; the caller checks the seal.
-func (pe *Peer) FetchBundle(ctx context.Context) (bundle.Seal, error) {
-	rs, err := pe.client.FetchBundle(ctx, connect.NewRequest(&innerpb.FetchBundleRequest{}))
-	if err != nil {
-		return bundle.Seal{}, err
-	}
-	return bundle.Seal{
-		Version: bundle.Version(rs.Msg.GetVersion()), Key: rs.Msg.GetKey(),
-		Signature: rs.Msg.GetSignature(), Body: rs.Msg.GetBody(),
-	}, nil
-}
-
 // hopBroken is the error of a call whose fate at the holder is not known.
 func hopBroken() error {
 	return verdict.Doubt(http.StatusBadGateway, "the way to the pool's holder broke")
--- a/internal/fleet/node/bundles.go
+++ b/internal/fleet/node/bundles.go
@@ -2,172 +2,242 @@
 
 import (
 	"context"
+	"strings"
 	"sync/atomic"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/rotisserie/eris"
 
+	"chervilwalk/internal/fleet/clock"
 	"chervilwalk/internal/fleet/ident"
 	"chervilwalk/internal/fleet/inner"
 	"chervilwalk/internal/operations/bundle"
+	"chervilwalk/internal/operations/rollout"
+	"chervilwalk/internal/operations/setting"
 	"chervilwalk/internal/ownership/authority"
+	"chervilwalk/internal/platform/object"
 	"chervilwalk/internal/platform/table"
 )
 
 const (
-	// bundlePoll is the time between two looks at the bundle's row.
-	bundlePoll = time.Second
-	// bundleTimeout bounds one call for a bundle.
+	// bundleTick is how often the rollout core is told the time.
+	bundleTick = 20 * time.Millisecond
+	// bundleTimeout bounds one call for a version or a bundle.
 	bundleTimeout = 500 * time.Millisecond
 )
 
-// inForce is the bundle in force with the seal it came in.
-type inForce struct {
-	bundle *bundle.Bundle
-	seal   bundle.Seal
+// bundleTask drives the rollout core and carries out what it decides.
+type bundleTask struct {
+	node  *Node
+	core  *rollout.Core
+	inbox chan rollout.Msg
+	state atomic.Pointer[rollout.State]
+	// heard is what the core knew of the census at an instant.
+	heard atomic.Pointer[heardCensus]
+	// contradictions lists where the settings differ from the bundle.
+	contradictions atomic.Pointer[[]string]
 }
 
-// bundleTask learns of bundles and puts higher versions in force.
-type bundleTask struct {
-	node    *Node
-	state   atomic.Pointer[inForce]
-	notices chan ident.Host
+type heardCensus struct {
+	at      clock.Instant
+	leaving rollout.Leaving
 }
 
 func newBundleTask(nd *Node) *bundleTask {
-	return &bundleTask{node: nd, notices: make(chan ident.Host, 16)}
+	return &bundleTask{
+		node: nd,
+		core: rollout.New(rollout.Settings{
+			Host: nd.config.Host, Domain: nd.config.Domain, Peers: nd.config.Peers,
+			Keys: nd.config.TrustedKeys, Seed: uint64(nd.clock.Now()),
+		}),
+		inbox: make(chan rollout.Msg, 64),
+	}
 }
 
+// current returns the effective bundle in force; nil before the first.
 func (bt *bundleTask) current() *bundle.Bundle {
 	if st := bt.state.Load(); st != nil {
-		return st.bundle
+		return st.Effective
 	}
 	return nil
 }
 
 func (bt *bundleTask) seal() (bundle.Seal, bool) {
 	if st := bt.state.Load(); st != nil {
-		return st.seal, true
+		return st.Seal, true
 	}
 	return bundle.Seal{}, false
 }
 
-// notice remembers that a peer has a higher version.
-func (bt *bundleTask) notice(from ident.Host, vs bundle.Version) {
-	if bn := bt.current(); bn != nil && vs <= bn.Version {
-		return
+// contradiction joins what the settings and the bundle disagree on; empty when
+// nothing.
+func (bt *bundleTask) contradiction() string {
+	if list := bt.contradictions.Load(); list != nil {
+		return strings.Join(*list, "; ")
 	}
+	return ""
+}
+
+// notice takes what a peer has and returns what this node has.
+func (bt *bundleTask) notice(from ident.Host, nt inner.Notice) inner.Notice {
+	bt.node.metrics.Notice("received")
 	select {
-	case bt.notices <- from:
-	default:
+	case bt.inbox <- rollout.NoticeMsg{From: from, Version: nt.Version, Leaving: nt.Leaving}:
+	default: // The next exchange makes good what is dropped here.
 	}
+	var own inner.Notice
+	if st := bt.state.Load(); st != nil {
+		own.Version = st.Bundle.Version
+	}
+	if hc := bt.heard.Load(); hc != nil {
+		own.Leaving = hc.leaving
+		own.Leaving.Age += bt.node.clock.Now().Sub(hc.at)
+	}
+	return own
 }
 
 func (bt *bundleTask) run(ctx context.Context) error {
-	tick := time.NewTicker(bundlePoll)
+	tick := time.NewTicker(bundleTick)
 	defer tick.Stop()
 	for {
-		bt.poll(ctx)
+		var msg rollout.Msg
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-tick.C:
-		case from := <-bt.notices:
-			bt.fromHost(ctx, from)
+			msg = rollout.TickMsg{}
+		case msg = <-bt.inbox:
 		}
+		now := bt.node.clock.Now()
+		for _, cmd := range bt.core.Update(now, msg) {
+			bt.do(ctx, cmd)
+		}
+		bt.heard.Store(&heardCensus{at: now, leaving: bt.core.Leaving(now)})
 	}
 }
 
-// poll looks at the platform, and at the peers while there is no bundle.
-func (bt *bundleTask) poll(ctx context.Context) {
-	err := bt.fromPlatform(ctx)
-	if err == nil {
-		return
+func (bt *bundleTask) do(ctx context.Context, cmd rollout.Cmd) {
+	switch cm := cmd.(type) {
+	case rollout.InForceCmd:
+		bt.enforce(ctx, cm.State)
+	case rollout.RefuseCmd:
+		bt.node.metrics.Refusal(string(cm.Reason))
+		bt.node.log.WithFields(log.Fields{
+			"version": cm.Version, "source": cm.Source, "reason": cm.Reason, "key": cm.Key,
+		}).Warn("bundle refused")
+	case rollout.RestoreCmd:
+		go bt.call(ctx, func(ctx context.Context) rollout.Msg { return bt.restore(ctx, cm) })
+	case rollout.ReadRowCmd:
+		go bt.call(ctx, bt.readRow)
+	case rollout.ReadCensusCmd:
+		go bt.call(ctx, bt.readCensus)
+	case rollout.FetchObjectCmd:
+		go bt.call(ctx, func(ctx context.Context) rollout.Msg { return bt.fetchObject(ctx, cm) })
+	case rollout.FetchPeerCmd:
+		go bt.call(ctx, func(ctx context.Context) rollout.Msg { return bt.fetchPeer(ctx, cm) })
+	case rollout.NoticeCmd:
+		go bt.call(ctx, func(ctx context.Context) rollout.Msg { return bt.tell(ctx, cm) })
 	}
-	bt.node.log.WithError(err).Debug("bundle: platform")
-	if bt.current() != nil {
+}
+
+// call runs a bounded call and hands its message, if any, to the core.
+func (bt *bundleTask) call(ctx context.Context, ask func(context.Context) rollout.Msg) {
+	limited, cancel := context.WithTimeout(ctx, bundleTimeout)
+	defer cancel()
+	msg := ask(limited)
+	if msg == nil {
 		return
 	}
-	for _, address := range bt.node.config.Peers {
-		if bt.fromPeer(ctx, bt.node.peerAt(address)) == nil {
-			return
-		}
+	select {
+	case bt.inbox <- msg:
+	case <-ctx.Done():
 	}
 }
 
-func (bt *bundleTask) fromPlatform(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, bundleTimeout)
-	defer cancel()
-	res := bt.node.platform.Read(ctx, bundle.RowKey)
-	if res.Outcome != table.Done || len(res.Rows) != 1 {
-		return eris.New("the bundle's row cannot be read")
+// enforce shows a state to the rest of the node.
+func (bt *bundleTask) enforce(ctx context.Context, st *rollout.State) {
+	before := bt.state.Swap(st)
+	bt.node.metrics.InForce(uint64(st.Bundle.Version))
+	bt.node.owner.tell(ctx, authority.BundleMsg{Bundle: st.Effective})
+	if before != nil && before.Bundle.Version == st.Bundle.Version {
+		bt.node.log.WithField("version", st.Bundle.Version).Info("census changed")
+		return
 	}
-	if res.Rows[0].Version == 0 {
-		return eris.New("no bundle was accepted yet")
+	bt.node.log.WithFields(log.Fields{"version": st.Bundle.Version, "key": st.Seal.Key}).Info("bundle in force")
+	cf := &bt.node.config
+	problems := setting.Contradictions(st.Bundle, cf.Host, cf.Domain, cf.Inner.Addr().String())
+	bt.contradictions.Store(&problems)
+	for _, text := range problems {
+		bt.node.log.Error("settings contradict the bundle: " + text)
 	}
-	pt, err := bundle.DecodePointer(res.Rows[0].Value)
+}
+
+func (bt *bundleTask) readRow(ctx context.Context) rollout.Msg {
+	msg, err := bt.row(ctx)
+	bt.node.metrics.PlatformCall("bundle-row", err)
 	if err != nil {
-		return err
+		bt.node.log.WithError(err).Debug("bundle row")
 	}
-	if bn := bt.current(); bn != nil && pt.Version <= bn.Version {
-		return nil
+	msg.Err = err
+	return msg
+}
+
+func (bt *bundleTask) row(ctx context.Context) (rollout.RowMsg, error) {
+	res := bt.node.platform.Read(ctx, bundle.RowKey)
+	if res.Outcome != table.Done || len(res.Rows) != 1 {
+		return rollout.RowMsg{}, eris.New("the bundle's row cannot be read")
 	}
-	body, err := bt.node.platform.Get(ctx, pt.Digest)
-	if err != nil {
-		return err
+	row := res.Rows[0]
+	if row.Version == 0 {
+		return rollout.RowMsg{}, nil
 	}
-	return bt.apply(ctx, pt.Seal(body))
+	pt, err := bundle.DecodePointer(row.Value)
+	return rollout.RowMsg{Base: row.Version, Pointer: pt}, err
 }
 
-func (bt *bundleTask) fromHost(ctx context.Context, ho ident.Host) {
-	if pe, ok := bt.node.peer(ho); ok {
-		_ = bt.fromPeer(ctx, pe)
-	}
+func (bt *bundleTask) readCensus(ctx context.Context) rollout.Msg {
+	entries, err := bt.node.platform.List(ctx)
+	bt.node.metrics.PlatformCall("census", err)
+	return rollout.CensusMsg{Entries: entries, Err: err}
 }
 
-func (bt *bundleTask) fromPeer(ctx context.Context, pe *inner.Peer) error {
-	limited, cancel := context.WithTimeout(ctx, bundleTimeout)
-	defer cancel()
-	sl, err := pe.FetchBundle(limited)
+func (bt *bundleTask) fetchObject(ctx context.Context, cm rollout.FetchObjectCmd) rollout.Msg {
+	body, err := bt.node.platform.Get(ctx, cm.Pointer.Digest)
+	bt.node.metrics.PlatformCall("bundle-body", err)
 	if err != nil {
-		return err
+		bt.node.log.WithError(err).WithField("version", cm.Pointer.Version).Warn("bundle body cannot be read")
 	}
-	return bt.apply(ctx, sl)
+	return rollout.SealMsg{Source: cm.Source(), Seal: cm.Pointer.Seal(body), Err: err}
 }
 
-// apply puts a sealed bundle in force if it is trusted and of a higher version.
-func (bt *bundleTask) apply(ctx context.Context, sl bundle.Seal) error {
-	trust := bundle.Trust{Keys: bt.node.config.TrustedKeys}
-	current := bt.current()
-	if current != nil {
-		trust = bundle.TrustOf(current)
-	}
-	bn, err := bundle.Open(sl, trust)
+func (bt *bundleTask) fetchPeer(ctx context.Context, cm rollout.FetchPeerCmd) rollout.Msg {
+	sl, err := bt.node.peerAt(cm.Peer).FetchBundle(ctx, cm.Known)
+	return rollout.SealMsg{Source: cm.Peer, Seal: sl, Err: err}
+}
+
+// tell exchanges versions with a peer; one that does not answer is left to the
+// next exchange.
+func (bt *bundleTask) tell(ctx context.Context, cm rollout.NoticeCmd) rollout.Msg {
+	bt.node.metrics.Notice("sent")
+	answer, err := bt.node.peerAt(cm.Peer).Notice(ctx, bt.node.config.Host, inner.Notice{Version: cm.Version, Leaving: cm.Leaving})
 	if err != nil {
-		bt.node.log.WithError(err).WithField("version", sl.Version).Warn("bundle refused")
-		return err
-	}
-	if current != nil && bn.Version <= current.Version {
 		return nil
 	}
-	bt.state.Store(&inForce{bundle: bn, seal: sl})
-	bt.node.log.WithField("version", bn.Version).Info("bundle in force")
-	bt.node.owner.tell(ctx, authority.BundleMsg{Bundle: bn})
-	bt.spread(ctx, bn)
-	return nil
+	return rollout.NoticeMsg{Peer: cm.Peer, Version: answer.Version, Leaving: answer.Leaving}
 }
 
-// spread tells the peers of the version in force.
-func (bt *bundleTask) spread(ctx context.Context, bn *bundle.Bundle) {
-	for _, ho := range bn.Hosts {
-		if ho.Name == bt.node.config.Host {
-			continue
-		}
-		pe := bt.node.peerAt(ho.Inner)
-		go func() {
-			limited, cancel := context.WithTimeout(ctx, bundleTimeout)
-			defer cancel()
-			_ = pe.Notice(limited, bt.node.config.Host, bn.Version)
-		}()
+// restore writes the bundle in force back to a platform that lost it.
+func (bt *bundleTask) restore(ctx context.Context, cm rollout.RestoreCmd) rollout.Msg {
+	value, err := bundle.EncodePointer(bundle.PointerOf(cm.Seal))
+	if err != nil {
+		return nil
 	}
+	if err := bt.node.platform.Put(ctx, object.DigestOf(cm.Seal.Body), cm.Seal.Body); err != nil {
+		return nil
+	}
+	res := bt.node.platform.Transact(ctx, table.Write{Key: bundle.RowKey, Base: cm.Base, Value: value})
+	bt.node.log.WithFields(log.Fields{"version": cm.Seal.Version, "outcome": res.Outcome.String()}).Warn("platform showed an older bundle; row restored")
+	bt.node.metrics.Restore()
+	return nil
 }
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -22,6 +22,7 @@
 	"chervilwalk/internal/fleet/inner"
 	"chervilwalk/internal/fleet/route"
 	"chervilwalk/internal/operations/bundle"
+	"chervilwalk/internal/operations/metric"
 	"chervilwalk/internal/ownership/authority"
 	"chervilwalk/internal/platform/client"
 	"chervilwalk/internal/serving/dispatch"
@@ -53,6 +54,7 @@
 	inner    *http.Server
 	owner    *ownerTask
 	bundles  *bundleTask
+	metrics  *metric.Metrics
 	routes   atomic.Pointer[route.Table]
 	draining atomic.Bool
 	stop     context.CancelFunc
@@ -73,6 +75,7 @@
 		clock:    clock.Boot{},
 		log:      log.WithField("host", string(cf.Host)),
 		platform: client.New(cf.Platform, client.WithDomain(cf.Domain)),
+		metrics:  metric.New(),
 		pools:    map[ident.Pool]*poolTask{},
 		peers:    map[string]*inner.Peer{},
 	}
@@ -144,6 +147,8 @@
 		return false, "draining"
 	case nd.routes.Load() == nil:
 		return false, "starting"
+	case nd.bundles.contradiction() != "":
+		return false, "misconfigured: " + nd.bundles.contradiction()
 	default:
 		return true, "serving"
 	}
@@ -218,9 +223,9 @@
 	return pt != nil && pt.bar(ctx, id)
 }
 
-// Notice hears that a peer has a bundle of this version.
-func (nd *Node) Notice(from ident.Host, vs bundle.Version) {
-	nd.bundles.notice(from, vs)
+// Notice takes what a peer has and returns what this node has.
+func (nd *Node) Notice(from ident.Host, nt inner.Notice) inner.Notice {
+	return nd.bundles.notice(from, nt)
 }
 
 // Seal returns the signed bundle in force.
