--- a/internal/fleet/inner/inner.go
+++ b/internal/fleet/inner/inner.go
@@ -17,6 +17,7 @@
 	"chervilwalk/internal/fleet/ident"
 	"chervilwalk/internal/fleet/inner/innerpb"
 	"chervilwalk/internal/operations/bundle"
+	"chervilwalk/internal/ownership/exchange"
 	"chervilwalk/internal/serving/dispatch"
 	"chervilwalk/internal/serving/verdict"
 )
@@ -52,6 +53,8 @@
 	Bar(ctx context.Context, pl ident.Pool, id ident.Request) bool
 	// Notice takes what a peer has and returns what this node has.
 	Notice(from ident.Host, nt Notice) Notice
+	// Hear takes a peer's notice on ownership.
+	Hear(from ident.Host, notice exchange.Notice)
 	// Seal returns the signed bundle in force.
 	Seal() (bundle.Seal, bool)
 }
@@ -116,6 +119,9 @@
 	if nt := rq.Msg.GetBundleNotice(); nt != nil {
 		reply.BundleNotice = encodeNotice(hn.service.Notice(ident.Host(rq.Msg.GetFrom()), decodeNotice(nt)))
 	}
+	if notice, ok := DecodeNotice(rq.Msg); ok {
+		hn.service.Hear(ident.Host(rq.Msg.GetFrom()), notice)
+	}
 	return connect.NewResponse(reply), nil
 }
 
@@ -128,7 +134,9 @@
 // NewPeer makes the way to a node's inner IP and port.
 func NewPeer(address string) *Peer {
 	hc := &http.Client{Transport: &http.Transport{Protocols: protocols()}}
-	return &Peer{client: innerpb.NewInnerClient(hc, "http://"+address), http: hc}
+	// Compression costs more processor time than all the rest of the hop.
+	plain := connect.WithAcceptCompression("gzip", nil, nil)
+	return &Peer{client: innerpb.NewInnerClient(hc, "http://"+address, plain), http: hc}
 }
 
 // Close drops the idle connections.
