--- a/cmd/chervilwalk/main.go
+++ b/cmd/chervilwalk/main.go
@@ -1,5 +1,5 @@
-// Command chervilwalk is the router: it runs a node, and tries a whole fleet on
-// loopback.
+// Command chervilwalk is the router: it runs a node, does the operators' work on
+// bundles, hosts and domains, and tries a whole fleet on loopback.
 package main
 
 import (
@@ -14,6 +14,9 @@
 	pr := flags.NewParser(nil, flags.HelpFlag|flags.PassDoubleDash)
 	pr.Name = "chervilwalk"
 	mustAdd(pr, "node", "Run one node of the router", &nodeCommand{})
+	addBundle(pr)
+	addHost(pr)
+	addDomain(pr)
 	mustAdd(pr, "try", "Try a whole fleet on loopback", &tryCommand{})
 	if _, err := pr.Parse(); err != nil {
 		var fe *flags.Error
--- a/internal/operations/bundle/edit.go
+++ b/internal/operations/bundle/edit.go
@@ -12,7 +12,7 @@
 	// ErrUnknownName says that an edit names nothing of the bundle.
 	ErrUnknownName = eris.New("bundle: it has nothing of this name")
 	// ErrUnchanged says that the bundle states already what an edit wants.
-	ErrUnchanged = eris.New("bundle: nothing to change")
+	ErrUnchanged = eris.New("bundle: it states this already")
 )
 
 // Target is the kind of thing that an edit takes out or in.
@@ -36,20 +36,22 @@
 	FollowCensus bool
 }
 
-// Apply returns the text of the next version with the edit made. Comments and
-// the order of the text stay.
-func (ed Edit) Apply(body []byte) ([]byte, error) {
+// ApplyAll returns the text of the next version with all edits made. Comments
+// and the order of the text stay.
+func ApplyAll(body []byte, edits []Edit) ([]byte, error) {
 	var dt yaml.Node
 	if err := yaml.Unmarshal(body, &dt); err != nil || len(dt.Content) == 0 {
 		return nil, eris.New("bundle: the text to edit is no YAML")
 	}
 	root := dt.Content[0]
-	entry := ed.find(root)
-	if entry == nil {
-		return nil, eris.Wrapf(ErrUnknownName, "%q", ed.Name)
-	}
-	if !ed.change(entry) {
-		return nil, eris.Wrapf(ErrUnchanged, "%q", ed.Name)
+	for _, ed := range edits {
+		entry := ed.find(root)
+		if entry == nil {
+			return nil, eris.Wrapf(ErrUnknownName, "%q", ed.Name)
+		}
+		if !ed.change(entry) {
+			return nil, eris.Wrapf(ErrUnchanged, "%q", ed.Name)
+		}
 	}
 	if err := raiseVersion(root); err != nil {
 		return nil, err
--- a/internal/operations/bundle/edit_test.go
+++ b/internal/operations/bundle/edit_test.go
@@ -29,7 +29,7 @@
 			body := []byte("# kept\n" + sample)
 			var err error
 			for _, ed := range tc.edits {
-				body, err = ed.Apply(body)
+				body, err = bundle.ApplyAll(body, []bundle.Edit{ed})
 				gm.Expect(err).NotTo(HaveOccurred())
 			}
 			gm.Expect(string(body)).To(HavePrefix("# kept\n"))
@@ -55,7 +55,7 @@
 		"unknown upstream": {bundle.Edit{Name: "l9", Out: true}, bundle.ErrUnknownName},
 	} {
 		t.Run(name, func(t *testing.T) {
-			_, err := tc.edit.Apply([]byte(sample))
+			_, err := bundle.ApplyAll([]byte(sample), []bundle.Edit{tc.edit})
 			NewWithT(t).Expect(err).To(MatchError(tc.want))
 		})
 	}
@@ -129,7 +129,7 @@
 			gm := NewWithT(t)
 			body, last := []byte(sample), []byte(nil)
 			for _, ed := range tc.edits {
-				next, err := ed.Apply(body)
+				next, err := bundle.ApplyAll(body, []bundle.Edit{ed})
 				gm.Expect(err).NotTo(HaveOccurred())
 				last, body = body, next
 			}
