--- a/internal/fleet/inner/inner.go
+++ b/internal/fleet/inner/inner.go
@@ -10,6 +10,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -17,6 +18,7 @@
 	"chervilwalk/internal/fleet/ident"
 	"chervilwalk/internal/fleet/inner/innerpb"
 	"chervilwalk/internal/operations/bundle"
+	"chervilwalk/internal/ownership/exchange"
 	"chervilwalk/internal/serving/dispatch"
 )
 
@@ -29,6 +31,15 @@
 	retryAfterHop = time.Second
 )
 
+const (
+	// pingAfter is how long a connection may be silent before it is tried.
+	pingAfter = time.Second
+	// pingTimeout is how long the other side may take to show that it is
+	// there. A host that vanished without a word is given up after both, so
+	// that nothing waits on a dead connection once the host is back.
+	pingTimeout = 500 * time.Millisecond
+)
+
 // UpstreamHeader names to the caller the upstream that answered.
 const UpstreamHeader = "Chervilwalk-Upstream"
 
@@ -55,8 +66,10 @@
 	// Bar forbids the dispatch of a queued call; true proves that it was not
 	// and will not be dispatched.
 	Bar(ctx context.Context, pl ident.Pool, id ident.Request) bool
-	// Notice says that a peer has a bundle of this version.
-	Notice(from ident.Host, vs bundle.Version)
+	// Notice takes what a peer has and returns what this node has.
+	Notice(from ident.Host, nt Notice) Notice
+	// Hear takes a peer's notice on ownership.
+	Hear(from ident.Host, notice exchange.Notice)
 	// Seal returns the signed bundle in force.
 	Seal() (bundle.Seal, bool)
 }
@@ -73,13 +86,18 @@
 func NewServer(sv Service) *http.Server {
 	mx := http.NewServeMux()
 	mx.Handle("POST "+forwardPath, &forwardHandler{service: sv})
-	mx.Handle(innerpb.NewInnerHandler(&handler{service: sv}))
-	return &http.Server{Handler: mx, Protocols: protocols(), ReadHeaderTimeout: 5 * time.Second}
+	hn := &handler{service: sv, closing: make(chan struct{})}
+	mx.Handle(innerpb.NewInnerHandler(hn))
+	server := &http.Server{Handler: mx, Protocols: protocols(), ReadHeaderTimeout: 5 * time.Second}
+	server.RegisterOnShutdown(sync.OnceFunc(func() { close(hn.closing) }))
+	return server
 }
 
 // handler maps the generated interface to Service.
 type handler struct {
 	service Service
+	// closing ends the conversations, which would hold up a planned stop.
+	closing chan struct{}
 }
 
 // Bar answers whether a request was kept from its dispatch.
@@ -90,27 +108,26 @@
 
 // Tell takes one control message.
 func (hn *handler) Tell(_ context.Context, rq *connect.Request[innerpb.Envelope]) (*connect.Response[innerpb.TellReply], error) {
+	reply := &innerpb.TellReply{}
 	if nt := rq.Msg.GetBundleNotice(); nt != nil {
-		hn.service.Notice(ident.Host(rq.Msg.GetFrom()), bundle.Version(nt.GetVersion()))
+		reply.BundleNotice = encodeNotice(hn.service.Notice(ident.Host(rq.Msg.GetFrom()), decodeNotice(nt)))
 	}
-	return connect.NewResponse(&innerpb.TellReply{}), nil
+	hn.hear(rq.Msg)
+	return connect.NewResponse(reply), nil
 }
 
-// FetchBundle returns the signed bundle in force.
-func (hn *handler) FetchBundle(context.Context, *connect.Request[innerpb.FetchBundleRequest]) (*connect.Response[innerpb.FetchBundleReply], error) {
-	sl, ok := hn.service.Seal()
-	if !ok {
-		return nil, connect.NewError(connect.CodeNotFound, errors.New("this node has no bundle yet"))
+// hear hands a notice on ownership to the node.
+func (hn *handler) hear(en *innerpb.Envelope) {
+	if notice, ok := DecodeNotice(en); ok {
+		hn.service.Hear(ident.Host(en.GetFrom()), notice)
 	}
-	return connect.NewResponse(&innerpb.FetchBundleReply{
-		Body: sl.Body, Signature: sl.Signature, Key: sl.Key, Version: uint64(sl.Version),
-	}), nil
 }
 
 // Peer is the way to one other node.
 type Peer struct {
 	client     innerpb.InnerClient
 	http       *http.Client
+	talk       *talk
 	forwardURL string
 }
 
@@ -118,17 +135,15 @@
 func NewPeer(address string) *Peer {
 	hc := &http.Client{Transport: &http.Transport{
 		Protocols:          protocols(),
+		HTTP2:              &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 		DisableCompression: true,
 		DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		IdleConnTimeout:    idleTimeout,
 	}}
 	// Compression costs more processor time than all the rest of the hop.
 	plain := connect.WithAcceptCompression("gzip", nil, nil)
-	return &Peer{
-		client:     innerpb.NewInnerClient(hc, "http://"+address, plain),
-		http:       hc,
-		forwardURL: "http://" + address + forwardPath,
-	}
+	client := innerpb.NewInnerClient(hc, "http://"+address, plain)
+	return &Peer{client: client, http: hc, talk: newTalk(client), forwardURL: "http://" + address + forwardPath}
 }
 
 // neverSent tells whether the connection to a node was never made, so that no
@@ -138,8 +153,10 @@
 	return errors.As(err, &oe) && oe.Op == "dial"
 }
 
-// Close drops the idle connections.
+// Close ends the conversation, waits for its task and drops the idle
+// connections.
 func (pe *Peer) Close() {
+	pe.talk.close()
 	pe.http.CloseIdleConnections()
 }
 
@@ -151,24 +168,3 @@
 	}
 	return rs.Msg.GetBarred(), nil
 }
-
-// Notice tells the peer of the bundle in force here.
-func (pe *Peer) Notice(ctx context.Context, from ident.Host, vs bundle.Version) error {
-	_, err := pe.client.Tell(ctx, connect.NewRequest(&innerpb.Envelope{
-		From: string(from),
-		Body: &innerpb.Envelope_BundleNotice{BundleNotice: &innerpb.BundleNotice{Version: uint64(vs)}},
-	}))
-	return err
-}
-
-// FetchBundle returns the peer's signed bundle; the caller checks the seal.
-func (pe *Peer) FetchBundle(ctx context.Context) (bundle.Seal, error) {
-	rs, err := pe.client.FetchBundle(ctx, connect.NewRequest(&innerpb.FetchBundleRequest{}))
-	if err != nil {
-		return bundle.Seal{}, err
-	}
-	return bundle.Seal{
-		Version: bundle.Version(rs.Msg.GetVersion()), Key: rs.Msg.GetKey(),
-		Signature: rs.Msg.GetSignature(), Body: rs.Msg.GetBody(),
-	}, nil
-}
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -22,7 +22,9 @@
 	"chervilwalk/internal/fleet/inner"
 	"chervilwalk/internal/fleet/route"
 	"chervilwalk/internal/operations/bundle"
+	"chervilwalk/internal/operations/metric"
 	"chervilwalk/internal/ownership/authority"
+	"chervilwalk/internal/ownership/exchange"
 	"chervilwalk/internal/platform/client"
 	"chervilwalk/internal/serving/dispatch"
 	"chervilwalk/internal/serving/entry"
@@ -53,6 +55,7 @@
 	inner    *http.Server
 	owner    *ownerTask
 	bundles  *bundleTask
+	metrics  *metric.Metrics
 	routes   atomic.Pointer[route.Table]
 	draining atomic.Bool
 	stop     context.CancelFunc
@@ -73,6 +76,7 @@
 		clock:    clock.Boot{},
 		log:      log.WithField("host", string(cf.Host)),
 		platform: client.New(cf.Platform, client.WithDomain(cf.Domain)),
+		metrics:  metric.New(),
 		pools:    map[ident.Pool]*poolTask{},
 		peers:    map[string]*inner.Peer{},
 	}
@@ -81,7 +85,8 @@
 	nd.group, ctx = errgroup.WithContext(ctx)
 	nd.entry = entry.New(nd)
 	nd.inner = inner.NewServer(nd)
-	nd.owner = newOwnerTask(nd, authority.New(cf.Host, cf.Domain))
+	started := exchange.Incarnation(time.Now().UnixNano())
+	nd.owner = newOwnerTask(nd, authority.New(cf.Host, cf.Domain, authority.WithIncarnation(started)))
 	nd.bundles = newBundleTask(nd)
 	nd.group.Go(func() error { return nd.owner.run(ctx) })
 	nd.group.Go(func() error { return nd.bundles.run(ctx) })
@@ -97,10 +102,11 @@
 	return err
 }
 
-// Close stops accepting callers, waits for what is in flight until the context
+// Close hands over what the node holds, stops accepting callers, waits for what is in flight until the context
 // ends, then stops the tasks and waits for them.
 func (nd *Node) Close(ctx context.Context) error {
 	nd.draining.Store(true)
+	nd.owner.handOver(ctx)
 	first := nd.entry.Close(ctx)
 	second := nd.inner.Shutdown(ctx)
 	nd.stop()
@@ -144,6 +150,8 @@
 		return false, "draining"
 	case nd.routes.Load() == nil:
 		return false, "starting"
+	case nd.bundles.contradiction() != "":
+		return false, "misconfigured: " + nd.bundles.contradiction()
 	default:
 		return true, "serving"
 	}
@@ -218,9 +226,14 @@
 	return pt != nil && pt.bar(ctx, id)
 }
 
-// Notice hears that a peer has a bundle of this version.
-func (nd *Node) Notice(from ident.Host, vs bundle.Version) {
-	nd.bundles.notice(from, vs)
+// Notice takes what a peer has and returns what this node has.
+func (nd *Node) Notice(from ident.Host, nt inner.Notice) inner.Notice {
+	return nd.bundles.notice(from, nt)
+}
+
+// Hear takes a peer's notice on ownership.
+func (nd *Node) Hear(from ident.Host, notice exchange.Notice) {
+	nd.owner.hear(from, notice)
 }
 
 // Seal returns the signed bundle in force.
--- a/internal/serving/dispatch/dispatch.go
+++ b/internal/serving/dispatch/dispatch.go
@@ -9,15 +9,10 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
 	"net/http"
-	"net/url"
 	"sync"
 
-	"github.com/rotisserie/eris"
-
-	"chervilwalk/internal/fleet/ident"
 	"chervilwalk/internal/platform/control"
 	"chervilwalk/internal/serving/verdict"
 )
@@ -30,13 +25,6 @@
 	wholeBytes = 64 << 10
 )
 
-// Errors of Cancel.
-var (
-	// ErrNotConfirmed says that the upstream did not confirm a cancellation, so
-	// that the request's slot must be taken to be in use.
-	ErrNotConfirmed = eris.New("dispatch: the upstream did not confirm the cancellation")
-)
-
 // Answer is an upstream's answer. Body must be closed; a body that was cut ends
 // in an error, never in io.EOF.
 type Answer struct {
@@ -47,13 +35,12 @@
 	Body   io.ReadCloser
 }
 
-// Lane is the connections to one upstream: a bounded number for requests and
-// one for control. Its methods may be called from many goroutines.
+// Lane is the connections that carry requests to one upstream, a bounded
+// number. Its methods may be called from many goroutines.
 type Lane struct {
 	address string
 	// permits holds one item for each connection that carries a request.
 	permits chan struct{}
-	control *http.Client
 
 	mu     sync.Mutex
 	idle   []*link
@@ -74,7 +61,6 @@
 	ln := &Lane{
 		address: address,
 		permits: make(chan struct{}, defaultConnections),
-		control: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1}},
 	}
 	for _, opt := range opts {
 		opt(ln)
@@ -84,7 +70,6 @@
 
 // Close closes the idle connections; those in use close when they are done.
 func (ln *Lane) Close() {
-	ln.control.CloseIdleConnections()
 	ln.mu.Lock()
 	defer ln.mu.Unlock()
 	ln.closed = true
@@ -192,23 +177,3 @@
 	}
 	return verdict.Doubt(http.StatusBadGateway, "the upstream cut its answer")
 }
-
-// Cancel asks the upstream to give up a request. It returns nil once the
-// upstream has confirmed that the request's slot is free.
-func (ln *Lane) Cancel(ctx context.Context, id ident.Request) error {
-	target := "http://" + ln.address + control.CancelPath + "?id=" + url.QueryEscape(string(id))
-	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, target, nil)
-	if err != nil {
-		return err
-	}
-	rs, err := ln.control.Do(rq)
-	if err != nil {
-		return errors.Join(ErrNotConfirmed, err)
-	}
-	_, _ = io.CopyN(io.Discard, rs.Body, wholeBytes)
-	_ = rs.Body.Close()
-	if rs.StatusCode != http.StatusOK {
-		return ErrNotConfirmed
-	}
-	return nil
-}
