--- a/internal/fleet/inner/forward.go
+++ b/internal/fleet/inner/forward.go
@@ -148,14 +148,22 @@
 // hopError tells what an exchange that gave no answer proves.
 func hopError(err error) error {
 	if neverSent(err) {
-		return verdict.Refuse(http.StatusServiceUnavailable, "the pool's holder cannot be reached", retryAfterHop)
+		return verdict.Misdirect("the pool's holder cannot be reached")
 	}
 	return hopBroken()
 }
 
-// hopBroken is the error of a call whose fate at the holder is not known.
+// errHopBroken is the error of a call whose fate at the holder is not known.
+var errHopBroken = verdict.Doubt(http.StatusBadGateway, "the way to the pool's holder broke")
+
 func hopBroken() error {
-	return verdict.Doubt(http.StatusBadGateway, "the way to the pool's holder broke")
+	return errHopBroken
+}
+
+// HopBroken tells whether an error of Forward says that the hop itself broke,
+// and not that the holder reported a failure.
+func HopBroken(err error) bool {
+	return errors.Is(err, errHopBroken)
 }
 
 func readAnswer(rs *http.Response, cancel context.CancelFunc) (*dispatch.Answer, error) {
--- a/internal/fleet/inner/inner.go
+++ b/internal/fleet/inner/inner.go
@@ -27,8 +27,6 @@
 	dialTimeout = 500 * time.Millisecond
 	// idleTimeout bounds how long a connection to a node is kept without calls.
 	idleTimeout = 90 * time.Second
-	// retryAfterHop is what a caller is told whose pool's holder is away.
-	retryAfterHop = time.Second
 )
 
 const (
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -28,7 +28,6 @@
 	"chervilwalk/internal/platform/client"
 	"chervilwalk/internal/serving/dispatch"
 	"chervilwalk/internal/serving/entry"
-	"chervilwalk/internal/serving/verdict"
 )
 
 // Config is what a node must be told.
@@ -57,6 +56,7 @@
 	bundles  *bundleTask
 	metrics  *metric.Metrics
 	routes   atomic.Pointer[route.Table]
+	buffers  dispatch.Buffers
 	draining atomic.Bool
 	stop     context.CancelFunc
 	group    *errgroup.Group
@@ -102,25 +102,6 @@
 	return err
 }
 
-// Close hands over what the node holds, stops accepting callers, waits for what is in flight until the context
-// ends, then stops the tasks and waits for them.
-func (nd *Node) Close(ctx context.Context) error {
-	nd.draining.Store(true)
-	nd.owner.handOver(ctx)
-	first := nd.entry.Close(ctx)
-	second := nd.inner.Shutdown(ctx)
-	nd.stop()
-	nd.closePools()
-	third := nd.group.Wait()
-	nd.mu.Lock()
-	defer nd.mu.Unlock()
-	for _, pe := range nd.peers {
-		pe.Close()
-	}
-	nd.platform.Close()
-	return eris.Wrap(firstError(first, second, third), "node: close")
-}
-
 func firstError(errs ...error) error {
 	for _, err := range errs {
 		if err != nil && !eris.Is(err, context.Canceled) {
@@ -157,69 +138,6 @@
 	}
 }
 
-// Route runs a call at the holder of its pool, here or over one hop.
-func (nd *Node) Route(ctx context.Context, sv *bundle.Service, ca *inner.Call) (*dispatch.Answer, error) {
-	rt := nd.routes.Load()
-	if rt == nil {
-		return nil, verdict.Refuse(http.StatusServiceUnavailable, "this node has no routes yet", time.Second)
-	}
-	pool, ok := poolFor(rt, sv, ca)
-	if !ok {
-		return nil, verdict.Refuse(http.StatusServiceUnavailable, "no pool serves this request now", time.Second)
-	}
-	ca.Pool = pool
-	holder, ok := rt.Holder(pool)
-	if !ok {
-		return nil, verdict.Refuse(http.StatusServiceUnavailable, "the pool has no holder now", time.Second)
-	}
-	if holder == nd.config.Host {
-		return nd.Serve(ctx, ca)
-	}
-	pe, ok := nd.peer(holder)
-	if !ok {
-		return nil, verdict.Refuse(http.StatusServiceUnavailable, "the pool's holder is not known here", time.Second)
-	}
-	return nd.forward(ctx, pe, ca)
-}
-
-// forward runs a call over the hop; a broken hop is followed by a bar, which
-// may prove that the call was not run.
-func (nd *Node) forward(ctx context.Context, pe *inner.Peer, ca *inner.Call) (*dispatch.Answer, error) {
-	answer, err := pe.Forward(ctx, ca)
-	if err == nil || verdict.Of(err) != verdict.MayHaveRun {
-		return answer, err
-	}
-	br, cancel := context.WithTimeout(context.Background(), barTimeout)
-	defer cancel()
-	if barred, berr := pe.Bar(br, ca.Pool, ca.ID); berr == nil && barred {
-		return nil, verdict.Refuse(http.StatusServiceUnavailable, "the request was withdrawn before its dispatch", time.Second)
-	}
-	return nil, err
-}
-
-// barTimeout bounds the asking whether a call was kept from its dispatch.
-const barTimeout = 300 * time.Millisecond
-
-func poolFor(rt *route.Table, sv *bundle.Service, ca *inner.Call) (ident.Pool, bool) {
-	if sv.Keyed {
-		return rt.PoolOf(sv.Name, ca.Slice)
-	}
-	near := rt.Nearest[sv.Name]
-	if len(near) == 0 {
-		return "", false
-	}
-	return near[0], true
-}
-
-// Serve runs a call on a pool that this node holds.
-func (nd *Node) Serve(ctx context.Context, ca *inner.Call) (*dispatch.Answer, error) {
-	pt := nd.pool(ca.Pool)
-	if pt == nil {
-		return nil, verdict.Refuse(http.StatusServiceUnavailable, "this node does not hold the pool", time.Second)
-	}
-	return pt.serve(ctx, ca)
-}
-
 // Bar forbids the dispatch of a queued call.
 func (nd *Node) Bar(ctx context.Context, pl ident.Pool, id ident.Request) bool {
 	pt := nd.pool(pl)
--- a/internal/fleet/node/pool.go
+++ b/internal/fleet/node/pool.go
@@ -183,7 +183,7 @@
 }
 
 func poolGone() error {
-	return verdict.Refuse(http.StatusServiceUnavailable, "this node no longer holds the pool", time.Second)
+	return verdict.Misdirect("this node no longer holds the pool")
 }
 
 // bar asks the core to forbid a call's dispatch.
--- a/internal/serving/admission/arrive.go
+++ b/internal/serving/admission/arrive.go
@@ -29,7 +29,8 @@
 		return co.refuse(rq, http.StatusGatewayTimeout, "the deadline has passed", 0)
 	}
 	if co.lapsed(now) {
-		return co.refuse(rq, http.StatusServiceUnavailable, "this node's right to the pool has lapsed", minRetryAfter)
+		// It is not remembered as ended: the next holder, or this one again, may serve it.
+		return []Cmd{RefuseCmd{ID: rq.ID, Err: verdict.Misdirect("this node's right to the pool has lapsed")}}
 	}
 	co.budget.Earn()
 	co.arrivals++
--- a/internal/serving/admission/tick.go
+++ b/internal/serving/admission/tick.go
@@ -62,7 +62,7 @@
 		case lapsed && len(fl.attempts) > 0:
 			co.leave(fl)
 		case lapsed:
-			cmds = append(cmds, co.giveUp(fl, http.StatusServiceUnavailable, "this node's right to the pool has lapsed", minRetryAfter)...)
+			cmds = append(cmds, co.giveUp(fl, http.StatusMisdirectedRequest, "this node's right to the pool has lapsed", minRetryAfter)...)
 		default:
 			dropped := co.dropLate(now, fl)
 			if dropped == nil {
--- a/internal/serving/verdict/verdict.go
+++ b/internal/serving/verdict/verdict.go
@@ -54,6 +54,22 @@
 	return &Error{Verdict: NotRun, Status: status, Reason: reason, RetryAfter: retryAfter}
 }
 
+// Misdirect builds the error of a request that was not run because whoever got
+// it does not serve its pool. It may be sent again to the one who does.
+func Misdirect(reason string) *Error {
+	return Refuse(http.StatusMisdirectedRequest, reason, misdirectedAgain)
+}
+
+// misdirectedAgain is when a caller may ask again while a pool changes hands.
+const misdirectedAgain = time.Second
+
+// Misdirected tells whether an error proves that a request was not run and only
+// came to the wrong place.
+func Misdirected(err error) bool {
+	var er *Error
+	return errors.As(err, &er) && er.Verdict == NotRun && er.Status == http.StatusMisdirectedRequest
+}
+
 // Doubt builds the error of a request that may have run.
 func Doubt(status int, reason string) *Error {
 	return &Error{Verdict: MayHaveRun, Status: status, Reason: reason}
