--- a/internal/ownership/authority/placement.go
+++ b/internal/ownership/authority/placement.go
@@ -1,6 +1,7 @@
 package authority
 
 import (
+	"slices"
 	"time"
 
 	"chervilwalk/internal/fleet/clock"
@@ -67,6 +68,7 @@
 	}
 	leaving := !co.inService(name.Domain())
 	targets := co.targets(sv, pc.row, func(pl bundle.Pool) bool { return co.routes.holders[pl.Name] != "" })
+	warm := full(targets)
 	every, share := homeEvery, co.homeBatch(sv, pc.row)
 	if leaving {
 		every, share = leaveEvery, co.leaveBatch(name, len(ho.Slices()))
@@ -74,17 +76,37 @@
 	co.moving.next[name] = now.Now.Add(every)
 	part := map[ident.Slice]ident.Pool{}
 	for _, sl := range ho.Slices() {
-		home, ok := slice.Home(string(sv.Name), slice.Item{Slice: sl}.String(), targets)
-		if ok && home != name && len(part) < share {
-			part[sl] = home
+		to, ok := destination(sv.Name, sl, targets)
+		if ok && to != name && len(part) < share && (leaving || to == homeAt(sv.Name, sl, warm)) {
+			part[sl] = to
 		}
 	}
 	ho.Part(part)
 }
 
+// destination is where a slice goes by what the pools bear now.
+func destination(sv ident.Service, sl ident.Slice, targets []slice.Target[ident.Pool]) (ident.Pool, bool) {
+	return slice.Home(string(sv), slice.Item{Slice: sl}.String(), targets)
+}
+
+// homeAt is where a slice belongs among the targets; empty for nowhere.
+func homeAt(sv ident.Service, sl ident.Slice, targets []slice.Target[ident.Pool]) ident.Pool {
+	home, _ := destination(sv, sl, targets)
+	return home
+}
+
+// full are the targets as if all were warm.
+func full(targets []slice.Target[ident.Pool]) []slice.Target[ident.Pool] {
+	list := slices.Clone(targets)
+	for ix := range list {
+		list[ix].Ramp = 1
+	}
+	return list
+}
+
 // leaveBatch is the size of a batch that empties a pool in leaveParts.
-func (co *Core) leaveBatch(name ident.Pool, slices int) int {
-	co.moving.batch[name] = max(co.moving.batch[name], (slices+leaveParts-1)/leaveParts)
+func (co *Core) leaveBatch(name ident.Pool, count int) int {
+	co.moving.batch[name] = max(co.moving.batch[name], (count+leaveParts-1)/leaveParts)
 	return co.moving.batch[name]
 }
 
@@ -101,8 +123,8 @@
 }
 
 // targets are the pools of a service in the domains that count, by the slots of
-// their upstreams. A pool that owns fewer slices than have their home with it
-// bears little more than it has, so that it fills up step by step.
+// their upstreams. A pool that owns less than half of the slices whose home it
+// is bears little more than it has, so that it fills up step by step.
 func (co *Core) targets(sv *bundle.Service, row pool.PlaceRow, counts func(bundle.Pool) bool) []slice.Target[ident.Pool] {
 	var list []slice.Target[ident.Pool]
 	for _, pl := range sv.Pools() {
@@ -112,13 +134,13 @@
 	}
 	owned, homes := map[ident.Pool]int{}, map[ident.Pool]int{}
 	for sl, name := range row.Pools {
-		home, _ := slice.Home(string(sv.Name), slice.Item{Slice: ident.Slice(sl)}.String(), list)
 		owned[name]++
-		homes[home]++
+		homes[homeAt(sv.Name, ident.Slice(sl), list)]++
 	}
 	for ix := range list {
-		name := list[ix].Name
-		list[ix].Ramp = min(1, float64(owned[name]+1)/float64(homes[name]+1)+rampStep)
+		if name := list[ix].Name; 2*owned[name] < homes[name] {
+			list[ix].Ramp = float64(owned[name])/float64(homes[name]) + rampStep
+		}
 	}
 	return list
 }
