Wait for a resigned leader's leases in full

Cause: leases end at most a tail after their leader's right would have ended, but a resignation ends that right early, so the successor that waited for the tail alone leased a pool whose paused holder still held it (found by the fuzzing: stop of the leader while a holder is paused). The successor of a resigned leader waits a whole pool lease; the first leader of a domain waits for nothing.

--- a/internal/ownership/authority/lead.go
+++ b/internal/ownership/authority/lead.go
@@ -39,7 +39,7 @@
 	}
 	_, number := co.term.Leader()
 	if co.leader == nil || co.leader.term != number {
-		co.leader = &leader{term: number, pools: pool.NewLeader(co.line, co.defect, number, now)}
+		co.leader = &leader{term: number, pools: pool.NewLeader(co.line, co.defect, number, co.term.Tail(), now)}
 		co.leader.pools.SetPools(now, co.ownPools())
 	}
 	var cmds []Cmd
--- a/internal/ownership/pool/leader.go
+++ b/internal/ownership/pool/leader.go
@@ -4,7 +4,7 @@
 // Leader is the side of the domain's leader: it answers heartbeats. Holder is
 // the side of the node that holds one pool:
 //
-//	ld := pool.NewLeader(line, term, now)
+//	ld := pool.NewLeader(line, lease.Sound, term, tail, now)
 //	answer := ld.Beat(now, "n2", beat, header, until)
 package pool
 
@@ -83,11 +83,15 @@
 	changed uint64
 }
 
-// NewLeader makes the pool leases of a new term.
-func NewLeader(ln lease.Line, df lease.Defect, term uint64, now lease.Moment) *Leader {
+// NewLeader makes the pool leases of a new term. Leases of the former leader
+// may last for the tail.
+func NewLeader(ln lease.Line, df lease.Defect, term uint64, tail time.Duration, now lease.Moment) *Leader {
+	settled := now.Steady
+	if tail > 0 {
+		settled = settled.Add(lease.Longest(tail))
+	}
 	return &Leader{
-		line: ln, defect: df, term: term,
-		settled: now.Steady.Add(lease.Longest(ln.Tail)),
+		line: ln, defect: df, term: term, settled: settled,
 		members: map[ident.Host]*member{},
 		seats:   map[ident.Pool]*seat{},
 		foreign: map[ident.Pool]foreign{},
--- a/internal/ownership/term/bid.go
+++ b/internal/ownership/term/bid.go
@@ -22,6 +22,8 @@
 	sent  clock.Instant
 	votes map[ident.Host]bool
 	write *write
+	// tail is how long leases of the former leader may last.
+	tail time.Duration
 }
 
 // challenge watches the row while the leader does not answer, and bids for the
@@ -78,8 +80,12 @@
 	if !ok || co.lead != nil || co.resigned {
 		return nil
 	}
-	if version == 0 || rw.Resigned {
-		return co.claim(now, max(rw.Term, co.follow.term, co.vote.term)+1, version)
+	next := max(rw.Term, co.follow.term, co.vote.term) + 1
+	if version == 0 {
+		return co.claim(now, next, version, 0)
+	}
+	if rw.Resigned {
+		return co.claim(now, next, version, co.line.Pool)
 	}
 	co.row.note(now, rw.Term, rw.Counter)
 	if rw.Term > co.follow.term || (rw.Term == co.follow.term && co.follow.leader == "") {
@@ -195,22 +201,24 @@
 	count, all := len(bd.votes), len(co.hosts)
 	switch {
 	case bd.table && (2*count >= all || co.defect == lease.NoRelease):
-		return co.claim(now, bd.term, bd.base)
+		return co.claim(now, bd.term, bd.base, co.line.Tail)
 	case !bd.table && 2*count > all:
 		return co.leadByVotes(now, bd)
 	}
 	return nil
 }
 
-// claim writes the row for a new term.
-func (co *Core) claim(now lease.Moment, term uint64, base table.Version) []exchange.Cmd {
+// claim writes the row for a new term. Leases of the former leader last for no
+// longer than the tail after its right has ended, for up to a whole pool lease
+// after a resignation, and there are none where no row was.
+func (co *Core) claim(now lease.Moment, term uint64, base table.Version, tail time.Duration) []exchange.Cmd {
 	bd := co.bid
 	if bd == nil {
 		bd = &bid{}
 		co.bid = bd
 	}
 	wr, cmd := co.put(now, base, Row{Term: term, Host: co.host, Counter: co.row.counter + 1})
-	bd.write = wr
+	bd.write, bd.tail = wr, tail
 	return []exchange.Cmd{cmd}
 }
 
@@ -229,9 +237,10 @@
 		}
 		version = found
 	}
+	tail := co.bid.tail
 	co.bid = nil
 	if !now.Now.Before(wr.sent.Add(co.line.Term)) {
 		return nil
 	}
-	return co.leadByTable(now, wr, version)
+	return co.leadByTable(now, wr, version, tail)
 }
--- a/internal/ownership/term/lead.go
+++ b/internal/ownership/term/lead.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"chervilwalk/internal/fleet/clock"
 	"chervilwalk/internal/fleet/ident"
@@ -32,10 +33,12 @@
 	tableUntil clock.Instant
 	// promises are the ends of the followers' promises, echoes their latest
 	// echoes, both on this node's raw clock.
-	promises  map[ident.Host]clock.Instant
-	echoes    map[ident.Host]clock.Instant
-	version   table.Version
-	known     bool
+	promises map[ident.Host]clock.Instant
+	echoes   map[ident.Host]clock.Instant
+	version  table.Version
+	known    bool
+	// tail is how long leases of the former leader may last.
+	tail      time.Duration
 	write     *write
 	nextRenew clock.Instant
 }
@@ -49,6 +52,10 @@
 	return until, now.Now.Before(until)
 }
 
+// Tail is how long, from the start of this node's term, leases of the former
+// leader may last.
+func (co *Core) Tail() time.Duration { return co.lead.tail }
+
 // Header fills the part of an answer that concerns the election.
 func (co *Core) Header(now lease.Moment) exchange.Lease {
 	return exchange.Lease{
@@ -94,9 +101,9 @@
 	co.row.nextRead = 0
 }
 
-func (co *Core) leadByTable(now lease.Moment, wr *write, version table.Version) []exchange.Cmd {
+func (co *Core) leadByTable(now lease.Moment, wr *write, version table.Version, tail time.Duration) []exchange.Cmd {
 	co.lead = &leading{
-		term: wr.row.Term, counter: wr.row.Counter, version: version, known: true,
+		term: wr.row.Term, counter: wr.row.Counter, version: version, known: true, tail: tail,
 		tableUntil: wr.sent.Add(co.line.Term),
 		promises:   map[ident.Host]clock.Instant{},
 		echoes:     map[ident.Host]clock.Instant{},
@@ -108,7 +115,7 @@
 // leadByVotes starts a term without the table: the votes are promises.
 func (co *Core) leadByVotes(now lease.Moment, bd *bid) []exchange.Cmd {
 	ld := &leading{
-		term: bd.term, counter: co.row.counter, mode: witnessed,
+		term: bd.term, counter: co.row.counter, mode: witnessed, tail: co.line.Tail,
 		promises: map[ident.Host]clock.Instant{},
 		echoes:   map[ident.Host]clock.Instant{},
 	}
