Begin a higher term when a follower knows one, and wait for the bundle

Causes, both found by the fuzzing: a term that a majority had voted without the table was forgotten when its voters restarted, so the next leader by the table had a lower one, its holders were superseded by the pool's row and a follower never came back; and a node that was assigned a pool before it had a bundle confirmed the assignment without holding it.

--- a/internal/ownership/authority/follow.go
+++ b/internal/ownership/authority/follow.go
@@ -19,8 +19,12 @@
 	return slices.Sorted(maps.Keys(of))
 }
 
-// hear takes a peer's word, or this node's own to itself.
+// hear takes a peer's word, or this node's own to itself. Before the first
+// bundle a node knows neither its domain's hosts nor its pools, and is silent.
 func (co *Core) hear(now lease.Moment, from ident.Host, notice exchange.Notice) []Cmd {
+	if co.bundle == nil {
+		return nil
+	}
 	switch nt := notice.(type) {
 	case exchange.Beat:
 		return co.hearBeat(now, from, nt)
@@ -127,7 +131,8 @@
 	return append(cmds, co.showRoutes(now)...)
 }
 
-// assign puts an assignment in force and has it confirmed at once.
+// assign puts an assignment in force and has it confirmed at once, unless this
+// node's bundle does not have one of the pools yet; then it is sent again.
 func (co *Core) assign(now lease.Moment, ls exchange.Lease) []Cmd {
 	var cmds []Cmd
 	given := map[ident.Pool]exchange.Assigned{}
@@ -145,18 +150,23 @@
 			cmds = append(cmds, DropCmd{Pool: name})
 		}
 	}
+	known := true
 	for _, as := range ls.Pools {
 		pl, ok := co.pools[as.Pool]
+		known = known && ok
 		if ok && co.holders[as.Pool] == nil {
 			ho := pool.NewHolder(co.host, co.line, co.defect, pl, as, now)
 			ho.SetPeers(co.peers())
 			co.holders[as.Pool] = ho
 		}
 	}
-	if ls.Assignment != co.applied || ls.Term != co.appliedTerm {
+	if known && (ls.Assignment != co.applied || ls.Term != co.appliedTerm) {
 		co.term.Hasten()
 	}
 	co.applied, co.appliedTerm = ls.Assignment, ls.Term
+	if !known {
+		co.applied = 0
+	}
 	return cmds
 }
 
--- a/internal/ownership/pool/record.go
+++ b/internal/ownership/pool/record.go
@@ -6,6 +6,7 @@
 	"chervilwalk/internal/fleet/clock"
 	"chervilwalk/internal/fleet/ident"
 	"chervilwalk/internal/ownership/exchange"
+	"chervilwalk/internal/ownership/grant"
 	"chervilwalk/internal/ownership/lease"
 	"chervilwalk/internal/platform/table"
 )
@@ -317,6 +318,7 @@
 	switch {
 	case rw.Compare(own) > 0:
 		ho.superseded = true
+		ho.refusedBy(grant.Token{Term: rw.Term, Epoch: rw.Epoch})
 	case rw.Compare(own) == 0 && rc.row.Number >= rc.durable:
 		rc.written = rc.row.Number
 		ho.recorded(rc.row)
--- a/internal/ownership/term/lead.go
+++ b/internal/ownership/term/lead.go
@@ -38,7 +38,11 @@
 	version  table.Version
 	known    bool
 	// tail is how long leases of the former leader may last.
-	tail      time.Duration
+	tail time.Duration
+	// outbid is the highest term that a host has followed or bid for. It can be
+	// higher than the leader's own where all who knew of it have restarted; the
+	// leader then begins a term above it.
+	outbid    uint64
 	write     *write
 	nextRenew clock.Instant
 }
@@ -140,6 +144,9 @@
 // hearBeat counts a follower's promise from the echo of this leader's clock.
 func (co *Core) hearBeat(now lease.Moment, from ident.Host, bt exchange.Beat) []exchange.Cmd {
 	ld := co.lead
+	if ld != nil && bt.Term > ld.term {
+		ld.outbid = max(ld.outbid, bt.Term)
+	}
 	if ld == nil || bt.Term > ld.term {
 		if co.follow.leader != "" && co.follow.leader != co.host {
 			return []exchange.Cmd{exchange.SendCmd{To: from, Notice: exchange.Lead{Leader: co.follow.leader, Term: co.follow.term}}}
@@ -177,7 +184,11 @@
 		ld.write = &write{sent: now.Now}
 		return []exchange.Cmd{co.check(ld.write)}
 	}
-	wr, cmd := co.put(now, ld.version, Row{Term: ld.term, Host: co.host, Counter: ld.counter + 1})
+	row := Row{Term: ld.term, Host: co.host, Counter: ld.counter + 1}
+	if ld.mode == byTable && ld.outbid >= ld.term {
+		row.Term = ld.outbid + 1
+	}
+	wr, cmd := co.put(now, ld.version, row)
 	ld.write = wr
 	return []exchange.Cmd{cmd}
 }
@@ -192,8 +203,7 @@
 	if mg.Result.Outcome != table.Done {
 		return []exchange.Cmd{co.check(wr)}
 	}
-	co.renewed(now, wr, wr.base+1)
-	return nil
+	return co.renewed(now, wr, wr.base+1)
 }
 
 func (co *Core) renewChecked(now lease.Moment, wr *write, rs table.Result) []exchange.Cmd {
@@ -203,7 +213,7 @@
 	switch {
 	case !ok:
 	case rw.Attempt == wr.row.Attempt && wr.number != 0:
-		co.renewed(now, wr, version)
+		return co.renewed(now, wr, version)
 	case rw.Attempt.Host == co.host && rw.Attempt.Incarnation == co.incarnation && rw.Term == ld.term:
 		ld.version, ld.counter, ld.known = version, max(ld.counter, rw.Counter), true
 		ld.nextRenew = now.Now
@@ -219,8 +229,11 @@
 }
 
 // renewed counts the row's lease from before the write was sent.
-func (co *Core) renewed(now lease.Moment, wr *write, version table.Version) {
+func (co *Core) renewed(now lease.Moment, wr *write, version table.Version) []exchange.Cmd {
 	ld := co.lead
+	if wr.row.Term > ld.term {
+		return co.leadByTable(now, wr, version, co.line.Pool)
+	}
 	ld.write = nil
 	ld.version, ld.known = version, true
 	ld.counter = max(ld.counter, wr.row.Counter)
@@ -228,6 +241,7 @@
 	if ld.mode == witnessed {
 		ld.mode, ld.returned = returning, now.Now
 	}
+	return nil
 }
 
 // resign gives the term up. The row says so only when it alone carried the
