Carry the words between domains over the inner protocol

Without a codec the leaders' promises to other domains were sent as empty envelopes, so that a silent platform would have cut off every domain.

--- a/internal/fleet/inner/ownership.go
+++ b/internal/fleet/inner/ownership.go
@@ -64,7 +64,9 @@
 	case exchange.Place:
 		en.Body = &innerpb.Envelope_Place{Place: &innerpb.Place{Service: string(nt.Service), Version: uint64(nt.Version), Value: nt.Value}}
 	case exchange.WantPlace:
-		en.Body = &innerpb.Envelope_WantPlace{WantPlace: &innerpb.WantPlace{Service: string(nt.Service)}}
+		en.Body = &innerpb.Envelope_WantPlace{WantPlace: &innerpb.WantPlace{Service: string(nt.Service), Known: uint64(nt.Known)}}
+	case exchange.Neighbour:
+		en.Body = &innerpb.Envelope_Neighbour{Neighbour: encodeNeighbour(nt)}
 	}
 }
 
@@ -116,7 +118,9 @@
 			Service: ident.Service(bd.Place.GetService()), Version: table.Version(bd.Place.GetVersion()), Value: bd.Place.GetValue(),
 		}, true
 	case *innerpb.Envelope_WantPlace:
-		return exchange.WantPlace{Service: ident.Service(bd.WantPlace.GetService())}, true
+		return exchange.WantPlace{Service: ident.Service(bd.WantPlace.GetService()), Known: table.Version(bd.WantPlace.GetKnown())}, true
+	case *innerpb.Envelope_Neighbour:
+		return decodeNeighbour(bd.Neighbour), true
 	default:
 		return nil, false
 	}
