Measure losses, churn, table operations and control bytes of ownership

chervilbench own runs the composed cores of the larger fleet in virtual time, brings about each loss at different phases, and prints a table and one line of JSON.

--- a/cmd/chervilbench/main.go
+++ b/cmd/chervilbench/main.go
@@ -20,6 +20,7 @@
 // subcommands lists the measurements; each stands in a file of its own.
 func subcommands() []subcommand {
 	return []subcommand{
+		{"own", "Measure ownership: losses, churn, costs and load imbalance", &ownCommand{}},
 		{"slopes", "Measure how the costs of the roles grow", &slopesCommand{}},
 	}
 }
--- a/internal/stand/fleet/fleet.go
+++ b/internal/stand/fleet/fleet.go
@@ -19,6 +19,7 @@
 	"chervilwalk/internal/operations/bundle"
 	"chervilwalk/internal/ownership/authority"
 	"chervilwalk/internal/ownership/exchange"
+	"chervilwalk/internal/ownership/grant"
 	"chervilwalk/internal/stand/timeline"
 )
 
@@ -67,6 +68,8 @@
 	Net       Net
 	// Meter, when set, sees every notice that is sent.
 	Meter func(from, to ident.Host, notice exchange.Notice)
+	// OrderMeter, when set, sees every order that an upstream answers.
+	OrderMeter func(from ident.Host, od grant.Order, rp grant.Reply)
 
 	rand       *rand.Rand
 	options    []authority.Option
--- a/internal/stand/fleet/node.go
+++ b/internal/stand/fleet/node.go
@@ -122,6 +122,9 @@
 	us := fl.Upstreams[cm.Upstream]
 	fl.carry(string(nd.host), string(us.name), false, func() {
 		us.take(fl, cm.Order, func(rp grant.Reply) {
+			if fl.OrderMeter != nil {
+				fl.OrderMeter(nd.host, cm.Order, rp)
+			}
 			fl.carry(string(us.name), string(nd.host), false, func() { answer(rp, nil) })
 		})
 	})
