Compare routing policies on the real admission cores in virtual time

Found by it and mended: an upstream that restarted while idle was sent two requests and, after one shed, again more than its cold limit, since two sheds in a row were needed. Now one shed cools: with exact slots it is proof enough.

--- a/cmd/chervilbench/main.go
+++ b/cmd/chervilbench/main.go
@@ -19,7 +19,9 @@
 
 // subcommands lists the measurements; each stands in a file of its own.
 func subcommands() []subcommand {
-	return []subcommand{}
+	return []subcommand{
+		{name: "route", text: "compare routing policies in virtual time", command: &routeCommand{}},
+	}
 }
 
 func main() {
--- /dev/null
+++ b/internal/operations/comparison/fleet.go
@@ -0,0 +1,327 @@
+package comparison
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"chervilwalk/internal/fleet/clock"
+	"chervilwalk/internal/fleet/ident"
+	"chervilwalk/internal/operations/bundle"
+	"chervilwalk/internal/ownership/authority"
+	"chervilwalk/internal/serving/admission"
+	"chervilwalk/internal/stand/timeline"
+)
+
+// core is an admission core under any policy.
+type core interface {
+	Update(now clock.Instant, msg admission.Msg) []admission.Cmd
+}
+
+// fleet is one run: targets, the cores that admit to them, and the callers.
+type fleet struct {
+	config  Config
+	service Service
+	policy  Policy
+	line    *timeline.Line
+	targets []*target
+	byName  map[ident.Upstream]*target
+	holders []*holder
+	calls   []*call
+	end     clock.Instant
+}
+
+// holder is one core with its connections.
+type holder struct {
+	fleet *fleet
+	core  core
+	pool  bundle.Pool
+	// domain is where it runs.
+	domain int
+	idle   map[ident.Upstream]int
+	// told is the incarnation of each target that the core was shown, by a
+	// view, a broken connection or a shed.
+	told   map[ident.Upstream]int
+	calls  map[ident.Request]*call
+	visits map[visitKey]*visit
+}
+
+type visitKey struct {
+	id       ident.Request
+	upstream ident.Upstream
+}
+
+// call is one request in one run.
+type call struct {
+	arrival
+	// back is the way from its core to its caller.
+	back     time.Duration
+	runs     int
+	ended    bool
+	answered bool
+	notRun   bool
+	took     time.Duration
+}
+
+func newFleet(cf Config, sv Service, py Policy, requests []arrival) *fleet {
+	fl := &fleet{config: cf, service: sv, policy: py, line: timeline.New(), byName: map[ident.Upstream]*target{}}
+	for ix := range sv.Targets {
+		tg := &target{
+			fleet: fl, name: ident.Upstream(fmt.Sprintf("t%02d", ix)), domain: ix % domains,
+			factor: 1, incarnation: 1, running: map[*visit]bool{},
+		}
+		fl.targets = append(fl.targets, tg)
+		fl.byName[tg.name] = tg
+	}
+	for _, ar := range requests {
+		fl.calls = append(fl.calls, &call{arrival: ar})
+	}
+	fl.end = requests[len(requests)-1].at
+	fl.addHolders()
+	return fl
+}
+
+// addHolders makes a core on each entry node for a blind policy, else one.
+func (fl *fleet) addHolders() {
+	count := 1
+	if fl.policy.blind {
+		count = entryNodes
+	}
+	for ix := range count {
+		hd := &holder{
+			fleet: fl, domain: ix % domains, pool: fl.pool(), idle: map[ident.Upstream]int{}, told: map[ident.Upstream]int{},
+			calls: map[ident.Request]*call{}, visits: map[visitKey]*visit{},
+		}
+		hd.core = fl.policy.core(fl, hd.pool, rand.New(rand.NewPCG(fl.config.Seed, uint64(ix))))
+		fl.holders = append(fl.holders, hd)
+	}
+}
+
+// pool lists all targets. A blind node knows no slots: it may use its part of
+// the target's connections.
+func (fl *fleet) pool() bundle.Pool {
+	pl := bundle.Pool{Name: "s@d#0", Service: &bundle.Service{Name: "s", Keyed: fl.service.Keyed}}
+	for _, tg := range fl.targets {
+		up := bundle.Upstream{Name: tg.name, Slots: slots, ColdLimit: coldLimit}
+		if fl.policy.blind {
+			up.Slots = connections / entryNodes
+			up.ColdLimit = up.Slots
+		}
+		pl.Upstreams = append(pl.Upstreams, up)
+	}
+	return pl
+}
+
+// setOut takes the first domain's targets out of the bundle, or back in.
+func (fl *fleet) setOut(out bool) {
+	for _, hd := range fl.holders {
+		hd.pool.Upstreams = slices.Clone(hd.pool.Upstreams)
+		for ix := range hd.pool.Upstreams {
+			if fl.targets[ix].domain == 0 {
+				hd.pool.Upstreams[ix].Out = out
+			}
+		}
+		hd.tell(admission.PoolMsg{Pool: hd.pool})
+	}
+	fl.renew()
+}
+
+// renew shows every core the incarnations of now. A slice of a target that is
+// out belongs to another.
+func (fl *fleet) renew() {
+	for _, hd := range fl.holders {
+		vw := authority.View{Pool: hd.pool.Name, Until: clock.Never, Grants: map[ident.Upstream]authority.Grant{}}
+		var open []ident.Upstream
+		for ix, up := range hd.pool.Upstreams {
+			hd.told[up.Name] = fl.targets[ix].incarnation
+			vw.Grants[up.Name] = authority.Grant{Until: clock.Never, Incarnation: fmt.Sprint(fl.targets[ix].incarnation)}
+			if !up.Out {
+				open = append(open, up.Name)
+			}
+		}
+		vw.Owners = map[ident.Slice]ident.Upstream{}
+		for sl := range ident.Slice(sliceCount) {
+			vw.Owners[sl] = hd.ownerOf(sl, open)
+		}
+		hd.tell(admission.ViewMsg{View: vw})
+	}
+}
+
+// ownerOf spreads the slices evenly; those of targets that are out move.
+func (hd *holder) ownerOf(sl ident.Slice, open []ident.Upstream) ident.Upstream {
+	home := hd.pool.Upstreams[int(sl)%len(hd.pool.Upstreams)]
+	if !home.Out {
+		return home.Name
+	}
+	return open[int(sl)%len(open)]
+}
+
+// run plays the scenario to its end.
+func (fl *fleet) run(sc Scenario) {
+	fl.renew()
+	sc.start(fl, fl.end)
+	for _, cl := range fl.calls {
+		fl.line.At(cl.at, func() { fl.enter(cl) })
+	}
+	fl.every(renewEvery, fl.renew)
+	fl.every(reportEvery, func() {
+		for _, tg := range fl.targets {
+			tg.report(fl.config.ReportLag)
+		}
+	})
+	fl.end = fl.end.Add(2 * patience)
+	for _, hd := range fl.holders {
+		fl.every(tickEvery, func() { hd.tell(admission.TickMsg{}) })
+	}
+	fl.line.RunUntil(fl.end)
+}
+
+// enter brings a call over its entry node to its core.
+func (fl *fleet) enter(cl *call) {
+	hd, way := fl.holders[0], nearHop
+	if fl.policy.blind {
+		hd = fl.holders[cl.node]
+	} else {
+		way += hop(cl.node%domains, hd.domain)
+	}
+	cl.back = way
+	fl.line.After(way, func() {
+		hd.calls[cl.id] = cl
+		hd.tell(admission.ArriveMsg{Request: admission.Request{
+			ID: cl.id, Keyed: fl.service.Keyed, Slice: cl.slice, Idempotent: cl.idempotent,
+			Deadline: cl.at.Add(patience - way),
+		}})
+	})
+}
+
+func hop(from, to int) time.Duration {
+	if from == to {
+		return nearHop
+	}
+	return farHop
+}
+
+// tell gives the core a message and carries out what it decides.
+func (hd *holder) tell(msg admission.Msg) {
+	for _, cmd := range hd.core.Update(hd.fleet.line.Now(), msg) {
+		hd.do(cmd)
+	}
+}
+
+func (hd *holder) do(cmd admission.Cmd) {
+	switch cm := cmd.(type) {
+	case admission.DispatchCmd:
+		hd.dispatch(cm)
+	case admission.CancelCmd:
+		vs := hd.visits[visitKey{cm.ID, cm.Upstream}]
+		tg := hd.fleet.byName[cm.Upstream]
+		hd.fleet.line.After(vs.way, func() { tg.cancel(vs) })
+	case admission.ProbeCmd:
+		hd.fleet.byName[cm.Upstream].probe(hd)
+	case admission.AnswerCmd:
+		hd.finish(cm.ID, true, false)
+	case admission.RefuseCmd:
+		hd.finish(cm.ID, false, true)
+	case admission.FailCmd:
+		hd.finish(cm.ID, false, false)
+	}
+}
+
+func (hd *holder) dispatch(cm admission.DispatchCmd) {
+	tg := hd.fleet.byName[cm.Upstream]
+	vs := &visit{call: hd.calls[cm.ID], hold: hd, way: hd.wayTo(tg), told: hd.told[cm.Upstream]}
+	hd.visits[visitKey{cm.ID, cm.Upstream}] = vs
+	way := vs.way
+	if hd.idle[cm.Upstream] > 0 {
+		hd.idle[cm.Upstream]--
+	} else {
+		way += connectTime
+	}
+	hd.fleet.line.After(way, func() { tg.arrive(vs) })
+}
+
+// wayTo is the way to a target: a holder stands in its targets' domain.
+func (hd *holder) wayTo(tg *target) time.Duration {
+	if !hd.fleet.policy.blind {
+		return nearHop
+	}
+	return hop(hd.domain, tg.domain)
+}
+
+func (hd *holder) finish(id ident.Request, answered, notRun bool) {
+	cl := hd.calls[id]
+	if cl.ended {
+		return
+	}
+	cl.ended, cl.answered, cl.notRun = true, answered, notRun
+	cl.took = hd.fleet.line.Now().Add(cl.back).Sub(cl.at)
+}
+
+func sortVisits(list []*visit) {
+	slices.SortFunc(list, func(left, right *visit) int { return cmp.Compare(left.call.id, right.call.id) })
+}
+
+// figures sums the calls up.
+func (fl *fleet) figures() Figures {
+	hg := hdrhistogram.New(1, (2 * patience).Microseconds(), 3)
+	var fg Figures
+	runs, ran := 0, 0
+	for _, cl := range fl.calls {
+		runs += cl.runs
+		if cl.runs > 0 {
+			ran++
+		}
+		if cl.runs > 1 && !cl.idempotent {
+			fg.DoubleRuns++
+		}
+		took := patience
+		switch {
+		case cl.answered && cl.took <= patience:
+			took = cl.took
+		case cl.notRun:
+			fg.Refused++
+			if cl.runs > 0 {
+				fg.FalseNotRun++
+			}
+		default:
+			fg.Failed++
+		}
+		_ = hg.RecordValue(took.Microseconds())
+	}
+	for _, tg := range fl.targets {
+		fg.SlotViolations += tg.violations
+		fg.EarlySheds += tg.early
+	}
+	count := float64(len(fl.calls))
+	fg.P50Ms = millis(hg, 50)
+	fg.P99Ms = millis(hg, 99)
+	fg.P999Ms = millis(hg, 99.9)
+	fg.Goodput = fl.goodput()
+	fg.ExtraLoad = float64(runs-ran) / count
+	fg.Refused /= count
+	fg.Failed /= count
+	return fg
+}
+
+// goodput is the rate of answers in time over the capacity, from the time when
+// the queues are full in an overload to the last arrival.
+func (fl *fleet) goodput() float64 {
+	last := fl.calls[len(fl.calls)-1].at
+	first := min(clock.Instant(2*patience), last/2)
+	count := 0
+	for _, cl := range fl.calls {
+		got := cl.at.Add(cl.took)
+		if cl.answered && cl.took <= patience && first <= got && got < last {
+			count++
+		}
+	}
+	return float64(count) / last.Sub(first).Seconds() / capacity(fl.config, fl.service)
+}
+
+func millis(hg *hdrhistogram.Histogram, quantile float64) float64 {
+	return float64(hg.ValueAtQuantile(quantile)) / 1000
+}
--- a/internal/serving/admission/upstream.go
+++ b/internal/serving/admission/upstream.go
@@ -86,7 +86,8 @@
 	up.pausedUntil = max(up.pausedUntil, now.Add(shedPause))
 }
 
-// refuse takes a proof of not run.
+// refuse takes a proof of not run. Since the slots are counted exactly, a shed
+// means that the upstream bears less than it did: it has turned cold.
 func (up *upstream) refuse(now clock.Instant, rf Refusal) {
 	switch rf {
 	case StaleToken:
@@ -96,8 +97,7 @@
 		up.ramp.Cool()
 		up.pausedUntil = now.Add(up.downPause)
 	default:
-		up.ramp.Shed()
-		up.pausedUntil = now.Add(shedPause)
+		up.cool(now)
 	}
 }
 
--- a/internal/serving/policy/baselines.go
+++ b/internal/serving/policy/baselines.go
@@ -13,6 +13,11 @@
 // RoundRobin takes the candidates in turn.
 type RoundRobin struct{ turn int }
 
+// NewRoundRobin starts at a turn, so that nodes do not go in step.
+func NewRoundRobin(turn int) *RoundRobin {
+	return &RoundRobin{turn: turn}
+}
+
 // Choose returns the index of a candidate.
 func (rr *RoundRobin) Choose(candidates []Candidate, _ Scene) int {
 	rr.turn++
--- a/internal/serving/ramp/ramp.go
+++ b/internal/serving/ramp/ramp.go
@@ -6,13 +6,9 @@
 //	limit := rm.Limit()
 package ramp
 
-const (
-	// servedPerStep is how many requests must be served well at a limit,
-	// for each request of it, before it rises by one.
-	servedPerStep = 4
-	// shedsToCool is how many sheds in a row show that an upstream is cold.
-	shedsToCool = 2
-)
+// servedPerStep is how many requests must be served well at a limit, for each
+// request of it, before it rises by one.
+const servedPerStep = 4
 
 // Ramp is the bound of one upstream.
 type Ramp struct {
@@ -20,7 +16,6 @@
 	slots  int
 	limit  int
 	served int
-	sheds  int
 }
 
 // New makes the ramp of an upstream that has just started.
@@ -52,12 +47,10 @@
 func (rm *Ramp) Cool() {
 	rm.limit = rm.cold
 	rm.served = 0
-	rm.sheds = 0
 }
 
 // Served counts a request that was served in a usual time.
 func (rm *Ramp) Served() {
-	rm.sheds = 0
 	if rm.Warm() {
 		return
 	}
@@ -67,13 +60,3 @@
 		rm.served = 0
 	}
 }
-
-// Shed counts a request that the upstream shed; true when it turned cold.
-func (rm *Ramp) Shed() bool {
-	rm.sheds++
-	if rm.sheds < shedsToCool {
-		return false
-	}
-	rm.Cool()
-	return true
-}
