--- a/cmd/chervilbench/main.go
+++ b/cmd/chervilbench/main.go
@@ -20,7 +20,8 @@
 // subcommands lists the measurements; each stands in a file of its own.
 func subcommands() []subcommand {
 	return []subcommand{
-		{name: "route", text: "compare routing policies in virtual time", command: &routeCommand{}},
+		{"route", "Compare routing policies in virtual time", &routeCommand{}},
+		{"slopes", "Measure how the costs of the roles grow", &slopesCommand{}},
 	}
 }
 
--- a/internal/fleet/node/pool.go
+++ b/internal/fleet/node/pool.go
@@ -109,7 +109,7 @@
 			delete(pt.lanes, up.Name)
 		}
 		if pt.lanes[up.Name] == nil {
-			pt.lanes[up.Name] = dispatch.New(up.Address)
+			pt.lanes[up.Name] = dispatch.New(up.Address, dispatch.WithConnections(up.Slots))
 		}
 	}
 	pt.pool = pl
