Carry the proof of not run from the upstream to admission

Cause: the shell guessed from an error's text how an upstream had refused, and a request whose deadline had passed before it was sent counted against its upstream. Now the error carries shed, stale token, cancelled or unreachable.

A short answer, read whole ahead of its reader, frees its slot at once; the shell tells the core of its head and its end in one message. Cancellations go over the lane and are repeated until the upstream confirms.

--- a/internal/fleet/node/exchange.go
+++ b/internal/fleet/node/exchange.go
@@ -7,10 +7,9 @@
 	"errors"
 	"io"
 	"net/http"
-	"net/url"
 	"strconv"
-	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"chervilwalk/internal/fleet/ident"
@@ -35,6 +34,9 @@
 	maxReportBytes = 64 << 10
 )
 
+// answerBuffers bounds what all answers of the process keep ahead of their readers.
+var answerBuffers dispatch.Buffers
+
 // send starts a dispatch.
 func (pt *poolTask) send(cm admission.DispatchCmd) {
 	pc := pt.calls[cm.ID]
@@ -52,41 +54,36 @@
 func (pt *poolTask) exchange(ctx context.Context, ln *dispatch.Lane, rq *http.Request, cm admission.DispatchCmd) {
 	answer, err := ln.Do(ctx, rq)
 	if err != nil {
-		pt.post(poolMsg{msg: admission.DoneMsg{
-			ID: cm.ID, Upstream: cm.Upstream, Verdict: verdict.Of(err), Refusal: refusalOf(err),
-		}})
+		er := verdict.From(err)
+		pt.post(poolMsg{msg: admission.DoneMsg{ID: cm.ID, Upstream: cm.Upstream, Verdict: er.Verdict, Refusal: er.Refusal}})
 		return
 	}
 	answer.Header.Set(inner.UpstreamHeader, string(cm.Upstream))
-	answer.Body = &slotBody{ReadCloser: answer.Body, free: func(vd verdict.Verdict) {
-		pt.post(poolMsg{msg: admission.DoneMsg{ID: cm.ID, Upstream: cm.Upstream, Verdict: vd}})
-	}}
-	head := admission.HeadMsg{ID: cm.ID, Upstream: cm.Upstream, At: pt.node.clock.Now()}
+	ended := make(chan verdict.Verdict, 1)
+	answer.Body = &slotBody{ReadCloser: answer.Body, ended: ended}
+	firstByte := pt.node.clock.Now()
+	answerBuffers.Ahead(answer)
+	done := admission.DoneMsg{ID: cm.ID, Upstream: cm.Upstream, FirstByte: firstByte}
+	select {
+	case done.Verdict = <-ended:
+		// A short answer is whole already: one message tells both.
+		pt.post(poolMsg{msg: done, answer: answer})
+		return
+	default:
+	}
+	head := admission.HeadMsg{ID: cm.ID, Upstream: cm.Upstream, At: firstByte}
 	if !pt.post(poolMsg{msg: head, answer: answer}) {
 		_ = answer.Body.Close()
 	}
-}
-
-// refusalOf tells how an upstream proved that it did not run a request.
-func refusalOf(err error) admission.Refusal {
-	er := verdict.From(err)
-	switch {
-	case er.Verdict != verdict.NotRun:
-		return admission.NoRefusal
-	case strings.HasSuffix(er.Reason, control.RefusalStale):
-		return admission.StaleToken
-	case strings.HasPrefix(er.Reason, "the upstream refused: "):
-		return admission.Shed
-	default:
-		return admission.Unreachable
-	}
+	done.Verdict = <-ended
+	pt.post(poolMsg{msg: done})
 }
 
 // keepHead holds an answer until the core says whose it is. An answer to a call
 // that has its outcome already is dropped.
-func (pt *poolTask) keepHead(mg admission.HeadMsg, answer *dispatch.Answer) {
-	if pc := pt.calls[mg.ID]; pc != nil {
-		pc.heads[mg.Upstream] = answer
+func (pt *poolTask) keepHead(key sendKey, answer *dispatch.Answer) {
+	if pc := pt.calls[key.id]; pc != nil {
+		pc.heads[key.upstream] = answer
 		return
 	}
 	go func() { _ = answer.Body.Close() }()
@@ -98,12 +95,11 @@
 	if stop := pt.sends[sendKey{cm.ID, cm.Upstream}]; stop != nil {
 		stop()
 	}
-	address := pt.addressOf(cm.Upstream)
-	go pt.awaitCancel(cm, address)
+	go pt.awaitCancel(cm, pt.lanes[cm.Upstream])
 }
 
-func (pt *poolTask) awaitCancel(cm admission.CancelCmd, address string) {
-	for !askCancel(address, cm.ID) {
+func (pt *poolTask) awaitCancel(cm admission.CancelCmd, ln *dispatch.Lane) {
+	for !askCancel(ln, cm.ID) {
 		select {
 		case <-pt.done:
 			return
@@ -113,6 +109,12 @@
 	pt.post(poolMsg{msg: admission.CancelledMsg{ID: cm.ID, Upstream: cm.Upstream}})
 }
 
+func askCancel(ln *dispatch.Lane, id ident.Request) bool {
+	ctx, stop := context.WithTimeout(context.Background(), cancelTimeout)
+	defer stop()
+	return ln.Cancel(ctx, id) == nil
+}
+
 func (pt *poolTask) addressOf(name ident.Upstream) string {
 	for _, up := range pt.pool.Upstreams {
 		if up.Name == name {
@@ -122,26 +124,10 @@
 	return ""
 }
 
-func askCancel(address string, id ident.Request) bool {
-	ctx, stop := context.WithTimeout(context.Background(), cancelTimeout)
-	defer stop()
-	target := "http://" + address + control.CancelPath + "?id=" + url.QueryEscape(string(id))
-	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, target, nil)
-	if err != nil {
-		return false
-	}
-	rs, err := http.DefaultClient.Do(rq)
-	if err != nil {
-		return false
-	}
-	_ = rs.Body.Close()
-	return rs.StatusCode == http.StatusOK
-}
-
 // probe asks an upstream for its report: a sign of life and a hint on its load.
-func (pt *poolTask) probe(name ident.Upstream, _ *dispatch.Lane) {
+func (pt *poolTask) probe(name ident.Upstream, address string) {
 	start := time.Now()
-	rp, err := askReport(pt.addressOf(name))
+	rp, err := askReport(address)
 	pt.post(poolMsg{msg: admission.ProbedMsg{Upstream: name, Alive: err == nil, Took: time.Since(start)}})
 	if err == nil {
 		pt.post(poolMsg{msg: admission.ReportMsg{Upstream: name, Busy: rp.Busy}})
@@ -187,8 +173,9 @@
 // whole: only then is its slot known to be free.
 type slotBody struct {
 	io.ReadCloser
-	free  func(verdict.Verdict)
-	whole bool
+	// ended is told once and never blocks.
+	ended chan<- verdict.Verdict
+	whole atomic.Bool
 	once  sync.Once
 }
 
@@ -196,7 +183,7 @@
 func (sb *slotBody) Read(buffer []byte) (int, error) {
 	count, err := sb.ReadCloser.Read(buffer)
 	if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
-		sb.whole = true
+		sb.whole.Store(true)
 	}
 	return count, err
 }
@@ -205,9 +192,9 @@
 func (sb *slotBody) Close() error {
 	err := sb.ReadCloser.Close()
 	vd := verdict.MayHaveRun
-	if sb.whole {
+	if sb.whole.Load() {
 		vd = verdict.Ran
 	}
-	sb.once.Do(func() { sb.free(vd) })
+	sb.once.Do(func() { sb.ended <- vd })
 	return err
 }
--- a/internal/fleet/node/pool.go
+++ b/internal/fleet/node/pool.go
@@ -242,8 +242,11 @@
 	case admission.PoolMsg:
 		pt.adopt(mg.Pool)
 	case admission.HeadMsg:
-		pt.keepHead(mg, pm.answer)
+		pt.keepHead(sendKey{mg.ID, mg.Upstream}, pm.answer)
 	case admission.DoneMsg:
+		if pm.answer != nil {
+			pt.keepHead(sendKey{mg.ID, mg.Upstream}, pm.answer)
+		}
 		delete(pt.sends, sendKey{mg.ID, mg.Upstream})
 	}
 	for _, cmd := range pt.core.Update(pt.node.clock.Now(), pm.msg) {
@@ -266,7 +269,7 @@
 	case admission.CancelCmd:
 		pt.cancel(cm)
 	case admission.ProbeCmd:
-		go pt.probe(cm.Upstream, pt.lanes[cm.Upstream])
+		go pt.probe(cm.Upstream, pt.addressOf(cm.Upstream))
 	case admission.BarredCmd:
 		if reply := pt.bars[cm.ID]; reply != nil {
 			delete(pt.bars, cm.ID)
--- a/internal/operations/comparison/target.go
+++ b/internal/operations/comparison/target.go
@@ -51,7 +51,7 @@
 		} else {
 			tg.early++
 		}
-		tg.answer(vs, verdict.NotRun, admission.Shed)
+		tg.answer(vs, verdict.NotRun, verdict.Shed)
 	case len(tg.running) >= slots:
 		tg.violations++
 		tg.waiting = append(tg.waiting, vs)
@@ -74,7 +74,7 @@
 	tg.served++
 	tg.cold = tg.cold && tg.served < warmAfter
 	tg.leave(vs)
-	tg.answer(vs, verdict.Ran, admission.NoRefusal)
+	tg.answer(vs, verdict.Ran, verdict.NoRefusal)
 }
 
 // leave frees a slot for the next that waits.
@@ -89,7 +89,7 @@
 	}
 }
 
-func (tg *target) answer(vs *visit, vd verdict.Verdict, rf admission.Refusal) {
+func (tg *target) answer(vs *visit, vd verdict.Verdict, rf verdict.Refusal) {
 	incarnation := tg.incarnation
 	msg := admission.DoneMsg{ID: vs.call.id, Upstream: tg.name, Verdict: vd, Refusal: rf}
 	tg.fleet.line.After(vs.way, func() {
@@ -123,7 +123,7 @@
 	tg.cold, tg.served = true, 0
 	for _, vs := range lost {
 		vs.gone = true
-		tg.answer(vs, verdict.MayHaveRun, admission.NoRefusal)
+		tg.answer(vs, verdict.MayHaveRun, verdict.NoRefusal)
 	}
 }
 
--- a/internal/serving/admission/fake_test.go
+++ b/internal/serving/admission/fake_test.go
@@ -68,23 +68,23 @@
 func (fk *fake) arrive(rc *record, known int) {
 	switch {
 	case fk.faulty == faultRefuse:
-		fk.refuse(rc, admission.Unreachable)
+		fk.refuse(rc, verdict.Unreachable)
 	case fk.faulty == faultShed || fk.cancelled[rc.request.ID]:
-		fk.refuse(rc, admission.Shed)
+		fk.refuse(rc, verdict.Shed)
 	case fk.faulty == faultStale:
-		fk.refuse(rc, admission.StaleToken)
+		fk.refuse(rc, verdict.StaleToken)
 	case len(fk.running) >= fk.spec.Slots:
 		fk.world.fail("%s got %s beyond its slots", fk.spec.Name, rc.request.ID)
 	case fk.served < warmAfter && len(fk.running) >= fk.spec.ColdLimit && known == fk.incarnation:
 		fk.world.fail("%s got %s beyond its cold limit", fk.spec.Name, rc.request.ID)
 	case fk.served < warmAfter && len(fk.running) >= fk.spec.ColdLimit:
-		fk.refuse(rc, admission.Shed)
+		fk.refuse(rc, verdict.Shed)
 	default:
 		fk.start(rc)
 	}
 }
 
-func (fk *fake) refuse(rc *record, rf admission.Refusal) {
+func (fk *fake) refuse(rc *record, rf verdict.Refusal) {
 	rc.refusals++
 	fk.tell(doneMsg(rc, fk.spec.Name, verdict.NotRun, rf))
 }
@@ -117,9 +117,9 @@
 		fk.tell(admission.CancelledMsg{ID: id, Upstream: fk.spec.Name})
 	case rn.lost:
 	case fk.faulty == faultLoseAnswer:
-		fk.tell(doneMsg(rn.record, fk.spec.Name, verdict.MayHaveRun, admission.NoRefusal))
+		fk.tell(doneMsg(rn.record, fk.spec.Name, verdict.MayHaveRun, verdict.NoRefusal))
 	default:
-		fk.tell(doneMsg(rn.record, fk.spec.Name, verdict.Ran, admission.NoRefusal))
+		fk.tell(doneMsg(rn.record, fk.spec.Name, verdict.Ran, verdict.NoRefusal))
 	}
 }
 
@@ -140,7 +140,7 @@
 	for _, rn := range fk.running {
 		if !rn.lost && !rn.asked {
 			rn.lost = true
-			fk.tell(doneMsg(rn.record, fk.spec.Name, verdict.MayHaveRun, admission.NoRefusal))
+			fk.tell(doneMsg(rn.record, fk.spec.Name, verdict.MayHaveRun, verdict.NoRefusal))
 		}
 	}
 }
--- a/internal/serving/admission/flow.go
+++ b/internal/serving/admission/flow.go
@@ -123,7 +123,7 @@
 }
 
 // refused queues a request again: the refusal proves that it was not run.
-func (co *Core[P]) refused(now clock.Instant, at *attempt, rf Refusal) []Cmd {
+func (co *Core[P]) refused(now clock.Instant, at *attempt, rf verdict.Refusal) []Cmd {
 	at.upstream.refuse(now, rf)
 	co.release(at)
 	fl := at.flow
--- a/internal/serving/admission/message.go
+++ b/internal/serving/admission/message.go
@@ -24,20 +24,6 @@
 	Deadline   clock.Instant
 }
 
-// Refusal is how an upstream proved that it did not run a request.
-type Refusal int
-
-const (
-	// NoRefusal means that the upstream did not refuse.
-	NoRefusal Refusal = iota
-	// Shed means that the upstream had no room.
-	Shed
-	// StaleToken means that the upstream saw a newer grant.
-	StaleToken
-	// Unreachable means that the connection was refused.
-	Unreachable
-)
-
 // Msg is something that happened.
 type Msg interface{ isMsg() }
 
@@ -58,7 +44,7 @@
 	ID       ident.Request
 	Upstream ident.Upstream
 	Verdict  verdict.Verdict
-	Refusal  Refusal
+	Refusal  verdict.Refusal
 	// FirstByte and End are the times of the answer; zero means now.
 	FirstByte clock.Instant
 	End       clock.Instant
--- a/internal/serving/admission/upstream.go
+++ b/internal/serving/admission/upstream.go
@@ -9,6 +9,7 @@
 	"chervilwalk/internal/ownership/authority"
 	"chervilwalk/internal/serving/ramp"
 	"chervilwalk/internal/serving/straggler"
+	"chervilwalk/internal/serving/verdict"
 )
 
 const (
@@ -88,15 +89,15 @@
 
 // refuse takes a proof of not run. Since the slots are counted exactly, a shed
 // means that the upstream bears less than it did: it has turned cold.
-func (up *upstream) refuse(now clock.Instant, rf Refusal) {
+func (up *upstream) refuse(now clock.Instant, rf verdict.Refusal) {
 	switch rf {
-	case StaleToken:
+	case verdict.StaleToken:
 		up.staleUntil = now.Add(stalePause)
-	case Unreachable:
+	case verdict.Unreachable:
 		up.downPause = min(max(minDownPause, 2*up.downPause), maxDownPause)
 		up.ramp.Cool()
 		up.pausedUntil = now.Add(up.downPause)
-	default:
+	case verdict.Shed:
 		up.cool(now)
 	}
 }
--- a/internal/serving/admission/world_test.go
+++ b/internal/serving/admission/world_test.go
@@ -275,6 +275,6 @@
 }
 
 // doneMsg is the result of a dispatch.
-func doneMsg(rc *record, up ident.Upstream, vd verdict.Verdict, rf admission.Refusal) admission.DoneMsg {
+func doneMsg(rc *record, up ident.Upstream, vd verdict.Verdict, rf verdict.Refusal) admission.DoneMsg {
 	return admission.DoneMsg{ID: rc.request.ID, Upstream: up, Verdict: vd, Refusal: rf}
 }
--- a/internal/serving/dispatch/dispatch.go
+++ b/internal/serving/dispatch/dispatch.go
@@ -161,14 +161,30 @@
 	if ctx.Err() != nil {
 		return tooLate()
 	}
-	return verdict.Refuse(http.StatusBadGateway, "the upstream refused the connection", 0)
+	er := verdict.Refuse(http.StatusBadGateway, "the upstream refused the connection", 0)
+	er.Refusal = verdict.Unreachable
+	return er
+}
+
+// refused is the error of an answer that says the request was not run.
+func refused(word string) *verdict.Error {
+	er := verdict.Refuse(http.StatusServiceUnavailable, "the upstream refused: "+word, 0)
+	switch word {
+	case control.RefusalStale:
+		er.Refusal = verdict.StaleToken
+	case control.RefusalCancelled:
+		er.Refusal = verdict.Cancelled
+	default:
+		er.Refusal = verdict.Shed
+	}
+	return er
 }
 
 // check turns answers that are none into errors, and reads short ones whole.
 func (ln *Lane) check(ctx context.Context, an *Answer, answer *http.Response) error {
 	if refusal := answer.Header.Get(control.RefusalHeader); refusal != "" {
 		_, _ = io.CopyN(io.Discard, an.Body, wholeBytes)
-		return verdict.Refuse(http.StatusServiceUnavailable, "the upstream refused: "+refusal, 0)
+		return refused(refusal)
 	}
 	headOnly := answer.Request.Method == http.MethodHead
 	if answer.ContentLength < 0 && len(answer.TransferEncoding) == 0 && !headOnly {
--- a/internal/serving/verdict/verdict.go
+++ b/internal/serving/verdict/verdict.go
@@ -33,6 +33,22 @@
 	}
 }
 
+// Refusal is how an upstream proved that it did not run a request.
+type Refusal int
+
+const (
+	// NoRefusal means that the upstream was not asked.
+	NoRefusal Refusal = iota
+	// Shed means that the upstream had no room.
+	Shed
+	// StaleToken means that the upstream saw a newer grant.
+	StaleToken
+	// Cancelled means that the request's cancellation came before it.
+	Cancelled
+	// Unreachable means that the connection was refused.
+	Unreachable
+)
+
 // Error is a request's failure with its verdict.
 type Error struct {
 	Verdict Verdict
@@ -42,6 +58,8 @@
 	Reason string
 	// RetryAfter tells the caller when to ask again; zero when it should not.
 	RetryAfter time.Duration
+	// Refusal tells how the verdict NotRun was proved, if by an upstream.
+	Refusal Refusal
 }
 
 // Error gives the reason with the verdict.
