--- a/cmd/chervilbench/main.go
+++ b/cmd/chervilbench/main.go
@@ -21,6 +21,7 @@
 func subcommands() []subcommand {
 	return []subcommand{
 		{"own", "Measure ownership: losses, churn, costs and load imbalance", &ownCommand{}},
+		{"route", "Compare routing policies in virtual time", &routeCommand{}},
 		{"slopes", "Measure how the costs of the roles grow", &slopesCommand{}},
 	}
 }
