Show a node's state to operators

Nothing of a running node could be seen but its log. An operators' address (--admin) now gives a dump as JSON or text, metrics in the Prometheus format and the health that the balancer is told; chervilwalk dump reads it. Each area describes itself by a method that changes nothing: the leader and the leases from ownership, queues, limits and the reason of each limit from admission. Settings of a node are checked before anything listens, all faults at once.

Shown by go test ./internal/operations/dump ./internal/operations/metric.

--- a/cmd/chervilwalk/main.go
+++ b/cmd/chervilwalk/main.go
@@ -17,6 +17,7 @@
 	addBundle(pr)
 	addHost(pr)
 	addDomain(pr)
+	mustAdd(pr, "dump", "Show the state of a node", &dumpCommand{})
 	mustAdd(pr, "try", "Try a whole fleet on loopback", &tryCommand{})
 	if _, err := pr.Parse(); err != nil {
 		var fe *flags.Error
--- a/cmd/chervilwalk/node.go
+++ b/cmd/chervilwalk/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/base64"
 	"net"
 	"os"
 	"os/signal"
@@ -16,7 +15,7 @@
 
 	"chervilwalk/internal/fleet/ident"
 	"chervilwalk/internal/fleet/node"
-	"chervilwalk/internal/operations/bundle"
+	"chervilwalk/internal/operations/setting"
 )
 
 // stopTimeout bounds the wait for requests in flight at a planned stop.
@@ -28,9 +27,11 @@
 	Domain   string   `long:"domain" env:"CHERVILWALK_DOMAIN" required:"true" description:"Failure domain of this host"`
 	Callers  string   `long:"callers" env:"CHERVILWALK_CALLERS" required:"true" description:"IP and port for callers"`
 	Inner    string   `long:"inner" env:"CHERVILWALK_INNER" required:"true" description:"IP and port of the inner protocol"`
+	Admin    string   `long:"admin" env:"CHERVILWALK_ADMIN" default:"127.0.0.1:7301" description:"IP and port for operators: dump, metrics and health"`
 	Platform string   `long:"platform" env:"CHERVILWALK_PLATFORM" required:"true" description:"IP and port of the platform"`
 	Keys     []string `long:"trusted-key" env:"CHERVILWALK_TRUSTED_KEYS" env-delim:"," description:"NAME=BASE64 of a public key trusted before the first bundle"`
-	Peers    []string `long:"peer" env:"CHERVILWALK_PEERS" env-delim:"," description:"Inner IP and port to ask for a bundle when the platform is silent"`
+	Peers    []string `long:"peer" env:"CHERVILWALK_PEERS" env-delim:"," description:"Inner IP and port of another node to ask for a bundle at the start"`
+	Steps    bool     `long:"log-requests" env:"CHERVILWALK_LOG_REQUESTS" description:"Log each step of each request"`
 }
 
 // Execute implements flags.Commander.
@@ -54,24 +55,33 @@
 	return nd.Close(ctx)
 }
 
+// settings are the node's settings as they were written.
+func (nc *nodeCommand) settings() setting.Node {
+	return setting.Node{
+		Host: ident.Host(nc.Host), Domain: ident.Domain(nc.Domain), Callers: nc.Callers, Inner: nc.Inner,
+		Admin: nc.Admin, Platform: nc.Platform, Keys: nc.Keys, Peers: nc.Peers,
+	}
+}
+
 func (nc *nodeCommand) config() (node.Config, error) {
-	cf := node.Config{
-		Host: ident.Host(nc.Host), Domain: ident.Domain(nc.Domain), Platform: nc.Platform, Peers: nc.Peers,
+	st := nc.settings()
+	if problems := st.Check(); len(problems) > 0 {
+		return node.Config{}, eris.New("settings:\n  " + strings.Join(problems, "\n  "))
 	}
-	for _, text := range nc.Keys {
-		name, encoded, _ := strings.Cut(text, "=")
-		public, err := base64.StdEncoding.DecodeString(encoded)
-		if err != nil || name == "" {
-			return cf, eris.Errorf("--trusted-key %q: want NAME=BASE64", text)
-		}
-		cf.TrustedKeys = append(cf.TrustedKeys, bundle.TrustedKey{Name: name, Public: public})
+	keys, err := setting.ParseKeys(nc.Keys)
+	if err != nil {
+		return node.Config{}, err
 	}
-	var err error
-	if cf.Callers, err = net.Listen("tcp", nc.Callers); err != nil {
-		return cf, eris.Wrapf(err, "--callers %s", nc.Callers)
+	cf := node.Config{
+		Host: st.Host, Domain: st.Domain, Platform: nc.Platform, Peers: nc.Peers, TrustedKeys: keys, LogRequests: nc.Steps,
 	}
-	if cf.Inner, err = net.Listen("tcp", nc.Inner); err != nil {
-		return cf, eris.Wrapf(err, "--inner %s", nc.Inner)
+	for _, ls := range []struct {
+		flag, address string
+		listener      *net.Listener
+	}{{"--callers", nc.Callers, &cf.Callers}, {"--inner", nc.Inner, &cf.Inner}, {"--admin", nc.Admin, &cf.Admin}} {
+		if *ls.listener, err = net.Listen("tcp", ls.address); err != nil {
+			return cf, eris.Wrapf(err, "%s %s", ls.flag, ls.address)
+		}
 	}
 	return cf, nil
 }
--- a/internal/fleet/node/bundles.go
+++ b/internal/fleet/node/bundles.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +14,7 @@
 	"chervilwalk/internal/fleet/ident"
 	"chervilwalk/internal/fleet/inner"
 	"chervilwalk/internal/operations/bundle"
+	"chervilwalk/internal/operations/dump"
 	"chervilwalk/internal/operations/rollout"
 	"chervilwalk/internal/operations/setting"
 	"chervilwalk/internal/ownership/authority"
@@ -37,6 +39,10 @@
 	heard atomic.Pointer[heardCensus]
 	// contradictions lists where the settings differ from the bundle.
 	contradictions atomic.Pointer[[]string]
+
+	mu sync.Mutex
+	// answered holds the latest answer of each peer, for the dump.
+	answered map[string]dump.Peer
 }
 
 type heardCensus struct {
@@ -51,7 +57,8 @@
 			Host: nd.config.Host, Domain: nd.config.Domain, Peers: nd.config.Peers,
 			Keys: nd.config.TrustedKeys, Seed: uint64(nd.clock.Now()),
 		}),
-		inbox: make(chan rollout.Msg, 64),
+		inbox:    make(chan rollout.Msg, 64),
+		answered: map[string]dump.Peer{},
 	}
 }
 
@@ -168,11 +175,25 @@
 	cf := &bt.node.config
 	problems := setting.Contradictions(st.Bundle, cf.Host, cf.Domain, cf.Inner.Addr().String())
 	bt.contradictions.Store(&problems)
+	bt.forget(st.Bundle)
 	for _, text := range problems {
 		bt.node.log.Error("settings contradict the bundle: " + text)
 	}
 }
 
+// forget drops the answers of peers that a bundle no longer has.
+func (bt *bundleTask) forget(bn *bundle.Bundle) {
+	bt.mu.Lock()
+	defer bt.mu.Unlock()
+	kept := map[string]dump.Peer{}
+	for _, ho := range bn.Hosts {
+		if pe, ok := bt.answered[ho.Inner]; ok {
+			kept[ho.Inner] = pe
+		}
+	}
+	bt.answered = kept
+}
+
 func (bt *bundleTask) readRow(ctx context.Context) rollout.Msg {
 	msg, err := bt.row(ctx)
 	bt.node.metrics.PlatformCall("bundle-row", err)
@@ -224,6 +245,9 @@
 	if err != nil {
 		return nil
 	}
+	bt.mu.Lock()
+	bt.answered[cm.Peer] = dump.Peer{Address: cm.Peer, Version: answer.Version, Answered: bt.node.clock.Now()}
+	bt.mu.Unlock()
 	return rollout.NoticeMsg{Peer: cm.Peer, Version: answer.Version, Leaving: answer.Leaving}
 }
 
--- a/internal/fleet/node/exchange.go
+++ b/internal/fleet/node/exchange.go
@@ -13,6 +13,8 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
+
 	"chervilwalk/internal/fleet/ident"
 	"chervilwalk/internal/fleet/inner"
 	"chervilwalk/internal/operations/bundle"
@@ -45,6 +47,7 @@
 	ctx, stop := context.WithCancel(pc.ctx)
 	pt.sends[sendKey{cm.ID, cm.Upstream}] = stop
 	rq := upstreamRequest(pc.call, pt.pool, cm.Token)
+	pt.node.logStep("request dispatched", pc.call, log.Fields{"upstream": cm.Upstream, "token": control.FormatToken(cm.Token)})
 	go pt.exchange(ctx, pt.lanes[cm.Upstream], rq, cm)
 }
 
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -39,6 +39,10 @@
 	// Callers and Inner are listeners that the node takes over.
 	Callers net.Listener
 	Inner   net.Listener
+	// Admin is the listener for operators; nil offers them nothing.
+	Admin net.Listener
+	// LogRequests logs each step of each request.
+	LogRequests bool
 	// TrustedKeys are the keys trusted before the first bundle.
 	TrustedKeys []bundle.TrustedKey
 	// Peers are inner addresses to ask for a bundle before one is known.
@@ -56,6 +60,8 @@
 	owner    *ownerTask
 	bundles  *bundleTask
 	metrics  *metric.Metrics
+	admin    *http.Server
+	started  clock.Instant
 	routes   atomic.Pointer[route.Table]
 	draining atomic.Bool
 	stop     context.CancelFunc
@@ -88,10 +94,15 @@
 	started := exchange.Incarnation(time.Now().UnixNano())
 	nd.owner = newOwnerTask(nd, authority.New(cf.Host, cf.Domain, authority.WithIncarnation(started)))
 	nd.bundles = newBundleTask(nd)
+	nd.started = nd.clock.Now()
+	nd.admin = newAdmin(nd)
 	nd.group.Go(func() error { return nd.owner.run(ctx) })
 	nd.group.Go(func() error { return nd.bundles.run(ctx) })
 	nd.group.Go(func() error { return ignoreClosed(nd.inner.Serve(cf.Inner)) })
 	nd.group.Go(func() error { return ignoreClosed(nd.entry.Serve(cf.Callers)) })
+	if cf.Admin != nil {
+		nd.group.Go(func() error { return ignoreClosed(nd.admin.Serve(cf.Admin)) })
+	}
 	return nd, nil
 }
 
@@ -111,6 +122,7 @@
 	second := nd.inner.Shutdown(ctx)
 	nd.stop()
 	nd.closePools()
+	_ = nd.admin.Close()
 	third := nd.group.Wait()
 	nd.mu.Lock()
 	defer nd.mu.Unlock()
@@ -157,8 +169,21 @@
 	}
 }
 
-// Route runs a call at the holder of its pool, here or over one hop.
+// Route runs a call at the holder of its pool, here or over one hop, and
+// counts its end.
 func (nd *Node) Route(ctx context.Context, sv *bundle.Service, ca *inner.Call) (*dispatch.Answer, error) {
+	start := time.Now()
+	answer, err := nd.route(ctx, sv, ca)
+	vd := verdict.Ran
+	if err != nil {
+		vd = verdict.Of(err)
+	}
+	nd.metrics.Request(sv.Name, vd, time.Since(start))
+	nd.logEnd(ca, vd, err)
+	return answer, err
+}
+
+func (nd *Node) route(ctx context.Context, sv *bundle.Service, ca *inner.Call) (*dispatch.Answer, error) {
 	rt := nd.routes.Load()
 	if rt == nil {
 		return nil, verdict.Refuse(http.StatusServiceUnavailable, "this node has no routes yet", time.Second)
@@ -172,6 +197,7 @@
 	if !ok {
 		return nil, verdict.Refuse(http.StatusServiceUnavailable, "the pool has no holder now", time.Second)
 	}
+	nd.logStep("request routed", ca, log.Fields{"holder": holder})
 	if holder == nd.config.Host {
 		return nd.Serve(ctx, ca)
 	}
--- a/internal/fleet/node/owner.go
+++ b/internal/fleet/node/owner.go
@@ -40,6 +40,7 @@
 	inbox    chan authority.Msg
 	http     *http.Client
 	upstream map[ident.Upstream]string
+	reports  chan chan<- authority.Report
 	// stopped is closed when the core has handed everything over.
 	stopped chan struct{}
 }
@@ -51,6 +52,7 @@
 		inbox:    make(chan authority.Msg, ownerInbox),
 		http:     &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2, IdleConnTimeout: time.Minute}},
 		upstream: map[ident.Upstream]string{},
+		reports:  make(chan chan<- authority.Report),
 		stopped:  make(chan struct{}),
 	}
 }
@@ -92,6 +94,9 @@
 			return nil
 		case <-tick.C:
 			msg = authority.TickMsg{}
+		case reply := <-ot.reports:
+			reply <- ot.core.Report(ot.node.clock.Now())
+			continue
 		case msg = <-ot.inbox:
 		}
 		if bm, ok := msg.(authority.BundleMsg); ok {
--- a/internal/fleet/node/pool.go
+++ b/internal/fleet/node/pool.go
@@ -45,6 +45,8 @@
 	sends     map[sendKey]context.CancelFunc
 	// shown is the bundle that the pool was last taken from.
 	shown atomic.Pointer[bundle.Bundle]
+	// owners are the slices' owners in the view last shown.
+	owners map[ident.Slice]ident.Upstream
 }
 
 // sendKey names one dispatch in flight.
@@ -59,6 +61,8 @@
 	call   *poolCall
 	bar    chan<- bool
 	answer *dispatch.Answer
+	// report asks for the core's state; there is no message then.
+	report chan<- admission.Report
 }
 
 // poolCall is a call that waits for its outcome.
@@ -139,6 +143,8 @@
 			pt.post(poolMsg{msg: admission.PoolMsg{Pool: pl}})
 		}
 	}
+	pt.node.logOwners(pt.owners, vw)
+	pt.owners = vw.Owners
 	pt.post(poolMsg{msg: admission.ViewMsg{View: vw}})
 }
 
@@ -230,6 +236,10 @@
 
 // take gives a message to the core and carries out what it decides.
 func (pt *poolTask) take(pm poolMsg) {
+	if pm.report != nil {
+		pm.report <- pt.core.Report(pt.node.clock.Now())
+		return
+	}
 	switch mg := pm.msg.(type) {
 	case admission.ArriveMsg:
 		if pt.calls[mg.Request.ID] != nil {
