--- a/internal/fleet/inner/inner.go
+++ b/internal/fleet/inner/inner.go
@@ -10,6 +10,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -25,6 +26,15 @@
 // chunkBytes is the size of the pieces in which a body crosses the hop.
 const chunkBytes = 32 << 10
 
+const (
+	// pingAfter is how long a connection may be silent before it is tried.
+	pingAfter = time.Second
+	// pingTimeout is how long the other side may take to show that it is
+	// there. A host that vanished without a word is given up after both, so
+	// that nothing waits on a dead connection once the host is back.
+	pingTimeout = 500 * time.Millisecond
+)
+
 // UpstreamHeader names to the caller the upstream that answered.
 const UpstreamHeader = "Chervilwalk-Upstream"
 
@@ -70,13 +80,18 @@
 // a listener.
 func NewServer(sv Service) *http.Server {
 	mx := http.NewServeMux()
-	mx.Handle(innerpb.NewInnerHandler(&handler{service: sv}))
-	return &http.Server{Handler: mx, Protocols: protocols(), ReadHeaderTimeout: 5 * time.Second}
+	hn := &handler{service: sv, closing: make(chan struct{})}
+	mx.Handle(innerpb.NewInnerHandler(hn))
+	server := &http.Server{Handler: mx, Protocols: protocols(), ReadHeaderTimeout: 5 * time.Second}
+	server.RegisterOnShutdown(sync.OnceFunc(func() { close(hn.closing) }))
+	return server
 }
 
 // handler maps the generated interface to Service.
 type handler struct {
 	service Service
+	// closing ends the conversations, which would hold up a planned stop.
+	closing chan struct{}
 }
 
 // Forward serves one call and streams its answer; the stream ends with an End.
@@ -115,32 +130,45 @@
 
 // Tell takes one control message.
 func (hn *handler) Tell(_ context.Context, rq *connect.Request[innerpb.Envelope]) (*connect.Response[innerpb.TellReply], error) {
+	return connect.NewResponse(hn.hear(rq.Msg)), nil
+}
+
+// hear hands a control message to the node; only a bundle notice has an answer.
+func (hn *handler) hear(en *innerpb.Envelope) *innerpb.TellReply {
+	from := ident.Host(en.GetFrom())
 	reply := &innerpb.TellReply{}
-	if nt := rq.Msg.GetBundleNotice(); nt != nil {
-		reply.BundleNotice = encodeNotice(hn.service.Notice(ident.Host(rq.Msg.GetFrom()), decodeNotice(nt)))
+	if nt := en.GetBundleNotice(); nt != nil {
+		reply.BundleNotice = encodeNotice(hn.service.Notice(from, decodeNotice(nt)))
 	}
-	if notice, ok := DecodeNotice(rq.Msg); ok {
-		hn.service.Hear(ident.Host(rq.Msg.GetFrom()), notice)
+	if notice, ok := DecodeNotice(en); ok {
+		hn.service.Hear(from, notice)
 	}
-	return connect.NewResponse(reply), nil
+	return reply
 }
 
 // Peer is the way to one other node.
 type Peer struct {
 	client innerpb.InnerClient
 	http   *http.Client
+	talk   *talk
 }
 
 // NewPeer makes the way to a node's inner IP and port.
 func NewPeer(address string) *Peer {
-	hc := &http.Client{Transport: &http.Transport{Protocols: protocols()}}
+	hc := &http.Client{Transport: &http.Transport{
+		Protocols: protocols(),
+		HTTP2:     &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+	}}
 	// Compression costs more processor time than all the rest of the hop.
 	plain := connect.WithAcceptCompression("gzip", nil, nil)
-	return &Peer{client: innerpb.NewInnerClient(hc, "http://"+address, plain), http: hc}
+	client := innerpb.NewInnerClient(hc, "http://"+address, plain)
+	return &Peer{client: client, http: hc, talk: newTalk(client)}
 }
 
-// Close drops the idle connections.
+// Close ends the conversation, waits for its task and drops the idle
+// connections.
 func (pe *Peer) Close() {
+	pe.talk.close()
 	pe.http.CloseIdleConnections()
 }
 
