Keep a scrape from running the dump without end

Cause: the dump's verdict counts were gathered from the whole registry, which holds the collector of pools, which takes a dump. The first scrape of a running node recursed until the machine was busy with it. Ruled out: ownership and the listeners, whose logs were quiet. Conclusion: a collector must never gather.

--- a/cmd/chervilstand/main.go
+++ b/cmd/chervilstand/main.go
@@ -58,8 +58,8 @@
 func main() {
 	pr := flags.NewParser(nil, flags.HelpFlag|flags.PassDoubleDash)
 	pr.Name = "chervilstand"
-	for name, command := range map[string]any{"platform": &platformCommand{}, "upstream": &upstreamCommand{}} {
-		if _, err := pr.AddCommand(name, "Run the stand-in of the "+name, "", command); err != nil {
+	for name, command := range map[string]any{"platform": &platformCommand{}, "upstream": &upstreamCommand{}, "upstreams": &upstreamsCommand{}} {
+		if _, err := pr.AddCommand(name, "Run the stand-in: "+name, "", command); err != nil {
 			panic(err)
 		}
 	}
--- a/internal/operations/metric/metric.go
+++ b/internal/operations/metric/metric.go
@@ -29,7 +29,10 @@
 // Metrics are the counters of one node. Its methods may be called from many
 // goroutines.
 type Metrics struct {
-	registry  *prometheus.Registry
+	registry *prometheus.Registry
+	// ends holds the requests alone, so that reading them for a dump runs no
+	// other collector.
+	ends      *prometheus.Registry
 	requests  *prometheus.CounterVec
 	durations *prometheus.HistogramVec
 	version   prometheus.Gauge
@@ -44,6 +47,7 @@
 func New() *Metrics {
 	mt := &Metrics{
 		registry:  prometheus.NewRegistry(),
+		ends:      prometheus.NewRegistry(),
 		requests:  counters("requests_total", "Callers' requests by the verdict of their end.", "service", "verdict"),
 		durations: prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "request_duration_seconds", Help: "Time from a caller's request to the head of its answer.", Buckets: durationBuckets}, []string{"service"}),
 		version:   prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "bundle_version", Help: "Version of the bundle in force; 0 before the first."}),
@@ -55,6 +59,7 @@
 	}
 	mt.registry.MustRegister(mt.requests, mt.durations, mt.version, mt.refusals, mt.restores, mt.notices, mt.calls, mt.answered,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	mt.ends.MustRegister(mt.requests)
 	return mt
 }
 
@@ -109,15 +114,12 @@
 
 // Verdicts lists the counts of requests, for the dump.
 func (mt *Metrics) Verdicts() []Verdicts {
-	families, err := mt.registry.Gather()
+	families, err := mt.ends.Gather()
 	if err != nil {
 		return nil
 	}
 	var list []Verdicts
 	for _, fm := range families {
-		if fm.GetName() != namespace+"_requests_total" {
-			continue
-		}
 		for _, sample := range fm.GetMetric() {
 			vd := Verdicts{Count: uint64(sample.GetCounter().GetValue())}
 			for _, label := range sample.GetLabel() {
