--- a/internal/fleet/inner/inner.go
+++ b/internal/fleet/inner/inner.go
@@ -130,20 +130,19 @@
 
 // Tell takes one control message.
 func (hn *handler) Tell(_ context.Context, rq *connect.Request[innerpb.Envelope]) (*connect.Response[innerpb.TellReply], error) {
-	return connect.NewResponse(hn.hear(rq.Msg)), nil
-}
-
-// hear hands a control message to the node; only a bundle notice has an answer.
-func (hn *handler) hear(en *innerpb.Envelope) *innerpb.TellReply {
-	from := ident.Host(en.GetFrom())
 	reply := &innerpb.TellReply{}
-	if nt := en.GetBundleNotice(); nt != nil {
-		reply.BundleNotice = encodeNotice(hn.service.Notice(from, decodeNotice(nt)))
+	if nt := rq.Msg.GetBundleNotice(); nt != nil {
+		reply.BundleNotice = encodeNotice(hn.service.Notice(ident.Host(rq.Msg.GetFrom()), decodeNotice(nt)))
 	}
+	hn.hear(rq.Msg)
+	return connect.NewResponse(reply), nil
+}
+
+// hear hands a notice on ownership to the node.
+func (hn *handler) hear(en *innerpb.Envelope) {
 	if notice, ok := DecodeNotice(en); ok {
-		hn.service.Hear(from, notice)
+		hn.service.Hear(ident.Host(en.GetFrom()), notice)
 	}
-	return reply
 }
 
 // Peer is the way to one other node.
