--- a/internal/fleet/node/exchange.go
+++ b/internal/fleet/node/exchange.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/apex/log"
+
 	"chervilwalk/internal/fleet/ident"
 	"chervilwalk/internal/fleet/inner"
 	"chervilwalk/internal/operations/bundle"
@@ -47,6 +49,7 @@
 	ctx, stop := context.WithCancel(pc.ctx)
 	pt.sends[sendKey{cm.ID, cm.Upstream}] = stop
 	rq := upstreamRequest(pc.call, pt.pool, cm.Token)
+	pt.node.logStep("request dispatched", pc.call, log.Fields{"upstream": cm.Upstream, "token": control.FormatToken(cm.Token)})
 	go pt.exchange(ctx, pt.lanes[cm.Upstream], rq, cm)
 }
 
