--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -38,6 +38,10 @@
 	// Callers and Inner are listeners that the node takes over.
 	Callers net.Listener
 	Inner   net.Listener
+	// Admin is the listener for operators; nil offers them nothing.
+	Admin net.Listener
+	// LogRequests logs each step of each request.
+	LogRequests bool
 	// TrustedKeys are the keys trusted before the first bundle.
 	TrustedKeys []bundle.TrustedKey
 	// Peers are inner addresses to ask for a bundle before one is known.
@@ -55,6 +59,8 @@
 	owner    *ownerTask
 	bundles  *bundleTask
 	metrics  *metric.Metrics
+	admin    *http.Server
+	started  clock.Instant
 	routes   atomic.Pointer[route.Table]
 	buffers  dispatch.Buffers
 	draining atomic.Bool
@@ -88,10 +94,15 @@
 	started := exchange.Incarnation(time.Now().UnixNano())
 	nd.owner = newOwnerTask(nd, authority.New(cf.Host, cf.Domain, authority.WithIncarnation(started)))
 	nd.bundles = newBundleTask(nd)
+	nd.started = nd.clock.Now()
+	nd.admin = newAdmin(nd)
 	nd.group.Go(func() error { return nd.owner.run(ctx) })
 	nd.group.Go(func() error { return nd.bundles.run(ctx) })
 	nd.group.Go(func() error { return ignoreClosed(nd.inner.Serve(cf.Inner)) })
 	nd.group.Go(func() error { return ignoreClosed(nd.entry.Serve(cf.Callers)) })
+	if cf.Admin != nil {
+		nd.group.Go(func() error { return ignoreClosed(nd.admin.Serve(cf.Admin)) })
+	}
 	return nd, nil
 }
 
--- a/internal/fleet/node/routing.go
+++ b/internal/fleet/node/routing.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
+
 	"chervilwalk/internal/fleet/ident"
 	"chervilwalk/internal/fleet/inner"
 	"chervilwalk/internal/fleet/route"
@@ -44,8 +46,21 @@
 
 // Route runs a call at the holder of its pool, here or over one hop. A call
 // that is proved not run goes on to another holder or pool while its deadline
-// allows; one that may have run is repeated once, if it is idempotent.
+// allows; one that may have run is repeated once, if it is idempotent. The end
+// is counted and logged.
 func (nd *Node) Route(ctx context.Context, sv *bundle.Service, ca *inner.Call) (*dispatch.Answer, error) {
+	start := time.Now()
+	answer, err := nd.route(ctx, sv, ca)
+	vd := verdict.Ran
+	if err != nil {
+		vd = verdict.Of(err)
+	}
+	nd.metrics.Request(sv.Name, vd, time.Since(start))
+	nd.logEnd(ca, vd, err)
+	return answer, err
+}
+
+func (nd *Node) route(ctx context.Context, sv *bundle.Service, ca *inner.Call) (*dispatch.Answer, error) {
 	until := time.Now().Add(routeWait)
 	if ca.Deadline.Before(until) {
 		until = ca.Deadline
@@ -105,6 +120,7 @@
 	if !ok || holder == "" {
 		return nil, verdict.Misdirect("the pool has no holder now")
 	}
+	jn.node.logStep("request routed", jn.call, log.Fields{"holder": holder})
 	if holder == jn.node.config.Host {
 		return jn.node.Serve(ctx, jn.call)
 	}
--- a/internal/serving/dispatch/dispatch.go
+++ b/internal/serving/dispatch/dispatch.go
@@ -9,10 +9,15 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
+	"net/url"
 	"sync"
 
+	"github.com/rotisserie/eris"
+
+	"chervilwalk/internal/fleet/ident"
 	"chervilwalk/internal/platform/control"
 	"chervilwalk/internal/serving/verdict"
 )
@@ -25,6 +30,13 @@
 	wholeBytes = 64 << 10
 )
 
+// Errors of Cancel.
+var (
+	// ErrNotConfirmed says that the upstream did not confirm a cancellation, so
+	// that the request's slot must be taken to be in use.
+	ErrNotConfirmed = eris.New("dispatch: the upstream did not confirm the cancellation")
+)
+
 // Answer is an upstream's answer. Body must be closed; a body that was cut ends
 // in an error, never in io.EOF.
 type Answer struct {
@@ -35,12 +47,13 @@
 	Body   io.ReadCloser
 }
 
-// Lane is the connections that carry requests to one upstream, a bounded
-// number. Its methods may be called from many goroutines.
+// Lane is the connections to one upstream: a bounded number for requests and
+// one for control. Its methods may be called from many goroutines.
 type Lane struct {
 	address string
 	// permits holds one item for each connection that carries a request.
 	permits chan struct{}
+	control *http.Client
 
 	mu     sync.Mutex
 	idle   []*link
@@ -61,6 +74,7 @@
 	ln := &Lane{
 		address: address,
 		permits: make(chan struct{}, defaultConnections),
+		control: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1}},
 	}
 	for _, opt := range opts {
 		opt(ln)
@@ -70,6 +84,7 @@
 
 // Close closes the idle connections; those in use close when they are done.
 func (ln *Lane) Close() {
+	ln.control.CloseIdleConnections()
 	ln.mu.Lock()
 	defer ln.mu.Unlock()
 	ln.closed = true
@@ -146,14 +161,30 @@
 	if ctx.Err() != nil {
 		return tooLate()
 	}
-	return verdict.Refuse(http.StatusBadGateway, "the upstream refused the connection", 0)
+	er := verdict.Refuse(http.StatusBadGateway, "the upstream refused the connection", 0)
+	er.Refusal = verdict.Unreachable
+	return er
+}
+
+// refused is the error of an answer that says the request was not run.
+func refused(word string) *verdict.Error {
+	er := verdict.Refuse(http.StatusServiceUnavailable, "the upstream refused: "+word, 0)
+	switch word {
+	case control.RefusalStale:
+		er.Refusal = verdict.StaleToken
+	case control.RefusalCancelled:
+		er.Refusal = verdict.Cancelled
+	default:
+		er.Refusal = verdict.Shed
+	}
+	return er
 }
 
 // check turns answers that are none into errors, and reads short ones whole.
 func (ln *Lane) check(ctx context.Context, an *Answer, answer *http.Response) error {
 	if refusal := answer.Header.Get(control.RefusalHeader); refusal != "" {
 		_, _ = io.CopyN(io.Discard, an.Body, wholeBytes)
-		return verdict.Refuse(http.StatusServiceUnavailable, "the upstream refused: "+refusal, 0)
+		return refused(refusal)
 	}
 	headOnly := answer.Request.Method == http.MethodHead
 	if answer.ContentLength < 0 && len(answer.TransferEncoding) == 0 && !headOnly {
@@ -177,3 +208,23 @@
 	}
 	return verdict.Doubt(http.StatusBadGateway, "the upstream cut its answer")
 }
+
+// Cancel asks the upstream to give up a request. It returns nil once the
+// upstream has confirmed that the request's slot is free.
+func (ln *Lane) Cancel(ctx context.Context, id ident.Request) error {
+	target := "http://" + ln.address + control.CancelPath + "?id=" + url.QueryEscape(string(id))
+	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, target, nil)
+	if err != nil {
+		return err
+	}
+	rs, err := ln.control.Do(rq)
+	if err != nil {
+		return errors.Join(ErrNotConfirmed, err)
+	}
+	_, _ = io.CopyN(io.Discard, rs.Body, wholeBytes)
+	_ = rs.Body.Close()
+	if rs.StatusCode != http.StatusOK {
+		return ErrNotConfirmed
+	}
+	return nil
+}
