Renew grants without looking at every slice

A holder's core spent 95 us a second for each slice that it owned, since each tick and each answer compared all slices with what was granted and each renewal rebuilt the view: 4.6% of a core at 512 slices. Conclusion: a holder that has settled renews by upstream; any change of a slice, an owner, a record or a confirmed grant makes it look at all slices again.

--- /dev/null
+++ b/internal/operations/capacity/stage.go
@@ -0,0 +1,105 @@
+package capacity
+
+import (
+	"time"
+
+	"chervilwalk/internal/fleet/clock"
+	"chervilwalk/internal/fleet/ident"
+	"chervilwalk/internal/operations/bundle"
+	"chervilwalk/internal/ownership/authority"
+	"chervilwalk/internal/ownership/exchange"
+	"chervilwalk/internal/ownership/grant"
+	"chervilwalk/internal/platform/table"
+)
+
+// stageTick is how often the stage tells the core the time, as the node does.
+const stageTick = 25 * time.Millisecond
+
+// stage runs the ownership core of one node, alone in its domain, with a table
+// and upstreams that answer at once and cost next to nothing.
+type stage struct {
+	core  *authority.Core
+	now   clock.Instant
+	rows  map[string]table.Row
+	queue []authority.Msg
+	// views and orders count what the core told.
+	views  int
+	orders int
+}
+
+// newStage makes a node that holds every pool of a bundle with one host.
+func newStage(bn *bundle.Bundle) *stage {
+	sg := &stage{
+		core: authority.New(bn.Hosts[0].Name, bn.Hosts[0].Domain),
+		rows: map[string]table.Row{},
+	}
+	sg.take(authority.BundleMsg{Bundle: bn})
+	return sg
+}
+
+// run lets virtual time pass.
+func (sg *stage) run(dr time.Duration) {
+	for end := sg.now.Add(dr); sg.now < end; {
+		sg.now = sg.now.Add(stageTick)
+		sg.take(authority.TickMsg{})
+	}
+}
+
+func (sg *stage) take(msg authority.Msg) {
+	sg.queue = append(sg.queue, msg)
+	for len(sg.queue) > 0 {
+		next := sg.queue[0]
+		sg.queue = sg.queue[1:]
+		for _, cmd := range sg.core.Update(sg.now, next) {
+			sg.do(cmd)
+		}
+	}
+}
+
+func (sg *stage) do(cmd authority.Cmd) {
+	switch cm := cmd.(type) {
+	case exchange.TableCmd:
+		rs := sg.operate(cm)
+		sg.queue = append(sg.queue, authority.TableMsg{TableMsg: exchange.TableMsg{Tag: cm.Tag, Number: cm.Number, Result: rs}})
+	case exchange.OrderCmd:
+		sg.orders++
+		sg.queue = append(sg.queue, authority.UpstreamMsg{UpstreamMsg: exchange.UpstreamMsg{
+			Upstream: cm.Upstream, Number: cm.Number, Order: cm.Order, Reply: sg.accept(cm.Order),
+		}})
+	case authority.PoolCmd:
+		sg.views++
+	}
+}
+
+func (sg *stage) operate(cm exchange.TableCmd) table.Result {
+	if len(cm.Writes) == 0 {
+		row := sg.rows[cm.Key]
+		row.Key = cm.Key
+		return table.Result{Outcome: table.Done, Rows: []table.Row{row}}
+	}
+	rs := table.Result{Outcome: table.Done}
+	for _, wr := range cm.Writes {
+		row := table.Row{Key: wr.Key, Value: wr.Value, Version: wr.Base + 1}
+		sg.rows[wr.Key] = row
+		rs.Rows = append(rs.Rows, row)
+	}
+	return rs
+}
+
+// accept is the answer of an upstream that takes every order.
+func (sg *stage) accept(od grant.Order) grant.Reply {
+	return grant.Reply{
+		Accepted: true, Reading: sg.now, Incarnation: "1", Highest: od.Token,
+		Slices: od.Slices, Until: od.Until,
+	}
+}
+
+// soloBundle is a fleet of one host with pools of eight upstreams.
+func soloBundle(upstreams int, slices uint32) *bundle.Bundle {
+	bn := stock(shape{domains: 1, hosts: 1, upstreams: upstreams, slices: slices})
+	bn.Services[0].PoolUpstreams = int(Assumed().PoolUpstreams)
+	return bn
+}
+
+// soloHost is the only host of a solo bundle.
+const soloHost ident.Host = "entry-0000"
--- a/internal/ownership/pool/holder.go
+++ b/internal/ownership/pool/holder.go
@@ -62,6 +62,12 @@
 	record       record
 	parting      parting
 	changed      bool
+	// steady says that every slice is granted to its owner and nothing is in
+	// dispute, so that renewals need not look at the slices. Whatever changes a
+	// slice, an owner, a record or a confirmed grant ends it.
+	steady bool
+	// shown are the owners of the latest view, kept while steady.
+	shown map[ident.Slice]ident.Upstream
 }
 
 // NewHolder makes the holder of a pool that was assigned to this host.
@@ -107,6 +113,7 @@
 // as out until nothing granted to it can be in force.
 func (ho *Holder) SetPool(pl bundle.Pool) {
 	ho.pool = pl
+	ho.disturb()
 	for _, us := range ho.upstreams {
 		us.out = true
 	}
@@ -128,6 +135,7 @@
 		return
 	}
 	ho.placeVersion, ho.placed = version, true
+	ho.disturb()
 	ho.slices = make(map[ident.Slice]bool, len(list))
 	for _, sl := range list {
 		ho.slices[sl] = true
@@ -166,6 +174,24 @@
 func (ho *Holder) touch() {
 	ho.record.number++
 	ho.changed = true
+	ho.disturb()
+}
+
+// disturb makes the next orders look at every slice.
+func (ho *Holder) disturb() {
+	ho.steady, ho.shown = false, nil
+}
+
+// settle notes whether each upstream has confirmed all that it is to own.
+func (ho *Holder) settle() {
+	granted := 0
+	for _, us := range ho.upstreams {
+		if !us.complete || us.all {
+			return
+		}
+		granted += len(us.confirmed)
+	}
+	ho.steady = granted == len(ho.owners) && len(ho.owners) == len(ho.slices) && maps.Equal(ho.owners, ho.durable)
 }
 
 // Tick renews what is due and decides what can be decided.
@@ -193,7 +219,7 @@
 			able = append(able, us.name)
 		}
 	}
-	if len(able) == 0 {
+	if len(able) == 0 || (ho.steady && !ho.bereft(now)) {
 		return
 	}
 	for sl := range ho.slices {
@@ -209,6 +235,16 @@
 	}
 }
 
+// bereft tells whether an owner is out, or silent until its grant had ended.
+func (ho *Holder) bereft(now lease.Moment) bool {
+	for _, us := range ho.upstreams {
+		if len(us.confirmed) > 0 && (us.out || us.lost(now, ho.line, ho.started, ho.defect)) {
+			return true
+		}
+	}
+	return false
+}
+
 // homeOf chooses the upstream of a slice by weight.
 func homeOf(sv ident.Service, sl ident.Slice, ups []ident.Upstream) ident.Upstream {
 	item := Item(sv, sl)
@@ -224,19 +260,35 @@
 
 // View is what may be dispatched now: slices whose owner confirmed them.
 func (ho *Holder) View() View {
-	vw := View{Pool: ho.claim.Pool, Until: ho.until, Owners: map[ident.Slice]ident.Upstream{}, Grants: map[ident.Upstream]Grant{}}
+	vw := View{Pool: ho.claim.Pool, Until: ho.until, Owners: ho.shown, Grants: map[ident.Upstream]Grant{}}
+	for _, us := range ho.upstreams {
+		if us.grant.Until != 0 && !us.out {
+			vw.Grants[us.name] = us.grant
+		}
+	}
+	if vw.Owners == nil {
+		vw.Owners = ho.granted()
+	}
+	if ho.steady {
+		ho.shown = vw.Owners
+	}
+	return vw
+}
+
+// granted gives the owner of each slice that is decided, recorded and confirmed.
+func (ho *Holder) granted() map[ident.Slice]ident.Upstream {
+	owners := map[ident.Slice]ident.Upstream{}
 	for _, us := range ho.upstreams {
 		if us.grant.Until == 0 || us.out {
 			continue
 		}
-		vw.Grants[us.name] = us.grant
 		for sl := range us.confirmed {
 			if ho.owners[sl] == us.name && ho.durable[sl] == us.name {
-				vw.Owners[sl] = us.name
+				owners[sl] = us.name
 			}
 		}
 	}
-	return vw
+	return owners
 }
 
 // Changed tells whether the view changed since the last call.
--- a/internal/ownership/pool/order.go
+++ b/internal/ownership/pool/order.go
@@ -90,6 +90,9 @@
 // orders sends to each upstream what is due or has changed.
 func (ho *Holder) orders(now lease.Moment) []exchange.Cmd {
 	var cmds []exchange.Cmd
+	if !ho.steady {
+		defer ho.settle()
+	}
 	for _, us := range ho.sortedUpstreams() {
 		if us.pending.waiting && now.Now.Before(us.pending.sent.Add(2*ho.line.Answer)) {
 			continue
@@ -116,8 +119,11 @@
 	if us.all && now.Steady.Before(us.lapse) {
 		return grant.Order{Pool: ho.claim.Pool, Token: ho.token(due), Keep: true}, due
 	}
-	want := ho.wanted(now, us)
-	same := us.complete && maps.Equal(want, us.confirmed)
+	want, same := us.confirmed, ho.steady
+	if !ho.steady {
+		want = ho.wanted(now, us)
+		same = us.complete && maps.Equal(want, us.confirmed)
+	}
 	if same && !due {
 		return grant.Order{}, false
 	}
@@ -204,6 +210,9 @@
 		}
 	}
 	us.complete = (us.complete && !restarted) || !od.Keep
+	if restarted || !od.Keep {
+		ho.disturb()
+	}
 	if !od.Keep {
 		us.confirmed = us.may
 	}
--- a/internal/ownership/pool/record.go
+++ b/internal/ownership/pool/record.go
@@ -244,6 +244,7 @@
 func (ho *Holder) recorded(rw Row) {
 	ho.record.durable = max(ho.record.durable, rw.Number)
 	ho.durable = rw.Owners
+	ho.disturb()
 }
 
 // HearTable takes the result of a read or a write of the pool's row.
