--- a/internal/operations/capacity/lines_serving.go
+++ b/internal/operations/capacity/lines_serving.go
@@ -3,7 +3,7 @@
 // entryLines are the costs of taking callers' requests.
 func (ta *tally) entryLines() []Line {
 	rate := ta.de.RequestsPerNode
-	path := ta.per("entryCpu") + ta.per("hopCpu") + ta.per("admissionCpu") + ta.per("dispatchCpu")
+	path := ta.path()
 	return []Line{
 		{
 			Role: "entry and holder", What: "processor time of the requests' path",
@@ -29,6 +29,11 @@
 	}
 }
 
+// path is the processor nanoseconds of one request over its whole path.
+func (ta *tally) path() float64 {
+	return ta.per("entryCpu") + ta.per("hopCpu") + ta.per("admissionCpu") + ta.per("dispatchCpu")
+}
+
 // holderLines are the costs of admitting for the pools that a node holds.
 func (ta *tally) holderLines() []Line {
 	const renewalsPerSecond = 5
@@ -44,6 +49,17 @@
 			Unit: UnitCore, Value: renewals * ta.per("renewalCpu") / nanosPerSecond, Limit: ta.size.ControlCore,
 			Mechanism: "one order for each upstream; the slope holds both ends",
 		},
+		{
+			Role: "pool holder", What: "ownership core, processor time",
+			Formula: "slices/node × holderCpu + upstreams/node × holderUpstreamCpu + holderUpstreamCpu(0)",
+			Unit:    UnitCore, Value: ta.holderCore(), Limit: ta.size.ControlCore,
+			Mechanism: "a settled holder renews by upstream and looks at no slice",
+		},
+		{
+			Role: "pool holder", What: "state of ownership", Formula: "slices/node × holderBytes",
+			Unit: UnitBytes, Value: ta.at("holderBytes", ta.de.Slices/ta.size.Nodes), Limit: ta.size.ControlHeap,
+			Mechanism: "slices, not keys; hot keys on their own beside them",
+		},
 		{
 			Role: "pool holder", What: "requests queued for one deadline", Formula: "requests/node × 1 s × queuedBytes",
 			Unit: UnitBytes, Value: ta.de.RequestsPerNode * ta.per("queuedBytes"), Limit: ta.size.ControlHeap,
@@ -52,6 +68,12 @@
 	}
 }
 
+// holderCore is the share of a core of a node's holders.
+func (ta *tally) holderCore() float64 {
+	nanos := ta.de.Slices/ta.size.Nodes*ta.per("holderCpu") + ta.at("holderUpstreamCpu", ta.de.UpstreamsPerNode)
+	return nanos / nanosPerSecond
+}
+
 // bundleLines are the costs of changes of configuration.
 func (ta *tally) bundleLines() []Line {
 	body := ta.at("bundleBytes", ta.de.Upstreams) + ta.per("bundleHostBytes")*ta.size.Nodes
--- a/internal/operations/capacity/project.go
+++ b/internal/operations/capacity/project.go
@@ -20,7 +20,7 @@
 func Project(slopes []Slope, sz Size, as Assumptions) ([]Line, error) {
 	ta := &tally{slopes: slopes, size: sz, as: as, de: Derive(sz, as)}
 	var lines []Line
-	for _, part := range []func() []Line{ta.entryLines, ta.holderLines, ta.bundleLines} {
+	for _, part := range []func() []Line{ta.entryLines, ta.holderLines, ta.followerLines, ta.leaderLines, ta.tableLines, ta.bundleLines, ta.recoveryLines, ta.worstLines} {
 		lines = append(lines, part()...)
 	}
 	if ta.missing != "" {
--- a/internal/operations/capacity/record.go
+++ b/internal/operations/capacity/record.go
@@ -66,7 +66,7 @@
 
 // Probes lists all probes.
 func Probes() []Probe {
-	return slices.Concat(servingProbes(), controlProbes(), beatProbes(), ownershipProbes(), bundleProbes())
+	return slices.Concat(servingProbes(), controlProbes(), beatProbes(), ownershipProbes(), recoveryProbes(), bundleProbes())
 }
 
 // Measure fits every probe, at its sizes divided by shrink.
