--- a/internal/ownership/authority/domains_test.go
+++ b/internal/ownership/authority/domains_test.go
@@ -244,6 +244,22 @@
 	}
 }
 
+// A fleet of one domain has nobody to ask: its leader's successor goes on while
+// the platform is silent.
+func TestOneDomainGoesOnAlone(t *testing.T) {
+	gm := NewWithT(t)
+	fl := fleet.New(1, fleet.Plan{Domains: 1, Hosts: 6, Upstreams: 2, Slices: 12})
+	fl.Run(5 * time.Second)
+	fl.Table.Down = true
+	fl.Run(2 * time.Second)
+	leader, ok := fl.LeaderOf("d1")
+	gm.Expect(ok).To(BeTrue())
+	fl.Kill(leader)
+	fl.Run(4 * time.Second)
+	gm.Expect(fl.AllServed()).To(BeTrue())
+	gm.Expect(fl.Violations()).To(BeEmpty())
+}
+
 // domainFaults are the actions that concern whole domains.
 var domainFaults = map[string]func(fl *fleet.Fleet, pk pick){
 	"cutDomains": func(fl *fleet.Fleet, pk pick) {
