Begin a higher term only for a term that a host follows

A challenger that lost its bid names a term as high as the winner's; beginning a new term for it made every pool lease start over.

--- a/internal/ownership/term/bid.go
+++ b/internal/ownership/term/bid.go
@@ -151,9 +151,6 @@
 // withdrawn for a challenger of a higher rank, so that bids do not starve each
 // other; only this host has counted its own vote.
 func (co *Core) answerAsk(now lease.Moment, from ident.Host, ak exchange.Ask) exchange.Vote {
-	if co.lead != nil {
-		co.lead.outbid = max(co.lead.outbid, ak.Term)
-	}
 	known := max(co.follow.term, co.vote.term)
 	vote := exchange.Vote{Round: ak.Round, Term: known}
 	yields := co.yieldsTo(from)
--- a/internal/ownership/term/lead.go
+++ b/internal/ownership/term/lead.go
@@ -39,9 +39,9 @@
 	known    bool
 	// tail is how long leases of the former leader may last.
 	tail time.Duration
-	// outbid is the highest term that a host has followed or bid for. It can be
-	// higher than the leader's own where all who knew of it have restarted; the
-	// leader then begins a term above it.
+	// outbid is the highest term that a host follows. It can be higher
+	// than the leader's own where all who voted for it have restarted; the leader
+	// then begins a term above it.
 	outbid    uint64
 	write     *write
 	nextRenew clock.Instant
