--- a/internal/ownership/authority/follow.go
+++ b/internal/ownership/authority/follow.go
@@ -157,6 +157,9 @@
 		if ok && co.holders[as.Pool] == nil {
 			ho := pool.NewHolder(co.host, co.line, co.defect, pl, as, now)
 			ho.SetPeers(co.peers())
+			if co.tables.silent {
+				ho.SetSilent()
+			}
 			co.holders[as.Pool] = ho
 		}
 	}
--- a/internal/ownership/authority/tables.go
+++ b/internal/ownership/authority/tables.go
@@ -19,8 +19,11 @@
 // tables are the table operations under way. One that failed is carried by a
 // peer once, since the table may answer another host.
 type tables struct {
-	number     uint64
-	turn       int
+	number uint64
+	turn   int
+	// silent says that the latest operation of this node had no answer, nor
+	// had the peer that carried it.
+	silent     bool
 	operations map[uint64]*operation
 }
 
@@ -114,6 +117,9 @@
 func (co *Core) deliver(now lease.Moment, number uint64, rs table.Result) []Cmd {
 	op := co.tables.operations[number]
 	delete(co.tables.operations, number)
+	if op.asker == "" {
+		co.tables.silent = rs.Outcome == table.Unknown || rs.Outcome == table.Failed
+	}
 	mg := exchange.TableMsg{Tag: op.command.Tag, Number: op.original, Result: rs}
 	switch {
 	case op.asker != "":
--- a/internal/ownership/pool/holder.go
+++ b/internal/ownership/pool/holder.go
@@ -102,6 +102,10 @@
 // SetPeers names the other hosts of the domain, for copies.
 func (ho *Holder) SetPeers(peers []ident.Host) { ho.peers = peers }
 
+// SetSilent says that the table has not answered this node of late, so that
+// the peers are asked at once.
+func (ho *Holder) SetSilent() { ho.record.silent = true }
+
 // SetPool takes the pool's upstreams from a bundle. One that left is treated
 // as out until nothing granted to it can be in force.
 func (ho *Holder) SetPool(pl bundle.Pool) {
--- a/internal/ownership/pool/record.go
+++ b/internal/ownership/pool/record.go
@@ -74,7 +74,7 @@
 			cmds = append(cmds, exchange.SendCmd{To: pe, Notice: exchange.Recall{Pool: ho.claim.Pool}})
 		}
 	}
-	waited := !now.Now.Before(ho.started.Now.Add(2 * ho.line.Answer))
+	waited := !now.Now.Before(ho.started.Now.Add(ho.line.Answer))
 	if !ho.placed && (!rc.silent || (len(rc.recalled) < len(ho.peers) && !waited)) {
 		return cmds
 	}
--- a/internal/ownership/term/bid.go
+++ b/internal/ownership/term/bid.go
@@ -125,7 +125,7 @@
 
 // ask starts a round of votes, with this host's own.
 func (co *Core) ask(now lease.Moment, withTable bool, base table.Version) []exchange.Cmd {
-	if !co.mayPromise(now, co.host) || (co.bid != nil && now.Now.Before(co.bid.sent.Add(readEvery/2))) {
+	if !co.mayPromise(now, co.host) || (co.bid == nil && now.Steady.Before(co.vote.heldBack)) || (co.bid != nil && now.Now.Before(co.bid.sent.Add(readEvery/2))) {
 		return nil
 	}
 	bd := &bid{round: co.number(), table: withTable, base: base, sent: now.Now, votes: map[ident.Host]bool{}}
@@ -153,6 +153,9 @@
 func (co *Core) answerAsk(now lease.Moment, from ident.Host, ak exchange.Ask) exchange.Vote {
 	known := max(co.follow.term, co.vote.term)
 	vote := exchange.Vote{Round: ak.Round, Term: known}
+	if from != co.host && ak.Term > co.follow.term {
+		co.vote.heldBack = now.Steady.Add(holdBack)
+	}
 	yields := co.yieldsTo(from)
 	again := (yields || co.vote.to == from) && ak.Term == co.vote.term && ak.Term > co.follow.term
 	if (ak.Term <= known && !again) || co.lead != nil || (!yields && !co.mayPromise(now, from)) {
--- a/internal/ownership/term/term.go
+++ b/internal/ownership/term/term.go
@@ -29,6 +29,9 @@
 	rankDelay = 30 * time.Millisecond
 	// maxRankDelay bounds rankDelay over all ranks.
 	maxRankDelay = 300 * time.Millisecond
+	// holdBack is how long a host leaves the bidding to another that asked for
+	// its vote, even if it could not give it yet; bidders ask every readEvery.
+	holdBack = 250 * time.Millisecond
 	// seekPeers is how many peers are asked for the leader at a time.
 	seekPeers = 3
 )
@@ -122,6 +125,8 @@
 	// with the table; only a leader of a later term can be witnessed again.
 	tableTerm  uint64
 	tableVoted bool
+	// heldBack is how long this host leaves the bidding to one that asked.
+	heldBack clock.Instant
 }
 
 // New makes the core of a node that has just started. It abstains for one
