--- a/internal/fleet/inner/ownership.go
+++ b/internal/fleet/inner/ownership.go
@@ -1,11 +1,8 @@
 package inner
 
 import (
-	"context"
 	"time"
 
-	"connectrpc.com/connect"
-
 	"chervilwalk/internal/fleet/clock"
 	"chervilwalk/internal/fleet/ident"
 	"chervilwalk/internal/fleet/inner/innerpb"
@@ -13,10 +10,10 @@
 	"chervilwalk/internal/platform/table"
 )
 
-// Tell sends a notice on ownership; it may be lost without a word.
-func (pe *Peer) Tell(ctx context.Context, from ident.Host, notice exchange.Notice) error {
-	_, err := pe.client.Tell(ctx, connect.NewRequest(EncodeNotice(from, notice)))
-	return err
+// Tell sends a notice on ownership; it may be lost without a word. ErrBusy says
+// that it was not sent at all.
+func (pe *Peer) Tell(from ident.Host, notice exchange.Notice) error {
+	return pe.talk.send(EncodeNotice(from, notice))
 }
 
 // EncodeNotice writes a notice on ownership.
@@ -67,7 +64,9 @@
 	case exchange.Place:
 		en.Body = &innerpb.Envelope_Place{Place: &innerpb.Place{Service: string(nt.Service), Version: uint64(nt.Version), Value: nt.Value}}
 	case exchange.WantPlace:
-		en.Body = &innerpb.Envelope_WantPlace{WantPlace: &innerpb.WantPlace{Service: string(nt.Service)}}
+		en.Body = &innerpb.Envelope_WantPlace{WantPlace: &innerpb.WantPlace{Service: string(nt.Service), Known: uint64(nt.Known)}}
+	case exchange.Neighbour:
+		en.Body = &innerpb.Envelope_Neighbour{Neighbour: encodeNeighbour(nt)}
 	}
 }
 
@@ -119,7 +118,9 @@
 			Service: ident.Service(bd.Place.GetService()), Version: table.Version(bd.Place.GetVersion()), Value: bd.Place.GetValue(),
 		}, true
 	case *innerpb.Envelope_WantPlace:
-		return exchange.WantPlace{Service: ident.Service(bd.WantPlace.GetService())}, true
+		return exchange.WantPlace{Service: ident.Service(bd.WantPlace.GetService()), Known: table.Version(bd.WantPlace.GetKnown())}, true
+	case *innerpb.Envelope_Neighbour:
+		return decodeNeighbour(bd.Neighbour), true
 	default:
 		return nil, false
 	}
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -22,6 +22,7 @@
 	"chervilwalk/internal/fleet/inner"
 	"chervilwalk/internal/fleet/route"
 	"chervilwalk/internal/operations/bundle"
+	"chervilwalk/internal/operations/metric"
 	"chervilwalk/internal/ownership/authority"
 	"chervilwalk/internal/ownership/exchange"
 	"chervilwalk/internal/platform/client"
@@ -38,6 +39,10 @@
 	// Callers and Inner are listeners that the node takes over.
 	Callers net.Listener
 	Inner   net.Listener
+	// Admin is the listener for operators; nil offers them nothing.
+	Admin net.Listener
+	// LogRequests logs each step of each request.
+	LogRequests bool
 	// TrustedKeys are the keys trusted before the first bundle.
 	TrustedKeys []bundle.TrustedKey
 	// Peers are inner addresses to ask for a bundle before one is known.
@@ -54,6 +59,9 @@
 	inner    *http.Server
 	owner    *ownerTask
 	bundles  *bundleTask
+	metrics  *metric.Metrics
+	admin    *http.Server
+	started  clock.Instant
 	routes   atomic.Pointer[route.Table]
 	draining atomic.Bool
 	stop     context.CancelFunc
@@ -74,6 +82,7 @@
 		clock:    clock.Boot{},
 		log:      log.WithField("host", string(cf.Host)),
 		platform: client.New(cf.Platform, client.WithDomain(cf.Domain)),
+		metrics:  metric.New(),
 		pools:    map[ident.Pool]*poolTask{},
 		peers:    map[string]*inner.Peer{},
 	}
@@ -85,10 +94,15 @@
 	started := exchange.Incarnation(time.Now().UnixNano())
 	nd.owner = newOwnerTask(nd, authority.New(cf.Host, cf.Domain, authority.WithIncarnation(started)))
 	nd.bundles = newBundleTask(nd)
+	nd.started = nd.clock.Now()
+	nd.admin = newAdmin(nd)
 	nd.group.Go(func() error { return nd.owner.run(ctx) })
 	nd.group.Go(func() error { return nd.bundles.run(ctx) })
 	nd.group.Go(func() error { return ignoreClosed(nd.inner.Serve(cf.Inner)) })
 	nd.group.Go(func() error { return ignoreClosed(nd.entry.Serve(cf.Callers)) })
+	if cf.Admin != nil {
+		nd.group.Go(func() error { return ignoreClosed(nd.admin.Serve(cf.Admin)) })
+	}
 	return nd, nil
 }
 
@@ -108,6 +122,7 @@
 	second := nd.inner.Shutdown(ctx)
 	nd.stop()
 	nd.closePools()
+	_ = nd.admin.Close()
 	third := nd.group.Wait()
 	nd.mu.Lock()
 	defer nd.mu.Unlock()
@@ -147,13 +162,28 @@
 		return false, "draining"
 	case nd.routes.Load() == nil:
 		return false, "starting"
+	case nd.bundles.contradiction() != "":
+		return false, "misconfigured: " + nd.bundles.contradiction()
 	default:
 		return true, "serving"
 	}
 }
 
-// Route runs a call at the holder of its pool, here or over one hop.
+// Route runs a call at the holder of its pool, here or over one hop, and
+// counts its end.
 func (nd *Node) Route(ctx context.Context, sv *bundle.Service, ca *inner.Call) (*dispatch.Answer, error) {
+	start := time.Now()
+	answer, err := nd.route(ctx, sv, ca)
+	vd := verdict.Ran
+	if err != nil {
+		vd = verdict.Of(err)
+	}
+	nd.metrics.Request(sv.Name, vd, time.Since(start))
+	nd.logEnd(ca, vd, err)
+	return answer, err
+}
+
+func (nd *Node) route(ctx context.Context, sv *bundle.Service, ca *inner.Call) (*dispatch.Answer, error) {
 	rt := nd.routes.Load()
 	if rt == nil {
 		return nil, verdict.Refuse(http.StatusServiceUnavailable, "this node has no routes yet", time.Second)
@@ -167,6 +197,7 @@
 	if !ok {
 		return nil, verdict.Refuse(http.StatusServiceUnavailable, "the pool has no holder now", time.Second)
 	}
+	nd.logStep("request routed", ca, log.Fields{"holder": holder})
 	if holder == nd.config.Host {
 		return nd.Serve(ctx, ca)
 	}
@@ -221,9 +252,9 @@
 	return pt != nil && pt.bar(ctx, id)
 }
 
-// Notice hears that a peer has a bundle of this version.
-func (nd *Node) Notice(from ident.Host, vs bundle.Version) {
-	nd.bundles.notice(from, vs)
+// Notice takes what a peer has and returns what this node has.
+func (nd *Node) Notice(from ident.Host, nt inner.Notice) inner.Notice {
+	return nd.bundles.notice(from, nt)
 }
 
 // Hear takes a peer's notice on ownership.
--- a/internal/operations/bundle/bundle.go
+++ b/internal/operations/bundle/bundle.go
@@ -12,7 +12,8 @@
 	"chervilwalk/internal/fleet/ident"
 )
 
-// MaxPoolUpstreams is how many upstreams one pool holds at most.
+// MaxPoolUpstreams is how many upstreams one pool holds at most, and when the
+// bundle says nothing.
 const MaxPoolUpstreams = 32
 
 // Version orders bundles; a node only ever moves to a higher one.
@@ -65,6 +66,9 @@
 	// Inner is the IP and port of the inner protocol.
 	Inner string
 	Out   bool
+	// HeldIn is an operator's word ("out: false") that the census cannot
+	// overrule.
+	HeldIn bool
 }
 
 // Service is a kind of request with the upstreams that answer it.
@@ -84,8 +88,11 @@
 	MaxBodyBytes int
 	WhenCutOff   CutOff
 	// KeepFor bounds WhenCutOff Keep.
-	KeepFor   time.Duration
-	Upstreams []Upstream
+	KeepFor time.Duration
+	// PoolUpstreams is how many upstreams one pool holds at most; 0 means
+	// MaxPoolUpstreams. Smaller pools spread a service over more nodes.
+	PoolUpstreams int
+	Upstreams     []Upstream
 }
 
 // Upstream is one back end.
@@ -102,6 +109,9 @@
 	// ChecksTokens tells whether it refuses stale grants by itself.
 	ChecksTokens bool
 	Out          bool
+	// HeldIn is an operator's word ("out: false") that the census cannot
+	// overrule.
+	HeldIn bool
 }
 
 // TrustedKey is a key whose signature makes a bundle acceptable.
@@ -162,6 +172,13 @@
 	Upstreams []Upstream
 }
 
+func (sv *Service) poolSize() int {
+	if sv.PoolUpstreams == 0 {
+		return MaxPoolUpstreams
+	}
+	return sv.PoolUpstreams
+}
+
 // Pools divides the service's upstreams into pools, in the bundle's order.
 func (sv *Service) Pools() []Pool {
 	byDomain := map[ident.Domain][]Upstream{}
@@ -175,7 +192,7 @@
 	var pools []Pool
 	for _, dm := range order {
 		number := 0
-		for part := range slices.Chunk(byDomain[dm], MaxPoolUpstreams) {
+		for part := range slices.Chunk(byDomain[dm], sv.poolSize()) {
 			pools = append(pools, Pool{Name: ident.NewPool(sv.Name, dm, number), Service: sv, Domain: dm, Upstreams: part})
 			number++
 		}
--- a/internal/ownership/authority/routes.go
+++ b/internal/ownership/authority/routes.go
@@ -49,7 +49,7 @@
 func (co *Core) hearRoutes(from ident.Host, notice exchange.Notice) []Cmd {
 	switch nt := notice.(type) {
 	case exchange.Offer:
-		return co.hearOffer(nt)
+		return co.hearOffer(from, nt)
 	case exchange.Want:
 		if co.leader != nil {
 			told := exchange.Told{Offer: co.ownOffer(), Routes: co.leader.pools.Own()}
@@ -68,12 +68,17 @@
 	return nil
 }
 
-func (co *Core) hearOffer(of exchange.Offer) []Cmd {
-	if of.Domain == co.domain {
+// hearOffer asks for newer routes. A host that does not lead passes the offer
+// to its leader, but not one that a host of its own domain has passed: two hosts
+// that take each other for the leader would send it back and forth for ever.
+func (co *Core) hearOffer(from ident.Host, of exchange.Offer) []Cmd {
+	if co.bundle == nil || of.Domain == co.domain {
 		return nil
 	}
 	if co.leader == nil {
-		if leader, _ := co.term.Leader(); leader != "" && leader != co.host {
+		sender, ok := co.bundle.Host(from)
+		passed := !ok || sender.Domain == co.domain
+		if leader, _ := co.term.Leader(); !passed && leader != "" && leader != co.host {
 			return []Cmd{exchange.SendCmd{To: leader, Notice: of}}
 		}
 		return nil
@@ -132,7 +137,7 @@
 		if sv.Keyed {
 			rt.Slices[sv.Name] = co.places.rows[sv.Name].row.Pools
 		} else {
-			rt.Nearest[sv.Name] = nearest(sv.Pools(), co.domain)
+			rt.Nearest[sv.Name] = nearest(co.poolsInService(sv), co.domain)
 		}
 	}
 	return rt
--- a/internal/ownership/pool/record.go
+++ b/internal/ownership/pool/record.go
@@ -167,6 +167,9 @@
 	case !ho.placed:
 		return append(cmds, ho.read(now, readingPlace))
 	}
+	if !ho.placed {
+		return append(cmds, ho.read(now, readingPlace))
+	}
 	ho.numbers++
 	rc.query, rc.busy, rc.doing, rc.asked = ho.numbers, true, writing, now.Now
 	rc.sending = ho.state()
@@ -252,6 +255,9 @@
 	}
 	rc.busy = false
 	done := mg.Result.Outcome == table.Done
+	if rc.doing == writing {
+		defer ho.gave(mg.Result.Outcome)
+	}
 	switch {
 	case done && rc.doing == readingRow:
 		ho.readDone(mg.Result)
