--- a/internal/operations/capacity/leaderstand.go
+++ b/internal/operations/capacity/leaderstand.go
@@ -23,7 +23,7 @@
 
 func newLeaderStand(hosts, pools int) *leaderStand {
 	st := &leaderStand{line: lease.Default(), beats: map[ident.Host]exchange.Beat{}}
-	st.leader = pool.NewLeader(st.line, lease.Sound, 1, st.watch.At(0))
+	st.leader = pool.NewLeader(st.line, lease.Sound, 1, st.line.Tail, st.watch.At(0))
 	for hx := range hosts {
 		ho := ident.Host(fmt.Sprintf("entry-%04d", hx))
 		st.hosts = append(st.hosts, ho)
