Let slices follow measured load inside a pool

The pool's task counts the requests of each slice and reports them every second; the holder's node keeps decayed counts and moves slices off the fullest upstream by the policy that the measurement uses, at most 4 in any 5 s. Hot keys are found and measured, but a holder does not yet give one an upstream of its own.

--- a/internal/fleet/node/pool.go
+++ b/internal/fleet/node/pool.go
@@ -43,6 +43,7 @@
 	calls     map[ident.Request]*poolCall
 	bars      map[ident.Request]chan<- bool
 	sends     map[sendKey]context.CancelFunc
+	load      loadCount
 	// shown is the bundle that the pool was last taken from.
 	shown atomic.Pointer[bundle.Bundle]
 	// owners are the slices' owners in the view last shown.
@@ -247,8 +248,13 @@
 			return
 		}
 		pt.calls[mg.Request.ID] = pm.call
+		if pt.keyed {
+			pt.load.count(mg.Request.Slice)
+		}
 	case admission.BarMsg:
 		pt.bars[mg.ID] = pm.bar
+	case admission.TickMsg:
+		pt.load.report(pt.node.owner, pt.pool.Name)
 	case admission.PoolMsg:
 		pt.adopt(mg.Pool)
 	case admission.HeadMsg:
--- a/internal/ownership/authority/authority.go
+++ b/internal/ownership/authority/authority.go
@@ -122,12 +122,14 @@
 	term    *term.Core
 	domains domains
 	moving  moving
-	tables  tables
-	places  places
-	routes  routes
-	copies  map[ident.Pool]pool.Row
-	leader  *leader
-	holders map[ident.Pool]*pool.Holder
+	// balances are the loads of the pools held here.
+	balances map[ident.Pool]*balance
+	tables   tables
+	places   places
+	routes   routes
+	copies   map[ident.Pool]pool.Row
+	leader   *leader
+	holders  map[ident.Pool]*pool.Holder
 	// applied is the assignment in force here, of the leader of appliedTerm.
 	applied     uint64
 	appliedTerm uint64
@@ -140,13 +142,14 @@
 func New(host ident.Host, dm ident.Domain, opts ...Option) *Core {
 	co := &Core{
 		host: host, domain: dm, incarnation: 1, line: lease.Default(),
-		pools:   map[ident.Pool]bundle.Pool{},
-		moving:  moving{next: map[ident.Pool]clock.Instant{}, batch: map[ident.Pool]int{}},
-		tables:  tables{operations: map[uint64]*operation{}},
-		places:  places{rows: map[ident.Service]place{}},
-		routes:  routes{holders: map[ident.Pool]ident.Host{}},
-		copies:  map[ident.Pool]pool.Row{},
-		holders: map[ident.Pool]*pool.Holder{},
+		pools:    map[ident.Pool]bundle.Pool{},
+		balances: map[ident.Pool]*balance{},
+		moving:   moving{next: map[ident.Pool]clock.Instant{}, batch: map[ident.Pool]int{}},
+		tables:   tables{operations: map[uint64]*operation{}},
+		places:   places{rows: map[ident.Service]place{}},
+		routes:   routes{holders: map[ident.Pool]ident.Host{}},
+		copies:   map[ident.Pool]pool.Row{},
+		holders:  map[ident.Pool]*pool.Holder{},
 	}
 	for _, opt := range opts {
 		opt(co)
@@ -185,6 +188,8 @@
 		return co.hearTable(now, mg.TableMsg)
 	case PeerMsg:
 		return co.hear(now, mg.From, mg.Notice)
+	case LoadMsg:
+		co.observe(now, mg)
 	case StopMsg:
 		return co.stop(now)
 	}
@@ -201,6 +206,7 @@
 	for _, name := range sortedKeys(co.holders) {
 		cmds = append(cmds, co.fromHolder(co.holders[name], co.holders[name].Tick(now))...)
 	}
+	co.evenOut(now)
 	cmds = append(cmds, co.runDomains(now)...)
 	cmds = append(cmds, co.movePools(now)...)
 	return append(cmds, co.showRoutes(now)...)
--- a/internal/ownership/pool/part.go
+++ b/internal/ownership/pool/part.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"chervilwalk/internal/fleet/ident"
+	"chervilwalk/internal/operations/bundle"
 	"chervilwalk/internal/ownership/exchange"
 	"chervilwalk/internal/ownership/lease"
 	"chervilwalk/internal/platform/table"
@@ -143,3 +144,14 @@
 	ho.parting.stale = false
 	return stale
 }
+
+// Able lists the upstreams that answer and are not out.
+func (ho *Holder) Able(now lease.Moment) []bundle.Upstream {
+	var list []bundle.Upstream
+	for _, up := range ho.pool.Upstreams {
+		if us := ho.upstreams[up.Name]; us != nil && !us.out && us.reachable(now, ho.line) {
+			list = append(list, up)
+		}
+	}
+	return list
+}
--- a/internal/stand/fleet/node.go
+++ b/internal/stand/fleet/node.go
@@ -224,3 +224,10 @@
 	}
 	return "", false
 }
+
+// Report gives a load report to the node that holds a pool.
+func (fl *Fleet) Report(pl ident.Pool, msg authority.LoadMsg) {
+	if ho, ok := fl.HolderOf(pl); ok {
+		fl.Nodes[ho].take(msg)
+	}
+}
