--- a/internal/stand/fleet/fleet.go
+++ b/internal/stand/fleet/fleet.go
@@ -75,6 +75,7 @@
 	options    []authority.Option
 	lastLate   clock.Instant
 	cuts       map[[2]string]bool
+	held       map[string][]func()
 	violations []string
 	states     map[state]map[ident.Host]bool
 	granted    map[ident.Slice]grantedTo
@@ -91,6 +92,7 @@
 		rand:      rand.New(rand.NewPCG(seed, 1)),
 		options:   opts,
 		cuts:      map[[2]string]bool{},
+		held:      map[string][]func(){},
 		states:    map[state]map[ident.Host]bool{},
 		granted:   map[ident.Slice]grantedTo{},
 	}
@@ -230,6 +232,10 @@
 
 // carry brings a message to the other end, with the network's faults.
 func (fl *Fleet) carry(from, to string, far bool, arrive func()) {
+	if held, ok := fl.held[from]; ok {
+		fl.held[from] = append(held, func() { fl.carry(from, to, far, arrive) })
+		return
+	}
 	if !fl.Reaches(from, to) || fl.rand.Float64() < fl.Net.Loss {
 		return
 	}
@@ -257,6 +263,21 @@
 	return dr
 }
 
+// Hold keeps back all that an end sends, as when a process is frozen between a
+// decision and its write.
+func (fl *Fleet) Hold(end string) { fl.held[end] = nil }
+
+// Release sends what was held back, as often as stated.
+func (fl *Fleet) Release(end string, times int) {
+	held := fl.held[end]
+	delete(fl.held, end)
+	for range times {
+		for _, send := range held {
+			send()
+		}
+	}
+}
+
 // LastLate is when the last of the late messages arrives.
 func (fl *Fleet) LastLate() clock.Instant { return fl.lastLate }
 
--- a/internal/stand/fleet/node.go
+++ b/internal/stand/fleet/node.go
@@ -224,3 +224,9 @@
 	}
 	return "", false
 }
+
+// Leads tells whether a host's process has the right to lead its domain.
+func (fl *Fleet) Leads(ho ident.Host) bool {
+	nd := fl.Nodes[ho]
+	return nd.up && nd.core.Leads(nd.clock.Now())
+}
