--- a/internal/stand/fleet/node.go
+++ b/internal/stand/fleet/node.go
@@ -231,3 +231,9 @@
 		fl.Nodes[ho].take(msg)
 	}
 }
+
+// Leads tells whether a host's process has the right to lead its domain.
+func (fl *Fleet) Leads(ho ident.Host) bool {
+	nd := fl.Nodes[ho]
+	return nd.up && nd.core.Leads(nd.clock.Now())
+}
