--- a/cmd/chervilbench/main.go
+++ b/cmd/chervilbench/main.go
@@ -21,6 +21,7 @@
 func subcommands() []subcommand {
 	return []subcommand{
 		{"route", "Compare routing policies in virtual time", &routeCommand{}},
+		{"relay", "Measure entry and holder on loopback against a direct call", &relayCommand{}},
 		{"slopes", "Measure how the costs of the roles grow", &slopesCommand{}},
 	}
 }
