Let a full pool send an unkeyed request to another domain's

Cause: the comparison had one holder for all targets, but pools are per domain. Three queues without exchange would carry 4, 4 and 3 upstreams each by itself.

Now a request that another pool may take is refused at once when the wait is longer than one usual service time or no upstream takes work; the refusal states the wait, and the last try goes to the pool with the shortest. The inner protocol does not carry the flag yet.

--- a/internal/operations/comparison/comparison.go
+++ b/internal/operations/comparison/comparison.go
@@ -119,11 +119,15 @@
 	return results
 }
 
-// RunScenario compares all policies on one service in one scenario.
+// RunScenario compares all policies on one service in one scenario. A key has
+// its owner in one domain, so that there is no choice of domains for it.
 func RunScenario(cf Config, sv Service, sc Scenario) []Result {
 	requests := arrivals(cf, sv, sc)
 	var results []Result
 	for _, py := range Policies() {
+		if py.byDomain && sv.Keyed {
+			continue
+		}
 		fl := newFleet(cf, sv, py, requests)
 		fl.run(sc)
 		results = append(results, Result{Service: sv.Name, Scenario: sc.Name, Policy: py.Name, Figures: fl.figures()})
--- a/internal/operations/comparison/fleet.go
+++ b/internal/operations/comparison/fleet.go
@@ -59,7 +59,12 @@
 type call struct {
 	arrival
 	// back is the way from its core to its caller.
-	back     time.Duration
+	back time.Duration
+	// tried counts the pools that sent it away; best is the one with the
+	// shortest wait.
+	tried    int
+	best     *holder
+	bestWait time.Duration
 	runs     int
 	ended    bool
 	answered bool
@@ -85,15 +90,19 @@
 	return fl
 }
 
-// addHolders makes a core on each entry node for a blind policy, else one.
+// addHolders makes a core on each entry node for a blind policy, one in each
+// domain for a policy by domain, else one for all.
 func (fl *fleet) addHolders() {
 	count := 1
-	if fl.policy.blind {
+	switch {
+	case fl.policy.blind:
 		count = entryNodes
+	case fl.policy.byDomain:
+		count = domains
 	}
 	for ix := range count {
 		hd := &holder{
-			fleet: fl, domain: ix % domains, pool: fl.pool(), idle: map[ident.Upstream]int{}, told: map[ident.Upstream]int{},
+			fleet: fl, domain: ix % domains, pool: fl.pool(ix), idle: map[ident.Upstream]int{}, told: map[ident.Upstream]int{},
 			calls: map[ident.Request]*call{}, visits: map[visitKey]*visit{},
 		}
 		hd.core = fl.policy.core(fl, hd.pool, rand.New(rand.NewPCG(fl.config.Seed, uint64(ix))))
@@ -101,11 +110,14 @@
 	}
 }
 
-// pool lists all targets. A blind node knows no slots: it may use its part of
-// the target's connections.
-func (fl *fleet) pool() bundle.Pool {
+// pool lists all targets, or those of a domain. A blind node knows no slots: it
+// may use its part of the target's connections.
+func (fl *fleet) pool(domain int) bundle.Pool {
 	pl := bundle.Pool{Name: "s@d#0", Service: &bundle.Service{Name: "s", Keyed: fl.service.Keyed}}
 	for _, tg := range fl.targets {
+		if fl.policy.byDomain && tg.domain != domain {
+			continue
+		}
 		up := bundle.Upstream{Name: tg.name, Slots: slots, ColdLimit: coldLimit}
 		if fl.policy.blind {
 			up.Slots = connections / entryNodes
@@ -121,7 +133,7 @@
 	for _, hd := range fl.holders {
 		hd.pool.Upstreams = slices.Clone(hd.pool.Upstreams)
 		for ix := range hd.pool.Upstreams {
-			if fl.targets[ix].domain == 0 {
+			if fl.byName[hd.pool.Upstreams[ix].Name].domain == 0 {
 				hd.pool.Upstreams[ix].Out = out
 			}
 		}
@@ -136,16 +148,19 @@
 	for _, hd := range fl.holders {
 		vw := authority.View{Pool: hd.pool.Name, Until: clock.Never, Grants: map[ident.Upstream]authority.Grant{}}
 		var open []ident.Upstream
-		for ix, up := range hd.pool.Upstreams {
-			hd.told[up.Name] = fl.targets[ix].incarnation
-			vw.Grants[up.Name] = authority.Grant{Until: clock.Never, Incarnation: fmt.Sprint(fl.targets[ix].incarnation)}
+		for _, up := range hd.pool.Upstreams {
+			incarnation := fl.byName[up.Name].incarnation
+			hd.told[up.Name] = incarnation
+			vw.Grants[up.Name] = authority.Grant{Until: clock.Never, Incarnation: fmt.Sprint(incarnation)}
 			if !up.Out {
 				open = append(open, up.Name)
 			}
 		}
 		vw.Owners = map[ident.Slice]ident.Upstream{}
 		for sl := range ident.Slice(sliceCount) {
-			vw.Owners[sl] = hd.ownerOf(sl, open)
+			if len(open) > 0 {
+				vw.Owners[sl] = hd.ownerOf(sl, open)
+			}
 		}
 		hd.tell(admission.ViewMsg{View: vw})
 	}
@@ -182,22 +197,47 @@
 
 // enter brings a call over its entry node to its core.
 func (fl *fleet) enter(cl *call) {
-	hd, way := fl.holders[0], nearHop
-	if fl.policy.blind {
-		hd = fl.holders[cl.node]
-	} else {
-		way += hop(cl.node%domains, hd.domain)
+	switch {
+	case fl.policy.blind:
+		fl.forward(cl, fl.holders[cl.node], nearHop)
+	case fl.policy.byDomain:
+		fl.forward(cl, fl.holders[cl.node%domains], nearHop+nearHop)
+	default:
+		fl.forward(cl, fl.holders[0], nearHop+hop(cl.node%domains, fl.holders[0].domain))
+	}
+}
+
+// forward brings a call to a core; way is the time until it is there.
+func (fl *fleet) forward(cl *call, hd *holder, way time.Duration) {
+	cl.back = nearHop
+	if !fl.policy.blind {
+		cl.back += hop(cl.node%domains, hd.domain)
 	}
-	cl.back = way
 	fl.line.After(way, func() {
 		hd.calls[cl.id] = cl
 		hd.tell(admission.ArriveMsg{Request: admission.Request{
 			ID: cl.id, Keyed: fl.service.Keyed, Slice: cl.slice, Idempotent: cl.idempotent,
-			Deadline: cl.at.Add(patience - way),
+			Elsewhere: fl.policy.byDomain && cl.tried < domains,
+			Deadline:  cl.at.Add(patience - cl.back),
 		}})
 	})
 }
 
+// tryNext takes a call that a pool sent away to the next domain's, and after all
+// of them to the one with the shortest wait.
+func (fl *fleet) tryNext(cl *call, from *holder, wait time.Duration) {
+	if cl.best == nil || wait < cl.bestWait {
+		cl.best, cl.bestWait = from, wait
+	}
+	cl.tried++
+	next := cl.best
+	if cl.tried < domains {
+		next = fl.holders[(cl.node+cl.tried)%domains]
+	}
+	entry := cl.node % domains
+	fl.forward(cl, next, hop(from.domain, entry)+hop(entry, next.domain))
+}
+
 func hop(from, to int) time.Duration {
 	if from == to {
 		return nearHop
@@ -225,6 +265,10 @@
 	case admission.AnswerCmd:
 		hd.finish(cm.ID, true, false)
 	case admission.RefuseCmd:
+		if cm.Wait > 0 {
+			hd.fleet.tryNext(hd.calls[cm.ID], hd, cm.Wait)
+			return
+		}
 		hd.finish(cm.ID, false, true)
 	case admission.FailCmd:
 		hd.finish(cm.ID, false, false)
--- a/internal/operations/comparison/policies.go
+++ b/internal/operations/comparison/policies.go
@@ -16,7 +16,9 @@
 	// blind policies run on every entry node by themselves, the others on one
 	// holder.
 	blind bool
-	core  func(fl *fleet, pl bundle.Pool, rn *rand.Rand) core
+	// byDomain policies run on one holder in each domain, for the targets there.
+	byDomain bool
+	core     func(fl *fleet, pl bundle.Pool, rn *rand.Rand) core
 }
 
 // Policies lists the policies that are compared.
@@ -41,6 +43,9 @@
 		{Name: "ours", core: func(_ *fleet, pl bundle.Pool, _ *rand.Rand) core {
 			return admission.New(pl)
 		}},
+		{Name: "oursByDomain", byDomain: true, core: func(_ *fleet, pl bundle.Pool, _ *rand.Rand) core {
+			return admission.New(pl)
+		}},
 		{Name: "fullInformation", core: func(fl *fleet, pl bundle.Pool, _ *rand.Rand) core {
 			return admission.New(pl, admission.WithKnownTimes(fl.trueTime))
 		}},
--- a/internal/serving/admission/arrive.go
+++ b/internal/serving/admission/arrive.go
@@ -16,6 +16,9 @@
 	finishFactor = 5
 	// lateFactor is the same for a request that has waited.
 	lateFactor = 3
+	// elsewhereFactor times the usual service time is the wait for which a
+	// request that another pool may take is sent away.
+	elsewhereFactor = 1
 	// maxRetryAfter bounds what a refused caller is told to wait.
 	maxRetryAfter = 30 * time.Second
 )
@@ -31,6 +34,11 @@
 	if co.lapsed(now) {
 		return co.refuse(rq, http.StatusServiceUnavailable, "this node's right to the pool has lapsed", minRetryAfter)
 	}
+	if rq.Elsewhere && !rq.Keyed {
+		if wait := co.waitFor(now, rq); wait > elsewhereFactor*co.figures.median {
+			return co.sendAway(rq, wait)
+		}
+	}
 	co.budget.Earn()
 	co.arrivals++
 	fl := &flow{request: rq, arrived: now, order: co.arrivals, index: notQueued}
@@ -43,6 +51,22 @@
 	return cmds
 }
 
+// waitFor estimates how long a request would stand in the common queue: to its
+// deadline when no upstream takes work.
+func (co *Core[P]) waitFor(now clock.Instant, rq Request) time.Duration {
+	if !slices.ContainsFunc(co.order, func(up *upstream) bool { return up.open(now) }) {
+		return rq.Deadline.Sub(now)
+	}
+	return drainTime(co.common.length(), co.figures.rate)
+}
+
+// sendAway refuses a request that another pool may take. The id is not kept,
+// since the request may come back.
+func (co *Core[P]) sendAway(rq Request, wait time.Duration) []Cmd {
+	er := verdict.Refuse(http.StatusServiceUnavailable, "the pool is full for now", minRetryAfter)
+	return []Cmd{RefuseCmd{ID: rq.ID, Err: er, Wait: wait}}
+}
+
 // known answers for an id that was here before; it is never run again.
 func (co *Core[P]) known(id ident.Request) ([]Cmd, bool) {
 	if co.flows[id] != nil {
--- a/internal/serving/admission/message.go
+++ b/internal/serving/admission/message.go
@@ -21,7 +21,11 @@
 	Keyed      bool
 	Slice      ident.Slice
 	Idempotent bool
-	Deadline   clock.Instant
+	// Elsewhere means that another pool may take the request: it is refused
+	// when the wait here would be longer than the way there is worth. A keyed
+	// request has no other pool.
+	Elsewhere bool
+	Deadline  clock.Instant
 }
 
 // Msg is something that happened.
@@ -130,6 +134,9 @@
 type RefuseCmd struct {
 	ID  ident.Request
 	Err *verdict.Error
+	// Wait is the estimated wait that led to the refusal of a request that
+	// another pool may take, so that its sender can choose.
+	Wait time.Duration
 }
 
 // FailCmd ends a request that may have run. It is an outcome.
