--- a/cmd/chervilbench/main.go
+++ b/cmd/chervilbench/main.go
@@ -22,6 +22,7 @@
 	return []subcommand{
 		{"own", "Measure ownership: losses, churn, costs and load imbalance", &ownCommand{}},
 		{"route", "Compare routing policies in virtual time", &routeCommand{}},
+		{"relay", "Measure entry and holder on loopback against a direct call", &relayCommand{}},
 		{"slopes", "Measure how the costs of the roles grow", &slopesCommand{}},
 	}
 }
