--- a/cmd/chervilbench/main.go
+++ b/cmd/chervilbench/main.go
@@ -20,6 +20,7 @@
 // subcommands lists the measurements; each stands in a file of its own.
 func subcommands() []subcommand {
 	return []subcommand{
+		{"rollout", "Measure the roll-out of bundles on fleets of real nodes", &rolloutCommand{}},
 		{"slopes", "Measure how the costs of the roles grow", &slopesCommand{}},
 	}
 }
