--- a/cmd/chervilbench/main.go
+++ b/cmd/chervilbench/main.go
@@ -21,6 +21,8 @@
 func subcommands() []subcommand {
 	return []subcommand{
 		{"rollout", "Measure the roll-out of bundles on fleets of real nodes", &rolloutCommand{}},
+		{"own", "Measure ownership: losses, churn, costs and load imbalance", &ownCommand{}},
+		{"route", "Compare routing policies in virtual time", &routeCommand{}},
 		{"slopes", "Measure how the costs of the roles grow", &slopesCommand{}},
 	}
 }
--- a/internal/ownership/pool/record.go
+++ b/internal/ownership/pool/record.go
@@ -6,6 +6,7 @@
 	"chervilwalk/internal/fleet/clock"
 	"chervilwalk/internal/fleet/ident"
 	"chervilwalk/internal/ownership/exchange"
+	"chervilwalk/internal/ownership/grant"
 	"chervilwalk/internal/ownership/lease"
 	"chervilwalk/internal/platform/table"
 )
@@ -244,6 +245,7 @@
 func (ho *Holder) recorded(rw Row) {
 	ho.record.durable = max(ho.record.durable, rw.Number)
 	ho.durable = rw.Owners
+	ho.disturb()
 }
 
 // HearTable takes the result of a read or a write of the pool's row.
@@ -323,6 +325,7 @@
 	switch {
 	case rw.Compare(own) > 0:
 		ho.superseded = true
+		ho.refusedBy(grant.Token{Term: rw.Term, Epoch: rw.Epoch})
 	case rw.Compare(own) == 0 && rc.row.Number >= rc.durable:
 		rc.written = rc.row.Number
 		ho.recorded(rc.row)
--- a/internal/serving/verdict/verdict.go
+++ b/internal/serving/verdict/verdict.go
@@ -33,6 +33,22 @@
 	}
 }
 
+// Refusal is how an upstream proved that it did not run a request.
+type Refusal int
+
+const (
+	// NoRefusal means that the upstream was not asked.
+	NoRefusal Refusal = iota
+	// Shed means that the upstream had no room.
+	Shed
+	// StaleToken means that the upstream saw a newer grant.
+	StaleToken
+	// Cancelled means that the request's cancellation came before it.
+	Cancelled
+	// Unreachable means that the connection was refused.
+	Unreachable
+)
+
 // Error is a request's failure with its verdict.
 type Error struct {
 	Verdict Verdict
@@ -42,6 +58,8 @@
 	Reason string
 	// RetryAfter tells the caller when to ask again; zero when it should not.
 	RetryAfter time.Duration
+	// Refusal tells how the verdict NotRun was proved, if by an upstream.
+	Refusal Refusal
 }
 
 // Error gives the reason with the verdict.
@@ -54,6 +72,22 @@
 	return &Error{Verdict: NotRun, Status: status, Reason: reason, RetryAfter: retryAfter}
 }
 
+// Misdirect builds the error of a request that was not run because whoever got
+// it does not serve its pool. It may be sent again to the one who does.
+func Misdirect(reason string) *Error {
+	return Refuse(http.StatusMisdirectedRequest, reason, misdirectedAgain)
+}
+
+// misdirectedAgain is when a caller may ask again while a pool changes hands.
+const misdirectedAgain = time.Second
+
+// Misdirected tells whether an error proves that a request was not run and only
+// came to the wrong place.
+func Misdirected(err error) bool {
+	var er *Error
+	return errors.As(err, &er) && er.Verdict == NotRun && er.Status == http.StatusMisdirectedRequest
+}
+
 // Doubt builds the error of a request that may have run.
 func Doubt(status int, reason string) *Error {
 	return &Error{Verdict: MayHaveRun, Status: status, Reason: reason}
