Try both fleets through a stop, a loss, a domain out and back, and a new bundle

It counts from the upstreams' records double runs, double owners by grant and by service, work after a domain was taken out, and violations of slots and cold limits; an answer that looked whole is held byte by byte against the one that was sent, and a cut that its caller saw is counted apart, among those that may have run.

Cause of refusals that it showed: a request that only came to the wrong place was remembered as ended, so that the same node refused it when it was sent again; and a key without an owner during a move was refused for good. Both now end as misdirected, and the entry sends them again.

--- a/internal/operations/trial/fleet.go
+++ b/internal/operations/trial/fleet.go
@@ -10,6 +10,7 @@
 	"crypto/ed25519"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -24,22 +25,32 @@
 	standupstream "chervilwalk/internal/stand/upstream"
 )
 
-// keyName is the name of the key that signs the fleet's bundles.
-const keyName = "trial"
+const (
+	// keyName is the name of the key that signs the fleet's bundles.
+	keyName = "trial"
+	// anyPort is a free port of loopback.
+	anyPort = "127.0.0.1:0"
+	// coldTime is how long an upstream is cold after its start.
+	coldTime = 500 * time.Millisecond
+)
 
 // Fleet is one deployment: platform, upstreams and nodes.
 type Fleet struct {
-	Name      string
+	Name string
+	// Bundle is the bundle that was accepted last. Hosts, services and their
+	// order stay the same in all of a trial's bundles.
 	Bundle    *bundle.Bundle
 	Platform  *standplatform.Platform
 	Upstreams map[ident.Upstream]*standupstream.Upstream
-	Nodes     map[ident.Host]*node.Node
-	// Entries are the callers' addresses of the nodes.
-	Entries map[ident.Host]string
 
 	private         ed25519.PrivateKey
 	platformAddress string
-	servers         []*http.Server
+	servers         map[string]*http.Server
+
+	mu    sync.Mutex
+	nodes map[ident.Host]*node.Node
+	// entries are the callers' addresses of the nodes.
+	entries map[ident.Host]string
 }
 
 // StartFleet runs the fleet of an example bundle on free ports of loopback.
@@ -58,9 +69,10 @@
 		Bundle:    bn,
 		Platform:  standplatform.New(),
 		Upstreams: map[ident.Upstream]*standupstream.Upstream{},
-		Nodes:     map[ident.Host]*node.Node{},
-		Entries:   map[ident.Host]string{},
 		private:   private,
+		servers:   map[string]*http.Server{},
+		nodes:     map[ident.Host]*node.Node{},
+		entries:   map[ident.Host]string{},
 	}
 	if err := fl.start(); err != nil {
 		return nil, eris.Wrap(err, "trial: start")
@@ -69,7 +81,7 @@
 }
 
 func (fl *Fleet) start() error {
-	address, err := fl.serve(fl.Platform.Handler())
+	address, err := fl.serve(anyPort, fl.Platform.Handler())
 	if err != nil {
 		return err
 	}
@@ -97,8 +109,11 @@
 		sv := &fl.Bundle.Services[sx]
 		for ux := range sv.Upstreams {
 			up := &sv.Upstreams[ux]
-			us := standupstream.New(up.Name, standupstream.WithSlots(up.Slots), standupstream.WithTokenCheck(up.ChecksTokens))
-			address, err := fl.serve(us.Handler())
+			us := standupstream.New(up.Name,
+				standupstream.WithSlots(up.Slots),
+				standupstream.WithColdStart(up.ColdLimit, coldTime),
+				standupstream.WithTokenCheck(up.ChecksTokens))
+			address, err := fl.serve(anyPort, us.Handler())
 			if err != nil {
 				return err
 			}
@@ -112,7 +127,7 @@
 func (fl *Fleet) listenInner() ([]net.Listener, error) {
 	var inners []net.Listener
 	for ix := range fl.Bundle.Hosts {
-		ls, err := net.Listen("tcp", "127.0.0.1:0")
+		ls, err := net.Listen("tcp", anyPort)
 		if err != nil {
 			return nil, err
 		}
@@ -123,7 +138,7 @@
 }
 
 func (fl *Fleet) startNode(ho *bundle.Host, innerListener net.Listener) error {
-	callers, err := net.Listen("tcp", "127.0.0.1:0")
+	callers, err := net.Listen("tcp", anyPort)
 	if err != nil {
 		return err
 	}
@@ -134,22 +149,93 @@
 	if err != nil {
 		return err
 	}
-	fl.Nodes[ho.Name] = nd
-	fl.Entries[ho.Name] = callers.Addr().String()
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.nodes[ho.Name] = nd
+	fl.entries[ho.Name] = callers.Addr().String()
 	return nil
 }
 
-func (fl *Fleet) serve(hn http.Handler) (string, error) {
-	ls, err := net.Listen("tcp", "127.0.0.1:0")
+// serve runs a stand-in on an address until KillServer or Close.
+func (fl *Fleet) serve(address string, hn http.Handler) (string, error) {
+	ls, err := net.Listen("tcp", address)
 	if err != nil {
 		return "", err
 	}
 	server := &http.Server{Handler: hn, ReadHeaderTimeout: 5 * time.Second}
-	fl.servers = append(fl.servers, server)
+	fl.servers[ls.Addr().String()] = server
 	go func() { _ = server.Serve(ls) }()
 	return ls.Addr().String(), nil
 }
 
+// Node returns a host's running node; nil when it is stopped.
+func (fl *Fleet) Node(ho ident.Host) *node.Node {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return fl.nodes[ho]
+}
+
+// Entry returns a host's address for callers; empty when its node is stopped.
+func (fl *Fleet) Entry(ho ident.Host) string {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return fl.entries[ho]
+}
+
+// StopNode stops a host's node as planned.
+func (fl *Fleet) StopNode(ctx context.Context, ho ident.Host) error {
+	nd := fl.Node(ho)
+	err := nd.Close(ctx)
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	delete(fl.nodes, ho)
+	delete(fl.entries, ho)
+	return err
+}
+
+// StartNode starts a host's node again, as a new process.
+func (fl *Fleet) StartNode(name ident.Host) error {
+	ho, ok := fl.Bundle.Host(name)
+	if !ok {
+		return eris.Errorf("trial: no host %s", name)
+	}
+	ls, err := net.Listen("tcp", ho.Inner)
+	if err != nil {
+		return err
+	}
+	return fl.startNode(ho, ls)
+}
+
+// KillUpstream loses an upstream's process: its port closes, its connections
+// break and what it ran and owned is gone.
+func (fl *Fleet) KillUpstream(up bundle.Upstream) {
+	_ = fl.servers[up.Address].Close()
+	fl.Upstreams[up.Name].Restart()
+}
+
+// ReviveUpstream starts a lost upstream's process anew, cold.
+func (fl *Fleet) ReviveUpstream(up bundle.Upstream) error {
+	fl.Upstreams[up.Name].Restart()
+	_, err := fl.serve(up.Address, fl.Upstreams[up.Name].Handler())
+	return err
+}
+
+// Change accepts a new bundle that an edit has made of the last one.
+func (fl *Fleet) Change(ctx context.Context, edit func(bn *bundle.Bundle)) error {
+	body, err := bundle.Format(fl.Bundle)
+	if err != nil {
+		return err
+	}
+	bn, err := bundle.Parse(fl.Name, body)
+	if err != nil {
+		return err
+	}
+	bn.Version++
+	edit(bn)
+	fl.Bundle = bn
+	return fl.Accept(ctx)
+}
+
 // Accept signs the fleet's bundle and points the platform's row at it.
 func (fl *Fleet) Accept(ctx context.Context) error {
 	body, err := bundle.Format(fl.Bundle)
@@ -182,32 +268,39 @@
 func (fl *Fleet) AwaitServing(ctx context.Context) error {
 	for {
 		ready := 0
-		for _, nd := range fl.Nodes {
-			if healthy, _ := nd.Health(); healthy {
-				ready++
+		for _, ho := range fl.Bundle.Hosts {
+			if nd := fl.Node(ho.Name); nd != nil {
+				if healthy, _ := nd.Health(); healthy {
+					ready++
+				}
 			}
 		}
-		if ready == len(fl.Nodes) {
+		if ready == len(fl.Bundle.Hosts) {
 			return nil
 		}
 		select {
 		case <-ctx.Done():
-			return eris.Errorf("trial: only %d of %d nodes serve", ready, len(fl.Nodes))
+			return eris.Errorf("trial: only %d of %d nodes serve", ready, len(fl.Bundle.Hosts))
 		case <-time.After(20 * time.Millisecond):
 		}
 	}
 }
 
-// Close stops the nodes, then the stand-ins.
-func (fl *Fleet) Close(ctx context.Context) error {
-	var first error
-	for _, nd := range fl.Nodes {
-		if err := nd.Close(ctx); err != nil && first == nil {
-			first = err
-		}
+// Close loses all nodes at once, then the stand-ins.
+func (fl *Fleet) Close() {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, nd := range fl.nodes {
+		wg.Go(nd.Kill)
 	}
+	wg.Wait()
 	for _, sv := range fl.servers {
 		_ = sv.Close()
 	}
-	return first
+}
+
+// PlatformAddress returns the IP and port of the platform's stand-in.
+func (fl *Fleet) PlatformAddress() string {
+	return fl.platformAddress
 }
--- a/internal/operations/trial/load.go
+++ b/internal/operations/trial/load.go
@@ -2,19 +2,17 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-
 	"chervilwalk/internal/fleet/ident"
 	"chervilwalk/internal/operations/bundle"
 	"chervilwalk/internal/serving/entry"
@@ -24,101 +22,155 @@
 const (
 	// largeBodyBytes is the size of a certificate bundle or a pattern sheet.
 	largeBodyBytes = 1 << 20
-	// maxLatency bounds what the histogram keeps.
-	maxLatency = time.Minute
 	// keySpace is how many keys the load uses for each service.
 	keySpace = 2000
+	// workers is how many callers ask at a time.
+	workers = 32
+	// probedKeys is how many keys are asked for again and again.
+	probedKeys = 32
+	// probeEvery is the time between two requests for a probed key.
+	probeEvery = 200 * time.Millisecond
+	// maxEntries is how many entries one request tries to connect to.
+	maxEntries = 4
 )
 
-// Outcome is what one caller got.
+// outcome is what one caller got.
 type outcome struct {
 	id      ident.Request
-	verdict string
+	service ident.Service
+	key     string
+	verdict verdict.Verdict
 	status  int
-	wrong   bool
-	cut     bool
-	took    time.Duration
-}
-
-// Counts are the figures of a trial. All but the latencies and the callers'
-// outcomes come from what the upstreams recorded.
-type Counts struct {
-	Requests         int     `json:"requests"`
-	Answered         int     `json:"answered"`
-	RefusedNotRun    int     `json:"refusedNotRun"`
-	MayHaveRun       int     `json:"mayHaveRun"`
-	DoubleRuns       int     `json:"doubleRuns"`
-	FalseNotRun      int     `json:"falseNotRun"`
-	WrongAnswers     int     `json:"wrongAnswers"`
-	TruncatedAnswers int     `json:"truncatedAnswers"`
-	P50Ms            float64 `json:"p50Ms"`
-	P99Ms            float64 `json:"p99Ms"`
+	reason  string
+	// wrong is an answer that is whole but not the request's own.
+	wrong bool
+	// truncated is an answer that looked whole to its caller and was not.
+	truncated bool
+	// cut is an answer whose end the caller saw to be missing.
+	cut   bool
+	took  time.Duration
+	ended time.Time
 }
 
 // Load is a mixed load on one fleet.
 type Load struct {
-	fleet  *Fleet
-	client *http.Client
+	fleet    *Fleet
+	services []bundle.Service
+	balancer *balancer
+	client   *http.Client
+	done     atomic.Int64
 
 	mu       sync.Mutex
 	outcomes []outcome
+	probes   []outcome
 }
 
 // NewLoad makes a load for a fleet.
 func NewLoad(fl *Fleet) *Load {
-	return &Load{fleet: fl, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+	transport := &http.Transport{MaxIdleConnsPerHost: 2 * workers, DisableCompression: true}
+	return &Load{
+		fleet:    fl,
+		services: fl.Bundle.Services,
+		balancer: newBalancer(fl),
+		client:   &http.Client{Transport: transport},
+	}
 }
 
-// Run sends requests from a few workers; the seed fixes what is asked.
-func (ld *Load) Run(ctx context.Context, seed uint64, requests, workers int) {
-	var wg sync.WaitGroup
-	for wk := range workers {
-		share := requests / workers
-		if wk < requests%workers {
-			share++
-		}
+// Done returns how many requests have their outcome.
+func (ld *Load) Done() int {
+	return int(ld.done.Load())
+}
+
+// Run sends requests at an even pace over the given time; the seed fixes what
+// is asked. A few keys are asked for again and again meanwhile.
+func (ld *Load) Run(ctx context.Context, seed uint64, requests int, over time.Duration) {
+	balancing, stop := context.WithCancel(ctx)
+	var wg, background sync.WaitGroup
+	background.Go(func() { ld.balancer.run(balancing) })
+	background.Go(func() { ld.probe(balancing, seed) })
+	start := time.Now()
+	var next atomic.Int64
+	for range workers {
 		wg.Go(func() {
-			rn := rand.New(rand.NewPCG(seed, uint64(wk)))
-			for range share {
-				if ctx.Err() != nil {
+			for {
+				number := next.Add(1) - 1
+				due := start.Add(over * time.Duration(number) / time.Duration(max(requests, 1)))
+				if number >= int64(requests) || !sleepUntil(ctx, due) {
 					return
 				}
-				ld.one(ctx, rn)
+				ld.one(ctx, rand.New(rand.NewPCG(seed, uint64(number))))
 			}
 		})
 	}
 	wg.Wait()
+	stop()
+	background.Wait()
 	ld.client.CloseIdleConnections()
 }
 
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 func (ld *Load) one(ctx context.Context, rn *rand.Rand) {
-	rq, body := ld.request(ctx, rn)
-	start := time.Now()
-	oc := ld.ask(rq, body)
-	oc.took = time.Since(start)
+	sv := &ld.services[pickService(rn)]
+	key := fmt.Sprintf("item-%d", rn.IntN(keySpace))
+	oc := ld.ask(ctx, request(sv, key, rn), rn)
+	ld.done.Add(1)
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
 	ld.outcomes = append(ld.outcomes, oc)
 }
 
-// request builds a lookup, an order or a large body, at a random entry.
-func (ld *Load) request(ctx context.Context, rn *rand.Rand) (*http.Request, string) {
-	hosts := ld.fleet.Bundle.Hosts
-	address := ld.fleet.Entries[hosts[rn.IntN(len(hosts))].Name]
-	sv := &ld.fleet.Bundle.Services[pickService(rn)]
-	method, path, body := http.MethodGet, fmt.Sprintf("/%s/item-%d", sv.Name, rn.IntN(keySpace)), ""
+// probe asks for a few keys of the keyed service at a steady pace.
+func (ld *Load) probe(ctx context.Context, seed uint64) {
+	var wg sync.WaitGroup
+	for number := range probedKeys {
+		wg.Go(func() {
+			rn := rand.New(rand.NewPCG(seed, uint64(number)))
+			sleepUntil(ctx, time.Now().Add(probeEvery*time.Duration(number)/probedKeys))
+			for ctx.Err() == nil {
+				due := time.Now().Add(probeEvery)
+				sv := &ld.services[0]
+				oc := ld.ask(context.WithoutCancel(ctx), request(sv, fmt.Sprintf("probe-%d", number), rn), rn)
+				ld.mu.Lock()
+				ld.probes = append(ld.probes, oc)
+				ld.mu.Unlock()
+				sleepUntil(ctx, due)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// asked is a request before its entry is chosen.
+type asked struct {
+	service ident.Service
+	key     string
+	method  string
+	path    string
+	body    string
+	bytes   int
+}
+
+// request builds a lookup, an order or a large body.
+func request(sv *bundle.Service, key string, rn *rand.Rand) asked {
+	as := asked{service: sv.Name, key: key, method: http.MethodGet, path: fmt.Sprintf("/%s/%s", sv.Name, key)}
 	switch {
 	case sv.Keyed:
 	case strings.HasPrefix(string(sv.Name), "orders"):
-		method, body = http.MethodPost, fmt.Sprintf("order %d", rn.Uint64())
+		as.method, as.body = http.MethodPost, fmt.Sprintf("order %d", rn.Uint64())
 	default:
-		path += fmt.Sprintf("?bytes=%d", 1+rn.IntN(largeBodyBytes))
-	}
-	rq, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, strings.NewReader(body))
-	if err != nil {
-		panic("trial: a request that it built itself is malformed: " + err.Error())
+		as.bytes = 1 + rn.IntN(largeBodyBytes)
 	}
-	return rq, body
+	return as
 }
 
 // pickService draws mostly lookups, some orders and a few large bodies.
@@ -133,106 +185,79 @@
 	}
 }
 
-func (ld *Load) ask(rq *http.Request, body string) outcome {
-	rs, err := ld.client.Do(rq)
-	if err != nil {
-		return outcome{verdict: verdict.MayHaveRun.String()}
+// ask sends a request to an entry that the balancer chooses. An entry that
+// refuses the connection got nothing of it, so the next one is tried.
+func (ld *Load) ask(ctx context.Context, as asked, rn *rand.Rand) outcome {
+	start := time.Now()
+	var oc outcome
+	for range maxEntries {
+		address := ld.balancer.pick(rn)
+		var sent bool
+		oc, sent = ld.exchange(ctx, as, address)
+		if sent {
+			break
+		}
+		ld.balancer.avoid(address)
 	}
-	defer func() { _ = rs.Body.Close() }()
-	text, err := io.ReadAll(rs.Body)
-	oc := outcome{
-		id:      ident.Request(rs.Header.Get(entry.RequestHeader)),
-		verdict: rs.Header.Get(entry.VerdictHeader),
-		status:  rs.StatusCode,
+	oc.service, oc.key = as.service, as.key
+	oc.ended = time.Now()
+	oc.took = oc.ended.Sub(start)
+	return oc
+}
+
+func (ld *Load) exchange(ctx context.Context, as asked, address string) (oc outcome, sent bool) {
+	target := "http://" + address + as.path
+	if as.bytes > 0 {
+		target += fmt.Sprintf("?bytes=%d", as.bytes)
 	}
+	rq, err := http.NewRequestWithContext(ctx, as.method, target, strings.NewReader(as.body))
 	if err != nil {
-		oc.verdict = verdict.MayHaveRun.String()
-		oc.cut = !errors.Is(err, io.ErrUnexpectedEOF) && rs.ContentLength < 0
-		return oc
+		return outcome{reason: err.Error()}, true
 	}
-	if oc.verdict == verdict.Ran.String() {
-		oc.wrong = !strings.HasPrefix(string(text), ownHead(rq, oc.id)) || !strings.Contains(string(text), bodySum(body))
-		oc.cut = int64(len(text)) != wantBytes(rq, int64(len(text)))
+	rs, err := ld.client.Do(rq)
+	if err != nil {
+		var oe *net.OpError
+		refused := errors.As(err, &oe) && oe.Op == "dial"
+		return outcome{verdict: verdictOf(refused), reason: err.Error()}, !refused
 	}
-	return oc
-}
-
-func ownHead(rq *http.Request, id ident.Request) string {
-	return fmt.Sprintf("%s %s %s by ", id, rq.Method, rq.URL.Path)
-}
-
-func bodySum(body string) string {
-	sum := sha256.Sum256([]byte(body))
-	return "body " + hex.EncodeToString(sum[:8])
+	defer func() { _ = rs.Body.Close() }()
+	text, err := io.ReadAll(rs.Body)
+	return as.judge(rs, text, err), true
 }
 
-// wantBytes is the size that a request asked for; got when it asked for none
-// or for less than the head of an answer.
-func wantBytes(rq *http.Request, got int64) int64 {
-	var want int64
-	if _, err := fmt.Sscanf(rq.URL.Query().Get("bytes"), "%d", &want); err != nil || want < smallAnswerBytes {
-		return got
+// verdictOf is the caller's own word on an exchange without an answer.
+func verdictOf(refused bool) verdict.Verdict {
+	if refused {
+		return verdict.NotRun
 	}
-	return want
+	return verdict.MayHaveRun
 }
 
-// smallAnswerBytes is above the size of any answer's head.
-const smallAnswerBytes = 512
-
-// Count compares what the callers got with what the upstreams recorded.
-func (ld *Load) Count() Counts {
-	runs := map[ident.Request]int{}
-	double := 0
-	for _, us := range ld.fleet.Upstreams {
-		for _, rn := range us.Runs() {
-			runs[rn.Request]++
-			if runs[rn.Request] > 1 && !ld.idempotent(rn.Pool, rn.Method) {
-				double++
-			}
-		}
+// judge tells an answer of one's own from all else.
+func (as asked) judge(rs *http.Response, text []byte, err error) outcome {
+	oc := outcome{
+		id:      ident.Request(rs.Header.Get(entry.RequestHeader)),
+		status:  rs.StatusCode,
+		verdict: parseVerdict(rs.Header.Get(entry.VerdictHeader)),
 	}
-	ct := Counts{DoubleRuns: double}
-	hg := hdrhistogram.New(1, maxLatency.Microseconds(), 3)
-	ld.mu.Lock()
-	defer ld.mu.Unlock()
-	for _, oc := range ld.outcomes {
-		ct.add(oc, runs[oc.id])
-		if oc.verdict == verdict.Ran.String() {
-			_ = hg.RecordValue(oc.took.Microseconds())
-		}
+	switch {
+	case err != nil:
+		oc.verdict, oc.cut, oc.reason = verdict.MayHaveRun, true, err.Error()
+	case oc.verdict != verdict.Ran:
+		oc.reason = strings.TrimSpace(string(text))
+	case rs.StatusCode != http.StatusOK:
+		oc.wrong, oc.reason = true, fmt.Sprintf("ran with status %d", rs.StatusCode)
+	default:
+		oc.truncated, oc.wrong = as.compare(oc.id, text)
 	}
-	ct.P50Ms = float64(hg.ValueAtQuantile(50)) / 1000
-	ct.P99Ms = float64(hg.ValueAtQuantile(99)) / 1000
-	return ct
-}
-
-func (ld *Load) idempotent(pl ident.Pool, method string) bool {
-	sv, ok := ld.fleet.Bundle.Service(pl.Service())
-	return ok && (*bundle.Service).Idempotent(sv, method)
+	return oc
 }
 
-func (ct *Counts) add(oc outcome, runs int) {
-	ct.Requests++
-	switch oc.verdict {
-	case verdict.Ran.String():
-		ct.Answered++
-	case verdict.NotRun.String():
-		ct.RefusedNotRun++
-		if runs > 0 {
-			ct.FalseNotRun++
+func parseVerdict(text string) verdict.Verdict {
+	for _, vd := range []verdict.Verdict{verdict.Ran, verdict.NotRun} {
+		if vd.String() == text {
+			return vd
 		}
-	default:
-		ct.MayHaveRun++
-	}
-	if oc.wrong {
-		ct.WrongAnswers++
 	}
-	if oc.cut {
-		ct.TruncatedAnswers++
-	}
-}
-
-// Broken tells whether a promise was broken.
-func (ct *Counts) Broken() bool {
-	return ct.DoubleRuns+ct.FalseNotRun+ct.WrongAnswers+ct.TruncatedAnswers > 0
+	return verdict.MayHaveRun
 }
--- a/internal/operations/trial/report.go
+++ b/internal/operations/trial/report.go
@@ -1,8 +1,73 @@
 package trial
 
-import "fmt"
+import (
+	"fmt"
 
-// Sum adds the counts of several fleets; a latency is the worst of them.
+	"chervilwalk/internal/serving/verdict"
+)
+
+// Counts are the figures of a trial. Runs, owners and violations come from what
+// the upstreams recorded, all else from what the callers got.
+type Counts struct {
+	Requests      int `json:"requests"`
+	Answered      int `json:"answered"`
+	RefusedNotRun int `json:"refusedNotRun"`
+	// MayHaveRun counts all requests in doubt, VisibleCuts those among them
+	// whose caller saw its answer break off.
+	MayHaveRun       int     `json:"mayHaveRun"`
+	VisibleCuts      int     `json:"visibleCuts"`
+	DoubleRuns       int     `json:"doubleRuns"`
+	FalseNotRun      int     `json:"falseNotRun"`
+	FalseRan         int     `json:"falseRan"`
+	WrongAnswers     int     `json:"wrongAnswers"`
+	TruncatedAnswers int     `json:"truncatedAnswers"`
+	DoubleOwners     int     `json:"doubleOwners"`
+	NewWorkAfterOut  int     `json:"newWorkAfterOut"`
+	ColdViolations   int     `json:"coldViolations"`
+	SlotViolations   int     `json:"slotViolations"`
+	RecordsDropped   int     `json:"recordsDropped"`
+	UnservedMsMax    int64   `json:"unservedMsMax"`
+	P50Ms            float64 `json:"p50Ms"`
+	P99Ms            float64 `json:"p99Ms"`
+}
+
+// add counts one caller's outcome; runs is how often its request ran.
+func (ct *Counts) add(oc outcome, runs int) {
+	ct.Requests++
+	switch oc.verdict {
+	case verdict.Ran:
+		ct.Answered++
+		if runs == 0 {
+			ct.FalseRan++
+		}
+	case verdict.NotRun:
+		ct.RefusedNotRun++
+		if runs > 0 {
+			ct.FalseNotRun++
+		}
+	default:
+		ct.MayHaveRun++
+	}
+	ct.VisibleCuts += countOf(oc.cut)
+	ct.WrongAnswers += countOf(oc.wrong)
+	ct.TruncatedAnswers += countOf(oc.truncated)
+}
+
+func countOf(is bool) int {
+	if is {
+		return 1
+	}
+	return 0
+}
+
+// Broken tells whether a promise was broken, or could not be judged because
+// the upstreams' records are not whole.
+func (ct *Counts) Broken() bool {
+	return ct.DoubleRuns+ct.FalseNotRun+ct.FalseRan+ct.WrongAnswers+ct.TruncatedAnswers+
+		ct.DoubleOwners+ct.NewWorkAfterOut+ct.ColdViolations+ct.RecordsDropped > 0
+}
+
+// Sum adds the counts of several fleets; a time is the worst of them.
 func Sum(fleets []Counts) Counts {
 	var sum Counts
 	for _, ct := range fleets {
@@ -10,10 +75,18 @@
 		sum.Answered += ct.Answered
 		sum.RefusedNotRun += ct.RefusedNotRun
 		sum.MayHaveRun += ct.MayHaveRun
+		sum.VisibleCuts += ct.VisibleCuts
 		sum.DoubleRuns += ct.DoubleRuns
 		sum.FalseNotRun += ct.FalseNotRun
+		sum.FalseRan += ct.FalseRan
 		sum.WrongAnswers += ct.WrongAnswers
 		sum.TruncatedAnswers += ct.TruncatedAnswers
+		sum.DoubleOwners += ct.DoubleOwners
+		sum.NewWorkAfterOut += ct.NewWorkAfterOut
+		sum.ColdViolations += ct.ColdViolations
+		sum.SlotViolations += ct.SlotViolations
+		sum.RecordsDropped += ct.RecordsDropped
+		sum.UnservedMsMax = max(sum.UnservedMsMax, ct.UnservedMsMax)
 		sum.P50Ms = max(sum.P50Ms, ct.P50Ms)
 		sum.P99Ms = max(sum.P99Ms, ct.P99Ms)
 	}
@@ -27,11 +100,34 @@
 		fmt.Sprintf("answered\t%d", ct.Answered),
 		fmt.Sprintf("refused, not run\t%d", ct.RefusedNotRun),
 		fmt.Sprintf("may have run\t%d", ct.MayHaveRun),
+		fmt.Sprintf("  of these cut before the caller's eyes\t%d", ct.VisibleCuts),
 		fmt.Sprintf("double runs\t%d", ct.DoubleRuns),
 		fmt.Sprintf("false \"not run\"\t%d", ct.FalseNotRun),
+		fmt.Sprintf("false \"ran\"\t%d", ct.FalseRan),
 		fmt.Sprintf("wrong answers\t%d", ct.WrongAnswers),
-		fmt.Sprintf("truncated answers\t%d", ct.TruncatedAnswers),
+		fmt.Sprintf("truncated answers that looked whole\t%d", ct.TruncatedAnswers),
+		fmt.Sprintf("double owners\t%d", ct.DoubleOwners),
+		fmt.Sprintf("new work after out\t%d", ct.NewWorkAfterOut),
+		fmt.Sprintf("beyond a cold limit\t%d", ct.ColdViolations),
+		fmt.Sprintf("beyond an upstream's slots, shed\t%d", ct.SlotViolations),
+		fmt.Sprintf("longest time without answer for a key, ms\t%d", ct.UnservedMsMax),
 		fmt.Sprintf("p50 ms\t%.1f", ct.P50Ms),
 		fmt.Sprintf("p99 ms\t%.1f", ct.P99Ms),
 	}
 }
+
+// Failures lists the reasons of requests that were not answered, each with its
+// number.
+func (ld *Load) Failures() map[string]int {
+	ld.mu.Lock()
+	defer ld.mu.Unlock()
+	reasons := map[string]int{}
+	for _, list := range [][]outcome{ld.outcomes, ld.probes} {
+		for _, oc := range list {
+			if oc.reason != "" {
+				reasons[oc.verdict.String()+": "+oc.reason]++
+			}
+		}
+	}
+	return reasons
+}
--- a/internal/serving/admission/flow.go
+++ b/internal/serving/admission/flow.go
@@ -224,7 +224,9 @@
 		co.leave(fl)
 	}
 	delete(co.flows, fl.request.ID)
-	co.memory.keep(fl.request.ID, fl.request.Deadline, !fl.doubt)
+	if !misdirected(outcome) {
+		co.memory.keep(fl.request.ID, fl.request.Deadline, !fl.doubt)
+	}
 	for _, at := range fl.attempts {
 		cmds = append(cmds, co.cancel(at)...)
 	}
@@ -232,6 +234,13 @@
 	return cmds
 }
 
+// misdirected tells whether a request only came to the wrong place. Such an end
+// is not final: the entry may send the request here again.
+func misdirected(outcome Cmd) bool {
+	rc, ok := outcome.(RefuseCmd)
+	return ok && verdict.Misdirected(rc.Err)
+}
+
 // withdraw ends a request whose caller has gone.
 func (co *Core[P]) withdraw(id ident.Request) []Cmd {
 	fl := co.flows[id]
--- a/internal/serving/admission/tick.go
+++ b/internal/serving/admission/tick.go
@@ -83,7 +83,7 @@
 	}
 	var cmds []Cmd
 	for _, fl := range lost {
-		cmds = append(cmds, co.giveUp(fl, http.StatusServiceUnavailable, "the key has no owner here now", minRetryAfter)...)
+		cmds = append(cmds, co.giveUp(fl, http.StatusMisdirectedRequest, "the key has no owner here now", minRetryAfter)...)
 	}
 	return cmds
 }
--- a/internal/stand/upstream/serve.go
+++ b/internal/stand/upstream/serve.go
@@ -16,8 +16,8 @@
 	"chervilwalk/internal/platform/control"
 )
 
-// bodyChunkBytes is the size of the pieces in which large answers are sent.
-const bodyChunkBytes = 16 << 10
+// PieceBytes is the size of the pieces in which large answers are sent.
+const PieceBytes = 16 << 10
 
 // ending tells how a run came to its end.
 type ending int
@@ -213,12 +213,12 @@
 // writePieces sends the head, then the filler up to size bytes, but no more
 // than limit bytes together.
 func writePieces(rw io.Writer, head, filler string, size, limit int, free func()) {
-	fill := strings.Repeat(filler, bodyChunkBytes/len(filler)+1)
+	fill := strings.Repeat(filler, PieceBytes/len(filler)+1)
 	sent := 0
 	for sent < limit {
 		piece := head
 		if sent > 0 {
-			piece = fill[:min(size-sent, bodyChunkBytes)]
+			piece = fill[:min(size-sent, PieceBytes)]
 		}
 		piece = piece[:min(len(piece), limit-sent)]
 		sent += len(piece)
