--- a/cmd/chervilwalk/node.go
+++ b/cmd/chervilwalk/node.go
@@ -21,6 +21,9 @@
 // stopTimeout bounds the wait for requests in flight at a planned stop.
 const stopTimeout = 65 * time.Second
 
+// errStoppedAtOnce says that a second signal cut the planned stop short.
+var errStoppedAtOnce = eris.New("stopped at once by a second signal")
+
 // nodeCommand runs one node until SIGTERM or SIGINT.
 type nodeCommand struct {
 	Host     string   `long:"host" env:"CHERVILWALK_HOST" required:"true" description:"Name of this host in the bundle"`
@@ -49,10 +52,24 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	<-signals
-	log.Info("node stopping")
+	log.Info("node stopping: handing over and finishing what is in flight")
+	return stopNode(nd, signals)
+}
+
+// stopNode stops as planned; a second signal ends the process at once.
+func stopNode(nd *node.Node, signals <-chan os.Signal) error {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
-	return nd.Close(ctx)
+	closed := make(chan error, 1)
+	go func() { closed <- nd.Close(ctx) }()
+	select {
+	case err := <-closed:
+		log.Info("node stopped")
+		return err
+	case <-signals:
+		log.Warn("second signal: exiting at once, requests in flight are cut")
+		return errStoppedAtOnce
+	}
 }
 
 // settings are the node's settings as they were written.
--- a/internal/operations/trial/load.go
+++ b/internal/operations/trial/load.go
@@ -30,6 +30,8 @@
 	probedKeys = 32
 	// probeEvery is the time between two requests for a probed key.
 	probeEvery = 200 * time.Millisecond
+	// callerTimeout is above the longest deadline of the examples' services.
+	callerTimeout = 90 * time.Second
 	// maxEntries is how many entries one request tries to connect to.
 	maxEntries = 4
 )
@@ -72,7 +74,7 @@
 		fleet:    fl,
 		services: fl.Bundle.Services,
 		balancer: newBalancer(fl),
-		client:   &http.Client{Transport: transport},
+		client:   &http.Client{Transport: transport, Timeout: callerTimeout},
 	}
 }
 
@@ -98,7 +100,8 @@
 				if number >= int64(requests) || !sleepUntil(ctx, due) {
 					return
 				}
-				ld.one(ctx, rand.New(rand.NewPCG(seed, uint64(number))))
+				// A request that was begun gets its outcome.
+				ld.one(context.WithoutCancel(ctx), rand.New(rand.NewPCG(seed, uint64(number))))
 			}
 		})
 	}
