--- a/internal/operations/propagation/propagation.go
+++ b/internal/operations/propagation/propagation.go
@@ -66,7 +66,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer func() { _ = fl.Close(ctx) }()
+	defer fl.Close()
 	if err := fl.AwaitServing(ctx); err != nil {
 		return nil, err
 	}
@@ -123,7 +123,11 @@
 }
 
 func everywhere(fl *trial.Fleet) bool {
-	for _, nd := range fl.Nodes {
+	for _, ho := range fl.Bundle.Hosts {
+		nd := fl.Node(ho.Name)
+		if nd == nil {
+			continue
+		}
 		if bn := nd.Bundle(); bn == nil || bn.Version != fl.Bundle.Version {
 			return false
 		}
@@ -177,7 +181,7 @@
 	cl := &http.Client{Timeout: time.Second}
 	defer cl.CloseIdleConnections()
 	for time.Since(begun) < patience {
-		answer, err := cl.Get("http://" + fl.Entries[name] + "/certificates/one")
+		answer, err := cl.Get("http://" + fl.Entry(name) + "/certificates/one")
 		if err == nil {
 			_, _ = io.Copy(io.Discard, answer.Body)
 			_ = answer.Body.Close()
