--- a/internal/stand/fleet/node.go
+++ b/internal/stand/fleet/node.go
@@ -224,3 +224,16 @@
 	}
 	return "", false
 }
+
+// Report gives a load report to the node that holds a pool.
+func (fl *Fleet) Report(pl ident.Pool, msg authority.LoadMsg) {
+	if ho, ok := fl.HolderOf(pl); ok {
+		fl.Nodes[ho].take(msg)
+	}
+}
+
+// Leads tells whether a host's process has the right to lead its domain.
+func (fl *Fleet) Leads(ho ident.Host) bool {
+	nd := fl.Nodes[ho]
+	return nd.up && nd.core.Leads(nd.clock.Now())
+}
