Send an unkeyed request on to the domain with room, and let a refused one return

Cause: the entry went to another domain only after a refusal at the deadline, so that one domain's queue grew long while another's was empty. The inner protocol now carries that another pool may take a call, and the wait that a full pool estimated; after all pools have sent a call away the one with the shortest wait keeps it.

An id that was refused as not run may come again, since its sender knows that it was not run; an id that was barred may not. Before, a request sent back to a holder after a lapse was refused for good.

--- a/internal/fleet/inner/codec.go
+++ b/internal/fleet/inner/codec.go
@@ -25,6 +25,7 @@
 		Body:            ca.Body,
 		RemainingMicros: time.Until(ca.Deadline).Microseconds(),
 		Idempotent:      ca.Idempotent,
+		Elsewhere:       ca.Elsewhere,
 	}
 }
 
@@ -41,6 +42,7 @@
 		Body:       pb.GetBody(),
 		Deadline:   time.Now().Add(time.Duration(pb.GetRemainingMicros()) * time.Microsecond),
 		Idempotent: pb.GetIdempotent(),
+		Elsewhere:  pb.GetElsewhere(),
 	}
 }
 
@@ -88,6 +90,7 @@
 		Reason:           er.Reason,
 		RetryAfterMillis: er.RetryAfter.Milliseconds(),
 		Status:           int32(er.Status),
+		WaitMicros:       er.Wait.Microseconds(),
 	}}}
 }
 
@@ -97,6 +100,7 @@
 		Status:     int(en.GetStatus()),
 		Reason:     en.GetReason(),
 		RetryAfter: time.Duration(en.GetRetryAfterMillis()) * time.Millisecond,
+		Wait:       time.Duration(en.GetWaitMicros()) * time.Microsecond,
 	}
 }
 
--- a/internal/fleet/inner/inner.go
+++ b/internal/fleet/inner/inner.go
@@ -53,6 +53,8 @@
 	Header     http.Header
 	Body       []byte
 	Idempotent bool
+	// Elsewhere means that another pool may take the call if this one is full.
+	Elsewhere bool
 	// Deadline is on the process's own clock; the time left crosses the wire.
 	Deadline time.Time
 }
--- a/internal/fleet/node/pool.go
+++ b/internal/fleet/node/pool.go
@@ -163,6 +163,7 @@
 		Keyed:      pt.keyed,
 		Slice:      ca.Slice,
 		Idempotent: ca.Idempotent,
+		Elsewhere:  ca.Elsewhere,
 		Deadline:   pt.node.clock.Now().Add(left),
 	}}
 	if !pt.post(poolMsg{msg: arrive, call: pc}) {
--- a/internal/fleet/node/routing.go
+++ b/internal/fleet/node/routing.go
@@ -38,8 +38,11 @@
 	call    *inner.Call
 	// until is when the waiting for new routes ends.
 	until time.Time
-	// full lists the pools that refused the request for load.
-	full map[ident.Pool]bool
+	// waits gives the pools that refused the request for load, with the wait
+	// that they estimated; zero for a pool that cannot serve it in time.
+	waits map[ident.Pool]time.Duration
+	// last says that the pool with the shortest wait was asked to keep it.
+	last bool
 	// repeated says that the request was sent again after a broken hop.
 	repeated bool
 }
@@ -65,7 +68,7 @@
 	if ca.Deadline.Before(until) {
 		until = ca.Deadline
 	}
-	jn := &journey{node: nd, service: sv, call: ca, until: until, full: map[ident.Pool]bool{}}
+	jn := &journey{node: nd, service: sv, call: ca, until: until, waits: map[ident.Pool]time.Duration{}}
 	ctx, cancel := context.WithCancel(ctx)
 	answer, err := jn.run(ctx)
 	if err != nil {
@@ -97,7 +100,7 @@
 				return nil, err
 			}
 		case jn.overflows(err):
-			jn.full[jn.call.Pool] = true
+			jn.waits[jn.call.Pool] = verdict.From(err).Wait
 		case jn.repeats(ctx, err):
 			jn.repeated = true
 		default:
@@ -131,33 +134,61 @@
 	return jn.node.forward(ctx, pe, jn.call)
 }
 
-// pool is the pool of a keyed call's slice, or the nearest that is held and has
-// not refused the call for load.
+// pool is the pool of a keyed call's slice. For any other call it is the nearest
+// held pool that has not refused it, and after all of them the one with the
+// shortest wait, which keeps the call.
 func (jn *journey) pool(rt *route.Table) (ident.Pool, bool) {
 	if jn.service.Keyed {
 		return rt.PoolOf(jn.service.Name, jn.call.Slice)
 	}
-	for _, pl := range rt.Nearest[jn.service.Name] {
-		if ho, ok := rt.Holder(pl); ok && ho != "" && !jn.full[pl] {
+	held := jn.held(rt)
+	jn.call.Elsewhere = len(held) > 1
+	for _, pl := range held {
+		if _, refused := jn.waits[pl]; !refused {
 			return pl, true
 		}
 	}
-	return "", false
+	jn.call.Elsewhere = false
+	jn.last = true
+	return jn.shortest(held)
+}
+
+// held lists the service's pools that have a holder, nearest first.
+func (jn *journey) held(rt *route.Table) []ident.Pool {
+	var held []ident.Pool
+	for _, pl := range rt.Nearest[jn.service.Name] {
+		if ho, ok := rt.Holder(pl); ok && ho != "" {
+			held = append(held, pl)
+		}
+	}
+	return held
 }
 
-// overflows tells whether another pool may take what this one refused for load.
+// shortest is the pool that estimated the shortest wait.
+func (jn *journey) shortest(held []ident.Pool) (ident.Pool, bool) {
+	best, found := ident.Pool(""), false
+	for _, pl := range held {
+		if wait := jn.waits[pl]; wait > 0 && (!found || wait < jn.waits[best]) {
+			best, found = pl, true
+		}
+	}
+	return best, found
+}
+
+// overflows tells whether a pool may take what this one refused for load.
 func (jn *journey) overflows(err error) bool {
 	er := verdict.From(err)
-	if jn.service.Keyed || er.Verdict != verdict.NotRun || er.Status != http.StatusServiceUnavailable {
+	if jn.service.Keyed || jn.last || er.Verdict != verdict.NotRun || er.Status != http.StatusServiceUnavailable {
 		return false
 	}
-	rt := jn.node.routes.Load()
-	for _, pl := range rt.Nearest[jn.service.Name] {
-		if ho, ok := rt.Holder(pl); ok && ho != "" && pl != jn.call.Pool && !jn.full[pl] {
+	held := jn.held(jn.node.routes.Load())
+	for _, pl := range held {
+		if _, refused := jn.waits[pl]; pl != jn.call.Pool && !refused {
 			return true
 		}
 	}
-	return false
+	_, found := jn.shortest(held)
+	return found || er.Wait > 0
 }
 
 // repeats tells whether a call whose hop broke is sent once more.
--- a/internal/operations/comparison/fleet.go
+++ b/internal/operations/comparison/fleet.go
@@ -265,8 +265,8 @@
 	case admission.AnswerCmd:
 		hd.finish(cm.ID, true, false)
 	case admission.RefuseCmd:
-		if cm.Wait > 0 {
-			hd.fleet.tryNext(hd.calls[cm.ID], hd, cm.Wait)
+		if cm.Err.Wait > 0 {
+			hd.fleet.tryNext(hd.calls[cm.ID], hd, cm.Err.Wait)
 			return
 		}
 		hd.finish(cm.ID, false, true)
--- a/internal/serving/admission/arrive.go
+++ b/internal/serving/admission/arrive.go
@@ -65,7 +65,8 @@
 // since the request may come back.
 func (co *Core[P]) sendAway(rq Request, wait time.Duration) []Cmd {
 	er := verdict.Refuse(http.StatusServiceUnavailable, "the pool is full for now", minRetryAfter)
-	return []Cmd{RefuseCmd{ID: rq.ID, Err: er, Wait: wait}}
+	er.Wait = wait
+	return []Cmd{RefuseCmd{ID: rq.ID, Err: er}}
 }
 
 // known answers for an id that was here before; it is never run again.
@@ -73,12 +74,12 @@
 	if co.flows[id] != nil {
 		return nil, true
 	}
-	notRun, ok := co.memory.find(id)
+	en, ok := co.memory.find(id)
 	switch {
-	case !ok:
+	case !ok || en == refused:
 		return nil, false
-	case notRun:
-		er := verdict.Refuse(http.StatusServiceUnavailable, "the request was ended before it arrived", 0)
+	case en == barred:
+		er := verdict.Refuse(http.StatusServiceUnavailable, "the request was barred before it arrived", 0)
 		return []Cmd{RefuseCmd{ID: id, Err: er}}, true
 	default:
 		er := verdict.Doubt(http.StatusConflict, "a request with this id was here before")
@@ -88,7 +89,7 @@
 
 // refuse ends a request that was never queued.
 func (co *Core[P]) refuse(rq Request, status int, reason string, after time.Duration) []Cmd {
-	co.memory.keep(rq.ID, rq.Deadline, true)
+	co.memory.keep(rq.ID, rq.Deadline, refused)
 	return []Cmd{RefuseCmd{ID: rq.ID, Err: verdict.Refuse(status, reason, after)}}
 }
 
@@ -192,10 +193,13 @@
 	if fl := co.flows[id]; fl != nil {
 		return co.barOpen(fl)
 	}
-	if notRun, ok := co.memory.find(id); ok {
-		return []Cmd{BarredCmd{ID: id, Barred: notRun}}
+	if en, ok := co.memory.find(id); ok && en == doubtful {
+		return []Cmd{BarredCmd{ID: id}}
+	} else if ok {
+		co.memory.keep(id, now.Add(barTime), barred)
+		return []Cmd{BarredCmd{ID: id, Barred: true}}
 	}
-	co.memory.keep(id, now.Add(barTime), true)
+	co.memory.keep(id, now.Add(barTime), barred)
 	return []Cmd{BarredCmd{ID: id, Barred: !now.Before(co.began.Add(barTime))}}
 }
 
@@ -205,7 +209,9 @@
 		return []Cmd{BarredCmd{ID: id}}
 	}
 	cmds := []Cmd{BarredCmd{ID: id, Barred: true}}
-	return append(cmds, co.giveUp(fl, http.StatusServiceUnavailable, "the request was barred", 0)...)
+	cmds = append(cmds, co.giveUp(fl, http.StatusServiceUnavailable, "the request was barred", 0)...)
+	co.memory.keep(id, fl.request.Deadline, barred)
+	return cmds
 }
 
 // barTime is longer than any request lives.
--- a/internal/serving/admission/flow.go
+++ b/internal/serving/admission/flow.go
@@ -224,7 +224,11 @@
 		co.leave(fl)
 	}
 	delete(co.flows, fl.request.ID)
-	co.memory.keep(fl.request.ID, fl.request.Deadline, !fl.doubt)
+	en := refused
+	if fl.doubt {
+		en = doubtful
+	}
+	co.memory.keep(fl.request.ID, fl.request.Deadline, en)
 	for _, at := range fl.attempts {
 		cmds = append(cmds, co.cancel(at)...)
 	}
--- a/internal/serving/admission/memory.go
+++ b/internal/serving/admission/memory.go
@@ -12,10 +12,22 @@
 // that a late copy or a late bar gets a true answer.
 const memoryTime = 2 * time.Second
 
-// memory keeps whether requests that have ended were not run.
+// ending is how a request ended.
+type ending int
+
+const (
+	// refused means that it was not run; its sender may send it again.
+	refused ending = iota
+	// barred means that it was not run and must not be.
+	barred
+	// doubtful means that it may have run.
+	doubtful
+)
+
+// memory keeps how requests have ended.
 type memory struct {
-	notRun map[ident.Request]bool
-	ends   expiryHeap
+	endings map[ident.Request]ending
+	ends    expiryHeap
 }
 
 type expiry struct {
@@ -24,25 +36,25 @@
 }
 
 func newMemory() memory {
-	return memory{notRun: map[ident.Request]bool{}}
+	return memory{endings: map[ident.Request]ending{}}
 }
 
-func (me *memory) keep(id ident.Request, deadline clock.Instant, notRun bool) {
-	if _, ok := me.notRun[id]; !ok {
+func (me *memory) keep(id ident.Request, deadline clock.Instant, en ending) {
+	if _, ok := me.endings[id]; !ok {
 		heap.Push(&me.ends, expiry{until: deadline.Add(memoryTime), id: id})
 	}
-	me.notRun[id] = notRun
+	me.endings[id] = en
 }
 
-func (me *memory) find(id ident.Request) (notRun, ok bool) {
-	notRun, ok = me.notRun[id]
-	return notRun, ok
+func (me *memory) find(id ident.Request) (en ending, ok bool) {
+	en, ok = me.endings[id]
+	return en, ok
 }
 
 func (me *memory) forget(now clock.Instant) {
 	for len(me.ends) > 0 && !now.Before(me.ends[0].until) {
 		ex, _ := heap.Pop(&me.ends).(expiry)
-		delete(me.notRun, ex.id)
+		delete(me.endings, ex.id)
 	}
 }
 
--- a/internal/serving/admission/message.go
+++ b/internal/serving/admission/message.go
@@ -134,9 +134,6 @@
 type RefuseCmd struct {
 	ID  ident.Request
 	Err *verdict.Error
-	// Wait is the estimated wait that led to the refusal of a request that
-	// another pool may take, so that its sender can choose.
-	Wait time.Duration
 }
 
 // FailCmd ends a request that may have run. It is an outcome.
--- a/internal/serving/admission/rules_test.go
+++ b/internal/serving/admission/rules_test.go
@@ -192,3 +192,31 @@
 	rg.core.Update(rg.now, admission.ViewMsg{View: vw})
 	gm.Expect(rg.arrive(5, "")).To(HaveLen(1))
 }
+
+// A request that another pool may take is sent away from a long queue with the
+// estimated wait, and may come back to stay.
+func TestFullPoolSendsAwayWhatMayGoElsewhere(t *testing.T) {
+	gm := NewWithT(t)
+	rg := newRig(1)
+	rg.arrive(20, "")
+	rq := admission.Request{ID: "guest", Idempotent: true, Elsewhere: true, Deadline: rg.now.Add(time.Second)}
+	away := of[admission.RefuseCmd](rg.core.Update(rg.now, admission.ArriveMsg{Request: rq}))
+	gm.Expect(away).To(HaveLen(1))
+	gm.Expect(away[0].Err.Wait).To(BeNumerically(">", 50*time.Millisecond))
+	rq.Elsewhere = false
+	gm.Expect(rg.core.Update(rg.now, admission.ArriveMsg{Request: rq})).To(BeEmpty())
+}
+
+// A request that was refused may be sent again; once it is barred it may not.
+func TestRefusedRequestMayComeAgainUntilItIsBarred(t *testing.T) {
+	gm := NewWithT(t)
+	rg := newRig(1)
+	rg.arrive(2, "")
+	rq := admission.ArriveMsg{Request: admission.Request{ID: "again", Deadline: rg.now.Add(time.Minute)}}
+	rg.core.Update(rg.now, rq)
+	gm.Expect(of[admission.RefuseCmd](rg.core.Update(rg.now, admission.CancelMsg{ID: "again"}))).To(HaveLen(1))
+	gm.Expect(rg.core.Update(rg.now, rq)).To(BeEmpty())
+	gm.Expect(of[admission.RefuseCmd](rg.core.Update(rg.now, admission.CancelMsg{ID: "again"}))).To(HaveLen(1))
+	gm.Expect(rg.core.Update(rg.now, admission.BarMsg{ID: "again"})).To(ContainElement(admission.BarredCmd{ID: "again", Barred: true}))
+	gm.Expect(of[admission.RefuseCmd](rg.core.Update(rg.now, rq))).To(HaveLen(1))
+}
--- a/internal/serving/verdict/verdict.go
+++ b/internal/serving/verdict/verdict.go
@@ -58,6 +58,9 @@
 	Reason string
 	// RetryAfter tells the caller when to ask again; zero when it should not.
 	RetryAfter time.Duration
+	// Wait is the estimated wait for which a full pool sent away a request that
+	// another pool may take; zero for all other errors.
+	Wait time.Duration
 	// Refusal tells how the verdict NotRun was proved, if by an upstream.
 	Refusal Refusal
 }
