Cool a straggler's ramp once, when it is convicted

Cause: a convicted upstream was held at its cold limit for as long as it was slow, so that the owner of a key that ran 10 times slower lost half of its slots on top. Now conviction cools once and the ramp rises again with what is served.

A request whose slice has no owner is sent back to its entry after 250 ms, which looks for another pool, in place of 1 s.

--- a/internal/serving/admission/estimate.go
+++ b/internal/serving/admission/estimate.go
@@ -55,13 +55,12 @@
 	}
 }
 
-// judge adds an upstream to the pool's rates, and starts its way back when it
-// is slow. A jump in its time may mean that it turned cold, so a straggler's
-// ramp starts anew.
+// judge adds an upstream to the pool's rates. A jump in its time may mean that
+// it turned cold, so that its ramp starts anew, once, when it is convicted.
 func (co *Core[P]) judge(now clock.Instant, up *upstream) {
 	slow := straggler.Slow(up.expected, co.figures.median)
-	if straggler.Convicted(up.expected, co.figures.median) && !co.options.plain && co.options.known == nil {
-		up.ramp.Cool()
+	if co.options.known == nil && !co.options.plain {
+		up.judge(slow, straggler.Convicted(up.expected, co.figures.median))
 	}
 	if up.open(now) && up.turnover > 0 {
 		rate := float64(up.places()) * float64(time.Second) / float64(up.turnover)
@@ -86,7 +85,7 @@
 		up.sample = took
 	}
 	up.downPause = 0
-	if !straggler.Convicted(took, 2*co.figures.median) {
+	if !straggler.Convicted(took, max(up.expected, co.figures.median)) {
 		up.ramp.Served()
 	}
 }
--- a/internal/serving/admission/tick.go
+++ b/internal/serving/admission/tick.go
@@ -12,8 +12,9 @@
 	// hedgeFactor times the pool's median is the age at which a request at a
 	// slow upstream is sent to another one as well.
 	hedgeFactor = 4
-	// ownerWait is how long a request waits for an owner of its slice.
-	ownerWait = time.Second
+	// ownerWait is how long a request waits for an owner of its slice before
+	// it is sent back to look for another pool.
+	ownerWait = 250 * time.Millisecond
 	// minProbeGap and maxProbeGap bound the time between two probes.
 	minProbeGap = 100 * time.Millisecond
 	maxProbeGap = 2 * time.Second
@@ -34,7 +35,7 @@
 	cmds := co.expireQueues(now)
 	cmds = append(cmds, co.expireAttempts(now)...)
 	if !co.options.plain {
-		cmds = append(cmds, co.hedge(now)...)
+		co.hedge(now)
 		cmds = append(cmds, co.probe(now)...)
 	}
 	co.forgetLeft()
@@ -105,7 +106,7 @@
 
 // hedge queues a second copy of the idempotent requests that are stuck at a
 // slow upstream. The owner of a key has no second.
-func (co *Core[P]) hedge(now clock.Instant) []Cmd {
+func (co *Core[P]) hedge(now clock.Instant) {
 	for _, up := range co.order {
 		if !straggler.Slow(up.expected, co.figures.median) {
 			continue
@@ -117,7 +118,6 @@
 			}
 		}
 	}
-	return nil
 }
 
 func (co *Core[P]) hedgeable(now clock.Instant, at *attempt) bool {
--- a/internal/serving/admission/upstream.go
+++ b/internal/serving/admission/upstream.go
@@ -44,6 +44,8 @@
 	expected time.Duration
 	turnover time.Duration
 
+	// convicted is set until the upstream is no longer slow.
+	convicted   bool
 	pausedUntil clock.Instant
 	staleUntil  clock.Instant
 	downPause   time.Duration
@@ -81,6 +83,14 @@
 	up.probe = prober{}
 }
 
+// judge cools the ramp when the upstream becomes a straggler.
+func (up *upstream) judge(slow, convicted bool) {
+	if convicted && !up.convicted {
+		up.ramp.Cool()
+	}
+	up.convicted = convicted || (up.convicted && slow)
+}
+
 // cool starts the ramp anew: the upstream shows signs of a restart.
 func (up *upstream) cool(now clock.Instant) {
 	up.ramp.Cool()
