Give every call of an ending pool its true verdict

Cause: an ending pool task said that it had ended before it had told the calls that were in flight, so that one of them could find the task ended without a result and be refused as not run although it had been sent. The order is now the other way round, and a view that comes late no longer revives a closing pool.

Tests of the shell: the slot of a caller that has gone stays taken until the upstream confirms; an ending pool tells what it sent from what it queued.

--- a/internal/fleet/node/pool.go
+++ b/internal/fleet/node/pool.go
@@ -138,6 +138,11 @@
 
 // show hands on a view, and the pool's upstreams when the bundle has changed.
 func (pt *poolTask) show(vw authority.View) {
+	select {
+	case <-pt.closing:
+		return
+	default:
+	}
 	bn := pt.node.Bundle()
 	if pt.shown.Swap(bn) != bn {
 		if pl, ok := poolOf(bn, vw.Pool); ok {
@@ -307,7 +312,6 @@
 // may have run, all others were not.
 func (pt *poolTask) end() {
 	pt.close()
-	close(pt.done)
 	for id, pc := range pt.calls {
 		err := poolGone()
 		if pc.sent {
@@ -315,6 +319,9 @@
 		}
 		pt.finish(id, poolResult{err: err})
 	}
+	// Whoever finds the task ended without a result was never read from the
+	// inbox, and so was not run.
+	close(pt.done)
 	for _, stop := range pt.sends {
 		stop()
 	}
