--- a/internal/operations/comparison/fleet.go
+++ b/internal/operations/comparison/fleet.go
@@ -7,8 +7,6 @@
 	"slices"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-
 	"chervilwalk/internal/fleet/clock"
 	"chervilwalk/internal/fleet/ident"
 	"chervilwalk/internal/operations/bundle"
@@ -308,64 +306,3 @@
 func sortVisits(list []*visit) {
 	slices.SortFunc(list, func(left, right *visit) int { return cmp.Compare(left.call.id, right.call.id) })
 }
-
-// figures sums the calls up.
-func (fl *fleet) figures() Figures {
-	hg := hdrhistogram.New(1, (2 * patience).Microseconds(), 3)
-	var fg Figures
-	runs, ran := 0, 0
-	for _, cl := range fl.calls {
-		runs += cl.runs
-		if cl.runs > 0 {
-			ran++
-		}
-		if cl.runs > 1 && !cl.idempotent {
-			fg.DoubleRuns++
-		}
-		took := patience
-		switch {
-		case cl.answered && cl.took <= patience:
-			took = cl.took
-		case cl.notRun:
-			fg.Refused++
-			if cl.runs > 0 {
-				fg.FalseNotRun++
-			}
-		default:
-			fg.Failed++
-		}
-		_ = hg.RecordValue(took.Microseconds())
-	}
-	for _, tg := range fl.targets {
-		fg.SlotViolations += tg.violations
-		fg.EarlySheds += tg.early
-	}
-	count := float64(len(fl.calls))
-	fg.P50Ms = millis(hg, 50)
-	fg.P99Ms = millis(hg, 99)
-	fg.P999Ms = millis(hg, 99.9)
-	fg.Goodput = fl.goodput()
-	fg.ExtraLoad = float64(runs-ran) / count
-	fg.Refused /= count
-	fg.Failed /= count
-	return fg
-}
-
-// goodput is the rate of answers in time over the capacity, from the time when
-// the queues are full in an overload to the last arrival.
-func (fl *fleet) goodput() float64 {
-	last := fl.calls[len(fl.calls)-1].at
-	first := min(clock.Instant(2*patience), last/2)
-	count := 0
-	for _, cl := range fl.calls {
-		got := cl.at.Add(cl.took)
-		if cl.answered && cl.took <= patience && first <= got && got < last {
-			count++
-		}
-	}
-	return float64(count) / last.Sub(first).Seconds() / capacity(fl.config, fl.service)
-}
-
-func millis(hg *hdrhistogram.Histogram, quantile float64) float64 {
-	return float64(hg.ValueAtQuantile(quantile)) / 1000
-}
