--- a/internal/fleet/node/bundles.go
+++ b/internal/fleet/node/bundles.go
@@ -40,6 +40,9 @@
 	// contradictions lists where the settings differ from the bundle.
 	contradictions atomic.Pointer[[]string]
 
+	// takesPart is set once ownership knows a bundle; it belongs to run.
+	takesPart bool
+
 	mu sync.Mutex
 	// answered holds the latest answer of each peer, for the dump.
 	answered map[string]dump.Peer
@@ -165,12 +168,17 @@
 // enforce shows a state to the rest of the node.
 func (bt *bundleTask) enforce(ctx context.Context, st *rollout.State) {
 	before := bt.state.Swap(st)
-	bt.node.metrics.InForce(uint64(st.Bundle.Version))
-	bt.node.owner.tell(ctx, authority.BundleMsg{Bundle: st.Effective})
 	if before != nil && before.Bundle.Version == st.Bundle.Version {
 		bt.node.log.WithField("version", st.Bundle.Version).Info("census changed")
-		return
+	} else {
+		bt.compare(st)
 	}
+	bt.own(ctx, st)
+}
+
+// compare notes a new version and where the settings differ from it.
+func (bt *bundleTask) compare(st *rollout.State) {
+	bt.node.metrics.InForce(uint64(st.Bundle.Version))
 	bt.node.log.WithFields(log.Fields{"version": st.Bundle.Version, "key": st.Seal.Key}).Info("bundle in force")
 	cf := &bt.node.config
 	problems := setting.Contradictions(st.Bundle, cf.Host, cf.Domain, cf.Inner.Addr().String())
@@ -181,6 +189,18 @@
 	}
 }
 
+// own tells ownership of a bundle. A node that starts with settings that
+// contradict it takes part in nothing until that is mended: it would vote in a
+// domain that is not its own. One that took part already goes on, so that it
+// can hand over.
+func (bt *bundleTask) own(ctx context.Context, st *rollout.State) {
+	if bt.contradiction() != "" && !bt.takesPart {
+		return
+	}
+	bt.takesPart = true
+	bt.node.owner.tell(ctx, authority.BundleMsg{Bundle: st.Effective})
+}
+
 // forget drops the answers of peers that a bundle no longer has.
 func (bt *bundleTask) forget(bn *bundle.Bundle) {
 	bt.mu.Lock()
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -140,10 +140,10 @@
 	switch {
 	case nd.draining.Load():
 		return false, "draining"
-	case nd.routes.Load() == nil:
-		return false, "starting"
 	case nd.bundles.contradiction() != "":
 		return false, "misconfigured: " + nd.bundles.contradiction()
+	case nd.routes.Load() == nil:
+		return false, "starting"
 	default:
 		return true, "serving"
 	}
