--- a/cmd/chervilbench/rollout.go
+++ b/cmd/chervilbench/rollout.go
@@ -37,7 +37,14 @@
 		fmt.Printf("  domain out: last new request after %.1f ms; node start to first answer: %.1f ms\n", rs.LastNewRequestMs, rs.FirstAnswerMs)
 		results = append(results, rs)
 	}
+	size, err := propagation.FullSize()
+	if err != nil {
+		return err
+	}
+	fmt.Printf("full size: %d bytes of text, %d compressed; %.0f bytes a second and node; %.1f ms to read\n",
+		size.BodyBytes, size.GzipBytes, size.NodeBytesPerSecond, size.OpenMs)
 	return json.NewEncoder(os.Stdout).Encode(struct {
-		Fleets []*propagation.Result `json:"fleets"`
-	}{results})
+		Fleets   []*propagation.Result `json:"fleets"`
+		FullSize propagation.Size      `json:"fullSize"`
+	}{results, size})
 }
--- a/cmd/chervilwalk/dump.go
+++ b/cmd/chervilwalk/dump.go
@@ -19,7 +19,7 @@
 
 // dumpCommand shows the state of one node.
 type dumpCommand struct {
-	Admin   string        `long:"admin" env:"CHERVILWALK_ADMIN" default:"127.0.0.1:7301" description:"The node's IP and port for operators"`
+	Admin   string        `long:"admin" env:"CHERVILWALK_ADMIN" default:"127.0.0.1:7200" description:"The node's IP and port for operators"`
 	JSON    bool          `long:"json" description:"Print JSON"`
 	Timeout time.Duration `long:"timeout" default:"5s" description:"Time for the whole command"`
 }
--- a/cmd/chervilwalk/node.go
+++ b/cmd/chervilwalk/node.go
@@ -27,7 +27,7 @@
 	Domain   string   `long:"domain" env:"CHERVILWALK_DOMAIN" required:"true" description:"Failure domain of this host"`
 	Callers  string   `long:"callers" env:"CHERVILWALK_CALLERS" required:"true" description:"IP and port for callers"`
 	Inner    string   `long:"inner" env:"CHERVILWALK_INNER" required:"true" description:"IP and port of the inner protocol"`
-	Admin    string   `long:"admin" env:"CHERVILWALK_ADMIN" default:"127.0.0.1:7301" description:"IP and port for operators: dump, metrics and health"`
+	Admin    string   `long:"admin" env:"CHERVILWALK_ADMIN" default:"127.0.0.1:7200" description:"IP and port for operators: dump, metrics and health"`
 	Platform string   `long:"platform" env:"CHERVILWALK_PLATFORM" required:"true" description:"IP and port of the platform"`
 	Keys     []string `long:"trusted-key" env:"CHERVILWALK_TRUSTED_KEYS" env-delim:"," description:"NAME=BASE64 of a public key trusted before the first bundle"`
 	Peers    []string `long:"peer" env:"CHERVILWALK_PEERS" env-delim:"," description:"Inner IP and port of another node to ask for a bundle at the start"`
--- a/internal/operations/acceptance/acceptance_test.go
+++ b/internal/operations/acceptance/acceptance_test.go
@@ -225,6 +225,10 @@
 	fk.objects[object.DigestOf(sl.Body)] = sl.Body[:9]
 	_, err = fk.shelf().Current(t.Context())
 	gm.Expect(err).To(MatchError(acceptance.ErrBody))
+	_, err = fk.shelf().Accept(t.Context(), sl)
+	gm.Expect(err).NotTo(HaveOccurred(), "accepting the same bundle again stores its body again")
+	_, err = fk.shelf().Current(t.Context())
+	gm.Expect(err).NotTo(HaveOccurred())
 }
 
 func TestAwaitNamesWhoHasItAndWhoHasNot(t *testing.T) {
