Tell every other domain of a change that came from the platform

Ruled out: the fetch, which is done in milliseconds. Each node told one random host of one other domain. Nodes that fetched the body from the object store now tell one host of every other domain.

--- a/internal/operations/rollout/fleet_test.go
+++ b/internal/operations/rollout/fleet_test.go
@@ -42,7 +42,7 @@
 	objects      map[object.Digest][]byte
 	census       []census.Entry
 	platformDown bool
-	cutDomain    ident.Domain
+	cut          map[ident.Domain]bool
 	lossPercent  int
 
 	reads, notices, bodies int
@@ -178,7 +178,7 @@
 
 // silent tells whether a node gets no answer from the platform.
 func (fl *fleet) silent(mb *member) bool {
-	return fl.platformDown || mb.settings.Domain == fl.cutDomain
+	return fl.platformDown || fl.cut[mb.settings.Domain]
 }
 
 func (fl *fleet) readRow(mb *member) {
--- a/internal/operations/rollout/gossip.go
+++ b/internal/operations/rollout/gossip.go
@@ -16,7 +16,7 @@
 	if co.state == nil {
 		return nil
 	}
-	cmds := co.learnLeaving(now, mg.Leaving)
+	cmds := co.learnLeaving(now, mg.Leaving, narrow)
 	if mg.Version <= co.version() {
 		return cmds
 	}
@@ -30,16 +30,16 @@
 	return append(cmds, co.fetchPeer(offer{peer: peer, version: mg.Version})...)
 }
 
-// neighbours lists the inner addresses of a bundle's other hosts in random
-// order: those of the node's own domain, and the rest.
-func (co *Core) neighbours(bn *bundle.Bundle) (near, far []string) {
+// neighbours lists a bundle's other hosts in random order: those of the node's
+// own domain, and the rest.
+func (co *Core) neighbours(bn *bundle.Bundle) (near, far []bundle.Host) {
 	for _, ho := range bn.Hosts {
 		switch {
 		case ho.Name == co.settings.Host:
 		case ho.Domain == co.settings.Domain:
-			near = append(near, ho.Inner)
+			near = append(near, ho)
 		default:
-			far = append(far, ho.Inner)
+			far = append(far, ho)
 		}
 	}
 	co.shuffle(near)
@@ -47,17 +47,36 @@
 	return near, far
 }
 
-func (co *Core) shuffle(list []string) {
+func (co *Core) shuffle(list []bundle.Host) {
 	co.random.Shuffle(len(list), func(left, right int) { list[left], list[right] = list[right], list[left] })
 }
 
-// spread tells a few hosts of the own domain and one of another.
-func (co *Core) spread(now clock.Instant) []Cmd {
+// reach says how far a node spreads what it has learned.
+type reach int
+
+const (
+	// narrow tells a few hosts of the own domain and one of another.
+	narrow reach = iota
+	// wide tells one host of every other domain; those do so who have learned
+	// from the platform, since a domain may not reach it.
+	wide
+)
+
+// spread tells a few hosts of the own domain and some of others.
+func (co *Core) spread(now clock.Instant, rc reach) []Cmd {
 	near, far := co.neighbours(co.state.Bundle)
-	targets := append(near[:min(len(near), fanOut)], far[:min(len(far), 1)]...)
+	targets := near[:min(len(near), fanOut)]
+	told := map[ident.Domain]bool{}
+	for _, ho := range far {
+		if told[ho.Domain] || rc == narrow && len(told) > 0 {
+			continue
+		}
+		told[ho.Domain] = true
+		targets = append(targets, ho)
+	}
 	var cmds []Cmd
-	for _, peer := range targets {
-		cmds = append(cmds, co.tell(now, peer))
+	for _, ho := range targets {
+		cmds = append(cmds, co.tell(now, ho.Inner))
 	}
 	return cmds
 }
@@ -72,7 +91,7 @@
 	if len(near) == 0 {
 		return nil
 	}
-	return []Cmd{co.tell(now, near[0])}
+	return []Cmd{co.tell(now, near[0].Inner)}
 }
 
 func (co *Core) tell(now clock.Instant, peer string) Cmd {
@@ -119,12 +138,12 @@
 		}
 	}
 	slices.Sort(hosts)
-	return co.learnLeaving(now, Leaving{Known: true, Hosts: hosts})
+	return co.learnLeaving(now, Leaving{Known: true, Hosts: hosts}, wide)
 }
 
 // learnLeaving takes a newer reading; a different list goes in force at once
 // and is spread.
-func (co *Core) learnLeaving(now clock.Instant, lv Leaving) []Cmd {
+func (co *Core) learnLeaving(now clock.Instant, lv Leaving, rc reach) []Cmd {
 	readAt := now.Add(-lv.Age)
 	if !lv.Known || co.census.known && readAt.Sub(co.census.readAt) < censusStep {
 		return nil
@@ -134,5 +153,5 @@
 	if !changed {
 		return nil
 	}
-	return co.enforce(now, co.state.Bundle, co.state.Seal)
+	return co.enforce(now, co.state.Bundle, co.state.Seal, rc)
 }
--- a/internal/operations/rollout/message.go
+++ b/internal/operations/rollout/message.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -139,8 +140,15 @@
 // platformSource names the platform's row in refusals.
 const platformSource = "platform"
 
+// objectPrefix begins the source of a body from the object store.
+const objectPrefix = "object "
+
 func objectSource(dg object.Digest) string {
-	return "object " + string(dg)
+	return objectPrefix + string(dg)
+}
+
+func isObject(source string) bool {
+	return strings.HasPrefix(source, objectPrefix)
 }
 
 // Source is what the answer to a FetchObjectCmd must name.
--- a/internal/operations/rollout/rollout.go
+++ b/internal/operations/rollout/rollout.go
@@ -286,7 +286,11 @@
 	if co.state == nil {
 		return co.candidate(now, bn, mg.Seal)
 	}
-	return co.enforce(now, bn, mg.Seal)
+	rc := narrow
+	if isObject(mg.Source) {
+		rc = wide
+	}
+	return co.enforce(now, bn, mg.Seal, rc)
 }
 
 // isKnown tells whether a version is in force or about to be.
@@ -315,8 +319,8 @@
 
 // enforce puts a bundle in force and tells others; it is a higher one, or the
 // same under another census.
-func (co *Core) enforce(now clock.Instant, bn *bundle.Bundle, sl bundle.Seal) []Cmd {
+func (co *Core) enforce(now clock.Instant, bn *bundle.Bundle, sl bundle.Seal, rc reach) []Cmd {
 	co.state = &State{Bundle: bn, Seal: sl, Effective: bundle.Effective(bn, co.census.entries())}
 	co.poller = co.isPoller()
-	return append([]Cmd{InForceCmd{State: co.state}}, co.spread(now)...)
+	return append([]Cmd{InForceCmd{State: co.state}}, co.spread(now, rc)...)
 }
--- a/internal/operations/rollout/rollout_test.go
+++ b/internal/operations/rollout/rollout_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"chervilwalk/internal/fleet/ident"
 	"chervilwalk/internal/operations/bundle"
 	"chervilwalk/internal/operations/rollout"
 	"chervilwalk/internal/platform/census"
@@ -23,7 +24,10 @@
 		"6 nodes":                                {3, 2, func(*fleet) {}},
 		"one domain":                             {1, 2, func(*fleet) {}},
 		"420 nodes, a third of the notices lost": {7, 60, func(fl *fleet) { fl.lossPercent = 33 }},
-		"a domain cut off from the platform":     {4, 10, func(fl *fleet) { fl.cutDomain = "d2" }},
+		"a domain cut off from the platform":     {4, 10, func(fl *fleet) { fl.cut = map[ident.Domain]bool{"d2": true} }},
+		"all domains but one cut off": {8, 5, func(fl *fleet) {
+			fl.cut = map[ident.Domain]bool{"d1": true, "d2": true, "d3": true, "d4": true, "d5": true, "d6": true, "d7": true}
+		}},
 		"half of the nodes down": {6, 10, func(fl *fleet) {
 			for ix, mb := range fl.order {
 				mb.down = ix%2 == 0
--- a/internal/operations/rollout/start.go
+++ b/internal/operations/rollout/start.go
@@ -70,8 +70,8 @@
 	if first {
 		co.start.decideAt = now.Add(StartGrace)
 		near, far := co.neighbours(bn)
-		for _, peer := range append(near, far...) {
-			cmds = append(cmds, co.askAtStart(peer)...)
+		for _, ho := range append(near, far...) {
+			cmds = append(cmds, co.askAtStart(ho.Inner)...)
 		}
 	}
 	return append(cmds, co.decideStart(now)...)
@@ -88,5 +88,5 @@
 		return nil
 	}
 	co.start.best = nil
-	return co.enforce(now, best.Bundle, best.Seal)
+	return co.enforce(now, best.Bundle, best.Seal, narrow)
 }
--- a/internal/operations/setting/setting.go
+++ b/internal/operations/setting/setting.go
@@ -34,37 +34,43 @@
 // Check lists every fault of the settings, each with the flag and the remedy.
 func (nd *Node) Check() []string {
 	var problems []string
-	add := func(format string, args ...any) { problems = append(problems, fmt.Sprintf(format, args...)) }
 	if nd.Host == "" {
-		add("--host is empty: set this host's name in the bundle")
+		problems = append(problems, "--host is empty: set this host's name in the bundle")
 	}
 	if nd.Domain == "" {
-		add("--domain is empty: set this host's failure domain in the bundle")
-	}
-	listening := map[string]string{}
-	for _, ad := range []struct{ flag, text string }{{"--callers", nd.Callers}, {"--inner", nd.Inner}, {"--admin", nd.Admin}} {
-		if !validAddress(ad.text) {
-			add("%s %q: write an IP number and a port, such as 10.0.0.7:7300", ad.flag, ad.text)
-			continue
-		}
-		if other, taken := listening[ad.text]; taken {
-			add("%s %s: %s has the same address; give each its own", ad.flag, ad.text, other)
-		}
-		listening[ad.text] = ad.flag
+		problems = append(problems, "--domain is empty: set this host's failure domain in the bundle")
 	}
+	problems = append(problems, nd.checkListening()...)
 	if !validAddress(nd.Platform) {
-		add("--platform %q: write an IP number and a port", nd.Platform)
+		problems = append(problems, fmt.Sprintf("--platform %q: write an IP number and a port", nd.Platform))
 	}
 	for _, peer := range nd.Peers {
 		if !validAddress(peer) {
-			add("--peer %q: write the inner IP number and port of another node", peer)
+			problems = append(problems, fmt.Sprintf("--peer %q: write the inner IP number and port of another node", peer))
 		}
 	}
 	if _, err := ParseKeys(nd.Keys); err != nil {
-		add("%v", err)
+		problems = append(problems, err.Error())
 	}
 	if len(nd.Keys) == 0 {
-		add("no --trusted-key: add the line that bundle keygen printed, or no bundle can be trusted")
+		problems = append(problems, "no --trusted-key: add the line that bundle keygen printed, or no bundle can be trusted")
+	}
+	return problems
+}
+
+// checkListening checks the addresses that the node listens on.
+func (nd *Node) checkListening() []string {
+	var problems []string
+	used := map[string]string{}
+	for _, ad := range []struct{ flag, text string }{{"--callers", nd.Callers}, {"--inner", nd.Inner}, {"--admin", nd.Admin}} {
+		if !validAddress(ad.text) {
+			problems = append(problems, fmt.Sprintf("%s %q: write an IP number and a port, such as 10.0.0.7:7300", ad.flag, ad.text))
+			continue
+		}
+		if other, taken := used[ad.text]; taken {
+			problems = append(problems, fmt.Sprintf("%s %s: %s has the same address; give each its own", ad.flag, ad.text, other))
+		}
+		used[ad.text] = ad.flag
 	}
 	return problems
 }
