--- a/internal/fleet/node/admin_test.go
+++ b/internal/fleet/node/admin_test.go
@@ -22,8 +22,11 @@
 
 // lone is a node with an operators' address.
 type lone struct {
-	node  *node.Node
-	admin string
+	node     *node.Node
+	admin    string
+	platform string
+	bundle   *bundle.Bundle
+	key      keyfile.Key
 }
 
 // startLone starts a node of the first example host; the platform has no
@@ -61,7 +64,7 @@
 		defer cancel()
 		_ = nd.Close(ctx)
 	})
-	return lone{node: nd, admin: admin.Addr().String()}
+	return lone{node: nd, admin: admin.Addr().String(), platform: platform.Addr().String(), bundle: bn, key: ky}
 }
 
 func accept(gm *WithT, platform string, bn *bundle.Bundle, ky keyfile.Key) {
