Spare the table while a fleet waits for its first bundle

Cause: a node without a bundle asked the platform every 300 ms; 420 of them would take about 1,400 of the 2,000 reads a second. The pause now doubles up to 2 s, with jitter. Shown by TestAFleetWithoutABundleSparesTheTable: fewer than 400 reads a second at 420 nodes, and the first bundle in force within 4 s. A node that was kept out for its settings takes part once the bundle is mended; that has its test now too.

--- a/internal/fleet/node/admin_test.go
+++ b/internal/fleet/node/admin_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"chervilwalk/examples"
+	"chervilwalk/internal/fleet/ident"
 	"chervilwalk/internal/fleet/node"
 	"chervilwalk/internal/operations/acceptance"
 	"chervilwalk/internal/operations/bundle"
@@ -27,6 +28,9 @@
 	platform string
 	bundle   *bundle.Bundle
 	key      keyfile.Key
+	host     ident.Host
+	domain   ident.Domain
+	inner    string
 }
 
 // startLone starts a node of the first example host; the platform has no
@@ -64,7 +68,10 @@
 		defer cancel()
 		_ = nd.Close(ctx)
 	})
-	return lone{node: nd, admin: admin.Addr().String(), platform: platform.Addr().String(), bundle: bn, key: ky}
+	return lone{
+		node: nd, admin: admin.Addr().String(), platform: platform.Addr().String(), bundle: bn, key: ky,
+		host: host, domain: domain, inner: inner.Addr().String(),
+	}
 }
 
 func accept(gm *WithT, platform string, bn *bundle.Bundle, ky keyfile.Key) {
@@ -131,6 +138,11 @@
 			gm.Expect(status).To(Equal(http.StatusServiceUnavailable))
 			gm.Expect(ln.node.Snapshot().Term.Number).To(BeZero())
 			gm.Expect(ln.node.Snapshot().Pools).To(BeEmpty())
+
+			ln.bundle.Version = 2
+			ln.bundle.Hosts[0] = bundle.Host{Name: ln.host, Domain: ln.domain, Inner: ln.inner}
+			accept(gm, ln.platform, ln.bundle, ln.key)
+			gm.Eventually(func() ident.Host { return ln.node.Snapshot().Term.Leader }, 5*time.Second, often).ShouldNot(BeEmpty(), "once the bundle is mended, the node takes part")
 		})
 	}
 }
--- a/internal/operations/rollout/rollout.go
+++ b/internal/operations/rollout/rollout.go
@@ -34,8 +34,11 @@
 	// StartGrace is how long a node that has found a first bundle waits for a
 	// higher one before it puts it in force.
 	StartGrace = 400 * time.Millisecond
-	// StartRetry is the time between two rounds of asking while no bundle is known.
-	StartRetry = 300 * time.Millisecond
+	// StartRetry is the time between the first two rounds of asking while no
+	// bundle is known; it doubles up to maxStartRetry, so that a whole fleet
+	// without a bundle spares the table.
+	StartRetry    = 300 * time.Millisecond
+	maxStartRetry = 2 * time.Second
 	// Backoff is how long a source whose bundle was refused is left alone.
 	Backoff = 2 * time.Second
 	// RestoreEvery is the time between two tries to restore the row.
--- a/internal/operations/rollout/rollout_test.go
+++ b/internal/operations/rollout/rollout_test.go
@@ -73,6 +73,22 @@
 	gm.Expect(fl.bodies).To(BeNumerically("<", 420*5/4), "a body crosses once to each node, with few in vain")
 }
 
+// A fleet that waits for its first bundle takes a small part of the 2,000 reads.
+func TestAFleetWithoutABundleSparesTheTable(t *testing.T) {
+	gm := NewWithT(t)
+	fl := newFleet(7, 60)
+	fl.startAll()
+	fl.run(10 * time.Second)
+	fl.reads = 0
+	fl.run(10 * time.Second)
+	gm.Expect(fl.reads / 10).To(BeNumerically("<", 400))
+	from := fl.line.Now()
+	fl.accept(1)
+	fl.run(inForceWithin)
+	_, all := fl.slowest(from, 1)
+	gm.Expect(all).To(BeTrue())
+}
+
 func TestWithoutThePlatform(t *testing.T) {
 	gm := NewWithT(t)
 	fl := newFleet(3, 4)
--- a/internal/operations/rollout/start.go
+++ b/internal/operations/rollout/start.go
@@ -1,6 +1,8 @@
 package rollout
 
 import (
+	"time"
+
 	"chervilwalk/internal/fleet/clock"
 	"chervilwalk/internal/operations/bundle"
 )
@@ -11,8 +13,10 @@
 type starting struct {
 	waiting   map[string]bool
 	nextRound clock.Instant
-	best      *State
-	decideAt  clock.Instant
+	// pause is the time to the round after the next, doubled with each.
+	pause    time.Duration
+	best     *State
+	decideAt clock.Instant
 }
 
 // tickStart asks the platform and the peers until a bundle is found.
@@ -23,7 +27,8 @@
 	if now.Before(co.start.nextRound) {
 		return nil
 	}
-	co.start.nextRound = now.Add(StartRetry)
+	co.start.pause = min(max(2*co.start.pause, StartRetry), maxStartRetry)
+	co.start.nextRound = now.Add(co.jitter(co.start.pause))
 	var cmds []Cmd
 	if !co.start.waiting[platformSource] {
 		co.start.waiting[platformSource] = true
