Judge no upstream by its silence while nobody asked it

A holder whose lease had lapsed and came back found all its upstreams silent for longer than their grants and moved their slices: 66 slices moved in the loss of a leader, where none had to. Their silence counts from when the lease is back.

--- a/internal/ownership/authority/follow.go
+++ b/internal/ownership/authority/follow.go
@@ -126,7 +126,7 @@
 		cmds = append(cmds, co.assign(now, ls)...)
 	}
 	for _, name := range sortedKeys(co.holders) {
-		co.holders[name].Extend(ls.Until)
+		co.holders[name].Extend(now, ls.Until)
 		cmds = append(cmds, co.fromHolder(co.holders[name], co.holders[name].Tick(now))...)
 	}
 	co.learnRoutes(ls, same)
--- a/internal/ownership/pool/holder.go
+++ b/internal/ownership/pool/holder.go
@@ -97,8 +97,12 @@
 	return ho.refused, ho.refused.Pool != ""
 }
 
-// Extend moves the end of the lease.
-func (ho *Holder) Extend(until clock.Instant) {
+// Extend moves the end of the lease. After a lapse, in which no upstream was
+// asked, their silence tells nothing yet.
+func (ho *Holder) Extend(now lease.Moment, until clock.Instant) {
+	if !ho.Live(now) {
+		ho.started = now
+	}
 	ho.changed = ho.changed || until > ho.until
 	ho.until = max(ho.until, until)
 }
