Match no answer with a question of another process or holder

Numbers now start at the incarnation, those of a holder at the clock. Also: a holder whose read of the slices' row was overtaken by a takeover takes the newer row that its node knows; a bidder asks again between two reads of the row, since promises end at any time.

--- a/internal/ownership/authority/authority.go
+++ b/internal/ownership/authority/authority.go
@@ -152,6 +152,7 @@
 		opt(co)
 	}
 	co.domains = newDomains(dm, co.line)
+	co.tables.number = uint64(co.incarnation)
 	co.term = term.New(host, dm, co.incarnation, term.WithLine(co.line), term.WithDefect(co.defect))
 	return co
 }
@@ -199,6 +200,7 @@
 	cmds = append(cmds, co.expire(now)...)
 	cmds = append(cmds, co.learnPlaces(now)...)
 	for _, name := range sortedKeys(co.holders) {
+		co.place(name, co.holders[name])
 		cmds = append(cmds, co.fromHolder(co.holders[name], co.holders[name].Tick(now))...)
 	}
 	cmds = append(cmds, co.runDomains(now)...)
--- a/internal/ownership/authority/fault_test.go
+++ b/internal/ownership/authority/fault_test.go
@@ -107,6 +107,23 @@
 		fl.Run(300 * time.Millisecond)
 		fl.Heal()
 	},
+	"peers' answers to an earlier process of the host": func(gm Gomega, fl *fleet.Fleet) {
+		was := leader(gm, fl)
+		fl.Cut(string(was), fleet.TableEnd)
+		fl.Run(100 * time.Millisecond)
+		for _, ho := range fl.Hosts() {
+			if ho != was {
+				fl.Hold(string(ho))
+			}
+		}
+		fl.Run(200 * time.Millisecond)
+		fl.Start(was)
+		fl.Heal()
+		fl.Run(70 * time.Millisecond)
+		for _, ho := range fl.Hosts() {
+			fl.Release(string(ho), 1)
+		}
+	},
 	"clocks drifting and jumping": func(_ Gomega, fl *fleet.Fleet) {
 		for round := range 20 {
 			for ix, ho := range fl.Hosts() {
--- a/internal/ownership/authority/tables.go
+++ b/internal/ownership/authority/tables.go
@@ -212,14 +212,26 @@
 	co.routes.changed = true
 	var cmds []Cmd
 	for _, name := range sortedKeys(co.holders) {
-		if ho := co.holders[name]; name.Service() == pc.Service && ho.Placed() {
-			ho.SetSlices(pc.Version, row.Of(name))
+		if ho := co.holders[name]; co.place(name, ho) {
 			cmds = append(cmds, co.fromHolder(ho, ho.Tick(now))...)
 		}
 	}
 	return append(cmds, co.showRoutes(now)...)
 }
 
+// place gives a holder the newest row that this node knows. A holder that has
+// not read the row itself must do so first; its read may also come back with an
+// older row than the node has learned meanwhile.
+func (co *Core) place(name ident.Pool, ho *pool.Holder) bool {
+	pc := co.places.rows[name.Service()]
+	version, placed := ho.Placed()
+	if !placed || pc.version <= version {
+		return false
+	}
+	ho.SetSlices(pc.version, pc.row.Of(name))
+	return true
+}
+
 func (co *Core) hearPlace(now lease.Moment, from ident.Host, notice exchange.Notice) []Cmd {
 	switch nt := notice.(type) {
 	case exchange.WantPlace:
--- a/internal/ownership/exchange/exchange.go
+++ b/internal/ownership/exchange/exchange.go
@@ -13,8 +13,9 @@
 	"chervilwalk/internal/platform/table"
 )
 
-// Incarnation tells the processes of one host apart; a later process has a
-// higher one.
+// Incarnation tells the processes of one host apart. It is the wall clock at the
+// start, in nanoseconds: a process numbers its questions from there, so that an
+// answer to an earlier process never fits a question of a later one.
 type Incarnation uint64
 
 // Cmd is something to do; Command marks its types.
--- a/internal/ownership/pool/holder.go
+++ b/internal/ownership/pool/holder.go
@@ -82,6 +82,10 @@
 		durable:   map[ident.Slice]ident.Upstream{},
 		upstreams: map[ident.Upstream]*upstream{},
 	}
+	// Numbers start at the clock, so that no answer to an earlier holder of the
+	// pool on this host fits.
+	ho.numbers, ho.record.number = uint64(now.Now), uint64(now.Now)
+	ho.record.written, ho.record.durable = ho.record.number, ho.record.number
 	if as.Quiet > 0 {
 		ho.quiet = now.Steady.Add(lease.Longest(as.Quiet))
 	}
@@ -157,8 +161,9 @@
 	ho.dropParted()
 }
 
-// Placed tells whether the pool's slices were read from the table.
-func (ho *Holder) Placed() bool { return ho.placed }
+// Placed returns the version of the row that the pool's slices come from, and
+// whether they were read from the table at all.
+func (ho *Holder) Placed() (table.Version, bool) { return ho.placeVersion, ho.placed }
 
 // Holds tells whether any upstream may hold the slice by this pool's grant.
 func (ho *Holder) Holds(now lease.Moment, sl ident.Slice) bool {
--- a/internal/ownership/pool/row.go
+++ b/internal/ownership/pool/row.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -143,6 +144,9 @@
 	if err := json.Unmarshal(value, &pj); err != nil {
 		return PlaceRow{}, err
 	}
+	if len(pj.Of) == 0 {
+		return PlaceRow{}, errors.New("no slices in the row")
+	}
 	var pw PlaceRow
 	for _, ix := range pj.Of {
 		if ix < 0 || ix >= len(pj.Pools) {
--- a/internal/ownership/term/bid.go
+++ b/internal/ownership/term/bid.go
@@ -36,7 +36,7 @@
 		return nil
 	}
 	if now.Now.Before(co.row.nextRead) {
-		return nil
+		return co.askAgain(now)
 	}
 	co.row.nextRead = now.Now.Add(readEvery)
 	cmds := co.seek()
@@ -50,6 +50,14 @@
 	return append(cmds, exchange.TableCmd{Tag: Tag, Number: co.row.reading, Key: RowKey(co.domain)})
 }
 
+// askAgain repeats a bid between two reads, since promises end at any time.
+func (co *Core) askAgain(now lease.Moment) []exchange.Cmd {
+	if bd := co.bid; bd != nil && bd.write == nil {
+		return co.ask(now, bd.table, bd.base)
+	}
+	return nil
+}
+
 // doubts tells whether the leader is unknown or has left a heartbeat unanswered.
 func (co *Core) doubts(now lease.Moment) bool {
 	fo := &co.follow
@@ -95,6 +103,9 @@
 		}
 	}
 	if now.Steady.Before(co.row.since.Add(lease.Longest(co.line.Term) + co.rank())) {
+		if co.bid != nil && co.bid.write == nil {
+			co.bid = nil
+		}
 		return nil
 	}
 	return co.ask(now, true, version)
--- a/internal/ownership/term/term.go
+++ b/internal/ownership/term/term.go
@@ -132,7 +132,7 @@
 // New makes the core of a node that has just started. It abstains for one
 // promise, because an earlier process of its host may have promised.
 func New(host ident.Host, domain ident.Domain, incarnation exchange.Incarnation, opts ...Option) *Core {
-	co := &Core{host: host, domain: domain, incarnation: incarnation, line: lease.Default()}
+	co := &Core{host: host, domain: domain, incarnation: incarnation, line: lease.Default(), numbers: uint64(incarnation)}
 	for _, opt := range opts {
 		opt(co)
 	}
--- a/internal/stand/fleet/node.go
+++ b/internal/stand/fleet/node.go
@@ -15,6 +15,10 @@
 // errNoAnswer stands for an upstream that did not answer in time.
 var errNoAnswer = errors.New("no answer")
 
+// incarnationStep is the time between two starts of a host's processes at
+// least, in nanoseconds.
+const incarnationStep = 1_000_000_000
+
 // Node is one node: its core, its clock and what it shows to serving.
 type Node struct {
 	fleet   *Fleet
@@ -36,7 +40,7 @@
 func (nd *Node) start() {
 	nd.process++
 	process := nd.process
-	opts := append([]authority.Option{authority.WithIncarnation(exchange.Incarnation(process))}, nd.fleet.options...)
+	opts := append([]authority.Option{authority.WithIncarnation(exchange.Incarnation(process) * incarnationStep)}, nd.fleet.options...)
 	nd.core = authority.New(nd.host, nd.domain, opts...)
 	nd.up, nd.paused, nd.waiting = true, false, nil
 	nd.leaving, nd.stopped = false, false
