--- a/internal/ownership/authority/lead.go
+++ b/internal/ownership/authority/lead.go
@@ -39,7 +39,11 @@
 		return cmds
 	}
 	_, number := co.term.Leader()
-	if co.leader == nil || co.leader.term != number {
+	if co.leader != nil && co.leader.term != number {
+		co.leader.term = number
+		co.leader.pools.Continue(number)
+	}
+	if co.leader == nil {
 		co.leader = &leader{term: number, pools: pool.NewLeader(co.line, co.defect, number, co.term.Tail(), now)}
 	}
 	right, settled := co.cap(now, right)
--- a/internal/ownership/pool/leader.go
+++ b/internal/ownership/pool/leader.go
@@ -99,6 +99,10 @@
 	}
 }
 
+// Continue goes on under a higher term of the same leader, which never lost its
+// right in between: it knows all leases that it gave.
+func (ld *Leader) Continue(term uint64) { ld.term = term }
+
 // SetPools says which pools the domain has.
 func (ld *Leader) SetPools(now lease.Moment, pools []ident.Pool) {
 	known := map[ident.Pool]bool{}
