Call a holder settled only when each owner confirmed its own slices

Cause: the holder counted the slices that its upstreams had confirmed and took an equal number for agreement. An upstream that came back with slices that had moved kept them for as long as it was renewed, and their owner never got them (fuzzing).

--- a/internal/ownership/authority/placement.go
+++ b/internal/ownership/authority/placement.go
@@ -24,7 +24,7 @@
 	// each batch, so that its cold upstreams warm up in between.
 	rampStep = 0.1
 	// askPlaceEvery is the time between two questions to a peer for newer rows.
-	askPlaceEvery = 2 * time.Second
+	askPlaceEvery = 500 * time.Millisecond
 )
 
 // moving is when a node next plans the moves of each pool that it holds.
@@ -171,8 +171,8 @@
 	return cmds
 }
 
-// askPlace asks a peer in turn for rows newer than the known ones, in case a
-// word of them was lost.
+// askPlace asks the leader and a peer in turn for rows newer than the known
+// ones, in case a word of them was lost.
 func (co *Core) askPlace(now lease.Moment) []Cmd {
 	mv := &co.moving
 	if now.Now.Before(mv.nextAsk) || len(co.bundle.Hosts) < 2 {
@@ -180,7 +180,10 @@
 	}
 	mv.nextAsk = now.Now.Add(askPlaceEvery)
 	mv.turn++
-	to := co.bundle.Hosts[mv.turn%len(co.bundle.Hosts)].Name
+	to := co.bundle.Hosts[mv.turn/2%len(co.bundle.Hosts)].Name
+	if leader, _ := co.term.Leader(); leader != "" && leader != co.host && mv.turn%2 == 0 {
+		to = leader
+	}
 	var cmds []Cmd
 	for ix := range co.bundle.Services {
 		sv := &co.bundle.Services[ix]
--- a/internal/ownership/pool/holder.go
+++ b/internal/ownership/pool/holder.go
@@ -202,6 +202,11 @@
 		if !us.complete || us.all {
 			return
 		}
+		for sl := range us.confirmed {
+			if ho.owners[sl] != us.name {
+				return
+			}
+		}
 		granted += len(us.confirmed)
 	}
 	ho.steady = granted == len(ho.owners) && len(ho.owners) == len(ho.slices) && maps.Equal(ho.owners, ho.durable)
--- a/internal/ownership/pool/order.go
+++ b/internal/ownership/pool/order.go
@@ -214,7 +214,7 @@
 		ho.disturb()
 	}
 	if !od.Keep {
-		us.confirmed = us.may
+		us.confirmed = maps.Clone(us.may)
 	}
 	ho.changed = true
 	if od.Until == 0 || !us.complete {
