--- a/internal/ownership/authority/domains.go
+++ b/internal/ownership/authority/domains.go
@@ -176,17 +176,32 @@
 		return nil
 	}
 	if co.leader == nil {
-		sender, ok := co.bundle.Host(from)
-		leader, _ := co.term.Leader()
-		if !ok || sender.Domain == co.domain || leader == "" || leader == co.host {
-			return nil
-		}
-		return []Cmd{exchange.SendCmd{To: leader, Notice: nt}}
+		return co.passDomain(from, nt)
+	}
+	if nt.Kind != exchange.NeighbourAlive {
+		co.domains.leaders[nt.From] = nt.Leader
 	}
-	co.domains.leaders[nt.From] = nt.Leader
 	return co.fromDomains(now, co.domains.core.Update(now, decodeDomain(nt)))
 }
 
+// passDomain hands a word to the own leader, and says to the sender of a
+// heartbeat that this host is up.
+func (co *Core) passDomain(from ident.Host, nt exchange.Neighbour) []Cmd {
+	sender, ok := co.bundle.Host(from)
+	if !ok || sender.Domain == co.domain {
+		return nil
+	}
+	var cmds []Cmd
+	if nt.Kind == exchange.NeighbourBeat {
+		alive := exchange.Neighbour{Kind: exchange.NeighbourAlive, From: co.domain, To: nt.From}
+		cmds = append(cmds, exchange.SendCmd{To: nt.Leader, Notice: alive})
+	}
+	if leader, _ := co.term.Leader(); leader != "" && leader != co.host {
+		cmds = append(cmds, exchange.SendCmd{To: leader, Notice: nt})
+	}
+	return cmds
+}
+
 func encodeDomain(msg domain.Msg) exchange.Neighbour {
 	switch mg := msg.(type) {
 	case domain.HeartbeatMsg:
@@ -219,6 +234,8 @@
 		return domain.AskReleaseMsg{From: nt.From, Term: nt.Term, About: nt.About, Reading: nt.Reading}
 	case exchange.NeighbourRelease:
 		return domain.ReleaseMsg{From: nt.From, Term: nt.Term, About: nt.About, Until: nt.Until}
+	case exchange.NeighbourAlive:
+		return domain.AliveMsg{From: nt.From}
 	default:
 		return domain.TickMsg{}
 	}
--- a/internal/ownership/authority/domains_test.go
+++ b/internal/ownership/authority/domains_test.go
@@ -244,6 +244,27 @@
 	}
 }
 
+// A domain that only lost its leader elects another, if slowly; the other
+// domains do not take its slices over meanwhile.
+func TestLostLeaderMovesNoSlice(t *testing.T) {
+	gm := NewWithT(t)
+	for seed := uint64(1); seed <= 6; seed++ {
+		fl := fleet.New(seed, fleet.Plan{Domains: 3, Hosts: 8, Upstreams: 3, Slices: 24, Unkeyed: true})
+		fl.Run(4 * time.Second)
+		before := of(fl, "d1")
+		leader, ok := fl.LeaderOf("d1")
+		gm.Expect(ok).To(BeTrue())
+		fl.Kill(leader)
+		fl.CutTable("d1")
+		fl.Run(1500 * time.Millisecond)
+		fl.Heal()
+		fl.Run(3 * time.Second)
+		gm.Expect(fl.AllServed()).To(BeTrue())
+		gm.Expect(of(fl, "d1")).To(Equal(before), "seed %d", seed)
+		gm.Expect(fl.Violations()).To(BeEmpty())
+	}
+}
+
 // A fleet of one domain has nobody to ask: its leader's successor goes on while
 // the platform is silent.
 func TestOneDomainGoesOnAlone(t *testing.T) {
--- a/internal/ownership/domain/domain.go
+++ b/internal/ownership/domain/domain.go
@@ -99,6 +99,10 @@
 	Until clock.Instant
 }
 
+// AliveMsg comes from a host of another domain that does not lead it. The domain
+// is not lost then, and is about to elect a leader.
+type AliveMsg struct{ From ident.Domain }
+
 // RowsMsg is what was read of a domain's rows.
 type RowsMsg struct {
 	Domain ident.Domain
@@ -135,6 +139,7 @@
 func (SupportMsg) isMsg()    {}
 func (AskReleaseMsg) isMsg() {}
 func (ReleaseMsg) isMsg()    {}
+func (AliveMsg) isMsg()      {}
 func (RowsMsg) isMsg()       {}
 func (TakenMsg) isMsg()      {}
 func (CharterMsg) isMsg()    {}
@@ -185,7 +190,9 @@
 
 // peer is what the core knows of another domain.
 type peer struct {
+	// heard is when its leader was last heard, alive when another host was.
 	heard clock.Instant
+	alive clock.Instant
 	// row is the newest version known of its term row, and since when.
 	row      table.Version
 	rowSince clock.Instant
@@ -263,6 +270,8 @@
 		return co.release(now, mg)
 	case ReleaseMsg:
 		co.collect(mg)
+	case AliveMsg:
+		co.peer(now, mg.From).alive = now.Steady
 	case RowsMsg:
 		co.learn(now, mg)
 	case TakenMsg:
--- a/internal/ownership/domain/quorum.go
+++ b/internal/ownership/domain/quorum.go
@@ -16,6 +16,11 @@
 	ReleaseTime = 300 * time.Millisecond
 	// suspectAfter is the silence of a domain that starts a challenge.
 	suspectAfter = 350 * time.Millisecond
+	// aliveTime is how long the word of a host that does not lead counts.
+	aliveTime = 500 * time.Millisecond
+	// electionTime is the silence of a domain's leader after which its slices are
+	// taken over although its hosts are up.
+	electionTime = 2 * time.Second
 	// rankDelay keeps the challengers of one domain apart.
 	rankDelay = 500 * time.Millisecond
 	// retryEvery is the time between two tries of a challenger's step.
--- a/internal/ownership/domain/takeover.go
+++ b/internal/ownership/domain/takeover.go
@@ -58,7 +58,8 @@
 }
 
 // due tells whether the own domain should challenge another one: it has the
-// table, is in service, and hears nothing; the domains go one after the other.
+// table, is in service, and hears nothing; the domains go one after the other. A
+// domain whose hosts are up gets the time for an election of its own.
 func (co *Core) due(now lease.Moment, dm ident.Domain, pe *peer) bool {
 	if !now.Now.Before(co.lead.Table) || co.lapsed || !co.votes() || !co.listed(dm) {
 		return false
@@ -67,6 +68,9 @@
 		return false
 	}
 	wait := suspectAfter + time.Duration(co.rank(now, dm))*rankDelay
+	if now.Steady.Before(pe.alive.Add(aliveTime)) {
+		wait = max(wait, electionTime)
+	}
 	return pe.dark || !now.Steady.Before(pe.heard.Add(wait))
 }
 
--- a/internal/ownership/exchange/neighbour.go
+++ b/internal/ownership/exchange/neighbour.go
@@ -18,6 +18,8 @@
 	NeighbourAsk
 	// NeighbourRelease gives it.
 	NeighbourRelease
+	// NeighbourAlive says that a host of the domain is up, whoever leads it.
+	NeighbourAlive
 )
 
 // Neighbour is a word from the leader of one domain to that of another; package
