--- a/cmd/chervilbench/main.go
+++ b/cmd/chervilbench/main.go
@@ -20,8 +20,10 @@
 // subcommands lists the measurements; each stands in a file of its own.
 func subcommands() []subcommand {
 	return []subcommand{
+		{"rollout", "Measure the roll-out of bundles on fleets of real nodes", &rolloutCommand{}},
 		{"own", "Measure ownership: losses, churn, costs and load imbalance", &ownCommand{}},
 		{"route", "Compare routing policies in virtual time", &routeCommand{}},
+		{"relay", "Measure entry and holder on loopback against a direct call", &relayCommand{}},
 		{"slopes", "Measure how the costs of the roles grow", &slopesCommand{}},
 	}
 }
