--- a/internal/ownership/authority/domains.go
+++ b/internal/ownership/authority/domains.go
@@ -58,9 +58,9 @@
 	return co.fromDomains(now, dm.core.Update(now, domain.LeadMsg{Lead: ld}))
 }
 
-// cap limits the leader's right to what its domain may do, and gives the pools
+// limit bounds the leader's right to what its domain may do, and gives the pools
 // that may be held meanwhile. It is false while a new leader does not yet know.
-func (co *Core) cap(now lease.Moment, right clock.Instant) (until clock.Instant, ok bool) {
+func (co *Core) limit(now lease.Moment, right clock.Instant) (until clock.Instant, ok bool) {
 	dm := &co.domains
 	if co.bundle == nil {
 		return 0, false
--- a/internal/ownership/authority/lead.go
+++ b/internal/ownership/authority/lead.go
@@ -42,7 +42,7 @@
 	if co.leader == nil || co.leader.term != number {
 		co.leader = &leader{term: number, pools: pool.NewLeader(co.line, co.defect, number, co.term.Tail(), now)}
 	}
-	right, settled := co.cap(now, right)
+	right, settled := co.limit(now, right)
 	if !settled {
 		return cmds
 	}
@@ -60,7 +60,7 @@
 	if !leads || co.leader == nil || bt.Term > co.leader.term {
 		return cmds
 	}
-	right, settled := co.cap(now, right)
+	right, settled := co.limit(now, right)
 	if !settled {
 		return cmds
 	}
