--- a/internal/ownership/authority/authority.go
+++ b/internal/ownership/authority/authority.go
@@ -155,6 +155,7 @@
 		opt(co)
 	}
 	co.domains = newDomains(dm, co.line)
+	co.tables.number = uint64(co.incarnation)
 	co.term = term.New(host, dm, co.incarnation, term.WithLine(co.line), term.WithDefect(co.defect))
 	return co
 }
@@ -204,6 +205,7 @@
 	cmds = append(cmds, co.expire(now)...)
 	cmds = append(cmds, co.learnPlaces(now)...)
 	for _, name := range sortedKeys(co.holders) {
+		co.place(name, co.holders[name])
 		cmds = append(cmds, co.fromHolder(co.holders[name], co.holders[name].Tick(now))...)
 	}
 	co.evenOut(now)
