--- a/internal/fleet/inner/ownership.go
+++ b/internal/fleet/inner/ownership.go
@@ -25,7 +25,7 @@
 	case exchange.Lease:
 		en.Body = &innerpb.Envelope_Lease{Lease: encodeLease(nt)}
 	case exchange.Ask:
-		en.Body = &innerpb.Envelope_Ask{Ask: &innerpb.Ask{Round: nt.Round, Term: nt.Term, Table: nt.Table}}
+		en.Body = &innerpb.Envelope_Ask{Ask: &innerpb.Ask{Round: nt.Round, Term: nt.Term, Table: nt.Table, Withdrawn: nt.Withdrawn}}
 	case exchange.Vote:
 		en.Body = &innerpb.Envelope_Vote{Vote: &innerpb.Vote{Round: nt.Round, Granted: nt.Granted, Term: nt.Term}}
 	case exchange.Lead:
@@ -78,7 +78,7 @@
 	case *innerpb.Envelope_Lease:
 		return decodeLease(bd.Lease), true
 	case *innerpb.Envelope_Ask:
-		return exchange.Ask{Round: bd.Ask.GetRound(), Term: bd.Ask.GetTerm(), Table: bd.Ask.GetTable()}, true
+		return exchange.Ask{Round: bd.Ask.GetRound(), Term: bd.Ask.GetTerm(), Table: bd.Ask.GetTable(), Withdrawn: bd.Ask.GetWithdrawn()}, true
 	case *innerpb.Envelope_Vote:
 		return exchange.Vote{Round: bd.Vote.GetRound(), Granted: bd.Vote.GetGranted(), Term: bd.Vote.GetTerm()}, true
 	case *innerpb.Envelope_Lead:
--- a/internal/ownership/authority/domains_test.go
+++ b/internal/ownership/authority/domains_test.go
@@ -347,3 +347,22 @@
 
 // settleTime is a takeover of kept slices and an election after it.
 const settleTime = 6 * time.Second
+
+// A bid that yields to one of a higher rank gives its votes back; else nobody
+// could win before they ended by themselves.
+func TestYieldedBidGivesItsVotesBack(t *testing.T) {
+	gm := NewWithT(t)
+	for _, seed := range []uint64{4, 21} {
+		fl := fleet.New(seed, fleet.Plan{Domains: 3, Hosts: 8, Upstreams: 7, Slices: 256, Unkeyed: true})
+		fl.RunUntil(20*time.Second, fl.AllServed)
+		fl.Run(2*time.Second + time.Duration(seed*37%250)*time.Millisecond)
+		leader, ok := fl.LeaderOf("d1")
+		gm.Expect(ok).To(BeTrue())
+		fl.Kill(leader)
+		if holder, ok := fl.HolderOf("lookup@d1#0"); ok {
+			fl.Kill(holder)
+		}
+		gm.Expect(fl.Unserved(4*time.Second)).To(BeNumerically("<", promise), "seed %d", seed)
+		gm.Expect(fl.Violations()).To(BeEmpty())
+	}
+}
--- a/internal/ownership/exchange/exchange.go
+++ b/internal/ownership/exchange/exchange.go
@@ -146,6 +146,8 @@
 	// Table says that the asker can write the row; else it asks a majority
 	// that knows the leader to be witnessed.
 	Table bool
+	// Withdrawn says that the bid was given up and counts no vote any more.
+	Withdrawn bool
 }
 
 // Vote answers an Ask.
--- a/internal/ownership/term/bid.go
+++ b/internal/ownership/term/bid.go
@@ -153,7 +153,29 @@
 
 // hearAsk answers a challenger.
 func (co *Core) hearAsk(now lease.Moment, from ident.Host, ak exchange.Ask) []exchange.Cmd {
-	return []exchange.Cmd{exchange.SendCmd{To: from, Notice: co.answerAsk(now, from, ak)}}
+	if ak.Withdrawn {
+		co.takeBack(now, from, ak)
+		return nil
+	}
+	own := co.bid
+	vote := co.answerAsk(now, from, ak)
+	cmds := []exchange.Cmd{exchange.SendCmd{To: from, Notice: vote}}
+	if own == nil || co.bid != nil {
+		return cmds
+	}
+	withdrawal := exchange.Ask{Round: own.round, Term: own.term, Table: own.table, Withdrawn: true}
+	for _, ho := range co.others() {
+		cmds = append(cmds, exchange.SendCmd{To: ho, Notice: withdrawal})
+	}
+	return cmds
+}
+
+// takeBack ends the promise of a vote for a bid that was withdrawn: its bidder
+// counts no vote of that term any more, and another may have it.
+func (co *Core) takeBack(now lease.Moment, from ident.Host, ak exchange.Ask) {
+	if co.vote.to == from && co.vote.term == ak.Term && ak.Term > co.follow.term {
+		co.vote.until = min(co.vote.until, now.Steady)
+	}
 }
 
 // answerAsk promises the challenger unless a promise to another is in force, or
