--- a/internal/ownership/authority/lead.go
+++ b/internal/ownership/authority/lead.go
@@ -46,7 +46,7 @@
 	if co.leader == nil {
 		co.leader = &leader{term: number, pools: pool.NewLeader(co.line, co.defect, number, co.term.Tail(), now)}
 	}
-	right, settled := co.cap(now, right)
+	right, settled := co.limit(now, right)
 	if !settled {
 		return cmds
 	}
@@ -64,7 +64,7 @@
 	if !leads || co.leader == nil || bt.Term > co.leader.term {
 		return cmds
 	}
-	right, settled := co.cap(now, right)
+	right, settled := co.limit(now, right)
 	if !settled {
 		return cmds
 	}
