--- a/examples/examples.go
+++ b/examples/examples.go
@@ -1,4 +1,4 @@
-// Package examples holds the bundles of two deployments, ready to be run.
+// Package examples holds bundles that are ready to be run.
 package examples
 
 import _ "embed" // The bundles are part of the program, so that it runs from any folder.
@@ -12,3 +12,8 @@
 //
 //go:embed abrigo.yaml
 var Abrigo []byte
+
+// ByHand is the bundle of a small fleet whose processes are started by hand.
+//
+//go:embed by-hand.yaml
+var ByHand []byte
