--- a/internal/fleet/inner/forward.go
+++ b/internal/fleet/inner/forward.go
@@ -153,17 +153,17 @@
 	return hopBroken()
 }
 
-// errHopBroken is the error of a call whose fate at the holder is not known.
-var errHopBroken = verdict.Doubt(http.StatusBadGateway, "the way to the pool's holder broke")
+// ErrHopBroken is the error of a call whose fate at the holder is not known.
+var ErrHopBroken error = verdict.Doubt(http.StatusBadGateway, "the way to the pool's holder broke")
 
 func hopBroken() error {
-	return errHopBroken
+	return ErrHopBroken
 }
 
 // HopBroken tells whether an error of Forward says that the hop itself broke,
 // and not that the holder reported a failure.
 func HopBroken(err error) bool {
-	return errors.Is(err, errHopBroken)
+	return errors.Is(err, ErrHopBroken)
 }
 
 func readAnswer(rs *http.Response, cancel context.CancelFunc) (*dispatch.Answer, error) {
