--- a/cmd/chervilwalk/try.go
+++ b/cmd/chervilwalk/try.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"slices"
 	"sync"
 	"syscall"
 	"text/tabwriter"
@@ -30,6 +29,7 @@
 type tryCommand struct {
 	Seed     uint64 `long:"seed" default:"1" description:"Seed of what is asked"`
 	Requests int    `long:"requests" default:"4000" description:"Requests over both fleets, besides the probes"`
+	LogLevel string `long:"log-level" default:"error" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"What the nodes log"`
 	Hold     bool   `long:"hold" description:"Stay up afterwards, until SIGINT or SIGTERM"`
 }
 
@@ -37,12 +37,12 @@
 type tried struct {
 	fleet    *trial.Fleet
 	counts   trial.Counts
-	failures map[string]int
+	failures []trial.Failure
 }
 
 // Execute implements flags.Commander.
 func (tc *tryCommand) Execute([]string) error {
-	log.SetLevel(log.ErrorLevel)
+	log.SetLevelFromString(tc.LogLevel)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	trials := []tried{{}, {}}
@@ -129,12 +129,7 @@
 
 // printFailures lists why requests were not answered.
 func printFailures(tr tried) {
-	var reasons []string
-	for reason := range tr.failures {
-		reasons = append(reasons, reason)
-	}
-	slices.Sort(reasons)
-	for _, reason := range reasons {
-		fmt.Printf("%s: %d × %s\n", tr.fleet.Name, tr.failures[reason], reason)
+	for _, fa := range tr.failures {
+		fmt.Printf("%s: %s\n", tr.fleet.Name, fa)
 	}
 }
--- a/internal/operations/trial/load.go
+++ b/internal/operations/trial/load.go
@@ -61,6 +61,7 @@
 	balancer *balancer
 	client   *http.Client
 	done     atomic.Int64
+	begun    time.Time
 
 	mu       sync.Mutex
 	outcomes []outcome
@@ -86,11 +87,12 @@
 // Run sends requests at an even pace over the given time; the seed fixes what
 // is asked. A few keys are asked for again and again meanwhile.
 func (ld *Load) Run(ctx context.Context, seed uint64, requests int, over time.Duration) {
+	ld.begun = time.Now()
 	balancing, stop := context.WithCancel(ctx)
 	var wg, background sync.WaitGroup
 	background.Go(func() { ld.balancer.run(balancing) })
 	background.Go(func() { ld.probe(balancing, seed) })
-	start := time.Now()
+	start := ld.begun
 	var next atomic.Int64
 	for range workers {
 		wg.Go(func() {
--- a/internal/operations/trial/report.go
+++ b/internal/operations/trial/report.go
@@ -1,8 +1,12 @@
 package trial
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
+	"time"
 
+	"chervilwalk/internal/fleet/ident"
 	"chervilwalk/internal/serving/verdict"
 )
 
@@ -116,18 +120,44 @@
 	}
 }
 
-// Failures lists the reasons of requests that were not answered, each with its
-// number.
-func (ld *Load) Failures() map[string]int {
+// Failure is a reason for which requests were not answered.
+type Failure struct {
+	Reason  string
+	Service ident.Service
+	Count   int
+	// First and Last are when the first and the last of them ended, counted
+	// from the load's start.
+	First time.Duration
+	Last  time.Duration
+}
+
+// String is the line of a report.
+func (fa Failure) String() string {
+	return fmt.Sprintf("%d × %s: %s (%.1f s to %.1f s)", fa.Count, fa.Service, fa.Reason, fa.First.Seconds(), fa.Last.Seconds())
+}
+
+// Failures lists why requests were not answered, in the order of the first.
+func (ld *Load) Failures() []Failure {
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
-	reasons := map[string]int{}
-	for _, list := range [][]outcome{ld.outcomes, ld.probes} {
-		for _, oc := range list {
-			if oc.reason != "" {
-				reasons[oc.verdict.String()+": "+oc.reason]++
-			}
+	var list []Failure
+	for _, oc := range slices.Concat(ld.outcomes, ld.probes) {
+		if oc.reason != "" {
+			list = addFailure(list, oc, oc.ended.Sub(ld.begun))
 		}
 	}
-	return reasons
+	slices.SortFunc(list, func(left, right Failure) int { return cmp.Compare(left.First, right.First) })
+	return list
+}
+
+func addFailure(list []Failure, oc outcome, at time.Duration) []Failure {
+	reason := oc.verdict.String() + ": " + oc.reason
+	ix := slices.IndexFunc(list, func(fa Failure) bool { return fa.Reason == reason && fa.Service == oc.service })
+	if ix < 0 {
+		return append(list, Failure{Reason: reason, Service: oc.service, Count: 1, First: at, Last: at})
+	}
+	list[ix].Count++
+	list[ix].First = min(list[ix].First, at)
+	list[ix].Last = max(list[ix].Last, at)
+	return list
 }
--- a/internal/operations/trial/script.go
+++ b/internal/operations/trial/script.go
@@ -40,7 +40,7 @@
 // Run sends the load while a node stops and starts, an upstream is lost and
 // comes back, a failure domain goes out and comes back, and a bundle is
 // accepted. It returns the counts and the reasons of what was not answered.
-func (sc *Script) Run(ctx context.Context, seed uint64, requests int) (Counts, map[string]int, error) {
+func (sc *Script) Run(ctx context.Context, seed uint64, requests int) (Counts, []Failure, error) {
 	length := max(Length, time.Duration(requests)*time.Second/maxPace)
 	failed := make(chan error, 1)
 	go func() { failed <- sc.play(ctx, length) }()
