--- a/internal/fleet/node/routing.go
+++ b/internal/fleet/node/routing.go
@@ -19,6 +19,9 @@
 const (
 	// barTimeout bounds the asking whether a call was kept from its dispatch.
 	barTimeout = 300 * time.Millisecond
+	// coreSlack is how long the admission core has after the deadline to end the
+	// request itself, with its own reason, before its context ends.
+	coreSlack = 50 * time.Millisecond
 	// hopSlack is how long an entry waits beyond the deadline for the holder's
 	// word, which knows whether the request was run.
 	hopSlack = 100 * time.Millisecond
@@ -102,7 +105,7 @@
 	if pt == nil {
 		return nil, verdict.Misdirect("this node does not hold the pool")
 	}
-	limited, cancel := context.WithDeadline(ctx, ca.Deadline)
+	limited, cancel := context.WithDeadline(ctx, ca.Deadline.Add(coreSlack))
 	answer, err := pt.serve(limited, ca)
 	if err != nil {
 		cancel()
--- a/internal/serving/entry/entry.go
+++ b/internal/serving/entry/entry.go
@@ -35,6 +35,9 @@
 	readTimeout = 30 * time.Second
 	// writeTimeout bounds the writing of one answer to a slow caller.
 	writeTimeout = 2 * time.Minute
+	// answerSlack is how long beyond the deadline an entry waits for the word on
+	// what became of a request.
+	answerSlack = 200 * time.Millisecond
 	// idleTimeout bounds the wait for the next request of a connection.
 	idleTimeout = time.Minute
 )
@@ -141,7 +144,7 @@
 		return
 	}
 	cx.Response.Header.Set(RequestHeader, string(ca.ID))
-	ctx, cancel := context.WithDeadline(context.Background(), ca.Deadline)
+	ctx, cancel := context.WithDeadline(context.Background(), ca.Deadline.Add(answerSlack))
 	gone := watch(cx.Conn(), cancel)
 	answer, err := en.router.Route(ctx, sv, ca)
 	gone.stop()
