--- a/internal/fleet/inner/forward.go
+++ b/internal/fleet/inner/forward.go
@@ -91,7 +91,7 @@
 // relay sends the upstream's body. Bodies of unknown length are flushed piece
 // by piece, since their caller may wait for each.
 func relay(rw http.ResponseWriter, answer *dispatch.Answer) {
-	buffer := buffers.Get().(*[chunkBytes]byte) //nolint:forcetypeassert // The pool holds nothing else.
+	buffer, _ := buffers.Get().(*[chunkBytes]byte)
 	defer buffers.Put(buffer)
 	for {
 		count, err := answer.Body.Read(buffer[:])
--- a/internal/stand/upstream/holding.go
+++ b/internal/stand/upstream/holding.go
@@ -154,7 +154,7 @@
 	return ended
 }
 
-// end returns the running tenures as ended at an instant.
+// end returns the tenures that last, as ended at an instant.
 func (ho *holding) end(us ident.Upstream, at clock.Instant) []Tenure {
 	var ended []Tenure
 	for sl, from := range ho.since {
@@ -165,11 +165,6 @@
 	return ended
 }
 
-// current returns the tenures that last.
-func (ho *holding) current(us ident.Upstream, now clock.Instant) []Tenure {
-	return ho.end(us, now)
-}
-
 func (ho *holding) owns(sl ident.Slice, now clock.Instant) bool {
 	_, ok := ho.since[sl]
 	return ok && now.Before(ho.until)
--- a/internal/stand/upstream/record.go
+++ b/internal/stand/upstream/record.go
@@ -106,7 +106,7 @@
 	list := slices.Clone(us.record.tenures)
 	now := us.clock.Now()
 	for _, ho := range us.holdings {
-		list = append(list, ho.current(us.name, now)...)
+		list = append(list, ho.end(us.name, now)...)
 	}
 	return list
 }
--- a/internal/stand/upstream/serve.go
+++ b/internal/stand/upstream/serve.go
@@ -146,22 +146,14 @@
 	}
 	if us.cold(now) && len(us.running) >= us.coldLimit {
 		us.record.coldViolations++
-		us.crashWhenCold()
+		if us.faults.CrashWhenCold {
+			us.restart(now)
+		}
 		return control.RefusalShed
 	}
 	return ""
 }
 
-// crashWhenCold loses what runs, where the faults say so.
-func (us *Upstream) crashWhenCold() {
-	if !us.faults.CrashWhenCold {
-		return
-	}
-	us.mu.Unlock()
-	us.Restart()
-	us.mu.Lock()
-}
-
 func (us *Upstream) serviceTimeNow() time.Duration {
 	if us.faults.SlowFactor > 1 {
 		return time.Duration(float64(us.serviceTime) * us.faults.SlowFactor)
--- a/internal/stand/upstream/upstream.go
+++ b/internal/stand/upstream/upstream.go
@@ -95,11 +95,15 @@
 func (us *Upstream) Restart() {
 	us.mu.Lock()
 	defer us.mu.Unlock()
-	now := us.clock.Now()
+	us.restart(us.clock.Now())
+}
+
+// restart is Restart for a caller that holds the lock.
+func (us *Upstream) restart(now clock.Instant) {
 	us.incarnation++
 	us.coldUntil = now.Add(us.coldFor)
 	for _, ho := range us.holdings {
-		us.record.tenures = append(us.record.tenures, ho.end(us.name, now)...)
+		us.record.keep(ho.end(us.name, now))
 	}
 	us.holdings = map[ident.Pool]*holding{}
 	for rg := range us.running {
