--- a/internal/operations/propagation/propagation.go
+++ b/internal/operations/propagation/propagation.go
@@ -29,9 +29,9 @@
 	patience = 30 * time.Second
 	// look is the time between two looks at all nodes.
 	look = 2 * time.Millisecond
-	// workers and loadTime shape the load while a domain is taken out.
-	workers  = 8
-	loadTime = 8 * time.Second
+	// loadRequests and loadTime shape the load while a domain is taken out.
+	loadRequests = 4000
+	loadTime     = 8 * time.Second
 )
 
 // Result holds the figures of one fleet, times in milliseconds.
@@ -123,11 +123,7 @@
 }
 
 func everywhere(fl *trial.Fleet) bool {
-	for _, ho := range fl.Bundle.Hosts {
-		nd := fl.Node(ho.Name)
-		if nd == nil {
-			continue
-		}
+	for _, nd := range fl.Nodes() {
 		if bn := nd.Bundle(); bn == nil || bn.Version != fl.Bundle.Version {
 			return false
 		}
@@ -203,7 +199,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		trial.NewLoad(fl).Run(loaded, 1, 1<<20, workers)
+		trial.NewLoad(fl).Run(loaded, 1, loadRequests, loadTime)
 	}()
 	time.Sleep(loadTime / 4)
 	fl.Bundle.Domains[len(fl.Bundle.Domains)-1].Out = true
