--- a/internal/operations/rollout/rollout.go
+++ b/internal/operations/rollout/rollout.go
@@ -34,8 +34,11 @@
 	// StartGrace is how long a node that has found a first bundle waits for a
 	// higher one before it puts it in force.
 	StartGrace = 400 * time.Millisecond
-	// StartRetry is the time between two rounds of asking while no bundle is known.
-	StartRetry = 300 * time.Millisecond
+	// StartRetry is the time between the first two rounds of asking while no
+	// bundle is known; it doubles up to maxStartRetry, so that a whole fleet
+	// without a bundle spares the table.
+	StartRetry    = 300 * time.Millisecond
+	maxStartRetry = 2 * time.Second
 	// Backoff is how long a source whose bundle was refused is left alone.
 	Backoff = 2 * time.Second
 	// RestoreEvery is the time between two tries to restore the row.
@@ -286,7 +289,11 @@
 	if co.state == nil {
 		return co.candidate(now, bn, mg.Seal)
 	}
-	return co.enforce(now, bn, mg.Seal)
+	rc := narrow
+	if isObject(mg.Source) {
+		rc = wide
+	}
+	return co.enforce(now, bn, mg.Seal, rc)
 }
 
 // isKnown tells whether a version is in force or about to be.
@@ -315,8 +322,8 @@
 
 // enforce puts a bundle in force and tells others; it is a higher one, or the
 // same under another census.
-func (co *Core) enforce(now clock.Instant, bn *bundle.Bundle, sl bundle.Seal) []Cmd {
+func (co *Core) enforce(now clock.Instant, bn *bundle.Bundle, sl bundle.Seal, rc reach) []Cmd {
 	co.state = &State{Bundle: bn, Seal: sl, Effective: bundle.Effective(bn, co.census.entries())}
 	co.poller = co.isPoller()
-	return append([]Cmd{InForceCmd{State: co.state}}, co.spread(now)...)
+	return append([]Cmd{InForceCmd{State: co.state}}, co.spread(now, rc)...)
 }
--- a/internal/ownership/pool/holder.go
+++ b/internal/ownership/pool/holder.go
@@ -82,6 +82,10 @@
 		durable:   map[ident.Slice]ident.Upstream{},
 		upstreams: map[ident.Upstream]*upstream{},
 	}
+	// Numbers start at the clock, so that no answer to an earlier holder of the
+	// pool on this host fits.
+	ho.numbers, ho.record.number = uint64(now.Now), uint64(now.Now)
+	ho.record.written, ho.record.durable = ho.record.number, ho.record.number
 	if as.Quiet > 0 {
 		ho.quiet = now.Steady.Add(lease.Longest(as.Quiet))
 	}
@@ -97,8 +101,12 @@
 	return ho.refused, ho.refused.Pool != ""
 }
 
-// Extend moves the end of the lease.
-func (ho *Holder) Extend(until clock.Instant) {
+// Extend moves the end of the lease. After a lapse, in which no upstream was
+// asked, their silence tells nothing yet.
+func (ho *Holder) Extend(now lease.Moment, until clock.Instant) {
+	if !ho.Live(now) {
+		ho.started = now
+	}
 	ho.changed = ho.changed || until > ho.until
 	ho.until = max(ho.until, until)
 }
@@ -153,8 +161,9 @@
 	ho.dropParted()
 }
 
-// Placed tells whether the pool's slices were read from the table.
-func (ho *Holder) Placed() bool { return ho.placed }
+// Placed returns the version of the row that the pool's slices come from, and
+// whether they were read from the table at all.
+func (ho *Holder) Placed() (table.Version, bool) { return ho.placeVersion, ho.placed }
 
 // Holds tells whether any upstream may hold the slice by this pool's grant.
 func (ho *Holder) Holds(now lease.Moment, sl ident.Slice) bool {
@@ -193,6 +202,11 @@
 		if !us.complete || us.all {
 			return
 		}
+		for sl := range us.confirmed {
+			if ho.owners[sl] != us.name {
+				return
+			}
+		}
 		granted += len(us.confirmed)
 	}
 	ho.steady = granted == len(ho.owners) && len(ho.owners) == len(ho.slices) && maps.Equal(ho.owners, ho.durable)
--- a/internal/ownership/term/bid.go
+++ b/internal/ownership/term/bid.go
@@ -36,7 +36,7 @@
 		return nil
 	}
 	if now.Now.Before(co.row.nextRead) {
-		return nil
+		return co.askAgain(now)
 	}
 	co.row.nextRead = now.Now.Add(readEvery)
 	cmds := co.seek()
@@ -50,6 +50,14 @@
 	return append(cmds, exchange.TableCmd{Tag: Tag, Number: co.row.reading, Key: RowKey(co.domain)})
 }
 
+// askAgain repeats a bid between two reads, since promises end at any time.
+func (co *Core) askAgain(now lease.Moment) []exchange.Cmd {
+	if bd := co.bid; bd != nil && bd.write == nil {
+		return co.ask(now, bd.table, bd.base)
+	}
+	return nil
+}
+
 // doubts tells whether the leader is unknown or has left a heartbeat unanswered.
 func (co *Core) doubts(now lease.Moment) bool {
 	fo := &co.follow
@@ -95,6 +103,9 @@
 		}
 	}
 	if now.Steady.Before(co.row.since.Add(lease.Longest(co.line.Term) + co.rank())) {
+		if co.bid != nil && co.bid.write == nil {
+			co.bid = nil
+		}
 		return nil
 	}
 	return co.ask(now, true, version)
@@ -142,7 +153,29 @@
 
 // hearAsk answers a challenger.
 func (co *Core) hearAsk(now lease.Moment, from ident.Host, ak exchange.Ask) []exchange.Cmd {
-	return []exchange.Cmd{exchange.SendCmd{To: from, Notice: co.answerAsk(now, from, ak)}}
+	if ak.Withdrawn {
+		co.takeBack(now, from, ak)
+		return nil
+	}
+	own := co.bid
+	vote := co.answerAsk(now, from, ak)
+	cmds := []exchange.Cmd{exchange.SendCmd{To: from, Notice: vote}}
+	if own == nil || co.bid != nil {
+		return cmds
+	}
+	withdrawal := exchange.Ask{Round: own.round, Term: own.term, Table: own.table, Withdrawn: true}
+	for _, ho := range co.others() {
+		cmds = append(cmds, exchange.SendCmd{To: ho, Notice: withdrawal})
+	}
+	return cmds
+}
+
+// takeBack ends the promise of a vote for a bid that was withdrawn: its bidder
+// counts no vote of that term any more, and another may have it.
+func (co *Core) takeBack(now lease.Moment, from ident.Host, ak exchange.Ask) {
+	if co.vote.to == from && co.vote.term == ak.Term && ak.Term > co.follow.term {
+		co.vote.until = min(co.vote.until, now.Steady)
+	}
 }
 
 // answerAsk promises the challenger unless a promise to another is in force, or
