Never give a pool's token twice in a term

Cause: a leader whose domain is cut off takes its pools out, and a seat that was taken out was forgotten with its epoch once its lease had ended. When the domain was covered again the pool came back with the token of its former holder, so that orders of the two were not told apart: two upstreams served one slice (fuzzing).

--- a/internal/ownership/pool/leader.go
+++ b/internal/ownership/pool/leader.go
@@ -71,7 +71,7 @@
 	until clock.Instant
 	// known says that the seat was held or given in this term.
 	known bool
-	// retired says that the bundle no longer has the pool.
+	// retired says that the pool may not be held now.
 	retired bool
 	// changed is the route number at which the holder changed.
 	changed uint64
@@ -103,7 +103,8 @@
 // right in between: it knows all leases that it gave.
 func (ld *Leader) Continue(term uint64) { ld.term = term }
 
-// SetPools says which pools the domain has.
+// SetPools says which pools may be held. The seat of one that may not be is kept
+// with its epoch, so that no token is given twice when it may be held again.
 func (ld *Leader) SetPools(now lease.Moment, pools []ident.Pool) {
 	known := map[ident.Pool]bool{}
 	for _, pl := range pools {
@@ -190,7 +191,7 @@
 
 // settle frees the pools whose former holder can have no lease any more.
 func (ld *Leader) settle(now lease.Moment) {
-	for name, st := range ld.seats {
+	for _, st := range ld.seats {
 		if mb := ld.members[st.holder]; mb != nil && (mb.leaving || ld.lost(now, mb)) {
 			ld.unseat(st)
 		}
@@ -198,9 +199,6 @@
 		if mb != nil && (mb.confirmed >= st.dropped || ld.defect == lease.NoLapse || !now.Steady.Before(st.until)) {
 			st.leaving = ""
 		}
-		if st.retired && st.holder == "" && st.leaving == "" {
-			delete(ld.seats, name)
-		}
 	}
 }
 
@@ -249,7 +247,7 @@
 	names := slices.Sorted(maps.Keys(ld.seats))
 	for _, name := range names {
 		st := ld.seats[name]
-		if st.holder != "" || st.leaving != "" || (!st.known && now.Steady.Before(ld.settled)) {
+		if st.retired || st.holder != "" || st.leaving != "" || (!st.known && now.Steady.Before(ld.settled)) {
 			continue
 		}
 		ho, ok := ld.choose(now, name)
