--- a/internal/operations/trial/trial_test.go
+++ b/internal/operations/trial/trial_test.go
@@ -12,7 +12,7 @@
 )
 
 // start runs a fleet that serves, until the test's end.
-func start(t *testing.T, ctx context.Context) *trial.Fleet {
+func start(ctx context.Context, t *testing.T) *trial.Fleet {
 	t.Helper()
 	gm := NewWithT(t)
 	fl, err := trial.StartFleet("mushi", examples.Mushi)
@@ -29,7 +29,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
 	const requests = 1500
-	ct, failures, err := trial.NewScript(start(t, ctx), t.Logf).Run(ctx, 1, requests)
+	ct, failures, err := trial.NewScript(start(ctx, t), t.Logf).Run(ctx, 1, requests)
 	gm.Expect(err).NotTo(HaveOccurred())
 	t.Logf("%+v\n%v", ct, failures)
 	gm.Expect(ct.Requests).To(BeNumerically(">", requests), "the load and the probes")
@@ -43,7 +43,7 @@
 	gm := NewWithT(t)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
-	fl := start(t, ctx)
+	fl := start(ctx, t)
 	ld := trial.NewLoad(fl)
 	ended := make(chan struct{})
 	running, stop := context.WithCancel(ctx)
@@ -66,3 +66,31 @@
 	gm.Expect(ct.MayHaveRun).To(BeZero())
 	gm.Expect(ct.RefusedNotRun).To(BeZero())
 }
+
+// The loss of each node of a domain, one after the other, breaks no promise.
+func TestLostNodesBreakNoPromise(t *testing.T) {
+	gm := NewWithT(t)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	fl := start(ctx, t)
+	ld := trial.NewLoad(fl)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		ld.Run(ctx, 2, 2400, 8*time.Second)
+	}()
+	for _, ho := range fl.Bundle.HostsOf(fl.Bundle.Domains[0].Name) {
+		time.Sleep(lossPause)
+		fl.KillNode(ho.Name)
+		time.Sleep(lossPause)
+		gm.Expect(fl.StartNode(ho.Name)).To(Succeed())
+	}
+	<-ended
+	ct := ld.Count()
+	t.Logf("%+v\n%v", ct, ld.Failures())
+	gm.Expect(ct.Answered).To(BeNumerically(">", ct.Requests/2))
+	gm.Expect(ct.Broken()).To(BeFalse())
+}
+
+// lossPause is longer than every lease.
+const lossPause = 1500 * time.Millisecond
