--- a/internal/operations/trial/domain_test.go
+++ b/internal/operations/trial/domain_test.go
@@ -38,7 +38,7 @@
 	settled := clock.Boot{}.Now()
 
 	ld := trial.NewLoad(fl)
-	ld.Run(ctx, 1, 200, 4)
+	ld.Run(ctx, 1, 200, time.Second)
 	ct := ld.Count()
 	fl.Close()
 	gm.Expect(ct.Answered).To(BeNumerically(">", 0))
@@ -69,7 +69,7 @@
 	fl.Platform.SetFaults(standplatform.Faults{Down: true})
 	time.Sleep(silentTime)
 	ld := trial.NewLoad(fl)
-	ld.Run(ctx, 1, 200, 4)
+	ld.Run(ctx, 1, 200, time.Second)
 	ct := ld.Count()
 	fl.Close()
 	gm.Expect(ct.Answered).To(BeNumerically(">", ct.RefusedNotRun))
