--- a/cmd/chervilbench/main.go
+++ b/cmd/chervilbench/main.go
@@ -25,6 +25,7 @@
 		{"route", "Compare routing policies in virtual time", &routeCommand{}},
 		{"relay", "Measure entry and holder on loopback against a direct call", &relayCommand{}},
 		{"slopes", "Measure how the costs of the roles grow", &slopesCommand{}},
+		{"page", "Write the computed part of the capacity page", &pageCommand{}},
 	}
 }
 
--- a/internal/operations/capacity/page.go
+++ b/internal/operations/capacity/page.go
@@ -1,8 +1,10 @@
 package capacity
 
 import (
+	"cmp"
 	"fmt"
 	"math"
+	"slices"
 	"strings"
 
 	"github.com/rotisserie/eris"
@@ -102,6 +104,8 @@
 		return "", err
 	}
 	var sb strings.Builder
+	renderLeast(&sb, lines)
+	renderAssumed(&sb)
 	renderDerived(&sb)
 	renderLines(&sb, lines)
 	if err := renderDoubling(&sb, slopes, lines); err != nil {
@@ -111,6 +115,41 @@
 	return sb.String(), nil
 }
 
+// leastCount is how many of the lines that fit least stand at the page's head.
+const leastCount = 2
+
+// renderLeast names the lines that fit least, one for each role.
+func renderLeast(sb *strings.Builder, lines []Line) {
+	sorted := slices.SortedFunc(slices.Values(lines), func(left, right Line) int {
+		return cmp.Compare(left.Factor(), right.Factor())
+	})
+	sb.WriteString("\n## The two parts that fit least\n\n")
+	named := map[string]bool{}
+	for _, ln := range sorted {
+		if ln.Limit == 0 || named[ln.Role] || len(named) == leastCount {
+			continue
+		}
+		named[ln.Role] = true
+		fmt.Fprintf(sb, "%d. **%s, %s**: %s beside a limit of %s, %.2f times.\n",
+			len(named), ln.Role, ln.What, ln.Unit.write(ln.Value), ln.Unit.write(ln.Limit), ln.Factor())
+	}
+}
+
+// renderAssumed lists the assumptions.
+func renderAssumed(sb *strings.Builder) {
+	as := Assumed()
+	sb.WriteString("\n## Assumptions\n\n| assumption | value |\n| --- | --- |\n")
+	fmt.Fprintf(sb, "| mean service time | %.0f ms |\n", millisPerSecond*as.ServiceSeconds)
+	fmt.Fprintf(sb, "| share of the slots in use | %.1f |\n", as.Load)
+	fmt.Fprintf(sb, "| slots of an upstream | %.0f |\n", as.Slots)
+	fmt.Fprintf(sb, "| upstreams in a pool (`poolUpstreams`) | %.0f |\n", as.PoolUpstreams)
+	fmt.Fprintf(sb, "| slices for each upstream of a keyed service | %.0f |\n", as.SlicesPerUpstream)
+	fmt.Fprintf(sb, "| services | %.0f |\n", as.Services)
+	fmt.Fprintf(sb, "| share of requests for keyed services | %.1f |\n", as.KeyedShare)
+	fmt.Fprintf(sb, "| cores of an entry host, for requests | %.0f |\n", FullSize().NodeCores)
+	fmt.Fprintf(sb, "| writes that the table takes | %.0f/s |\n", FullSize().TableWrites)
+}
+
 func renderDerived(sb *strings.Builder) {
 	de := Derive(FullSize(), Assumed())
 	sb.WriteString("\n## What follows from size and assumptions\n\n| count | value |\n| --- | --- |\n")
@@ -163,8 +202,8 @@
 		{"upstreams per pool", func(as Assumptions) string { return fmt.Sprintf("%.0f", as.PoolUpstreams) }, func(as *Assumptions) { as.PoolUpstreams *= 2 }},
 		{"slots per upstream", func(as Assumptions) string { return fmt.Sprintf("%.0f", as.Slots) }, func(as *Assumptions) { as.Slots *= 2 }},
 		{"slices per upstream", func(as Assumptions) string { return fmt.Sprintf("%.0f", as.SlicesPerUpstream) }, func(as *Assumptions) { as.SlicesPerUpstream *= 2 }},
+		{"share of keyed requests", func(as Assumptions) string { return fmt.Sprintf("%.1f", as.KeyedShare) }, func(as *Assumptions) { as.KeyedShare = min(1, 2*as.KeyedShare) }},
 		{"services", func(as Assumptions) string { return fmt.Sprintf("%.0f", as.Services) }, func(as *Assumptions) { as.Services *= 2 }},
-		{"answer size", func(as Assumptions) string { return fmt.Sprintf("%.0f KB", as.AnswerBytes/1024) }, func(as *Assumptions) { as.AnswerBytes *= 2 }},
 	}
 }
 
--- a/internal/operations/capacity/size.go
+++ b/internal/operations/capacity/size.go
@@ -4,26 +4,25 @@
 
 // Size is what the design is for, from the users' plan for two years.
 type Size struct {
-	Nodes           float64
-	Domains         float64
-	Regions         float64
-	Keys            float64
-	RequestsPerSec  float64
-	HotKeys         float64
-	ChangesPerDay   float64
-	RestartsPerDay  float64
-	LossesPerDay    float64
-	ControlCore     float64 // share of one core
-	ControlHeap     float64 // bytes
-	ControlWire     float64 // bytes per second
-	TableWrites     float64 // per second
-	TableReads      float64 // per second
-	Connections     float64 // per upstream
-	ServedAgain     float64 // seconds
-	ChangeInForce   float64 // seconds
-	LatencyP99      float64 // seconds
-	NodeCores       float64 // cores of one entry host, for the path of requests
-	MachineHeapHalf float64 // bytes
+	Nodes          float64
+	Domains        float64
+	Regions        float64
+	Keys           float64
+	RequestsPerSec float64
+	HotKeys        float64
+	ChangesPerDay  float64
+	RestartsPerDay float64
+	LossesPerDay   float64
+	ControlCore    float64 // share of one core
+	ControlHeap    float64 // bytes
+	ControlWire    float64 // bytes per second
+	TableWrites    float64 // per second
+	TableReads     float64 // per second
+	Connections    float64 // per upstream
+	ServedAgain    float64 // seconds
+	ChangeInForce  float64 // seconds
+	LatencyP99     float64 // seconds
+	NodeCores      float64 // cores of one entry host, for the path of requests
 }
 
 // FullSize is the size that decides the design.
@@ -54,15 +53,13 @@
 	Services float64
 	// KeyedShare is the share of requests for keyed services.
 	KeyedShare float64
-	// AnswerBytes is the mean size of an answer.
-	AnswerBytes float64
 }
 
 // Assumed is what the page counts with.
 func Assumed() Assumptions {
 	return Assumptions{
 		ServiceSeconds: 0.004, Load: 0.7, Slots: 2, PoolUpstreams: 8, SlicesPerUpstream: 64,
-		Services: 6, KeyedShare: 0.6, AnswerBytes: 2 << 10,
+		Services: 6, KeyedShare: 0.6,
 	}
 }
 
--- a/internal/operations/capacity/slope.go
+++ b/internal/operations/capacity/slope.go
@@ -109,3 +109,9 @@
 	}
 	return slopes[ix], true
 }
+
+// Refit fits a slope's points anew.
+func Refit(sl Slope) Slope {
+	sl.fit()
+	return sl
+}
