--- a/internal/fleet/inner/inner.go
+++ b/internal/fleet/inner/inner.go
@@ -125,7 +125,9 @@
 
 // Peer is the way to one other node.
 type Peer struct {
-	client     innerpb.InnerClient
+	client innerpb.InnerClient
+	// packed is the client for bodies worth compressing.
+	packed     innerpb.InnerClient
 	http       *http.Client
 	talk       *talk
 	forwardURL string
@@ -140,10 +142,13 @@
 		DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		IdleConnTimeout:    idleTimeout,
 	}}
-	// Compression costs more processor time than all the rest of the hop.
+	// Compression costs more processor time than all the rest of a short call.
 	plain := connect.WithAcceptCompression("gzip", nil, nil)
 	client := innerpb.NewInnerClient(hc, "http://"+address, plain)
-	return &Peer{client: client, http: hc, talk: newTalk(client), forwardURL: "http://" + address + forwardPath}
+	return &Peer{
+		client: client, packed: innerpb.NewInnerClient(hc, "http://"+address), http: hc,
+		talk: newTalk(client), forwardURL: "http://" + address + forwardPath,
+	}
 }
 
 // neverSent tells whether the connection to a node was never made, so that no
--- a/internal/fleet/inner/rollout.go
+++ b/internal/fleet/inner/rollout.go
@@ -47,7 +47,7 @@
 // FetchBundle returns the peer's signed bundle, or only its version when that
 // is not above the known one; the caller checks the seal.
 func (pe *Peer) FetchBundle(ctx context.Context, known bundle.Version) (bundle.Seal, error) {
-	rs, err := pe.client.FetchBundle(ctx, connect.NewRequest(&innerpb.FetchBundleRequest{KnownVersion: uint64(known)}))
+	rs, err := pe.packed.FetchBundle(ctx, connect.NewRequest(&innerpb.FetchBundleRequest{KnownVersion: uint64(known)}))
 	if err != nil {
 		return bundle.Seal{}, err
 	}
--- a/internal/operations/capacity/lines_ownership.go
+++ b/internal/operations/capacity/lines_ownership.go
@@ -126,7 +126,7 @@
 // worstLines are the moments in which much happens at once.
 func (ta *tally) worstLines() []Line {
 	poolsLost := ta.de.Pools / ta.size.Domains
-	body := ta.at("bundleBytes", ta.de.Upstreams) + ta.per("bundleHostBytes")*ta.size.Nodes
+	body := ta.at("bundleWire", ta.de.Upstreams)
 	inFlight := ta.de.RequestsPerNode / (1 - 1/ta.size.Domains)
 	return []Line{
 		{
@@ -141,7 +141,7 @@
 		},
 		{
 			Role: "worst moment", What: "a region cut off: upstreams left for all requests", Formula: "load ÷ (1 − 1/regions)",
-			Unit: UnitCore, Value: ta.as.Load / (1 - 1/ta.size.Regions), Limit: 1,
+			Unit: UnitShare, Value: ta.as.Load / (1 - 1/ta.size.Regions), Limit: 1,
 			Mechanism: "keys with whenCutOff: keep stay served on their side; others move; beyond 1 refused ahead of time",
 		},
 		{
@@ -155,7 +155,7 @@
 			Mechanism: "a planned stop hands over; a start takes by rebalancing, one pool each 500 ms and domain",
 		},
 		{
-			Role: "worst moment", What: "420 nodes start without the platform: bundle bodies out of one peer within 2 s", Formula: "body × nodes ÷ 2 s ÷ nodes that have it, doubling",
+			Role: "worst moment", What: "420 nodes start without the platform: bundle bodies out of one peer within 2 s", Formula: "bundleWire(upstreams) ÷ 2 s for each node served",
 			Unit: UnitBytesSec, Value: body / ta.size.ServedAgain, Mechanism: "each node that has the body gives it on; the first needs a peer that ran on",
 		},
 		{
--- a/internal/operations/capacity/lines_serving.go
+++ b/internal/operations/capacity/lines_serving.go
@@ -51,8 +51,8 @@
 		},
 		{
 			Role: "pool holder", What: "ownership core, processor time",
-			Formula: "slices/node × holderCpu + upstreams/node × holderUpstreamCpu + holderUpstreamCpu(0)",
-			Unit:    UnitCore, Value: ta.holderCore(), Limit: ta.size.ControlCore,
+			Formula: "holderCpu(slices/node), measured with 8 upstreams",
+			Unit:    UnitCore, Value: ta.at("holderCpu", ta.de.Slices/ta.size.Nodes) / nanosPerSecond, Limit: ta.size.ControlCore,
 			Mechanism: "a settled holder renews by upstream and looks at no slice",
 		},
 		{
@@ -68,12 +68,6 @@
 	}
 }
 
-// holderCore is the share of a core of a node's holders.
-func (ta *tally) holderCore() float64 {
-	nanos := ta.de.Slices/ta.size.Nodes*ta.per("holderCpu") + ta.at("holderUpstreamCpu", ta.de.UpstreamsPerNode)
-	return nanos / nanosPerSecond
-}
-
 // bundleLines are the costs of changes of configuration.
 func (ta *tally) bundleLines() []Line {
 	body := ta.at("bundleBytes", ta.de.Upstreams) + ta.per("bundleHostBytes")*ta.size.Nodes
@@ -81,9 +75,9 @@
 	return []Line{
 		{
 			Role: "bundle distribution", What: "bodies fetched by a node, mean of a day",
-			Formula: "changes/day ÷ 86,400 × (upstreams × bundleBytes + nodes × bundleHostBytes)",
-			Unit:    UnitBytesSec, Value: changes * body, Limit: ta.size.ControlWire,
-			Mechanism: "the whole body for each change",
+			Formula: "changes/day ÷ 86,400 × bundleWire(upstreams)",
+			Unit:    UnitBytesSec, Value: changes * ta.at("bundleWire", ta.de.Upstreams), Limit: ta.size.ControlWire,
+			Mechanism: "the whole body for each change, compressed between nodes",
 		},
 		{
 			Role: "bundle distribution", What: "parsing, mean of a day", Formula: "changes/day ÷ 86,400 × upstreams × bundleCpu",
--- a/internal/operations/capacity/page.go
+++ b/internal/operations/capacity/page.go
@@ -43,6 +43,7 @@
 	UnitSeconds  Unit = "s"
 	UnitPerSec   Unit = "per s"
 	UnitCount    Unit = "count"
+	UnitShare    Unit = "of the slots"
 )
 
 // Fits tells whether the result keeps its limit; a line without one fits.
@@ -74,6 +75,8 @@
 		}
 	case UnitCore:
 		return fmt.Sprintf("%.2f%% of a core", 100*value)
+	case UnitShare:
+		return fmt.Sprintf("%.0f%% of the slots", 100*value)
 	case UnitSeconds:
 		return fmt.Sprintf("%.2f s", value)
 	case UnitPerSec:
--- a/internal/operations/capacity/probe_bundle.go
+++ b/internal/operations/capacity/probe_bundle.go
@@ -1,10 +1,12 @@
 package capacity
 
 import (
+	"context"
 	"fmt"
 	"runtime"
 
 	"chervilwalk/internal/fleet/ident"
+	"chervilwalk/internal/fleet/inner"
 	"chervilwalk/internal/fleet/route"
 	"chervilwalk/internal/operations/bundle"
 )
@@ -14,6 +16,7 @@
 	upstreams := []int{200, 500, 1000, 2000, 4000}
 	return []Probe{
 		{Name: "bundleBytes", Unit: "bytes", Per: "upstream", Role: "bundle distribution", Sizes: upstreams, Measure: bundleBytes, Exact: true},
+		{Name: "bundleWire", Unit: "bytes", Per: "upstream", Role: "bundle distribution", Sizes: upstreams, Measure: bundleWire},
 		{Name: "bundleHostBytes", Unit: "bytes", Per: "host", Role: "bundle distribution", Sizes: []int{50, 100, 200, 400}, Measure: bundleHostBytes, Exact: true},
 		{Name: "bundleHeap", Unit: "bytes", Per: "upstream", Role: "bundle distribution", Sizes: upstreams, Measure: bundleHeap},
 		{Name: "bundleCpu", Unit: "ns", Per: "upstream", Role: "bundle distribution", Sizes: upstreams, Measure: bundleCPU},
@@ -27,6 +30,38 @@
 	return float64(len(body)), err
 }
 
+// sealed is a node that has a bundle to give.
+type sealed struct {
+	inner.Service
+	body []byte
+}
+
+// Seal implements inner.Service.
+func (se sealed) Seal() (bundle.Seal, bool) {
+	return bundle.Seal{Version: 1, Key: "alice", Signature: make([]byte, 64), Body: se.body}, true
+}
+
+// bundleWire is what crosses the wire when a node fetches a bundle of 420 hosts
+// from a peer.
+func bundleWire(size int) (float64, error) {
+	body, err := bundle.Format(stock(shape{domains: 8, hosts: 420, upstreams: size, slices: 256}))
+	if err != nil {
+		return 0, err
+	}
+	wi, err := listenWire()
+	if err != nil {
+		return 0, err
+	}
+	defer wi.serve(inner.NewServer(sealed{body: body}))()
+	pe := inner.NewPeer(wi.Addr().String())
+	defer pe.Close()
+	sl, err := pe.FetchBundle(context.Background(), 0)
+	if err == nil && len(sl.Body) != len(body) {
+		err = fmt.Errorf("%d of %d bytes came", len(sl.Body), len(body))
+	}
+	return wi.total(), err
+}
+
 func bundleHostBytes(size int) (float64, error) {
 	body, err := bundle.Format(stock(shape{domains: 8, hosts: size, upstreams: 8, slices: 256}))
 	return float64(len(body)), err
