Learn the routes of other domains anew with each lead

A host that led, stopped leading and led again took for known what it had been told the first time, while its new leases began without the routes of other domains. Hosts that kept running had them still; one that started under it never got them. Ruled out: lost offers, which are repeated each 400 ms. Conclusion: a new lead forgets what an earlier one was told.

--- a/internal/ownership/authority/fuzz_test.go
+++ b/internal/ownership/authority/fuzz_test.go
@@ -162,7 +162,7 @@
 // At every moment a slice has one owner at most and a pool one holder, and
 // nothing is granted that is not recorded; within two seconds of the last fault
 // every slice is served again, and then none is unserved for longer than a
-// planned move takes.
+// planned move takes, and every host knows where to send requests.
 func TestOwnershipUnderFaults(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		pk := func(below int) int { return rapid.IntRange(0, below-1).Draw(rt, "pick") }
@@ -189,12 +189,25 @@
 		if took := fl.Unserved(settling); took > handOver {
 			rt.Fatalf("then a slice was unserved for %v", took)
 		}
+		if _, ok := fl.RunUntil(serveAgain, func() bool { return allRouted(fl) }); !ok {
+			rt.Fatalf("a host does not know the holders of pools that it must route to")
+		}
 		if broken := fl.Violations(); len(broken) > 0 {
 			rt.Fatalf("after the faults: %v", broken)
 		}
 	})
 }
 
+// allRouted tells whether every host knows the holder of every pool.
+func allRouted(fl *fleet.Fleet) bool {
+	for _, ho := range fl.Hosts() {
+		if len(fl.Unrouted(ho)) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // serveAgain is the promise: a key is served again within it after a loss.
 const serveAgain = 2 * time.Second
 
--- a/internal/ownership/authority/lead.go
+++ b/internal/ownership/authority/lead.go
@@ -45,6 +45,9 @@
 	}
 	if co.leader == nil {
 		co.leader = &leader{term: number, pools: pool.NewLeader(co.line, co.defect, number, co.term.Tail(), now)}
+		// A new leader has the routes of no other domain, whatever it was told
+		// when it led before.
+		clear(co.routes.told)
 	}
 	right, settled := co.limit(now, right)
 	if !settled {
--- a/internal/stand/fleet/oracle.go
+++ b/internal/stand/fleet/oracle.go
@@ -181,3 +181,19 @@
 	}
 	return maps.Clone(rw.Owners)
 }
+
+// Unrouted lists the pools whose holder a host does not know, or takes to be
+// another than the one that holds them.
+func (fl *Fleet) Unrouted(ho ident.Host) []ident.Pool {
+	var list []ident.Pool
+	for _, pl := range fl.Bundle.Pools() {
+		holder, held := fl.HolderOf(pl.Name)
+		if !held {
+			continue
+		}
+		if rt := fl.Nodes[ho].routes; rt == nil || rt.Holders[pl.Name] != holder {
+			list = append(list, pl.Name)
+		}
+	}
+	return list
+}
