Empty a domain that goes out in batches of one size

Cause: trials showed a key without an answer for 3 s while a domain went out. The size of a batch was to be kept from the first one, but the rule for slices that go home cleared it each time, so that every batch was a quarter of what was left: 85 slices took 14 batches of 250 ms. Conclusion: a pool forgets its batch only when it is in service.

--- a/internal/ownership/authority/domains_test.go
+++ b/internal/ownership/authority/domains_test.go
@@ -80,6 +80,19 @@
 	}
 }
 
+// A domain of many slices is emptied in a fixed number of batches: each is as
+// large as the first, however few slices are left.
+func TestDomainOutIsEmptyWithinSeconds(t *testing.T) {
+	gm := NewWithT(t)
+	fl := fleet.New(1, fleet.Plan{Domains: 3, Hosts: 2, Upstreams: 7, Slices: 256})
+	fl.Run(6 * time.Second)
+	gm.Expect(of(fl, "d1")).To(BeNumerically(">", 64))
+	accept(fl, setOut(0, true))
+	gm.Expect(fl.Unserved(2 * time.Second)).To(BeNumerically("<", handOver))
+	gm.Expect(of(fl, "d1")).To(Equal(0))
+	gm.Expect(fl.AllServed()).To(BeTrue())
+}
+
 // A domain that goes out hands its slices over ahead of the stop: each is
 // unserved for no longer than a hand-over takes, and the domain is empty within
 // seconds. It comes back step by step.
--- a/internal/ownership/authority/placement.go
+++ b/internal/ownership/authority/placement.go
@@ -69,9 +69,11 @@
 	leaving := !co.inService(name.Domain())
 	targets := co.targets(sv, pc.row, func(pl bundle.Pool) bool { return co.routes.holders[pl.Name] != "" })
 	warm := full(targets)
-	every, share := homeEvery, co.homeBatch(sv, pc.row)
+	every, share := homeEvery, 0
 	if leaving {
 		every, share = leaveEvery, co.leaveBatch(name, len(ho.Slices()))
+	} else {
+		share = co.homeBatch(name, sv, pc.row)
 	}
 	co.moving.next[name] = now.Now.Add(every)
 	part := map[ident.Slice]ident.Pool{}
@@ -110,9 +112,10 @@
 	return co.moving.batch[name]
 }
 
-// homeBatch is the most that one pool sends home at a time.
-func (co *Core) homeBatch(sv *bundle.Service, row pool.PlaceRow) int {
-	clear(co.moving.batch)
+// homeBatch is the most that one pool sends home at a time. A pool in service
+// forgets the batches by which it was emptied before.
+func (co *Core) homeBatch(name ident.Pool, sv *bundle.Service, row pool.PlaceRow) int {
+	delete(co.moving.batch, name)
 	return max(1, len(row.Pools)/(len(sv.Pools())*int(1/rampStep)))
 }
 
