Ask in the fuzzing that every host can reach every slice

Cause: read again, the harness had a check of the way to each slice that nothing called; it was written while looking for the cause of keys unserved when a domain goes out.

--- a/internal/ownership/authority/fuzz_test.go
+++ b/internal/ownership/authority/fuzz_test.go
@@ -198,10 +198,11 @@
 	})
 }
 
-// allRouted tells whether every host knows the holder of every pool.
+// allRouted tells whether every host knows the holder of every pool, and for
+// every slice a pool whose holder would dispatch it.
 func allRouted(fl *fleet.Fleet) bool {
 	for _, ho := range fl.Hosts() {
-		if len(fl.Unrouted(ho)) > 0 {
+		if len(fl.Unrouted(ho)) > 0 || len(fl.Unreached(ho)) > 0 {
 			return false
 		}
 	}
