Let the probes use the harness's table

Cause: read again, the stage of the probes had a table of its own that took every write, whatever its base; the harness has one that compares. Conclusion: one fake table; the probes complete and their counts repeat.

--- a/internal/operations/capacity/probe_ownership.go
+++ b/internal/operations/capacity/probe_ownership.go
@@ -186,7 +186,7 @@
 		var sg *stage
 		sg, err = settledStage(bn)
 		if sg != nil {
-			sg.rows, sg.queue = nil, nil
+			sg.table, sg.queue = nil, nil
 		}
 		return sg
 	})
--- a/internal/operations/capacity/stage.go
+++ b/internal/operations/capacity/stage.go
@@ -9,7 +9,7 @@
 	"chervilwalk/internal/ownership/authority"
 	"chervilwalk/internal/ownership/exchange"
 	"chervilwalk/internal/ownership/grant"
-	"chervilwalk/internal/platform/table"
+	"chervilwalk/internal/stand/fleet"
 )
 
 // stageTick is how often the stage tells the core the time, as the node does.
@@ -20,7 +20,7 @@
 type stage struct {
 	core  *authority.Core
 	now   clock.Instant
-	rows  map[string]table.Row
+	table *fleet.Table
 	queue []authority.Msg
 	// views and orders count what the core told.
 	views  int
@@ -30,8 +30,8 @@
 // newStage makes a node that holds every pool of a bundle with one host.
 func newStage(bn *bundle.Bundle) *stage {
 	sg := &stage{
-		core: authority.New(bn.Hosts[0].Name, bn.Hosts[0].Domain),
-		rows: map[string]table.Row{},
+		core:  authority.New(bn.Hosts[0].Name, bn.Hosts[0].Domain),
+		table: fleet.NewTable(),
 	}
 	sg.take(authority.BundleMsg{Bundle: bn})
 	return sg
@@ -59,7 +59,7 @@
 func (sg *stage) do(cmd authority.Cmd) {
 	switch cm := cmd.(type) {
 	case exchange.TableCmd:
-		rs := sg.operate(cm)
+		rs := sg.table.Do(cm)
 		sg.queue = append(sg.queue, authority.TableMsg{TableMsg: exchange.TableMsg{Tag: cm.Tag, Number: cm.Number, Result: rs}})
 	case exchange.OrderCmd:
 		sg.orders++
@@ -71,21 +71,6 @@
 	}
 }
 
-func (sg *stage) operate(cm exchange.TableCmd) table.Result {
-	if len(cm.Writes) == 0 {
-		row := sg.rows[cm.Key]
-		row.Key = cm.Key
-		return table.Result{Outcome: table.Done, Rows: []table.Row{row}}
-	}
-	rs := table.Result{Outcome: table.Done}
-	for _, wr := range cm.Writes {
-		row := table.Row{Key: wr.Key, Value: wr.Value, Version: wr.Base + 1}
-		sg.rows[wr.Key] = row
-		rs.Rows = append(rs.Rows, row)
-	}
-	return rs
-}
-
 // accept is the answer of an upstream that takes every order.
 func (sg *stage) accept(od grant.Order) grant.Reply {
 	return grant.Reply{
--- a/internal/stand/fleet/fleet.go
+++ b/internal/stand/fleet/fleet.go
@@ -86,7 +86,7 @@
 	fl := &Fleet{
 		Line:      timeline.New(),
 		Bundle:    pn.bundle(),
-		Table:     newTable(),
+		Table:     NewTable(),
 		Nodes:     map[ident.Host]*Node{},
 		Upstreams: map[ident.Upstream]*Upstream{},
 		rand:      rand.New(rand.NewPCG(seed, 1)),
--- a/internal/stand/fleet/node.go
+++ b/internal/stand/fleet/node.go
@@ -149,7 +149,7 @@
 			return
 		}
 		fl.Line.After(tb.Slow, func() {
-			rs := tb.do(cm)
+			rs := tb.Do(cm)
 			if tb.LoseAnswers > 0 && fl.rand.Float64() < tb.LoseAnswers {
 				return
 			}
--- a/internal/stand/fleet/world.go
+++ b/internal/stand/fleet/world.go
@@ -110,12 +110,14 @@
 	rows        map[string]table.Row
 }
 
-func newTable() *Table { return &Table{rows: map[string]table.Row{}} }
+// NewTable makes an empty table without faults.
+func NewTable() *Table { return &Table{rows: map[string]table.Row{}} }
 
 // Row returns a row as it stands.
 func (tb *Table) Row(key string) table.Row { return tb.rows[key] }
 
-func (tb *Table) do(cm exchange.TableCmd) table.Result {
+// Do reads a row, or compares all base versions and writes all rows or none.
+func (tb *Table) Do(cm exchange.TableCmd) table.Result {
 	if len(cm.Writes) == 0 {
 		tb.Reads++
 		row := tb.rows[cm.Key]
