--- a/cmd/chervilwalk/main.go
+++ b/cmd/chervilwalk/main.go
@@ -13,6 +13,7 @@
 func main() {
 	pr := flags.NewParser(nil, flags.HelpFlag|flags.PassDoubleDash)
 	pr.Name = "chervilwalk"
+	mustAdd(pr, "front", "Run the gateway of a machine of the platform", &frontCommand{})
 	mustAdd(pr, "node", "Run one node of the router", &nodeCommand{})
 	addBundle(pr)
 	addHost(pr)
--- /dev/null
+++ b/internal/fleet/gateway/asks.go
@@ -0,0 +1,371 @@
+package gateway
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"chervilwalk/internal/fleet/clock"
+	"chervilwalk/internal/fleet/ident"
+	"chervilwalk/internal/fleet/talk"
+	"chervilwalk/internal/ownership/assignment"
+	"chervilwalk/internal/serving/journey"
+	"chervilwalk/internal/serving/permit"
+)
+
+const (
+	// replyTime is how long a holder may take to say anything: twenty times the
+	// way between two domains, for slow machines. Then it is asked once more.
+	replyTime = 60 * time.Millisecond
+	// queuedTime is how long after its last word a holder is asked again
+	// whether it still has the ask.
+	queuedTime = 400 * time.Millisecond
+	// suspectTime is how long a holder that did not answer is passed over.
+	suspectTime = 2 * time.Second
+	// askTries is how often a holder is asked before it is passed over.
+	askTries = 2
+	// doneTries is how often a permit is given back until that is confirmed;
+	// a permit that is not given back ends with its request's deadline.
+	doneTries = 3
+	// holderTries is how many holders are asked before the host hands out the
+	// permit itself.
+	holderTries = 3
+	// unusableRetry is when to ask again after a permit for an upstream that is
+	// not known here, or leaves.
+	unusableRetry = 60 * time.Millisecond
+)
+
+// result is the end of an ask.
+type result struct {
+	grant   journey.Grant
+	refusal *talk.Refusal
+}
+
+// askEvent begins an ask.
+type askEvent struct {
+	ask   talk.Ask
+	reply chan result
+}
+
+// withdrawEvent ends an ask whose caller left.
+type withdrawEvent struct {
+	ticket talk.Ticket
+	reply  chan result
+}
+
+// releaseEvent gives a permit back.
+type releaseEvent struct {
+	grant journey.Grant
+	done  talk.Done
+}
+
+// wish is an ask that waits for its end.
+type wish struct {
+	ask      talk.Ask
+	reply    chan result
+	began    clock.Instant
+	holder   ident.Host
+	address  string
+	tries    int
+	passed   []ident.Host
+	nextAt   clock.Instant
+	deadline clock.Instant
+	objected clock.Instant
+}
+
+// giving is a permit on its way back.
+type giving struct {
+	done    talk.Done
+	address string
+	tries   int
+	nextAt  clock.Instant
+}
+
+// asks gets permits from the holders of pools. Acquire and Release may be
+// called from many goroutines; all else belongs to the loop.
+type asks struct {
+	gw      *Gateway
+	ticket  atomic.Uint64
+	open    atomic.Int64
+	wishes  map[talk.Ticket]*wish
+	givings map[talk.Ticket]*giving
+	suspect map[ident.Host]clock.Instant
+	hosts   map[ident.Host]netip.AddrPort
+}
+
+func newAsks(gw *Gateway) asks {
+	return asks{
+		gw: gw, wishes: map[talk.Ticket]*wish{}, givings: map[talk.Ticket]*giving{},
+		suspect: map[ident.Host]clock.Instant{}, hosts: map[ident.Host]netip.AddrPort{},
+	}
+}
+
+// Acquire implements journey.Permits.
+func (as *asks) Acquire(ctx context.Context, ask talk.Ask) (journey.Grant, *talk.Refusal, error) {
+	ask.Host, ask.Incarnation = as.gw.self.Host, as.gw.self.Incarnation
+	ask.Ticket = talk.Ticket(as.ticket.Add(1))
+	as.open.Add(1)
+	reply := make(chan result, 1)
+	as.gw.send(askEvent{ask, reply})
+	select {
+	case rs := <-reply:
+		if rs.refusal != nil {
+			as.open.Add(-1)
+		}
+		return rs.grant, rs.refusal, nil
+	case <-ctx.Done():
+		as.open.Add(-1)
+		as.gw.send(withdrawEvent{ask.Ticket, reply})
+		return journey.Grant{}, nil, ctx.Err()
+	case <-as.gw.done:
+		as.open.Add(-1)
+		return journey.Grant{}, nil, context.Canceled
+	}
+}
+
+// Release implements journey.Permits.
+func (as *asks) Release(gr journey.Grant, done talk.Done) {
+	as.open.Add(-1)
+	as.gw.tally.ended(done)
+	as.gw.send(releaseEvent{gr, done})
+}
+
+// idle tells whether no request waits for a permit or holds one.
+func (as *asks) idle() bool { return as.open.Load() == 0 }
+
+func (as *asks) begin(ev askEvent) {
+	now := as.gw.clock.Now()
+	ws := &wish{ask: ev.ask, reply: ev.reply, began: now, deadline: now.Add(ev.ask.TimeLeft), objected: now.Add(ev.ask.ObjectiveLeft)}
+	as.wishes[ev.ask.Ticket] = ws
+	as.find(now, ws)
+}
+
+// find asks the next holder, or this host's own core if none is left.
+func (as *asks) find(now clock.Instant, ws *wish) {
+	ws.tries = 0
+	ws.holder, ws.address = as.gw.self.Host, ""
+	if len(ws.passed) < holderTries {
+		ws.holder, ws.address = as.holder(now, ws)
+	}
+	as.ask(now, ws)
+}
+
+// ask sends a wish to its holder.
+func (as *asks) ask(now clock.Instant, ws *wish) {
+	ws.tries++
+	ws.nextAt = now.Add(replyTime)
+	ws.ask.TimeLeft, ws.ask.ObjectiveLeft = ws.deadline.Sub(now), ws.objected.Sub(now)
+	if ws.holder == as.gw.self.Host {
+		ws.nextAt = now.Add(queuedTime)
+		as.gw.permit(permit.AskMsg{Ask: ws.ask})
+		return
+	}
+	as.gw.transmit(ws.address, ws.ask)
+}
+
+// holder is the member that hands out the permits of a service, chosen alike
+// by all hosts; those that did not answer lately are passed over.
+func (as *asks) holder(now clock.Instant, ws *wish) (ident.Host, string) {
+	var best *assignment.Member
+	var bestWeight uint64
+	members := as.gw.table.Load().Members
+	for ix := range members {
+		mb := &members[ix]
+		if !mb.Alive || now.Before(as.suspect[mb.Host]) || slices.Contains(ws.passed, mb.Host) {
+			continue
+		}
+		if weight := ident.Weight("permits/"+string(ws.ask.Service), string(mb.Host)); best == nil || weight > bestWeight {
+			best, bestWeight = mb, weight
+		}
+	}
+	if best == nil {
+		return as.gw.self.Host, ""
+	}
+	return best.Host, best.Address
+}
+
+// tick repeats what got no answer.
+func (as *asks) tick(now clock.Instant) {
+	for _, ws := range as.wishes {
+		if now < ws.nextAt {
+			continue
+		}
+		switch {
+		case ws.deadline < now:
+			as.end(ws, result{refusal: &talk.Refusal{Reason: "noAnswerFromHolder", RetryAfter: unusableRetry}})
+		case ws.holder == as.gw.self.Host || ws.tries < askTries:
+			as.ask(now, ws)
+		default:
+			as.gw.cf.Journal.Event("holderSilent", map[string]any{"holder": ws.holder, "request": ws.ask.Request, "service": ws.ask.Service, "tries": ws.tries})
+			as.suspect[ws.holder] = now.Add(suspectTime)
+			ws.passed = append(ws.passed, ws.holder)
+			as.find(now, ws)
+		}
+	}
+	for ticket, gv := range as.givings {
+		if now < gv.nextAt {
+			continue
+		}
+		if gv.tries >= doneTries {
+			delete(as.givings, ticket)
+			continue
+		}
+		as.giveBack(now, gv)
+	}
+}
+
+func (as *asks) next() clock.Instant {
+	next := clock.Never
+	for _, ws := range as.wishes {
+		next = min(next, ws.nextAt)
+	}
+	for _, gv := range as.givings {
+		next = min(next, gv.nextAt)
+	}
+	return next
+}
+
+// current finds the wish that a holder's word is about. One that was passed
+// over may still answer; its permit goes back.
+func (as *asks) current(from string, ticket talk.Ticket) (*wish, bool) {
+	ws, known := as.wishes[ticket]
+	return ws, known && ws.address == from
+}
+
+// permitted takes a permit.
+func (as *asks) permitted(now clock.Instant, from string, pm talk.Permit) {
+	ws, ok := as.current(from, pm.Ticket)
+	if !ok {
+		if _, back := as.givings[pm.Ticket]; !back && as.wishes[pm.Ticket] == nil {
+			as.returnUnused(now, from, pm)
+		}
+		return
+	}
+	as.grant(now, ws, pm)
+}
+
+// returnUnused gives back a permit that nobody waits for.
+func (as *asks) returnUnused(now clock.Instant, address string, pm talk.Permit) {
+	gv := &giving{address: address, done: talk.Done{
+		Host: as.gw.self.Host, Incarnation: as.gw.self.Incarnation, Ticket: pm.Ticket, Upstream: pm.Upstream, Outcome: uint8(permit.Withdrawn),
+	}}
+	as.givings[pm.Ticket] = gv
+	as.giveBack(now, gv)
+}
+
+func (as *asks) grant(now clock.Instant, ws *wish, pm talk.Permit) {
+	pl, known := (*as.gw.places.Load())[pm.Upstream]
+	if !known || now >= pl.refuseAt {
+		as.again(now, ws, pm)
+		return
+	}
+	as.end(ws, result{grant: journey.Grant{Permit: pm, Address: pl.address, Holder: ws.holder, Waited: now.Sub(ws.began)}})
+}
+
+// again gives back a permit that cannot be used here and asks once more.
+func (as *asks) again(now clock.Instant, ws *wish, pm talk.Permit) {
+	delete(as.wishes, ws.ask.Ticket)
+	as.release(releaseEvent{
+		grant: journey.Grant{Permit: pm, Holder: ws.holder, Address: ws.address},
+		done:  talk.Done{Service: ws.ask.Service, Upstream: pm.Upstream, Outcome: uint8(permit.Withdrawn)},
+	})
+	ws.ask.Ticket = talk.Ticket(as.ticket.Add(1))
+	ws.ask.Avoid = pm.Upstream
+	ws.tries, ws.nextAt = 0, now.Add(unusableRetry)
+	as.wishes[ws.ask.Ticket] = ws
+}
+
+func (as *asks) refused(from string, rf talk.Refusal) {
+	if ws, ok := as.current(from, rf.Ticket); ok {
+		as.end(ws, result{refusal: &rf})
+	}
+}
+
+func (as *asks) queued(now clock.Instant, from string, ticket talk.Ticket) {
+	if ws, ok := as.current(from, ticket); ok {
+		ws.tries, ws.nextAt = 0, now.Add(queuedTime)
+	}
+}
+
+// local takes the word of this host's own core.
+func (as *asks) local(msg talk.Msg) {
+	now := as.gw.clock.Now()
+	switch ms := msg.(type) {
+	case talk.Permit:
+		ws, known := as.wishes[ms.Ticket]
+		if !known || ws.holder != as.gw.self.Host {
+			as.release(releaseEvent{
+				grant: journey.Grant{Permit: ms, Holder: as.gw.self.Host},
+				done:  talk.Done{Upstream: ms.Upstream, Outcome: uint8(permit.Withdrawn)},
+			})
+			return
+		}
+		as.grant(now, ws, ms)
+	case talk.Refusal:
+		as.refused("", ms)
+	case talk.Queued:
+		as.queued(now, "", ms.Ticket)
+	}
+}
+
+func (as *asks) end(ws *wish, rs result) {
+	delete(as.wishes, ws.ask.Ticket)
+	ws.reply <- rs
+}
+
+// withdraw ends an ask whose caller left.
+func (as *asks) withdraw(ev withdrawEvent) {
+	ws, waiting := as.wishes[ev.ticket]
+	if !waiting {
+		// Its end crossed the caller's leaving.
+		select {
+		case rs := <-ev.reply:
+			if rs.refusal == nil {
+				as.release(releaseEvent{grant: rs.grant, done: talk.Done{Upstream: rs.grant.Upstream, Outcome: uint8(permit.Withdrawn)}})
+			}
+		default:
+		}
+		return
+	}
+	delete(as.wishes, ev.ticket)
+	as.release(releaseEvent{
+		grant: journey.Grant{Permit: talk.Permit{Ticket: ev.ticket}, Holder: ws.holder},
+		done:  talk.Done{Service: ws.ask.Service, Outcome: uint8(permit.Withdrawn)},
+	})
+}
+
+// release gives a permit back to its holder.
+func (as *asks) release(ev releaseEvent) {
+	now := as.gw.clock.Now()
+	dn := ev.done
+	dn.Host, dn.Incarnation, dn.Ticket = as.gw.self.Host, as.gw.self.Incarnation, ev.grant.Ticket
+	if ev.grant.Holder == as.gw.self.Host {
+		as.gw.permit(permit.DoneMsg{Done: dn})
+		return
+	}
+	mb, known := as.gw.table.Load().Member(ev.grant.Holder)
+	if !known {
+		return
+	}
+	gv := &giving{done: dn, address: mb.Address}
+	as.givings[dn.Ticket] = gv
+	as.giveBack(now, gv)
+}
+
+func (as *asks) giveBack(now clock.Instant, gv *giving) {
+	gv.tries++
+	gv.nextAt = now.Add(replyTime)
+	as.gw.transmit(gv.address, gv.done)
+}
+
+func (as *asks) doneSeen(ticket talk.Ticket) { delete(as.givings, ticket) }
+
+// remember notes where a host's asks come from.
+func (as *asks) remember(host ident.Host, from netip.AddrPort) { as.hosts[host] = from }
+
+func (as *asks) addressOf(host ident.Host) (netip.AddrPort, bool) {
+	from, known := as.hosts[host]
+	return from, known
+}
--- /dev/null
+++ b/internal/fleet/gateway/gateway.go
@@ -0,0 +1,242 @@
+// Package gateway is the process that runs on every host: it takes callers'
+// requests, hands out permits for the pools that fall to it, renews grants and,
+// on one host at a time, leads. One loop owns all cores; what talks to a socket
+// runs beside it and sends it events.
+//
+//	gw, err := gateway.Start(gateway.Config{Settings: st, Journal: jl})
+//	gw.Stop() // planned: finishes what is in flight
+package gateway
+
+import (
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"chervilwalk/internal/fleet/clock"
+	"chervilwalk/internal/fleet/ident"
+	"chervilwalk/internal/fleet/roster"
+	"chervilwalk/internal/operations/desired"
+	"chervilwalk/internal/operations/journal"
+	"chervilwalk/internal/ownership/assignment"
+	"chervilwalk/internal/ownership/election"
+	"chervilwalk/internal/ownership/leader"
+	"chervilwalk/internal/ownership/renewal"
+	"chervilwalk/internal/serving/caller"
+	"chervilwalk/internal/serving/journey"
+	"chervilwalk/internal/serving/link"
+	"chervilwalk/internal/serving/permit"
+	"chervilwalk/platform"
+)
+
+// Config is what a gateway needs.
+type Config struct {
+	Settings platform.Settings
+	Journal  *journal.Journal
+	// Metrics is nil where none are kept.
+	Metrics *Metrics
+}
+
+const (
+	// eventBuffer lets senders go on while the loop is busy.
+	eventBuffer = 256
+	// stopAccepting is how long after a planned stop began new connections may
+	// still come: the platform needs two looks, a second apart.
+	stopAccepting = 2300 * time.Millisecond
+	// stopMargin is how long before the end of its grace a process has to be done.
+	stopMargin = 700 * time.Millisecond
+	// stopPoll is how often a stopping process looks whether it is done.
+	stopPoll = 40 * time.Millisecond
+	// Limits for callers before any desired state is known.
+	firstHeaderBytes   = 16 << 10
+	firstBodyBytes     = 1 << 20
+	firstHeaderTimeout = 3 * time.Second
+	firstIdleTimeout   = 15 * time.Second
+)
+
+// place is where an upstream is reached.
+type place struct {
+	address string
+	// refuseAt is from when nothing new may be sent there.
+	refuseAt clock.Instant
+}
+
+// Gateway is a running process.
+type Gateway struct {
+	cf          Config
+	self        assignment.Member
+	clock       clock.Boot
+	store       *platform.Store
+	socket      *net.UDPConn
+	links       *link.Pool
+	callers     *caller.Server
+	ready       *caller.Server
+	metrics     *http.Server
+	journey     *journey.Journey
+	tally       tally
+	owners      owners
+	state       atomic.Pointer[desired.State]
+	places      atomic.Pointer[map[ident.Upstream]place]
+	table       atomic.Pointer[assignment.Table]
+	confirmedAt atomic.Int64
+	isReady     atomic.Bool
+	stopping    atomic.Bool
+	events      chan any
+	done        chan struct{}
+	group       sync.WaitGroup
+
+	// What follows belongs to the loop.
+	book      *roster.Book
+	wishes    platform.Wishes
+	coldAgain map[ident.Domain]clock.Instant
+	// evacuated tells since when domains are to get nothing.
+	evacuated map[ident.Domain]clock.Instant
+	election  *election.Core
+	leader    *leader.Core
+	renewal   *renewal.Core
+	permits   *permit.Core
+	asks      asks
+	writer    writer
+	statusAt  clock.Instant
+	views     viewParts
+	rosterAt  clock.Instant
+	heard     string
+}
+
+// Start starts a process.
+func Start(cf Config) (*Gateway, error) {
+	st := cf.Settings
+	peers, err := netip.ParseAddrPort(st.Peers)
+	if err != nil {
+		return nil, eris.Wrap(err, "address for peers")
+	}
+	gw := &Gateway{
+		cf:     cf,
+		self:   assignment.Member{Host: st.Host, Domain: st.Domain, Address: st.Peers, Incarnation: uint64(time.Now().UnixMicro()), Alive: true},
+		events: make(chan any, eventBuffer), done: make(chan struct{}), book: roster.New(),
+		coldAgain: map[ident.Domain]clock.Instant{}, evacuated: map[ident.Domain]clock.Instant{}, renewal: renewal.New(st.Host), permits: permit.New(),
+		owners: owners{clients: map[ident.Upstream]*owner{}},
+	}
+	gw.tally = newTally()
+	gw.asks = newAsks(gw)
+	gw.election = election.New(st.Host, st.Peers, gw.self.Incarnation)
+	gw.store = platform.NewStore(st.Store, gw.observeStore)
+	gw.links = link.New(echo)
+	gw.places.Store(&map[ident.Upstream]place{})
+	gw.table.Store(&assignment.Table{})
+	if gw.socket, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(peers)); err != nil {
+		return nil, eris.Wrap(err, "address for peers")
+	}
+	gw.journey = journey.New(journey.Config{
+		State: gw.state.Load, Permits: &gw.asks, Links: gw.links, Dialect: dialect{}, Domain: st.Domain,
+		Budget:  journey.NewBudget(st.Bounds.RetryRatio, gw.retryAllowance),
+		Observe: gw.observe, Arrived: gw.tally.arrived,
+	})
+	gw.callers = caller.New(gw.journey.Serve, gw.limits)
+	gw.ready = caller.New(gw.answerReady, gw.limits)
+	return gw, gw.listen()
+}
+
+// listen opens the sockets and starts the tasks.
+func (gw *Gateway) listen() error {
+	callers, err := net.Listen("tcp", gw.cf.Settings.Callers)
+	if err != nil {
+		return eris.Wrap(err, "address for callers")
+	}
+	ready, err := net.Listen("tcp", gw.cf.Settings.Ready)
+	if err != nil {
+		return eris.Wrap(err, "address for readiness")
+	}
+	gw.serveMetrics()
+	gw.cf.Journal.Event("start", journal.Fields{
+		"host": gw.self.Host, "domain": gw.self.Domain, "incarnation": gw.self.Incarnation, "callers": gw.cf.Settings.Callers, "store": gw.cf.Settings.Store,
+	})
+	tasks := []func(){
+		gw.run, gw.receive, gw.watchWishes, gw.pollUpstreams,
+		func() { gw.serve(gw.callers, callers) },
+		func() { gw.serve(gw.ready, ready) },
+	}
+	for _, task := range tasks {
+		gw.group.Add(1)
+		go func() {
+			defer gw.group.Done()
+			task()
+		}()
+	}
+	return nil
+}
+
+func (gw *Gateway) serve(sv *caller.Server, ln net.Listener) {
+	if err := sv.Serve(ln); err != nil {
+		gw.cf.Journal.Problem("listenerFailed", err, journal.Fields{"address": ln.Addr().String()})
+	}
+}
+
+// Stop is a planned stop: the host stops being ready, lets go of its duties,
+// goes on answering and returns when its connections have ended.
+func (gw *Gateway) Stop() {
+	began := time.Now()
+	gw.cf.Journal.Event("stopping", journal.Fields{"connections": gw.callers.Connections()})
+	gw.stopping.Store(true)
+	gw.isReady.Store(false)
+	gw.callers.Drain()
+	gw.send(stopEvent{})
+	end := began.Add(gw.cf.Settings.Bounds.Grace - stopMargin)
+	for time.Now().Before(end) {
+		if time.Since(began) > stopAccepting {
+			gw.callers.CloseIdle()
+			if gw.callers.Connections() == 0 && gw.asks.idle() {
+				break
+			}
+		}
+		time.Sleep(stopPoll)
+	}
+	gw.cf.Journal.Event("stop", journal.Fields{"tookMs": time.Since(began).Milliseconds(), "connections": gw.callers.Connections()})
+	gw.Close()
+}
+
+// Close ends the process at once and waits for its tasks.
+func (gw *Gateway) Close() {
+	gw.callers.Close()
+	gw.ready.Close()
+	if gw.metrics != nil {
+		_ = gw.metrics.Close()
+	}
+	close(gw.done)
+	_ = gw.socket.Close()
+	gw.links.Close()
+	gw.owners.closeAll()
+}
+
+// Reload takes new settings into force as far as they can change in a process.
+func (gw *Gateway) Reload(st platform.Settings) {
+	gw.cf.Journal.Event("reload", journal.Fields{"drainMs": st.Bounds.Drain.Milliseconds(), "graceMs": st.Bounds.Grace.Milliseconds(), "store": st.Store})
+	gw.send(settingsEvent{st})
+}
+
+// limits are what callers may send.
+func (gw *Gateway) limits() caller.Limits {
+	st := gw.state.Load()
+	if st == nil {
+		return caller.Limits{HeaderBytes: firstHeaderBytes, BodyBytes: firstBodyBytes, HeaderTimeout: firstHeaderTimeout, IdleTimeout: firstIdleTimeout}
+	}
+	return caller.Limits(st.Limits)
+}
+
+// retryAllowance is this host's part of the repeats that all may send.
+func (gw *Gateway) retryAllowance() float64 {
+	alive := 0
+	for _, mb := range gw.table.Load().Members {
+		if mb.Alive {
+			alive++
+		}
+	}
+	return gw.cf.Settings.Bounds.RetryAllowance / float64(max(alive, leastHosts))
+}
+
+// leastHosts is how many hosts are reckoned with before the members are known.
+const leastHosts = 20
--- /dev/null
+++ b/internal/fleet/gateway/store.go
@@ -0,0 +1,212 @@
+package gateway
+
+import (
+	"errors"
+	"time"
+
+	"chervilwalk/internal/fleet/clock"
+	"chervilwalk/internal/fleet/roster"
+	"chervilwalk/internal/operations/journal"
+	"chervilwalk/internal/ownership/assignment"
+	"chervilwalk/internal/ownership/election"
+	"chervilwalk/platform"
+)
+
+// The rows in which chervilwalk keeps what must last.
+const (
+	ownTable      = "chervilwalk"
+	leaderKey     = "leader"
+	assignmentKey = "assignment"
+)
+
+const (
+	// watchWait is how long the store holds a watch open. It bounds how long a
+	// connection that went silent is believed.
+	watchWait = 3 * time.Second
+	// watchSlack is how much later than that its answer may come.
+	watchSlack = 700 * time.Millisecond
+	// readTime bounds a read, also while the store is slow.
+	readTime = 1200 * time.Millisecond
+	// writeTime bounds a write.
+	writeTime = 1200 * time.Millisecond
+	// pollEvery is the time between two reads of the upstreams' entries.
+	pollEvery = 800 * time.Millisecond
+	// pollRetry is the time to the next read after a failed one.
+	pollRetry = 300 * time.Millisecond
+	// awayTime is how long the store must not have answered to count as away.
+	awayTime = 1500 * time.Millisecond
+)
+
+// wishesEvent brings what the operators want.
+type wishesEvent struct {
+	wishes platform.Wishes
+	err    error
+}
+
+// rosterEvent brings the upstreams' entries.
+type rosterEvent struct {
+	entries  []roster.Entry
+	problems []platform.Problem
+	// away tells that the store had not answered for long before.
+	away bool
+}
+
+// rowsEvent brings chervilwalk's own rows.
+type rowsEvent struct {
+	row        election.RowMsg
+	table      *assignment.Table
+	tableAt    platform.Version
+	readAt     clock.Instant
+	err        error
+	afterWrite bool
+}
+
+// pause waits unless the process ends; false means that it does.
+func (gw *Gateway) pause(wait time.Duration) bool {
+	tm := time.NewTimer(wait)
+	defer tm.Stop()
+	select {
+	case <-tm.C:
+		return true
+	case <-gw.done:
+		return false
+	}
+}
+
+// watchWishes follows the operators' rows.
+func (gw *Gateway) watchWishes() {
+	rows := map[string]platform.Row{}
+	var version platform.Version
+	known, lost := false, false
+	for {
+		var changed []platform.Row
+		var err error
+		if known {
+			var at platform.Version
+			changed, at, err = gw.store.Watch(platform.OperatorTable, version, watchWait, time.Now().Add(watchWait+watchSlack))
+			version = max(version, at)
+		} else {
+			var at platform.Version
+			changed, at, err = gw.store.Read(platform.OperatorTable, "", time.Now().Add(readTime))
+			if err == nil {
+				clear(rows)
+				version, known = at, true
+			}
+		}
+		if err != nil {
+			known = known && !errors.Is(err, platform.ErrHistoryGone)
+			if !lost {
+				gw.cf.Journal.Problem("desiredStateSourceLost", err, journal.Fields{"version": version})
+			}
+			lost = true
+			if !gw.pause(pollRetry) {
+				return
+			}
+			continue
+		}
+		if lost {
+			lost = false
+			gw.cf.Journal.Event("desiredStateSourceRegained", journal.Fields{"version": version})
+		}
+		if len(changed) > 0 {
+			gw.wish(rows, changed)
+		}
+		select {
+		case <-gw.done:
+			return
+		default:
+		}
+	}
+}
+
+// wish applies changed operator rows and passes on what they ask for.
+func (gw *Gateway) wish(rows map[string]platform.Row, changed []platform.Row) {
+	for _, rw := range changed {
+		if rw.Deleted {
+			delete(rows, rw.Key)
+			continue
+		}
+		rows[rw.Key] = rw
+	}
+	all := make([]platform.Row, 0, len(rows))
+	for _, rw := range rows {
+		all = append(all, rw)
+	}
+	wishes, err := platform.DecodeWishes(all)
+	gw.send(wishesEvent{wishes, err})
+}
+
+// pollUpstreams reads the upstreams' entries again and again.
+func (gw *Gateway) pollUpstreams() {
+	lastOK, lost := time.Now(), false
+	known := map[string]platform.Version{}
+	for {
+		rows, version, err := gw.store.Read(platform.UpstreamTable, "", time.Now().Add(readTime))
+		wait := pollEvery
+		if err != nil {
+			wait = pollRetry
+			if !lost {
+				gw.cf.Journal.Problem("storeLost", err, journal.Fields{"sinceMs": time.Since(lastOK).Milliseconds()})
+			}
+			lost = true
+		} else {
+			away := time.Since(lastOK) > awayTime
+			if lost {
+				gw.cf.Journal.Event("storeRegained", journal.Fields{"awayMs": time.Since(lastOK).Milliseconds(), "version": version})
+			}
+			lost, lastOK = false, time.Now()
+			entries, problems := platform.DecodeEntries(rows)
+			gw.send(rosterEvent{entries: entries, problems: fresh(problems, known), away: away})
+		}
+		if !gw.pause(wait) {
+			return
+		}
+	}
+}
+
+// fresh keeps the problems of entries that changed since they were last seen.
+func fresh(problems []platform.Problem, known map[string]platform.Version) []platform.Problem {
+	var news []platform.Problem
+	seen := map[string]bool{}
+	for _, pb := range problems {
+		seen[pb.Key] = true
+		if _, before := known[pb.Key]; !before {
+			news = append(news, pb)
+		}
+		known[pb.Key] = pb.Version
+	}
+	for key := range known {
+		if !seen[key] {
+			delete(known, key)
+		}
+	}
+	return news
+}
+
+// readOwn reads chervilwalk's own rows.
+func (gw *Gateway) readOwn(afterWrite bool) {
+	began := gw.clock.Now()
+	rows, _, err := gw.store.Read(ownTable, "", time.Now().Add(readTime))
+	ev := rowsEvent{readAt: began, err: err, afterWrite: afterWrite, table: &assignment.Table{}}
+	for _, rw := range rows {
+		if err != nil {
+			break
+		}
+		switch rw.Key {
+		case leaderKey:
+			ev.row.Version = election.Version(rw.Version)
+			ev.row.Row, ev.err = election.Decode(rw.Value)
+		case assignmentKey:
+			ev.tableAt = rw.Version
+			var tableErr error
+			if ev.table, tableErr = assignment.Decode(rw.Value); tableErr != nil {
+				ev.err = tableErr
+			}
+		}
+	}
+	gw.send(ev)
+}
+
+func (gw *Gateway) observeStore(call string, took time.Duration, err error) {
+	gw.cf.Metrics.storeCall(call, took, err)
+}
--- /dev/null
+++ b/internal/ownership/balance/balance.go
@@ -0,0 +1,285 @@
+// Package balance plans which keys should move to which upstream, so that load
+// is even: it follows the rates that callers ask for, splits busy runs of keys
+// and leaves a single hot key on an upstream of its own by moving its
+// neighbours away. It answers days on which few keys carry much of the load.
+//
+//	moves := balance.Plan(load, shares, targets, 4)
+package balance
+
+import (
+	"cmp"
+	"slices"
+
+	"chervilwalk/internal/fleet/ident"
+	"chervilwalk/internal/ownership/keyspace"
+)
+
+const (
+	// busyEnough is the use of an upstream below which nothing moves for load.
+	busyEnough = 0.4
+	// unevenEnough is how far above the mean an upstream's use must be.
+	unevenEnough = 1.25
+	// worthwhile is the use that must remain at most, as a part of what was
+	// there, for a move to be made.
+	worthwhile = 0.85
+	// candidates bounds the upstreams that are weighed for one move.
+	candidates = 8
+	// firstPart is the part of a mean load that an upstream without keys gets.
+	firstPart = 0.5
+	// pieceShare is how much of an upstream's capacity one piece of an orphaned
+	// range may take before it is cut in two.
+	pieceShare = 0.25
+	// smallestRate is the least rate of a piece that is worth cutting.
+	smallestRate = 0.5
+)
+
+// Share is a run of keys with its owner, or the one it is on its way to.
+type Share struct {
+	keyspace.Range
+	Owner ident.Upstream
+	// Fixed shares are moving already.
+	Fixed bool
+	// Orphaned shares have to leave their owner.
+	Orphaned bool
+}
+
+// Target is an upstream that may own keys.
+type Target struct {
+	ID ident.Upstream
+	// Capacity is how many requests a second it can answer.
+	Capacity float64
+}
+
+// Move sends a range to another upstream.
+type Move struct {
+	Keys keyspace.Range
+	To   ident.Upstream
+}
+
+// target is a Target with its load.
+type target struct {
+	Target
+	rate   float64
+	shares []Share
+}
+
+func (tg *target) use() float64 { return tg.rate / tg.Capacity }
+
+// Plan lists moves: all that orphaned shares need, and at most budget others.
+// The shares are all of one service.
+func Plan(ld *Load, shares []Share, targets []Target, budget int) []Move {
+	if len(targets) == 0 {
+		return nil
+	}
+	pl := newPlan(ld, shares, targets)
+	pl.placeOrphans(shares)
+	for range budget {
+		if !pl.relieve() {
+			break
+		}
+	}
+	return pl.moves
+}
+
+type plan struct {
+	load    *Load
+	targets []*target
+	byID    map[ident.Upstream]*target
+	moves   []Move
+	// mean is the use of all targets together.
+	mean float64
+	// given are targets that got their first keys in this plan.
+	given map[*target]bool
+}
+
+func newPlan(ld *Load, shares []Share, targets []Target) *plan {
+	pl := &plan{load: ld, byID: map[ident.Upstream]*target{}, given: map[*target]bool{}}
+	capacity := 0.0
+	for _, tg := range targets {
+		entry := &target{Target: tg}
+		entry.Capacity = max(entry.Capacity, 0.01)
+		capacity += entry.Capacity
+		pl.targets = append(pl.targets, entry)
+		pl.byID[tg.ID] = entry
+	}
+	for _, sh := range shares {
+		if tg, ok := pl.byID[sh.Owner]; ok && !sh.Orphaned {
+			tg.rate += ld.Rate(sh.Range)
+			tg.shares = append(tg.shares, sh)
+		}
+	}
+	pl.mean = ld.Total() / capacity
+	return pl
+}
+
+// placeOrphans gives each orphaned share, the busiest first, to whoever is
+// used least with it; busy ones are cut into pieces.
+func (pl *plan) placeOrphans(shares []Share) {
+	var pieces []keyspace.Range
+	for _, sh := range shares {
+		if sh.Orphaned && !sh.Fixed {
+			pieces = append(pieces, pl.cut(sh.Range)...)
+		}
+	}
+	slices.SortFunc(pieces, func(left, right keyspace.Range) int {
+		return cmp.Or(cmp.Compare(pl.load.Rate(right), pl.load.Rate(left)), cmp.Compare(left.From, right.From))
+	})
+	for _, rg := range pieces {
+		rate := pl.load.Rate(rg)
+		best := slices.MinFunc(pl.targets, func(left, right *target) int {
+			return cmp.Or(cmp.Compare((left.rate+rate)/left.Capacity, (right.rate+rate)/right.Capacity),
+				cmp.Compare(len(left.shares), len(right.shares)), cmp.Compare(left.ID, right.ID))
+		})
+		pl.give(rg, best)
+	}
+}
+
+// cut halves a range by load until no piece is large.
+func (pl *plan) cut(rg keyspace.Range) []keyspace.Range {
+	rate := pl.load.Rate(rg)
+	limit := max(pieceShare*pl.targets[0].Capacity, smallestRate)
+	if rate <= limit || rg.From == rg.To {
+		return []keyspace.Range{rg}
+	}
+	left, ok := pl.load.prefix(rg, rate/2)
+	if !ok {
+		left = keyspace.Range{From: rg.From, To: rg.From}
+	}
+	if left.To == rg.To {
+		return []keyspace.Range{rg}
+	}
+	return append(pl.cut(left), pl.cut(keyspace.Range{From: left.To + 1, To: rg.To})...)
+}
+
+func (pl *plan) give(rg keyspace.Range, to *target) {
+	pl.moves = append(pl.moves, Move{Keys: rg, To: to.ID})
+	to.rate += pl.load.Rate(rg)
+	// What has just been placed is not moved on in the same plan.
+	to.shares = append(to.shares, Share{Range: rg, Owner: to.ID, Fixed: true})
+}
+
+// relieve plans one move away from the upstream that is used most.
+func (pl *plan) relieve() bool {
+	from := slices.MaxFunc(pl.targets, func(left, right *target) int {
+		return cmp.Or(cmp.Compare(left.use(), right.use()), cmp.Compare(left.ID, right.ID))
+	})
+	if pl.start(from) {
+		return true
+	}
+	if from.use() < busyEnough || from.use() < unevenEnough*pl.mean {
+		return false
+	}
+	best := option{worst: from.use() * worthwhile}
+	for _, to := range pl.receivers(from) {
+		for _, sh := range from.shares {
+			if sh.Fixed {
+				continue
+			}
+			for _, rg := range pl.pieces(sh.Range, from, to) {
+				best = best.better(pl.weigh(rg, from, to))
+			}
+		}
+	}
+	if best.to == nil {
+		return false
+	}
+	pl.shift(best.rg, from, best.to)
+	return true
+}
+
+// start gives an upstream without keys a first part, whatever the load.
+func (pl *plan) start(from *target) bool {
+	for _, to := range pl.targets {
+		if len(to.shares) > 0 || pl.given[to] || to == from {
+			continue
+		}
+		pl.given[to] = true
+		want := min(firstPart*max(pl.mean, 0.01)*to.Capacity, from.rate/2)
+		for _, sh := range from.shares {
+			if sh.Fixed || sh.From == sh.To {
+				continue
+			}
+			rg, ok := pl.load.prefix(sh.Range, max(want, pl.load.Rate(sh.Range)/8))
+			if !ok || rg == sh.Range {
+				rg = keyspace.Range{From: sh.From, To: sh.From + keyspace.Key((sh.Len()-1)/2)}
+			}
+			pl.shift(rg, from, to)
+			return true
+		}
+	}
+	return false
+}
+
+// shift moves a part of one of from's shares.
+func (pl *plan) shift(rg keyspace.Range, from, to *target) {
+	for ix, sh := range from.shares {
+		if !sh.Holds(rg.From) || !sh.Holds(rg.To) || sh.Fixed {
+			continue
+		}
+		rest := from.shares[:ix:ix]
+		if sh.From < rg.From {
+			rest = append(rest, Share{Range: keyspace.Range{From: sh.From, To: rg.From - 1}, Owner: from.ID})
+		}
+		if rg.To < sh.To {
+			rest = append(rest, Share{Range: keyspace.Range{From: rg.To + 1, To: sh.To}, Owner: from.ID})
+		}
+		from.shares = append(rest, from.shares[ix+1:]...)
+		break
+	}
+	from.rate -= pl.load.Rate(rg)
+	pl.give(rg, to)
+}
+
+// receivers are the upstreams to weigh: the least used, and of those with more
+// capacity than from the least used.
+func (pl *plan) receivers(from *target) []*target {
+	var others, faster []*target
+	for _, tg := range pl.targets {
+		if tg == from {
+			continue
+		}
+		others = append(others, tg)
+		if tg.Capacity > from.Capacity {
+			faster = append(faster, tg)
+		}
+	}
+	byUse := func(left, right *target) int {
+		return cmp.Or(cmp.Compare(left.use(), right.use()), cmp.Compare(left.ID, right.ID))
+	}
+	slices.SortFunc(others, byUse)
+	slices.SortFunc(faster, byUse)
+	return append(others[:min(len(others), candidates)], faster[:min(len(faster), candidates/2)]...)
+}
+
+// pieces are the parts of a share that are weighed for a move: the whole, and
+// the prefix and suffix that would make both upstreams equally used.
+func (pl *plan) pieces(rg keyspace.Range, from, to *target) []keyspace.Range {
+	ideal := (from.rate*to.Capacity - to.rate*from.Capacity) / (from.Capacity + to.Capacity)
+	pieces := []keyspace.Range{rg}
+	if left, ok := pl.load.prefix(rg, ideal); ok && left != rg {
+		pieces = append(pieces, left)
+	}
+	if right, ok := pl.load.suffix(rg, ideal); ok && right != rg {
+		pieces = append(pieces, right)
+	}
+	return pieces
+}
+
+// option is one possible move and the higher use that would remain.
+type option struct {
+	rg    keyspace.Range
+	to    *target
+	worst float64
+}
+
+func (pl *plan) weigh(rg keyspace.Range, from, to *target) option {
+	rate := pl.load.Rate(rg)
+	return option{rg: rg, to: to, worst: max((from.rate-rate)/from.Capacity, (to.rate+rate)/to.Capacity)}
+}
+
+func (op option) better(other option) option {
+	if other.worst < op.worst {
+		return other
+	}
+	return op
+}
--- /dev/null
+++ b/internal/ownership/balance/load.go
@@ -0,0 +1,123 @@
+package balance
+
+import (
+	"math"
+	"time"
+
+	"chervilwalk/internal/fleet/clock"
+	"chervilwalk/internal/ownership/keyspace"
+)
+
+const (
+	// recentTime is the time constant of the load that follows a sudden change.
+	recentTime = 1500 * time.Millisecond
+	// steadyTime is the time constant of the load that smooths out chance.
+	steadyTime = 12 * time.Second
+	// recentShare weighs a recent burst against the steady load.
+	recentShare = 0.7
+	// rescaleAt keeps the growing weights of new samples within range.
+	rescaleAt = 1e6
+)
+
+// average is an exponential moving rate for each key. In place of letting all
+// keys decay, new samples weigh more and more.
+type average struct {
+	constant time.Duration
+	origin   clock.Instant
+	weights  [keyspace.Count]float32
+}
+
+func (av *average) weight(now clock.Instant) float64 {
+	return math.Exp(now.Sub(av.origin).Seconds() / av.constant.Seconds())
+}
+
+func (av *average) add(now clock.Instant, ky keyspace.Key, count int) {
+	weight := av.weight(now)
+	if weight > rescaleAt {
+		for ix := range av.weights {
+			av.weights[ix] = float32(float64(av.weights[ix]) / weight)
+		}
+		av.origin, weight = now, 1
+	}
+	av.weights[ky] += float32(weight * float64(count))
+}
+
+// Load estimates how many requests a second come for each key of a service.
+type Load struct {
+	recent, steady average
+	sums           [keyspace.Count + 1]float64
+	began          clock.Instant
+}
+
+// NewLoad makes an estimate that knows nothing yet.
+func NewLoad(now clock.Instant) *Load {
+	ld := &Load{began: now}
+	ld.recent.constant, ld.recent.origin = recentTime, now
+	ld.steady.constant, ld.steady.origin = steadyTime, now
+	return ld
+}
+
+// Add notes requests for a key.
+func (ld *Load) Add(now clock.Instant, ky keyspace.Key, count int) {
+	ld.recent.add(now, ky, count)
+	ld.steady.add(now, ky, count)
+}
+
+// Refresh brings the sums that Rate uses up to now.
+func (ld *Load) Refresh(now clock.Instant) {
+	age := max(now.Sub(ld.began).Seconds(), 0.5)
+	scale := func(av *average) float64 {
+		seen := av.constant.Seconds() * (1 - math.Exp(-age/av.constant.Seconds()))
+		return 1 / (av.weight(now) * seen)
+	}
+	recent, steady := scale(&ld.recent), scale(&ld.steady)
+	for ix := range keyspace.Count {
+		rate := max(recentShare*recent*float64(ld.recent.weights[ix]), steady*float64(ld.steady.weights[ix]))
+		ld.sums[ix+1] = ld.sums[ix] + rate
+	}
+}
+
+// Rate is the requests a second for a range, as of the last Refresh.
+func (ld *Load) Rate(rg keyspace.Range) float64 {
+	return ld.sums[int(rg.To)+1] - ld.sums[rg.From]
+}
+
+// Total is the requests a second for all keys.
+func (ld *Load) Total() float64 { return ld.sums[keyspace.Count] }
+
+// prefix finds the longest prefix of a range whose rate is at most the given
+// one; ok is false where not even the first key fits.
+func (ld *Load) prefix(rg keyspace.Range, rate float64) (keyspace.Range, bool) {
+	low, high := int(rg.From), int(rg.To)+1
+	base := ld.sums[low]
+	for low < high {
+		middle := (low + high + 1) / 2
+		if ld.sums[middle]-base <= rate {
+			low = middle
+		} else {
+			high = middle - 1
+		}
+	}
+	if low == int(rg.From) {
+		return keyspace.Range{}, false
+	}
+	return keyspace.Range{From: rg.From, To: keyspace.Key(low - 1)}, true
+}
+
+// suffix is prefix from the other end.
+func (ld *Load) suffix(rg keyspace.Range, rate float64) (keyspace.Range, bool) {
+	low, high := int(rg.From), int(rg.To)+1
+	end := ld.sums[high]
+	for low < high {
+		middle := (low + high) / 2
+		if end-ld.sums[middle] <= rate {
+			high = middle
+		} else {
+			low = middle + 1
+		}
+	}
+	if high > int(rg.To) {
+		return keyspace.Range{}, false
+	}
+	return keyspace.Range{From: keyspace.Key(high), To: rg.To}, true
+}
--- /dev/null
+++ b/internal/ownership/election/codec.go
@@ -0,0 +1,30 @@
+package election
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"chervilwalk/internal/fleet/ident"
+	"chervilwalk/internal/fleet/talk"
+)
+
+type storedRow struct {
+	Term        uint64 `json:"term"`
+	Host        string `json:"host"`
+	Address     string `json:"address"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// Encode writes the stored form of the leader's row.
+func Encode(rw Row) ([]byte, error) {
+	return json.Marshal(storedRow{uint64(rw.Term), string(rw.Host), rw.Address, rw.Incarnation})
+}
+
+// Decode reads the stored form of the leader's row.
+func Decode(body []byte) (Row, error) {
+	var st storedRow
+	if err := json.Unmarshal(body, &st); err != nil {
+		return Row{}, fmt.Errorf("leader's row: %w", err)
+	}
+	return Row{talk.Term(st.Term), ident.Host(st.Host), st.Address, st.Incarnation}, nil
+}
--- /dev/null
+++ b/internal/ownership/election/election.go
@@ -0,0 +1,255 @@
+// Package election decides which host leads. The leader is who holds one row
+// of the store, which it renews; a host that hears no leader and finds the row
+// unchanged for long takes it over. Two hosts that both believe to lead are no
+// danger: only the holder of the row can change the assignment.
+//
+//	co := election.New("a-1", incarnation)
+//	cmd := co.Update(now, election.TickMsg{})
+package election
+
+import (
+	"time"
+
+	"chervilwalk/internal/fleet/clock"
+	"chervilwalk/internal/fleet/ident"
+	"chervilwalk/internal/fleet/talk"
+)
+
+const (
+	// renewEvery is the time between two renewals of the row.
+	renewEvery = 700 * time.Millisecond
+	// silence is how long no leader is heard before the row is read.
+	silence = 1100 * time.Millisecond
+	// readEvery is the time between reads while no leader is heard.
+	readEvery = 450 * time.Millisecond
+	// stale is how long the row must be unchanged before it is taken over: two
+	// renewals, with the time that a slow store takes.
+	stale = 1700 * time.Millisecond
+	// LeadTime is how long a leader that the store does not answer goes on.
+	LeadTime = 11 * time.Second
+)
+
+// Row is the leader's row.
+type Row struct {
+	Term        talk.Term
+	Host        ident.Host
+	Address     string
+	Incarnation uint64
+}
+
+// Version is the row's version in the store; 0 where there is none.
+type Version uint64
+
+// RowMsg is the row as it was read.
+type RowMsg struct {
+	Row     Row
+	Version Version
+}
+
+// ReadFailedMsg says that the store did not answer a read.
+type ReadFailedMsg struct{}
+
+// BeatMsg is a sign of a leader that the store confirmed not long ago.
+type BeatMsg struct {
+	Term    talk.Term
+	Host    ident.Host
+	Address string
+}
+
+// ResignMsg says that this host is about to stop.
+type ResignMsg struct{}
+
+// WrittenMsg says that a claim or renewal of ours took effect.
+type WrittenMsg struct{ Version Version }
+
+// WriteFailedMsg says that a claim or renewal had no effect or may have had
+// none; Conflict means that the row had changed.
+type WriteFailedMsg struct{ Conflict bool }
+
+// TickMsg says that time has passed.
+type TickMsg struct{}
+
+// Cmd is what to do.
+type Cmd int
+
+const (
+	// Wait means that there is nothing to do.
+	Wait Cmd = iota
+	// Read means to read the row and the assignment.
+	Read
+	// Write means to write Proposal over the version Expected.
+	Write
+)
+
+// Core is one host's part in the election. It is not safe for concurrent use.
+type Core struct {
+	self Row
+	// jitter spreads the hosts' reads.
+	jitter    time.Duration
+	leading   bool
+	busy      bool
+	row       Row
+	version   Version
+	seenAt    clock.Instant
+	heardAt   clock.Instant
+	readAt    clock.Instant
+	writtenAt clock.Instant
+	// confirmedAt is when the store last confirmed our lead.
+	confirmedAt clock.Instant
+	readOnce    bool
+	// resigning hosts give the row back and never take it.
+	resigning bool
+	// claimable is set by a read that found the row free to take.
+	claimable bool
+}
+
+// New makes a host's core.
+func New(host ident.Host, address string, incarnation uint64) *Core {
+	jitter := time.Duration(ident.Weight("election", string(host))%300) * time.Millisecond
+	return &Core{self: Row{Host: host, Address: address, Incarnation: incarnation}, jitter: jitter}
+}
+
+// Leading tells whether this host leads.
+func (co *Core) Leading() bool { return co.leading }
+
+// Term is the newest term known.
+func (co *Core) Term() talk.Term { return co.row.Term }
+
+// Leader is the newest leader known.
+func (co *Core) Leader() Row { return co.row }
+
+// Confirmed is when the store last confirmed our lead.
+func (co *Core) Confirmed() clock.Instant { return co.confirmedAt }
+
+// Confirm notes that the store has just taken a write that needs our lead.
+func (co *Core) Confirm(now clock.Instant) { co.confirmedAt = max(co.confirmedAt, now) }
+
+// Proposal is the row to write and the version that it replaces.
+func (co *Core) Proposal() (Row, Version) {
+	rw := co.self
+	rw.Term = co.row.Term
+	if !co.leading {
+		rw.Term++
+	}
+	if co.resigning {
+		// A row without a host is free to take.
+		rw = Row{Term: rw.Term}
+	}
+	return rw, co.version
+}
+
+// Expected is the version that the row has as far as is known.
+func (co *Core) Expected() Version { return co.version }
+
+// Update takes one message and returns what to do.
+func (co *Core) Update(now clock.Instant, msg any) Cmd {
+	switch ms := msg.(type) {
+	case RowMsg:
+		co.busy = false
+		co.read(now, ms)
+	case ReadFailedMsg:
+		co.busy = false
+	case BeatMsg:
+		co.beat(now, ms)
+	case ResignMsg:
+		co.resigning = true
+	case WrittenMsg:
+		co.busy = false
+		co.written(now, ms)
+	case WriteFailedMsg:
+		co.busy, co.claimable = false, false
+		if ms.Conflict || !co.leading {
+			// Whose row it is now has to be read.
+			co.readAt = now.Add(-readEvery)
+			co.readOnce = co.readOnce && !ms.Conflict
+		}
+	}
+	return co.act(now)
+}
+
+func (co *Core) read(now clock.Instant, ms RowMsg) {
+	first := !co.readOnce
+	co.readOnce = true
+	if ms.Version != co.version || first {
+		co.seenAt = now
+	}
+	changed := ms.Row != co.row
+	if ms.Row.Term >= co.row.Term {
+		co.row, co.version = ms.Row, ms.Version
+	}
+	ours := ms.Row.Host == co.self.Host && ms.Row.Incarnation == co.self.Incarnation
+	if ours {
+		// A write of ours took effect though its answer was lost.
+		co.leading, co.confirmedAt = true, now
+		return
+	}
+	if co.leading && changed {
+		co.leading = false
+	}
+	// The last process on this host held the row; it is gone.
+	earlier := ms.Row.Host == co.self.Host
+	free := ms.Version == 0 || ms.Row.Host == ""
+	co.claimable = free || earlier || now.Sub(co.seenAt) >= stale && now.Sub(co.heardAt) >= silence
+}
+
+func (co *Core) beat(now clock.Instant, ms BeatMsg) {
+	if ms.Term < co.row.Term {
+		return
+	}
+	if ms.Term > co.row.Term {
+		co.leading = false
+		co.row = Row{Term: ms.Term, Address: ms.Address}
+		co.version, co.readOnce = 0, false
+	}
+	if co.leading {
+		return
+	}
+	co.heardAt, co.claimable = now, false
+	if ms.Host == "" {
+		// The leader has resigned: read soon, the hosts one after the other.
+		co.heardAt, co.readAt = now.Add(-silence), now.Add(-readEvery)
+	}
+}
+
+func (co *Core) written(now clock.Instant, ms WrittenMsg) {
+	co.row, _ = co.Proposal()
+	co.leading, co.claimable = !co.resigning, false
+	co.version, co.seenAt, co.writtenAt, co.confirmedAt = ms.Version, now, now, now
+}
+
+func (co *Core) act(now clock.Instant) Cmd {
+	if co.busy {
+		return Wait
+	}
+	if co.leading && now.Sub(co.confirmedAt) > LeadTime {
+		co.leading, co.readOnce = false, false
+	}
+	switch {
+	case co.leading && !co.readOnce:
+		return co.startRead(now)
+	case co.leading && co.resigning:
+		co.busy = true
+		return Write
+	case co.resigning:
+		return Wait
+	case co.leading:
+		if now.Sub(co.writtenAt) < renewEvery {
+			return Wait
+		}
+		co.busy, co.writtenAt = true, now
+		return Write
+	case co.claimable:
+		co.busy, co.claimable = true, false
+		return Write
+	case co.readOnce && now.Sub(co.heardAt) < silence+co.jitter:
+		return Wait
+	case now.Sub(co.readAt) >= readEvery:
+		return co.startRead(now)
+	}
+	return Wait
+}
+
+func (co *Core) startRead(now clock.Instant) Cmd {
+	co.busy, co.readAt = true, now
+	return Read
+}
--- /dev/null
+++ b/internal/ownership/leader/plan.go
@@ -0,0 +1,147 @@
+package leader
+
+import (
+	"slices"
+
+	"chervilwalk/internal/fleet/clock"
+	"chervilwalk/internal/fleet/ident"
+	"chervilwalk/internal/ownership/assignment"
+	"chervilwalk/internal/ownership/balance"
+	"chervilwalk/internal/ownership/keyspace"
+)
+
+// plan writes new moves into the draft.
+func (co *Core) plan(now clock.Instant) {
+	services := make([]ident.Service, 0, len(co.keyed))
+	for sv := range co.keyed {
+		services = append(services, sv)
+	}
+	slices.Sort(services)
+	for _, sv := range services {
+		co.planService(now, sv)
+	}
+}
+
+func (co *Core) planService(now clock.Instant, sv ident.Service) {
+	targets := co.targets(now, sv)
+	if len(targets) == 0 {
+		return
+	}
+	ld, known := co.loads[sv]
+	if !known {
+		ld = balance.NewLoad(now)
+		co.loads[sv] = ld
+	}
+	shares, moving := co.shares(now, sv)
+	if len(shares) == 0 {
+		co.deal(now, sv, targets)
+		return
+	}
+	ld.Refresh(now)
+	budget := max(minMoves, int(movesPerTarget*float64(len(targets)))) - moving
+	if len(shares) > sharesPerTarget*len(targets) {
+		budget = 0
+	}
+	for _, mv := range balance.Plan(ld, shares, targets, budget) {
+		co.begin(sv, mv)
+	}
+}
+
+// targets are the upstreams that may own keys of a service now.
+func (co *Core) targets(now clock.Instant, sv ident.Service) []balance.Target {
+	var targets []balance.Target
+	for _, up := range co.upstreams {
+		if up.Service == sv && co.mayOwn(now, up) {
+			targets = append(targets, balance.Target{ID: up.ID, Capacity: up.capacity(now)})
+		}
+	}
+	slices.SortFunc(targets, func(left, right balance.Target) int {
+		if left.ID < right.ID {
+			return -1
+		}
+		return 1
+	})
+	return targets
+}
+
+func (co *Core) mayOwn(now clock.Instant, up *upstream) bool {
+	return up.Usable && now >= up.avoidUntil
+}
+
+// capacity is how many requests a second an upstream can answer.
+func (up *upstream) capacity(now clock.Instant) float64 {
+	capacity := float64(up.Slots) / up.work.Seconds() * up.success * up.success
+	if now < up.ColdUntil {
+		return min(capacity, coldCapacity*up.ColdRate)
+	}
+	return capacity
+}
+
+// shares are a service's shares as the balance sees them.
+func (co *Core) shares(now clock.Instant, sv ident.Service) (shares []balance.Share, moving int) {
+	for _, sh := range co.draft.Shares {
+		if sh.Service != sv {
+			continue
+		}
+		claim := sh.Owner
+		if sh.Moving() {
+			claim = sh.Next
+			moving++
+		}
+		up, known := co.upstreams[claim.Upstream]
+		orphaned := !known || up.Life != claim.Life || !co.mayOwn(now, up)
+		shares = append(shares, balance.Share{Range: sh.Range, Owner: claim.Upstream, Fixed: sh.Moving(), Orphaned: orphaned})
+	}
+	return shares, moving
+}
+
+// deal gives a service's keys out for the first time.
+func (co *Core) deal(now clock.Instant, sv ident.Service, targets []balance.Target) {
+	if now.Sub(co.changedAt) < settleTime {
+		return
+	}
+	total := 0.0
+	for _, tg := range targets {
+		total += tg.Capacity
+	}
+	from, sum := 0, 0.0
+	for ix, tg := range targets {
+		sum += tg.Capacity
+		end := int(sum / total * float64(keyspace.Count))
+		if ix == len(targets)-1 {
+			end = keyspace.Count
+		}
+		if end <= from {
+			continue
+		}
+		co.draft.Shares = append(co.draft.Shares, assignment.Share{
+			Service: sv, Range: keyspace.Range{From: keyspace.Key(from), To: keyspace.Key(end - 1)},
+			Owner: assignment.Claim{Upstream: tg.ID, Life: co.upstreams[tg.ID].Life, Epoch: co.draft.TakeEpoch()},
+		})
+		from = end
+	}
+	co.draft.Sort()
+	co.dirty = true
+	co.event("keysDealt", map[string]any{"service": sv, "upstreams": len(targets)})
+}
+
+// begin writes a planned move into the draft.
+func (co *Core) begin(sv ident.Service, mv balance.Move) {
+	ix := co.draft.Index(sv, mv.Keys.From)
+	if ix < 0 || !co.draft.Shares[ix].Holds(mv.Keys.To) || co.draft.Shares[ix].Moving() {
+		return
+	}
+	up, known := co.upstreams[mv.To]
+	if !known {
+		return
+	}
+	ix = co.draft.Split(ix, mv.Keys)
+	sh := &co.draft.Shares[ix]
+	sh.Fence = co.draft.TakeEpoch()
+	sh.Next = assignment.Claim{Upstream: mv.To, Life: up.Life, Epoch: co.draft.TakeEpoch()}
+	co.dirty = true
+	co.event("movePlanned", map[string]any{
+		"service": sv, "from": sh.From, "to": sh.To, "owner": sh.Owner.Upstream, "next": mv.To, "epoch": sh.Next.Epoch,
+		"ratePerS": co.loads[sv].Rate(sh.Range),
+	})
+}
--- /dev/null
+++ b/internal/serving/journey/journey.go
@@ -0,0 +1,370 @@
+// Package journey leads one request from its caller to an upstream and back:
+// route, permit, sending, answer, and what follows from a failure.
+//
+//	jn := journey.New(journey.Config{...})
+//	rs := jn.Serve(ctx, rq)
+package journey
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"chervilwalk/internal/fleet/ident"
+	"chervilwalk/internal/fleet/talk"
+	"chervilwalk/internal/operations/desired"
+	"chervilwalk/internal/ownership/keyspace"
+	"chervilwalk/internal/serving/caller"
+	"chervilwalk/internal/serving/link"
+	"chervilwalk/internal/serving/permit"
+)
+
+const (
+	// answerGrace is how long past its time a request's upstream is waited for:
+	// it ends the work itself at that time and says so.
+	answerGrace = 120 * time.Millisecond
+	// minTime is the least time left for which a request is sent.
+	minTime = 15 * time.Millisecond
+	// startRetry is when callers of a host that knows no routes yet may return.
+	startRetry = 500 * time.Millisecond
+	// busyRetry is when a request that upstreams refused may return.
+	busyRetry = 300 * time.Millisecond
+	// maxDisowned bounds how often a request follows a key to its next owner.
+	maxDisowned = 3
+)
+
+// Terms are what a caller's header says.
+type Terms struct {
+	Request ident.Request
+	// TimeLimit is how long the caller waits; zero when it did not say.
+	TimeLimit time.Duration
+	Key       keyspace.Key
+	Keyed     bool
+}
+
+// Report is what an answer's header says.
+type Report struct {
+	// Sealed tells whether the upstream signed the answer.
+	Sealed bool
+	// NotRun states that the upstream did not run the request.
+	NotRun bool
+	// Reported tells whether the upstream told its load.
+	Reported               bool
+	Running, Waiting, Pace int
+}
+
+// Dialect reads and writes the header fields of callers and upstreams.
+type Dialect interface {
+	Terms(hd http.Header) (Terms, error)
+	Address(hd http.Header, id ident.Upstream, left time.Duration)
+	Report(status int, hd http.Header) Report
+	// ForCaller removes what is not for the caller from an answer's header.
+	ForCaller(hd http.Header)
+	// Own fills the header of an answer of the router's own.
+	Own(hd http.Header, id ident.Request, retryAfter time.Duration)
+}
+
+// Permits hands out permits to send.
+type Permits interface {
+	// Acquire waits for a permit or a refusal. An error means that the caller
+	// left.
+	Acquire(ctx context.Context, ask talk.Ask) (Grant, *talk.Refusal, error)
+	// Release gives a permit back.
+	Release(gr Grant, done talk.Done)
+}
+
+// Grant is a permit with where it leads.
+type Grant struct {
+	talk.Permit
+	Address string
+	// Holder is who gave it.
+	Holder ident.Host
+	// Waited is the time from the ask to the permit.
+	Waited time.Duration
+}
+
+// End is how a request ended, for logs and metrics.
+type End struct {
+	Request  ident.Request
+	Route    string
+	Service  ident.Service
+	Status   int
+	Cause    string
+	Upstream ident.Upstream
+	Holder   ident.Host
+	Attempts int
+	Waited   time.Duration
+	Took     time.Duration
+	// Sealed tells whether the answer is an upstream's own.
+	Sealed  bool
+	Version desired.Version
+	Epoch   keyspace.Epoch
+	Key     keyspace.Key
+	Err     error
+	// RetryAfter is what a refused caller was told.
+	RetryAfter time.Duration
+	Limit      time.Duration
+}
+
+// Config is what a Journey needs.
+type Config struct {
+	State   func() *desired.State
+	Permits Permits
+	Links   *link.Pool
+	Dialect Dialect
+	Budget  *Budget
+	// Observe is told of each request's end, Arrived of each keyed request.
+	Observe func(End)
+	Arrived func(sv ident.Service, ky keyspace.Key)
+	Domain  ident.Domain
+}
+
+// Journey serves requests. Its methods may be called from many goroutines.
+type Journey struct {
+	cf     Config
+	splits splits
+	limits timeLimits
+}
+
+// New makes a Journey.
+func New(cf Config) *Journey {
+	return &Journey{cf: cf, splits: newSplits(), limits: newTimeLimits()}
+}
+
+// trip is one request on its way.
+type trip struct {
+	jn       *Journey
+	rq       *caller.Request
+	terms    Terms
+	state    *desired.State
+	route    *desired.Route
+	service  ident.Service
+	deadline time.Time
+	// objective is when an answer stops being of full use.
+	objective time.Time
+	end       End
+	// mayHaveRun is set once an upstream may have run the request.
+	mayHaveRun bool
+	avoid      ident.Upstream
+	disowned   int
+}
+
+// Serve answers a request; nil closes the caller's connection.
+func (jn *Journey) Serve(ctx context.Context, rq *caller.Request) *caller.Response {
+	tp := &trip{jn: jn, rq: rq, state: jn.cf.State()}
+	rs := tp.serve(ctx)
+	tp.end.Took = time.Since(rq.Arrived)
+	tp.end.Request, tp.end.Service, tp.end.Key, tp.end.Limit = tp.terms.Request, tp.service, tp.terms.Key, tp.terms.TimeLimit
+	if rs != nil {
+		tp.end.Status = rs.Status
+	}
+	jn.cf.Observe(tp.end)
+	return rs
+}
+
+func (tp *trip) serve(ctx context.Context) *caller.Response {
+	var err error
+	if tp.terms, err = tp.jn.cf.Dialect.Terms(tp.rq.Header); err != nil || tp.terms.Request == "" {
+		tp.end.Err = err
+		return tp.own(http.StatusBadRequest, "malformed", 0)
+	}
+	if tp.state == nil {
+		return tp.own(http.StatusServiceUnavailable, "noDesiredState", startRetry)
+	}
+	tp.end.Version = tp.state.Version
+	route, found := tp.state.Lookup(tp.rq.Host, tp.rq.URI)
+	if !found {
+		return tp.own(http.StatusNotFound, "noRoute", 0)
+	}
+	tp.route, tp.end.Route = route, route.Name
+	tp.service = tp.jn.splits.choose(route)
+	tp.times()
+	if tp.keyed() && !tp.terms.Keyed {
+		return tp.own(http.StatusBadRequest, "noKey", 0)
+	}
+	if tp.keyed() {
+		tp.jn.cf.Arrived(tp.service, tp.terms.Key)
+	}
+	tp.jn.cf.Budget.Earn(tp.service)
+	return tp.attempts(ctx)
+}
+
+func (tp *trip) keyed() bool { return tp.state.Services[tp.service].Keyed }
+
+// times sets the deadline and the objective. A caller that comes again states
+// less time than a first one, which tells how long it has waited already.
+func (tp *trip) times() {
+	limit := tp.route.Timeout
+	waited := time.Duration(0)
+	if tp.terms.TimeLimit > 0 {
+		limit = min(limit, tp.terms.TimeLimit)
+		waited = tp.jn.limits.waited(tp.route.Name, tp.terms.TimeLimit)
+	}
+	tp.deadline = tp.rq.Arrived.Add(limit)
+	tp.objective = tp.rq.Arrived.Add(tp.route.Objective - waited)
+}
+
+// attempts sends the request until it is answered or nothing more can be done.
+func (tp *trip) attempts(ctx context.Context) *caller.Response {
+	for {
+		if time.Until(tp.deadline) < minTime {
+			return tp.giveUp("outOfTime")
+		}
+		gr, rs := tp.acquire(ctx)
+		if gr == nil {
+			return rs
+		}
+		tp.end.Attempts++
+		an, err := tp.send(ctx, gr)
+		rs, again := tp.judge(ctx, gr, an, err)
+		if !again {
+			return rs
+		}
+	}
+}
+
+// acquire waits for a permit; without one it returns the answer to give.
+func (tp *trip) acquire(ctx context.Context) (*Grant, *caller.Response) {
+	began := time.Now()
+	gr, refusal, err := tp.jn.cf.Permits.Acquire(ctx, talk.Ask{
+		Request: tp.terms.Request, Service: tp.service, Domain: tp.jn.cf.Domain, Key: tp.terms.Key, Keyed: tp.keyed(),
+		Large: tp.route.Kind == desired.Download, Repeatable: tp.route.Kind.Repeatable(), Priority: tp.route.Priority,
+		ObjectiveLeft: time.Until(tp.objective), TimeLeft: time.Until(tp.deadline), Avoid: tp.avoid,
+	})
+	tp.end.Waited += time.Since(began)
+	if err != nil {
+		tp.end.Cause = "callerLeft"
+		return nil, nil
+	}
+	if refusal != nil {
+		if tp.mayHaveRun {
+			return nil, tp.own(http.StatusBadGateway, refusal.Reason, 0)
+		}
+		return nil, tp.own(http.StatusServiceUnavailable, refusal.Reason, refusal.RetryAfter)
+	}
+	tp.end.Upstream, tp.end.Holder, tp.end.Epoch = gr.Upstream, gr.Holder, gr.Epoch
+	return &gr, nil
+}
+
+// send sends the request to the permit's upstream and gives the permit back.
+func (tp *trip) send(ctx context.Context, gr *Grant) (*link.Answer, error) {
+	if !tp.route.Kind.Repeatable() {
+		// What may not be repeated is finished even if its caller leaves.
+		ctx = context.WithoutCancel(ctx)
+	}
+	hd := forwarded(tp.rq.Header)
+	tp.jn.cf.Dialect.Address(hd, gr.Upstream, time.Until(tp.deadline))
+	began := time.Now()
+	an, err := tp.jn.cf.Links.Send(ctx, link.Target{ID: gr.Upstream, Address: gr.Address}, &link.Request{
+		ID: tp.terms.Request, Method: tp.rq.Method, URI: tp.rq.URI, Host: tp.rq.Host, Header: hd,
+		Body: tp.rq.Body, Rest: tp.rq.Rest, Chunked: tp.rq.Chunked, Length: tp.rq.Length,
+		Repeatable: tp.route.Kind.Repeatable(), Deadline: tp.deadline.Add(answerGrace),
+	})
+	done := talk.Done{Service: tp.service, Upstream: gr.Upstream, Took: time.Since(began)}
+	outcome := tp.outcome(ctx, an, err)
+	done.Outcome = uint8(outcome)
+	if an != nil {
+		rp := tp.jn.cf.Dialect.Report(an.Status, an.Header)
+		done.Reported, done.Running, done.Waiting, done.Pace = rp.Reported, rp.Running, rp.Waiting, rp.Pace
+	}
+	tp.jn.cf.Permits.Release(*gr, done)
+	return an, err
+}
+
+// outcome says what one attempt showed of the upstream.
+func (tp *trip) outcome(ctx context.Context, an *link.Answer, err error) permit.Outcome {
+	var fl *link.Failure
+	switch {
+	case ctx.Err() != nil && err != nil:
+		return permit.Withdrawn
+	case errors.As(err, &fl) && !fl.Sent:
+		return permit.Unreached
+	case errors.As(err, &fl) && fl.TimedOut:
+		return permit.TimedOut
+	case err != nil:
+		return permit.Broken
+	}
+	rp := tp.jn.cf.Dialect.Report(an.Status, an.Header)
+	switch {
+	case rp.NotRun && an.Status == http.StatusMisdirectedRequest:
+		return permit.Disowned
+	case rp.NotRun:
+		return permit.Refused
+	case !rp.Sealed, an.Status >= http.StatusInternalServerError:
+		return permit.Failed
+	default:
+		return permit.Answered
+	}
+}
+
+// judge decides what follows from an attempt: an answer, or another attempt.
+func (tp *trip) judge(ctx context.Context, gr *Grant, an *link.Answer, err error) (rs *caller.Response, again bool) {
+	switch outcome := tp.outcome(ctx, an, err); outcome {
+	case permit.Answered:
+		tp.end.Cause = "answered"
+		return tp.deliver(an), false
+	case permit.Failed:
+		if rp := tp.jn.cf.Dialect.Report(an.Status, an.Header); rp.Sealed {
+			tp.end.Cause = "upstreamFailed"
+			return tp.deliver(an), false
+		}
+		tp.mayHaveRun = true
+		return tp.retry(gr, "unsignedAnswer", tp.route.Kind.Repeatable())
+	case permit.Withdrawn:
+		tp.end.Cause = "callerLeft"
+		return nil, false
+	case permit.Unreached:
+		tp.end.Err = err
+		return tp.retry(gr, "unreached", true)
+	case permit.Disowned:
+		tp.disowned++
+		if tp.disowned <= maxDisowned && tp.rq.Rest == nil && tp.jn.cf.Budget.Spend(tp.service) {
+			return nil, true
+		}
+		return tp.retry(gr, outcome.String(), true)
+	case permit.Refused:
+		return tp.retry(gr, outcome.String(), true)
+	default:
+		tp.end.Err, tp.mayHaveRun = err, true
+		return tp.retry(gr, outcome.String(), tp.route.Kind.Repeatable())
+	}
+}
+
+// retry tries another upstream if that is allowed and leaves time enough.
+func (tp *trip) retry(gr *Grant, cause string, allowed bool) (*caller.Response, bool) {
+	tp.avoid = gr.Upstream
+	spent := tp.rq.Rest != nil
+	if allowed && !spent && tp.end.Attempts < tp.route.Attempts && time.Until(tp.deadline) > minTime && tp.jn.cf.Budget.Spend(tp.service) {
+		return nil, true
+	}
+	return tp.giveUp(cause), false
+}
+
+// giveUp answers a request that no upstream answered.
+func (tp *trip) giveUp(cause string) *caller.Response {
+	switch {
+	case !tp.mayHaveRun:
+		return tp.own(http.StatusServiceUnavailable, cause, busyRetry)
+	case time.Until(tp.deadline) < minTime:
+		return tp.own(http.StatusGatewayTimeout, cause, 0)
+	default:
+		return tp.own(http.StatusBadGateway, cause, 0)
+	}
+}
+
+// own is an answer of the router's own.
+func (tp *trip) own(status int, cause string, retryAfter time.Duration) *caller.Response {
+	tp.end.Cause, tp.end.RetryAfter = cause, retryAfter
+	hd := http.Header{}
+	tp.jn.cf.Dialect.Own(hd, tp.terms.Request, retryAfter)
+	return &caller.Response{Status: status, Header: hd}
+}
+
+// deliver is an upstream's own answer.
+func (tp *trip) deliver(an *link.Answer) *caller.Response {
+	tp.end.Sealed = true
+	hd := forwarded(an.Header)
+	tp.jn.cf.Dialect.ForCaller(hd)
+	return &caller.Response{Status: an.Status, Header: hd, Body: an.Body, Rest: an.Rest, Length: an.Length}
+}
--- /dev/null
+++ b/internal/serving/permit/queue.go
@@ -0,0 +1,284 @@
+package permit
+
+import (
+	"time"
+
+	"chervilwalk/internal/fleet/clock"
+	"chervilwalk/internal/fleet/ident"
+	"chervilwalk/internal/fleet/talk"
+	"chervilwalk/internal/ownership/assignment"
+)
+
+const (
+	// pollTime is how often the queue is looked at while something waits.
+	pollTime = 50 * time.Millisecond
+	// permitSlack is how long after its request's deadline a permit may still
+	// come back.
+	permitSlack = 300 * time.Millisecond
+	// lateShare is the part of its remaining time that a request may wait once
+	// it cannot meet its objective any more.
+	lateShare = 0.35
+	// moveTime is how long keys usually need to reach their next owner.
+	moveTime = 350 * time.Millisecond
+	// minRetryAfter keeps a refused request from coming straight back.
+	minRetryAfter = 100 * time.Millisecond
+	// disownedTime is how long keys are left alone that their owner did not know.
+	disownedTime = 150 * time.Millisecond
+	// noOwnerRetry is when a request for keys without an owner may return.
+	noOwnerRetry = 700 * time.Millisecond
+	// crossing is how much longer an answer from another domain may count as
+	// taking: bytes between domains are dear.
+	crossing      = 10 * time.Millisecond
+	largeCrossing = 400 * time.Millisecond
+	// localPatience is how long a request with a large answer waits for a slot
+	// in its own domain.
+	localPatience = 120 * time.Millisecond
+)
+
+// arrive queues an ask or refuses it. A repeated ask gets the same answer.
+func (co *Core) arrive(now clock.Instant, tk talk.Ask) []Cmd {
+	id := holderID{tk.Host, tk.Incarnation, tk.Ticket}
+	if ak, known := co.asks[id]; known {
+		if ak.upstream != nil {
+			return []Cmd{PermitCmd{Host: tk.Host, Permit: ak.permit, Ask: tk}}
+		}
+		return []Cmd{QueuedCmd{tk.Host, talk.Queued{Ticket: tk.Ticket}}}
+	}
+	ak := &ask{Ask: tk, id: id, arrived: now, objective: now.Add(tk.ObjectiveLeft), deadline: now.Add(tk.TimeLeft)}
+	wait, work, known := co.outlook(now, ak)
+	if !known {
+		return []Cmd{ak.refuse(now, noOwnerRetry, "noUpstream")}
+	}
+	ak.giveUp = ak.deadline.Add(-work)
+	if wait+work > tk.ObjectiveLeft {
+		ak.late = true
+		ak.giveUp = min(ak.giveUp, now.Add(time.Duration(lateShare*float64(tk.TimeLeft))))
+	}
+	if now.Add(wait) > ak.giveUp {
+		return []Cmd{ak.refuse(now, max(wait-tk.ObjectiveLeft/2, minRetryAfter), "noRoomInTime")}
+	}
+	co.asks[id] = ak
+	co.waiting[tk.Service] = append(co.waiting[tk.Service], ak)
+	if wait > 0 {
+		return []Cmd{QueuedCmd{tk.Host, talk.Queued{Ticket: tk.Ticket}}}
+	}
+	return nil
+}
+
+func (ak *ask) refuse(now clock.Instant, after time.Duration, reason string) Cmd {
+	return RefuseCmd{
+		Host: ak.Host, Ask: ak.Ask, Waited: now.Sub(ak.arrived),
+		Refusal: talk.Refusal{Ticket: ak.Ticket, RetryAfter: after, Reason: reason},
+	}
+}
+
+// outlook estimates how long an ask waits and how long its answer takes.
+// Known is false where no upstream can run the request.
+func (co *Core) outlook(now clock.Instant, ak *ask) (wait, work time.Duration, known bool) {
+	coldRate := co.services[ak.Service].ColdRate
+	if ak.Keyed {
+		us, moving := co.owner(ak)
+		if us == nil {
+			return 0, 0, false
+		}
+		wait = us.wait(now, co.ahead(now, ak, us), coldRate)
+		if moving {
+			wait += moveTime
+		}
+		return wait, us.work, true
+	}
+	return co.poolOutlook(now, ak)
+}
+
+// poolOutlook is the outlook of an ask that any upstream of its service serves.
+func (co *Core) poolOutlook(now clock.Instant, ak *ask) (wait, work time.Duration, known bool) {
+	rate, open := 0.0, 0
+	for _, us := range co.upstreams {
+		if us.Service != ak.Service || !us.usable {
+			continue
+		}
+		known = true
+		if now.Before(us.blockedUntil) || us.cold(now) {
+			continue
+		}
+		rate += float64(us.Slots) / us.work.Seconds()
+		open += us.Slots - us.busy(now)
+	}
+	work = co.expected(ak.Service)
+	if rate == 0 {
+		return pollTime, work, known
+	}
+	over := co.ahead(now, ak, nil) + 1 - open
+	return time.Duration(max(float64(over), 0) / rate * float64(time.Second)), work, known
+}
+
+// ahead counts the waiting asks that go before this one.
+func (co *Core) ahead(now clock.Instant, ak *ask, us *upstream) int {
+	count := 0
+	for _, other := range co.waiting[ak.Service] {
+		if other == ak || !other.before(ak) {
+			continue
+		}
+		if us != nil {
+			if owner, _ := co.owner(other); owner != us {
+				continue
+			}
+		}
+		count++
+	}
+	return count
+}
+
+// before orders the queue: what can still meet its objective, by rank and then
+// by that objective; then the late, by deadline.
+func (ak *ask) before(other *ask) bool {
+	if ak.late != other.late {
+		return !ak.late
+	}
+	if ak.Priority != other.Priority {
+		return ak.Priority < other.Priority
+	}
+	if ak.late {
+		return ak.deadline < other.deadline
+	}
+	return ak.objective < other.objective
+}
+
+// owner finds the upstream that serves an ask's key, or will after its move.
+func (co *Core) owner(ak *ask) (us *upstream, moving bool) {
+	sh, found := co.table.Owner(ak.Service, ak.Key)
+	if !found {
+		return nil, false
+	}
+	claim := sh.Owner
+	if sh.Moving() {
+		claim = sh.Next
+	}
+	us = co.match(claim)
+	return us, sh.Moving()
+}
+
+// isDisowned tells whether an ask's owner has just said that it does not hold
+// the key: the grant or the table's next revision is on its way.
+func (co *Core) isDisowned(now clock.Instant, ak *ask) bool {
+	if len(co.disowned) == 0 {
+		return false
+	}
+	sh, _ := co.table.Owner(ak.Service, ak.Key)
+	return now.Before(co.disowned[sh.Owner.Epoch])
+}
+
+// match finds a claim's upstream if it is still in the same life.
+func (co *Core) match(cl assignment.Claim) *upstream {
+	us, known := co.upstreams[cl.Upstream]
+	if !known || !us.usable || us.Life != cl.Life {
+		return nil
+	}
+	return us
+}
+
+// dispatch gives permits while upstreams are free, and refuses what can no
+// longer be served.
+func (co *Core) dispatch(now clock.Instant, sv ident.Service) []Cmd {
+	cmds := co.drop(now, sv)
+	coldRate := co.services[sv].ColdRate
+	tried := map[*ask]bool{}
+	for {
+		ak := co.first(sv, tried)
+		if ak == nil {
+			return cmds
+		}
+		tried[ak] = true
+		us := co.choose(now, ak, coldRate)
+		if us == nil {
+			continue
+		}
+		co.unqueue(ak)
+		cmds = append(cmds, co.permit(now, ak, us))
+	}
+}
+
+// first returns the waiting ask to serve next among those not tried.
+func (co *Core) first(sv ident.Service, tried map[*ask]bool) *ask {
+	var best *ask
+	for _, ak := range co.waiting[sv] {
+		if !tried[ak] && (best == nil || ak.before(best)) {
+			best = ak
+		}
+	}
+	return best
+}
+
+func (co *Core) permit(now clock.Instant, ak *ask, us *upstream) Cmd {
+	if us.cold(now) {
+		us.coldTokens--
+	}
+	ak.upstream = us
+	us.running[ak.id] = ak
+	ak.permit = talk.Permit{Ticket: ak.Ticket, Upstream: us.ID}
+	if sh, found := co.table.Owner(ak.Service, ak.Key); ak.Keyed && found {
+		ak.permit.Epoch = sh.Owner.Epoch
+	}
+	return PermitCmd{Host: ak.Host, Permit: ak.permit, Waited: now.Sub(ak.arrived), Ask: ak.Ask}
+}
+
+// drop refuses waiting asks that cannot be answered in time any more.
+func (co *Core) drop(now clock.Instant, sv ident.Service) []Cmd {
+	var cmds []Cmd
+	kept := co.waiting[sv][:0]
+	for _, ak := range co.waiting[sv] {
+		if !ak.late && ak.objective.Before(now.Add(co.expected(sv)/2)) {
+			ak.late = true
+			ak.giveUp = min(ak.giveUp, ak.arrived.Add(time.Duration(lateShare*float64(ak.TimeLeft))))
+		}
+		if now < ak.giveUp {
+			kept = append(kept, ak)
+			continue
+		}
+		delete(co.asks, ak.id)
+		cmds = append(cmds, ak.refuse(now, minRetryAfter, "waitedTooLong"))
+	}
+	co.waiting[sv] = kept
+	return cmds
+}
+
+// choose picks the upstream that an ask may go to now: for a key its owner,
+// else the one that is expected to answer first.
+func (co *Core) choose(now clock.Instant, ak *ask, coldRate float64) *upstream {
+	if ak.Keyed {
+		us, moving := co.owner(ak)
+		if us == nil || moving || co.isDisowned(now, ak) || !us.free(now, coldRate) {
+			return nil
+		}
+		return us
+	}
+	var best *upstream
+	var bestCost time.Duration
+	for _, us := range co.upstreams {
+		if us.Service != ak.Service || us.ID == ak.Avoid || !us.free(now, coldRate) {
+			continue
+		}
+		cost, ok := ak.cost(now, us)
+		if ok && (best == nil || cost < bestCost || cost == bestCost && us.ID < best.ID) {
+			best, bestCost = us, cost
+		}
+	}
+	return best
+}
+
+// cost is how long an answer is expected to take, with what crossing domains
+// costs; ok is false while it is worth waiting for an upstream nearby.
+func (ak *ask) cost(now clock.Instant, us *upstream) (time.Duration, bool) {
+	cost := us.work
+	if us.cold(now) {
+		cost += us.work
+	}
+	switch {
+	case us.Domain == ak.Domain:
+	case ak.Large:
+		return cost + largeCrossing, now.Sub(ak.arrived) >= localPatience
+	default:
+		cost += crossing
+	}
+	return cost, true
+}
