Even out load by what answers take; count an upstream's own report right

Traced by the holder's log of refusals against the requests in flight: half of the slots stood empty, since an upstream's report of its running work still counts the request that brought it. Besides, capacities were reckoned from medians, few keys' chance bursts counted as load, one upstream that nothing could leave ended the whole plan, and the keys were dealt before most upstreams had shown up. Ruled out: leaked permits (busy by the holder against requests in flight).

--- a/internal/fleet/gateway/loop.go
+++ b/internal/fleet/gateway/loop.go
@@ -342,6 +342,8 @@
 				"request": cmd.Ask.Request, "service": cmd.Ask.Service, "key": cmd.Ask.Key, "reason": cmd.Refusal.Reason,
 				"retryAfterMs": cmd.Refusal.RetryAfter.Milliseconds(), "waitedMs": cmd.Waited.Milliseconds(),
 				"objectiveLeftMs": cmd.Ask.ObjectiveLeft.Milliseconds(), "timeLeftMs": cmd.Ask.TimeLeft.Milliseconds(),
+				"upstream": cmd.Outlook.Upstream, "expectedWaitMs": cmd.Outlook.Wait.Milliseconds(), "expectedWorkMs": cmd.Outlook.Work.Milliseconds(),
+				"busy": cmd.Outlook.Busy, "ahead": cmd.Outlook.Ahead, "cold": cmd.Outlook.Cold,
 				"entriesAgeMs": gw.clock.Now().Sub(gw.rosterAt).Milliseconds(), "revision": gw.table.Load().Revision,
 			})
 		case permit.QueuedCmd:
--- a/internal/fleet/gateway/writer.go
+++ b/internal/fleet/gateway/writer.go
@@ -40,7 +40,12 @@
 	wr.busy = true
 	row, expected := gw.election.Proposal()
 	ev := writtenEvent{}
-	tx := platform.Transaction{Expect: []platform.Expected{{Table: ownTable, Key: leaderKey, Version: platform.Version(expected)}}}
+	// The row is claimed only together with the assignment that was read with
+	// it: one that an earlier leader still changed would be followed too late.
+	tx := platform.Transaction{Expect: []platform.Expected{
+		{Table: ownTable, Key: leaderKey, Version: platform.Version(expected)},
+		{Table: ownTable, Key: assignmentKey, Version: wr.tableAt},
+	}}
 	if wr.row {
 		wr.row, ev.row = false, &row
 		value, err := election.Encode(row)
@@ -54,7 +59,6 @@
 		if err != nil {
 			ev.err = err
 		}
-		tx.Expect = append(tx.Expect, platform.Expected{Table: ownTable, Key: assignmentKey, Version: wr.tableAt})
 		tx.Puts = append(tx.Puts, platform.Row{Table: ownTable, Key: assignmentKey, Value: value})
 	}
 	go func() {
--- a/internal/ownership/balance/balance.go
+++ b/internal/ownership/balance/balance.go
@@ -18,10 +18,18 @@
 	// busyEnough is the use of an upstream below which nothing moves for load.
 	busyEnough = 0.4
 	// unevenEnough is how far above the mean an upstream's use must be.
-	unevenEnough = 1.25
+	unevenEnough = 0.15
 	// worthwhile is the use that must remain at most, as a part of what was
 	// there, for a move to be made.
 	worthwhile = 0.85
+	// standstill is the use that moving a range counts as much as its own: its
+	// requests wait while it moves.
+	standstill = 0.3
+	// idleUse is the mean use below which there is no load to speak of. Moves
+	// disturb nobody then, and keys are spread by their number.
+	idleUse = 0.03
+	// unevenIdle is how much above the mean an upstream may be then.
+	unevenIdle = 1.5
 	// candidates bounds the upstreams that are weighed for one move.
 	candidates = 8
 	// firstPart is the part of a mean load that an upstream without keys gets.
@@ -29,6 +37,10 @@
 	// pieceShare is how much of an upstream's capacity one piece of an orphaned
 	// range may take before it is cut in two.
 	pieceShare = 0.25
+	// slowHandicap is how much use an upstream is charged that takes twice as
+	// long as the mean of all.
+	slowHandicap = 0.25
+	maxHandicap  = 2 * slowHandicap
 	// smallestRate is the least rate of a piece that is worth cutting.
 	smallestRate = 0.5
 )
@@ -61,9 +73,15 @@
 	Target
 	rate   float64
 	shares []Share
+	// handicap is added to the use of an upstream that is slower than others:
+	// its answers come late even without a queue, so it should be less busy.
+	handicap float64
 }
 
-func (tg *target) use() float64 { return tg.rate / tg.Capacity }
+func (tg *target) use() float64 { return tg.useWith(tg.rate) }
+
+// useWith is the use that the upstream would have at a rate.
+func (tg *target) useWith(rate float64) float64 { return rate/tg.Capacity + tg.handicap }
 
 // Plan lists moves: all that orphaned shares need, and at most budget others.
 // The shares are all of one service.
@@ -86,8 +104,8 @@
 	targets []*target
 	byID    map[ident.Upstream]*target
 	moves   []Move
-	// mean is the use of all targets together.
-	mean float64
+	// mean is the mean use of the targets, capacity that of all together.
+	mean, capacity float64
 	// given are targets that got their first keys in this plan.
 	given map[*target]bool
 }
@@ -108,7 +126,13 @@
 			tg.shares = append(tg.shares, sh)
 		}
 	}
-	pl.mean = ld.Total() / capacity
+	pl.capacity = capacity
+	typical := capacity / float64(len(targets))
+	for _, tg := range pl.targets {
+		tg.handicap = slowHandicap * (typical/tg.Capacity - 1)
+		tg.handicap = min(tg.handicap, maxHandicap)
+		pl.mean += tg.use() / float64(len(targets))
+	}
 	return pl
 }
 
@@ -127,7 +151,7 @@
 	for _, rg := range pieces {
 		rate := pl.load.Rate(rg)
 		best := slices.MinFunc(pl.targets, func(left, right *target) int {
-			return cmp.Or(cmp.Compare((left.rate+rate)/left.Capacity, (right.rate+rate)/right.Capacity),
+			return cmp.Or(cmp.Compare(left.useWith(left.rate+rate), right.useWith(right.rate+rate)),
 				cmp.Compare(len(left.shares), len(right.shares)), cmp.Compare(left.ID, right.ID))
 		})
 		pl.give(rg, best)
@@ -158,17 +182,38 @@
 	to.shares = append(to.shares, Share{Range: rg, Owner: to.ID, Fixed: true})
 }
 
-// relieve plans one move away from the upstream that is used most.
+// relieve plans one move away from the upstream that is used most, or the next
+// one where nothing can leave it: a single hot key may keep one busy for long.
 func (pl *plan) relieve() bool {
-	from := slices.MaxFunc(pl.targets, func(left, right *target) int {
-		return cmp.Or(cmp.Compare(left.use(), right.use()), cmp.Compare(left.ID, right.ID))
+	order := slices.Clone(pl.targets)
+	slices.SortFunc(order, func(left, right *target) int {
+		return cmp.Or(cmp.Compare(right.use(), left.use()), cmp.Compare(left.ID, right.ID))
 	})
-	if pl.start(from) {
+	if pl.start(order[0]) {
 		return true
 	}
-	if from.use() < busyEnough || from.use() < unevenEnough*pl.mean {
-		return false
+	for _, from := range order {
+		if !pl.overused(from) {
+			return false
+		}
+		if best := pl.bestFrom(from); best.to != nil {
+			pl.shift(best.rg, from, best.to)
+			return true
+		}
+	}
+	return false
+}
+
+// overused tells whether an upstream's use is worth a move.
+func (pl *plan) overused(tg *target) bool {
+	if pl.load.Total()/pl.capacity < idleUse {
+		return tg.rate/tg.Capacity > unevenIdle*pl.load.Total()/pl.capacity
 	}
+	return tg.use() >= busyEnough && tg.use() >= pl.mean+unevenEnough
+}
+
+// bestFrom is the move after which the busier of the two is used least.
+func (pl *plan) bestFrom(from *target) option {
 	best := option{worst: from.use() * worthwhile}
 	for _, to := range pl.receivers(from) {
 		for _, sh := range from.shares {
@@ -180,11 +225,7 @@
 			}
 		}
 	}
-	if best.to == nil {
-		return false
-	}
-	pl.shift(best.rg, from, best.to)
-	return true
+	return best
 }
 
 // start gives an upstream without keys a first part, whatever the load.
@@ -254,7 +295,8 @@
 // pieces are the parts of a share that are weighed for a move: the whole, and
 // the prefix and suffix that would make both upstreams equally used.
 func (pl *plan) pieces(rg keyspace.Range, from, to *target) []keyspace.Range {
-	ideal := (from.rate*to.Capacity - to.rate*from.Capacity) / (from.Capacity + to.Capacity)
+	// The rate whose move makes both uses equal.
+	ideal := (from.use() - to.use()) * from.Capacity * to.Capacity / (from.Capacity + to.Capacity)
 	pieces := []keyspace.Range{rg}
 	if left, ok := pl.load.prefix(rg, ideal); ok && left != rg {
 		pieces = append(pieces, left)
@@ -274,7 +316,8 @@
 
 func (pl *plan) weigh(rg keyspace.Range, from, to *target) option {
 	rate := pl.load.Rate(rg)
-	return option{rg: rg, to: to, worst: max((from.rate-rate)/from.Capacity, (to.rate+rate)/to.Capacity)}
+	worst := max(from.useWith(from.rate-rate), to.useWith(to.rate+rate))
+	return option{rg: rg, to: to, worst: worst + standstill*rate/from.Capacity}
 }
 
 func (op option) better(other option) option {
--- a/internal/ownership/balance/load.go
+++ b/internal/ownership/balance/load.go
@@ -13,8 +13,12 @@
 	recentTime = 1500 * time.Millisecond
 	// steadyTime is the time constant of the load that smooths out chance.
 	steadyTime = 12 * time.Second
-	// recentShare weighs a recent burst against the steady load.
-	recentShare = 0.7
+	// hotSamples is how many requests for one key must have come within the
+	// recent time before they count at once: fewer may be chance.
+	hotSamples = 4
+	// priorRate is the requests a second that all keys together are taken to
+	// have beside those seen, so that ranges without any are cut by their width.
+	priorRate = 2.0
 	// rescaleAt keeps the growing weights of new samples within range.
 	rescaleAt = 1e6
 )
@@ -66,17 +70,26 @@
 // Refresh brings the sums that Rate uses up to now.
 func (ld *Load) Refresh(now clock.Instant) {
 	age := max(now.Sub(ld.began).Seconds(), 0.5)
-	scale := func(av *average) float64 {
-		seen := av.constant.Seconds() * (1 - math.Exp(-age/av.constant.Seconds()))
-		return 1 / (av.weight(now) * seen)
-	}
-	recent, steady := scale(&ld.recent), scale(&ld.steady)
+	recentSpan, steadySpan := ld.recent.span(age), ld.steady.span(age)
+	recentWeight, steadyWeight := ld.recent.weight(now), ld.steady.weight(now)
 	for ix := range keyspace.Count {
-		rate := max(recentShare*recent*float64(ld.recent.weights[ix]), steady*float64(ld.steady.weights[ix]))
+		rate := priorRate / float64(keyspace.Count)
+		if weight := float64(ld.steady.weights[ix]); weight > 0 {
+			rate += weight / (steadyWeight * steadySpan)
+			if samples := float64(ld.recent.weights[ix]) / recentWeight; samples >= hotSamples {
+				rate = max(rate, samples/recentSpan)
+			}
+		}
 		ld.sums[ix+1] = ld.sums[ix] + rate
 	}
 }
 
+// span is the time that the weights of all samples add up to.
+func (av *average) span(age float64) float64 {
+	constant := av.constant.Seconds()
+	return constant * (1 - math.Exp(-age/constant))
+}
+
 // Rate is the requests a second for a range, as of the last Refresh.
 func (ld *Load) Rate(rg keyspace.Range) float64 {
 	return ld.sums[int(rg.To)+1] - ld.sums[rg.From]
--- a/internal/ownership/leader/leader.go
+++ b/internal/ownership/leader/leader.go
@@ -13,6 +13,7 @@
 package leader
 
 import (
+	"math"
 	"time"
 
 	"chervilwalk/internal/fleet/clock"
@@ -121,7 +122,7 @@
 	planEvery = 250 * time.Millisecond
 	// settleTime is how long the upstreams of a service must be unchanged
 	// before its keys are dealt for the first time.
-	settleTime = 600 * time.Millisecond
+	settleTime = 1800 * time.Millisecond
 	// unreachedTime is how long renewals of an upstream must fail before its
 	// keys are taken from it.
 	unreachedTime = 700 * time.Millisecond
@@ -138,10 +139,15 @@
 	coldCapacity = 0.6
 	// defaultWork is the expected time for an answer before any was seen.
 	defaultWork = 200 * time.Millisecond
-	// workWeight is the weight of one status' answers in an upstream's mean.
-	workWeight = 0.25
+	// workWeight is the weight of one answer in an upstream's mean, and
+	// maxWorkStep bounds the logarithm by which one status can differ from it.
+	workWeight  = 0.06
+	maxWorkStep = 1.5
 	// ackMemory is how many revisions a member's word is remembered for.
 	ackMemory = 256
+	// meanOverMedian is how much longer the mean time of answers is than the
+	// median, which averaged logarithms come near: a few take very long.
+	meanOverMedian = 1.6
 	// failureWeight is the weight of one status in an upstream's success share.
 	failureWeight = 0.3
 )
@@ -314,9 +320,7 @@
 		return
 	}
 	if ul.Answers > 0 {
-		mean := ul.Work / time.Duration(ul.Answers)
-		weight := min(workWeight*float64(ul.Answers), 0.6)
-		up.work += time.Duration(weight * float64(mean-up.work))
+		up.learn(ul)
 	}
 	if total := ul.Answers + ul.Failures; total > 0 {
 		weight := min(failureWeight*float64(total), 0.8)
@@ -333,6 +337,16 @@
 	}
 }
 
+// learn takes the time of answers. Single answers differ by far more than
+// upstreams do, so that logarithms are averaged, and slowly.
+func (up *upstream) learn(ul talk.UpstreamLoad) {
+	mean := ul.Work / time.Duration(ul.Answers)
+	step := math.Log(float64(mean) / float64(up.work))
+	step = max(min(step, maxWorkStep), -maxWorkStep)
+	weight := 1 - math.Pow(1-workWeight, float64(ul.Answers))
+	up.work = time.Duration(float64(up.work) * math.Exp(weight*step))
+}
+
 // raise gives an upstream's keys a higher epoch after it refused the current
 // one: it saw a grant of a table that never came into force.
 func (co *Core) raise(id ident.Upstream) {
--- a/internal/ownership/leader/plan.go
+++ b/internal/ownership/leader/plan.go
@@ -70,7 +70,7 @@
 
 // capacity is how many requests a second an upstream can answer.
 func (up *upstream) capacity(now clock.Instant) float64 {
-	capacity := float64(up.Slots) / up.work.Seconds() * up.success * up.success
+	capacity := float64(up.Slots) / (meanOverMedian * up.work.Seconds()) * up.success * up.success
 	if now < up.ColdUntil {
 		return min(capacity, coldCapacity*up.ColdRate)
 	}
--- a/internal/serving/permit/permit.go
+++ b/internal/serving/permit/permit.go
@@ -89,6 +89,18 @@
 	Refusal talk.Refusal
 	Ask     talk.Ask
 	Waited  time.Duration
+	Outlook Outlook
+}
+
+// Outlook is what an ask was expected to meet when it was decided about.
+type Outlook struct {
+	// Upstream is the owner of the key; empty for services without keys.
+	Upstream ident.Upstream
+	// Wait is the expected wait for a slot, Work the time for the answer.
+	Wait, Work time.Duration
+	// Busy and Ahead count the slots in use and the asks that go first.
+	Busy, Ahead int
+	Cold        bool
 }
 
 // QueuedCmd tells a host that its ask waits.
@@ -120,8 +132,9 @@
 	// late asks can no longer meet their objective; they take what is left.
 	late bool
 	// upstream is set while the ask has a permit.
-	upstream *upstream
-	permit   talk.Permit
+	upstream  *upstream
+	permit    talk.Permit
+	permitted clock.Instant
 }
 
 // Core hands out permits. It is not safe for concurrent use.
@@ -152,8 +165,7 @@
 	var cmds []Cmd
 	switch ms := msg.(type) {
 	case AskMsg:
-		cmds = co.arrive(now, ms.Ask)
-		return append(cmds, co.dispatch(now, ms.Ask.Service)...)
+		return co.arrive(now, ms.Ask)
 	case DoneMsg:
 		co.done(now, ms.Done)
 		return co.dispatch(now, ms.Done.Service)
--- a/internal/serving/permit/queue.go
+++ b/internal/serving/permit/queue.go
@@ -15,9 +15,9 @@
 	// permitSlack is how long after its request's deadline a permit may still
 	// come back.
 	permitSlack = 300 * time.Millisecond
-	// lateShare is the part of its remaining time that a request may wait once
-	// it cannot meet its objective any more.
-	lateShare = 0.35
+	// lateWait is how long a request may wait once it cannot meet its objective
+	// any more: it takes what is left, which on a busy upstream is nothing.
+	lateWait = 120 * time.Millisecond
 	// moveTime is how long keys usually need to reach their next owner.
 	moveTime = 350 * time.Millisecond
 	// minRetryAfter keeps a refused request from coming straight back.
@@ -45,53 +45,54 @@
 		return []Cmd{QueuedCmd{tk.Host, talk.Queued{Ticket: tk.Ticket}}}
 	}
 	ak := &ask{Ask: tk, id: id, arrived: now, objective: now.Add(tk.ObjectiveLeft), deadline: now.Add(tk.TimeLeft)}
-	wait, work, known := co.outlook(now, ak)
+	ol, known := co.outlook(now, ak)
 	if !known {
-		return []Cmd{ak.refuse(now, noOwnerRetry, "noUpstream")}
+		return []Cmd{ak.refuse(now, noOwnerRetry, "noUpstream", ol)}
 	}
-	ak.giveUp = ak.deadline.Add(-work)
-	if wait+work > tk.ObjectiveLeft {
+	ak.giveUp = ak.deadline.Add(-ol.Work)
+	if ol.Wait+ol.Work > tk.ObjectiveLeft {
 		ak.late = true
-		ak.giveUp = min(ak.giveUp, now.Add(time.Duration(lateShare*float64(tk.TimeLeft))))
+		ak.giveUp = min(ak.giveUp, now.Add(lateWait))
 	}
-	if now.Add(wait) > ak.giveUp {
-		return []Cmd{ak.refuse(now, max(wait-tk.ObjectiveLeft/2, minRetryAfter), "noRoomInTime")}
+	if now.Add(ol.Wait) > ak.giveUp {
+		return []Cmd{ak.refuse(now, max(ol.Wait-tk.ObjectiveLeft/2, minRetryAfter), "noRoomInTime", ol)}
 	}
 	co.asks[id] = ak
 	co.waiting[tk.Service] = append(co.waiting[tk.Service], ak)
-	if wait > 0 {
-		return []Cmd{QueuedCmd{tk.Host, talk.Queued{Ticket: tk.Ticket}}}
+	cmds := co.dispatch(now, tk.Service)
+	if ak.upstream == nil && co.asks[id] == ak {
+		cmds = append(cmds, QueuedCmd{tk.Host, talk.Queued{Ticket: tk.Ticket}})
 	}
-	return nil
+	return cmds
 }
 
-func (ak *ask) refuse(now clock.Instant, after time.Duration, reason string) Cmd {
+func (ak *ask) refuse(now clock.Instant, after time.Duration, reason string, ol Outlook) Cmd {
 	return RefuseCmd{
-		Host: ak.Host, Ask: ak.Ask, Waited: now.Sub(ak.arrived),
+		Host: ak.Host, Ask: ak.Ask, Waited: now.Sub(ak.arrived), Outlook: ol,
 		Refusal: talk.Refusal{Ticket: ak.Ticket, RetryAfter: after, Reason: reason},
 	}
 }
 
 // outlook estimates how long an ask waits and how long its answer takes.
 // Known is false where no upstream can run the request.
-func (co *Core) outlook(now clock.Instant, ak *ask) (wait, work time.Duration, known bool) {
-	coldRate := co.services[ak.Service].ColdRate
-	if ak.Keyed {
-		us, moving := co.owner(ak)
-		if us == nil {
-			return 0, 0, false
-		}
-		wait = us.wait(now, co.ahead(now, ak, us), coldRate)
-		if moving {
-			wait += moveTime
-		}
-		return wait, us.work, true
+func (co *Core) outlook(now clock.Instant, ak *ask) (ol Outlook, known bool) {
+	if !ak.Keyed {
+		return co.poolOutlook(now, ak)
+	}
+	us, moving := co.owner(ak)
+	if us == nil {
+		return ol, false
+	}
+	ol = Outlook{Upstream: us.ID, Work: us.work, Busy: us.busy(now), Ahead: co.ahead(now, ak, us), Cold: us.cold(now)}
+	ol.Wait = us.wait(now, ol.Ahead, co.services[ak.Service].ColdRate)
+	if moving {
+		ol.Wait += moveTime
 	}
-	return co.poolOutlook(now, ak)
+	return ol, true
 }
 
 // poolOutlook is the outlook of an ask that any upstream of its service serves.
-func (co *Core) poolOutlook(now clock.Instant, ak *ask) (wait, work time.Duration, known bool) {
+func (co *Core) poolOutlook(now clock.Instant, ak *ask) (ol Outlook, known bool) {
 	rate, open := 0.0, 0
 	for _, us := range co.upstreams {
 		if us.Service != ak.Service || !us.usable {
@@ -103,13 +104,16 @@
 		}
 		rate += float64(us.Slots) / us.work.Seconds()
 		open += us.Slots - us.busy(now)
+		ol.Busy += us.busy(now)
 	}
-	work = co.expected(ak.Service)
+	ol.Work, ol.Ahead = co.expected(ak.Service), co.ahead(now, ak, nil)
 	if rate == 0 {
-		return pollTime, work, known
+		ol.Wait = pollTime
+		return ol, known
 	}
-	over := co.ahead(now, ak, nil) + 1 - open
-	return time.Duration(max(float64(over), 0) / rate * float64(time.Second)), work, known
+	over := ol.Ahead + 1 - open
+	ol.Wait = time.Duration(max(float64(over), 0) / rate * float64(time.Second))
+	return ol, known
 }
 
 // ahead counts the waiting asks that go before this one.
@@ -213,7 +217,7 @@
 	if us.cold(now) {
 		us.coldTokens--
 	}
-	ak.upstream = us
+	ak.upstream, ak.permitted = us, now
 	us.running[ak.id] = ak
 	ak.permit = talk.Permit{Ticket: ak.Ticket, Upstream: us.ID}
 	if sh, found := co.table.Owner(ak.Service, ak.Key); ak.Keyed && found {
@@ -229,14 +233,15 @@
 	for _, ak := range co.waiting[sv] {
 		if !ak.late && ak.objective.Before(now.Add(co.expected(sv)/2)) {
 			ak.late = true
-			ak.giveUp = min(ak.giveUp, ak.arrived.Add(time.Duration(lateShare*float64(ak.TimeLeft))))
+			ak.giveUp = min(ak.giveUp, now.Add(lateWait))
 		}
 		if now < ak.giveUp {
 			kept = append(kept, ak)
 			continue
 		}
 		delete(co.asks, ak.id)
-		cmds = append(cmds, ak.refuse(now, minRetryAfter, "waitedTooLong"))
+		ol, _ := co.outlook(now, ak)
+		cmds = append(cmds, ak.refuse(now, minRetryAfter, "waitedTooLong", ol))
 	}
 	co.waiting[sv] = kept
 	return cmds
--- a/internal/serving/permit/upstream.go
+++ b/internal/serving/permit/upstream.go
@@ -11,7 +11,7 @@
 	// defaultWork is the expected time for an answer before any was seen.
 	defaultWork = 200 * time.Millisecond
 	// workWeight is the weight of the newest answer in an upstream's mean.
-	workWeight = 0.15
+	workWeight = 0.08
 	// typicalWeight is the weight of the newest answer in a service's mean.
 	typicalWeight = 0.02
 	// othersTime is how long a report of work that others sent is believed.
@@ -90,13 +90,28 @@
 	if over <= 0 {
 		return wait
 	}
-	return wait + time.Duration(over)*us.work/time.Duration(us.Slots)
+	return wait + us.firstFree(now) + time.Duration(over-1)*us.work/time.Duration(us.Slots)
+}
+
+// firstFree estimates when the first slot becomes free. Times of answers
+// spread widely: what has run for long will probably run on for long.
+func (us *upstream) firstFree(now clock.Instant) time.Duration {
+	first := us.work / 2
+	if len(us.running) < us.Slots {
+		return first
+	}
+	first = time.Duration(clock.Never)
+	for _, ak := range us.running {
+		first = min(first, max(us.work, now.Sub(ak.permitted))/2)
+	}
+	return first
 }
 
 // learn takes what one request showed of the upstream.
 func (us *upstream) learn(now clock.Instant, dn talk.Done) {
 	if dn.Reported {
-		us.others = max(dn.Running+dn.Waiting-len(us.running), 0)
+		// The report still counts the request that it came with.
+		us.others = max(dn.Running+dn.Waiting-1-len(us.running), 0)
 		us.othersUntil = now.Add(othersTime)
 	}
 	switch Outcome(dn.Outcome) {
