Let a leader act only while nobody can have taken its row over

The processor was spent on the leader's core itself: each event summed up every acknowledgement of every member for every move. Ruled out: renewals (no renewalFailed for the key), address reuse. Conclusion: calls about moves need a word of the store from the last 1.2 s; a move begun by an earlier leader waits until no member can renew the old grant.

--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -83,11 +83,13 @@
 	places      atomic.Pointer[map[ident.Upstream]place]
 	table       atomic.Pointer[assignment.Table]
 	confirmedAt atomic.Int64
-	isReady     atomic.Bool
-	stopping    atomic.Bool
-	events      chan any
-	done        chan struct{}
-	group       sync.WaitGroup
+	// ledAt is when the store last confirmed this host's lead.
+	ledAt    atomic.Int64
+	isReady  atomic.Bool
+	stopping atomic.Bool
+	events   chan any
+	done     chan struct{}
+	group    sync.WaitGroup
 
 	// What follows belongs to the loop.
 	book      *roster.Book
--- a/internal/fleet/gateway/loop.go
+++ b/internal/fleet/gateway/loop.go
@@ -283,6 +283,7 @@
 	if before != leading {
 		gw.cf.Journal.Event("leading", journal.Fields{"now": leading, "term": gw.election.Term(), "revision": gw.table.Load().Revision})
 	}
+	gw.ledAt.Store(int64(gw.election.Confirmed()))
 	switch {
 	case leading && gw.leader == nil:
 		gw.leader = leader.New(now, gw.table.Load())
@@ -297,7 +298,7 @@
 	}
 	switch cmd {
 	case election.Read:
-		go gw.readOwn(false)
+		go gw.readOwn()
 	case election.Write:
 		gw.writer.row = true
 	case election.Wait:
--- a/internal/fleet/gateway/owners.go
+++ b/internal/fleet/gateway/owners.go
@@ -4,10 +4,12 @@
 	"sync"
 	"time"
 
+	"chervilwalk/internal/fleet/clock"
 	"chervilwalk/internal/fleet/ident"
 	"chervilwalk/internal/fleet/roster"
 	"chervilwalk/internal/operations/journal"
 	"chervilwalk/internal/ownership/assignment"
+	"chervilwalk/internal/ownership/election"
 	"chervilwalk/internal/ownership/keyspace"
 	"chervilwalk/internal/ownership/leader"
 	"chervilwalk/internal/ownership/renewal"
@@ -116,7 +118,8 @@
 	go func() {
 		msg := leader.StepMsg{Move: cmd.Move, Step: cmd.Step}
 		result, err := platform.GrantUnknown, error(nil)
-		if known {
+		led := gw.clock.Now().Sub(clock.Instant(gw.ledAt.Load()))
+		if known && led < election.ActTime {
 			ow := gw.owners.at(cmd.Upstream, pl.address)
 			deadline := time.Now().Add(cmd.Timeout)
 			if cmd.Step == leader.Release {
@@ -129,7 +132,7 @@
 		}
 		msg.Result = stepResult(result)
 		if result != platform.GrantTaken {
-			fields := journal.Fields{"step": cmd.Step, "upstream": cmd.Upstream, "from": cmd.Range.From, "to": cmd.Range.To, "epoch": cmd.Epoch, "result": result, "listed": known}
+			fields := journal.Fields{"step": cmd.Step, "upstream": cmd.Upstream, "from": cmd.Range.From, "to": cmd.Range.To, "epoch": cmd.Epoch, "result": result, "listed": known, "confirmedAgoMs": led.Milliseconds()}
 			if err != nil {
 				fields["error"] = err
 			}
--- a/internal/fleet/gateway/store.go
+++ b/internal/fleet/gateway/store.go
@@ -53,12 +53,11 @@
 
 // rowsEvent brings chervilwalk's own rows.
 type rowsEvent struct {
-	row        election.RowMsg
-	table      *assignment.Table
-	tableAt    platform.Version
-	readAt     clock.Instant
-	err        error
-	afterWrite bool
+	row     election.RowMsg
+	table   *assignment.Table
+	tableAt platform.Version
+	readAt  clock.Instant
+	err     error
 }
 
 // pause waits unless the process ends; false means that it does.
@@ -184,10 +183,11 @@
 }
 
 // readOwn reads chervilwalk's own rows.
-func (gw *Gateway) readOwn(afterWrite bool) {
+func (gw *Gateway) readOwn() {
 	began := gw.clock.Now()
 	rows, _, err := gw.store.Read(ownTable, "", time.Now().Add(readTime))
-	ev := rowsEvent{readAt: began, err: err, afterWrite: afterWrite, table: &assignment.Table{}}
+	ev := rowsEvent{readAt: began, err: err, table: &assignment.Table{}}
+	ev.row.Began = began
 	for _, rw := range rows {
 		if err != nil {
 			break
--- a/internal/fleet/gateway/writer.go
+++ b/internal/fleet/gateway/writer.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"chervilwalk/internal/fleet/clock"
 	"chervilwalk/internal/operations/journal"
 	"chervilwalk/internal/ownership/assignment"
 	"chervilwalk/internal/ownership/election"
@@ -23,6 +24,7 @@
 
 // writtenEvent is the end of a write.
 type writtenEvent struct {
+	began   clock.Instant
 	outcome platform.Outcome
 	version platform.Version
 	err     error
@@ -39,7 +41,7 @@
 	}
 	wr.busy = true
 	row, expected := gw.election.Proposal()
-	ev := writtenEvent{}
+	ev := writtenEvent{began: gw.clock.Now()}
 	// The row is claimed only together with the assignment that was read with
 	// it: one that an earlier leader still changed would be followed too late.
 	tx := platform.Transaction{Expect: []platform.Expected{
@@ -72,7 +74,6 @@
 // written takes the end of a write.
 func (gw *Gateway) written(ev writtenEvent) {
 	gw.writer.busy = false
-	now := gw.clock.Now()
 	if ev.outcome != platform.Done {
 		fields := journal.Fields{"outcome": ev.outcome, "leading": gw.election.Leading()}
 		if ev.err != nil {
@@ -82,12 +83,12 @@
 	}
 	switch {
 	case ev.row != nil && ev.outcome == platform.Done:
-		gw.elect(election.WrittenMsg{Version: election.Version(ev.version)})
+		gw.elect(election.WrittenMsg{Version: election.Version(ev.version), Began: ev.began})
 	case ev.row != nil:
 		gw.elect(election.WriteFailedMsg{Conflict: ev.outcome != platform.NotDone})
 	case ev.outcome == platform.Done:
 		gw.writer.tableAt = ev.version
-		gw.election.Confirm(now)
+		gw.election.Confirm(ev.began)
 		gw.lead(leader.StoredMsg{Table: ev.table})
 		gw.follow(ev.table)
 		gw.broadcast()
--- a/internal/ownership/election/election.go
+++ b/internal/ownership/election/election.go
@@ -17,7 +17,7 @@
 
 const (
 	// renewEvery is the time between two renewals of the row.
-	renewEvery = 700 * time.Millisecond
+	renewEvery = 500 * time.Millisecond
 	// silence is how long no leader is heard before the row is read.
 	silence = 1100 * time.Millisecond
 	// readEvery is the time between reads while no leader is heard.
@@ -25,6 +25,10 @@
 	// stale is how long the row must be unchanged before it is taken over: two
 	// renewals, with the time that a slow store takes.
 	stale = 1700 * time.Millisecond
+	// ActTime is how long after the store confirmed its lead a leader may still
+	// order upstreams: with the time of a call it ends before the row can be
+	// taken over.
+	ActTime = 1200 * time.Millisecond
 	// LeadTime is how long a leader that the store does not answer goes on.
 	LeadTime = 11 * time.Second
 )
@@ -40,10 +44,11 @@
 // Version is the row's version in the store; 0 where there is none.
 type Version uint64
 
-// RowMsg is the row as it was read.
+// RowMsg is the row as it was read by a read begun at a time.
 type RowMsg struct {
 	Row     Row
 	Version Version
+	Began   clock.Instant
 }
 
 // ReadFailedMsg says that the store did not answer a read.
@@ -59,8 +64,11 @@
 // ResignMsg says that this host is about to stop.
 type ResignMsg struct{}
 
-// WrittenMsg says that a claim or renewal of ours took effect.
-type WrittenMsg struct{ Version Version }
+// WrittenMsg says that a claim or renewal of ours, begun at a time, took effect.
+type WrittenMsg struct {
+	Version Version
+	Began   clock.Instant
+}
 
 // WriteFailedMsg says that a claim or renewal had no effect or may have had
 // none; Conflict means that the row had changed.
@@ -180,7 +188,7 @@
 	ours := ms.Row.Host == co.self.Host && ms.Row.Incarnation == co.self.Incarnation
 	if ours {
 		// A write of ours took effect though its answer was lost.
-		co.leading, co.confirmedAt = true, now
+		co.leading, co.confirmedAt = true, max(co.confirmedAt, ms.Began)
 		return
 	}
 	if co.leading && changed {
@@ -214,7 +222,7 @@
 func (co *Core) written(now clock.Instant, ms WrittenMsg) {
 	co.row, _ = co.Proposal()
 	co.leading, co.claimable = !co.resigning, false
-	co.version, co.seenAt, co.writtenAt, co.confirmedAt = ms.Version, now, now, now
+	co.version, co.seenAt, co.writtenAt, co.confirmedAt = ms.Version, now, ms.Began, ms.Began
 }
 
 func (co *Core) act(now clock.Instant) Cmd {
--- a/internal/ownership/leader/leader.go
+++ b/internal/ownership/leader/leader.go
@@ -13,7 +13,9 @@
 package leader
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"chervilwalk/internal/fleet/clock"
@@ -143,7 +145,8 @@
 	// maxWorkStep bounds the logarithm by which one status can differ from it.
 	workWeight  = 0.06
 	maxWorkStep = 1.5
-	// ackMemory is how many revisions a member's word is remembered for.
+	// ackMemory is how many words of a member are remembered; the oldest one that
+	// is left stands for those before it.
 	ackMemory = 256
 	// meanOverMedian is how much longer the mean time of answers is than the
 	// median, which averaged logarithms come near: a few take very long.
@@ -152,11 +155,17 @@
 	failureWeight = 0.3
 )
 
+// ack is a member's word that it follows a revision.
+type ack struct {
+	revision assignment.Revision
+	at       clock.Instant
+}
+
 // member is what is known of a member beside the table.
 type member struct {
-	heardAt  clock.Instant
-	ackedAt  map[assignment.Revision]clock.Instant
-	acked    assignment.Revision
+	heardAt clock.Instant
+	// acks are the revisions that it said it follows, in order.
+	acks     []ack
 	stopping bool
 	latest   assignment.Member
 }
@@ -200,7 +209,7 @@
 	}
 	for _, mb := range tb.Members {
 		// They have a while to show up before they count as dead.
-		co.members[mb.Host] = &member{heardAt: now, ackedAt: map[assignment.Revision]clock.Instant{}, latest: mb}
+		co.members[mb.Host] = &member{heardAt: now, latest: mb}
 	}
 	for _, sh := range tb.Shares {
 		if sh.Moving() {
@@ -280,7 +289,7 @@
 		if known && st.Member.Incarnation < mb.latest.Incarnation {
 			return
 		}
-		mb = &member{ackedAt: map[assignment.Revision]clock.Instant{}}
+		mb = &member{}
 		co.members[st.Member.Host] = mb
 		co.event("memberJoined", map[string]any{"host": st.Member.Host, "incarnation": st.Member.Incarnation})
 	}
@@ -301,16 +310,24 @@
 
 // ack notes when a member first said that it follows a revision.
 func (mb *member) ack(now clock.Instant, revision assignment.Revision) {
-	if revision <= mb.acked && len(mb.ackedAt) > 0 {
+	if count := len(mb.acks); count > 0 && revision <= mb.acks[count-1].revision {
 		return
 	}
-	mb.acked = revision
-	mb.ackedAt[revision] = now
-	for old := range mb.ackedAt {
-		if len(mb.ackedAt) > ackMemory && old+ackMemory <= revision {
-			delete(mb.ackedAt, old)
-		}
+	mb.acks = append(mb.acks, ack{revision, now})
+	if len(mb.acks) > ackMemory {
+		mb.acks = slices.Delete(mb.acks, 0, ackMemory/2)
+	}
+}
+
+// ackedAt is when the member first said that it follows a revision.
+func (mb *member) ackedAt(revision assignment.Revision) (clock.Instant, bool) {
+	ix, _ := slices.BinarySearchFunc(mb.acks, revision, func(ak ack, rv assignment.Revision) int {
+		return cmp.Compare(ak.revision, rv)
+	})
+	if ix == len(mb.acks) {
+		return 0, false
 	}
+	return mb.acks[ix].at, true
 }
 
 // observe takes what a member saw of an upstream.
--- a/internal/ownership/leader/move.go
+++ b/internal/ownership/leader/move.go
@@ -110,14 +110,14 @@
 			co.event("ownerEnded", map[string]any{"upstream": mv.share.Owner.Upstream, "from": mv.share.From, "to": mv.share.To})
 			mv.next(now, Give)
 		}
-		if mv.step < Give && now >= co.lapsed(now, mv) {
+		if mv.step < Give && now >= co.lapsed(mv) {
 			co.event("grantLapsed", map[string]any{"upstream": mv.share.Owner.Upstream, "from": mv.share.From, "to": mv.share.To, "waitedMs": now.Sub(mv.storedAt).Milliseconds()})
 			mv.next(now, Give)
 		}
 		if mv.busy || now < mv.due || mv.step == Finished {
 			continue
 		}
-		if mv.resumed && mv.step == Release && !co.allAcked(mv.revision) {
+		if mv.resumed && mv.step == Release && now < co.quiet(mv) {
 			continue
 		}
 		cmds = append(cmds, mv.call(now))
@@ -212,21 +212,10 @@
 	return known && up.Life > mv.share.Owner.Life
 }
 
-// allAcked tells whether every member that is alive follows a revision.
-func (co *Core) allAcked(revision assignment.Revision) bool {
-	for _, mb := range co.table.Members {
-		known, found := co.members[mb.Host]
-		if mb.Alive && (!found || known.acked < revision) {
-			return false
-		}
-	}
-	return true
-}
-
-// lapsed is when the old owner's last grant has surely run out: after each
-// member that could renew it has said that it follows the move, or cannot have
-// been told for so long that it has stopped.
-func (co *Core) lapsed(now clock.Instant, mv *move) clock.Instant {
+// quiet is when no member renews the old owner's grant any more: after each
+// one has said that it follows the move, or cannot have been told for so long
+// that it has stopped.
+func (co *Core) quiet(mv *move) clock.Instant {
 	last := mv.storedAt
 	unheard := mv.storedAt.Add(renewal.ConfirmTime)
 	if mv.storedAt.Sub(co.began) < election.LeadTime {
@@ -235,25 +224,20 @@
 	}
 	for _, mb := range co.table.Members {
 		known, found := co.members[mb.Host]
-		switch {
-		case !found:
-			last = max(last, unheard)
-		case known.acked >= mv.revision:
-			last = max(last, known.ackTime(mv.revision, now))
-		default:
+		if !found {
 			last = max(last, unheard)
+			continue
+		}
+		at, acked := known.ackedAt(mv.revision)
+		if !acked {
+			at = unheard
 		}
+		last = max(last, at)
 	}
-	return max(last.Add(renewal.CallTime).Add(held(renewal.Hold)), mv.heldUntil)
+	return last.Add(renewal.CallTime)
 }
 
-// ackTime is when the member first said that it follows a revision.
-func (mb *member) ackTime(revision assignment.Revision, now clock.Instant) clock.Instant {
-	first := now
-	for acked, at := range mb.ackedAt {
-		if acked >= revision {
-			first = min(first, at)
-		}
-	}
-	return first
+// lapsed is when the old owner's last grant has surely run out.
+func (co *Core) lapsed(mv *move) clock.Instant {
+	return max(co.quiet(mv).Add(held(renewal.Hold)), mv.heldUntil)
 }
