Put the order of reads, writes and beliefs into one pure core, and fuzz it

Cause: who leads, what was written and what may be granted was ordered by the gateway's loop, which no test could reach without sockets. internal/ownership/duty now holds it, and a world on a virtual clock drives several hosts against a model of store, network and upstreams, with an oracle that sees only what upstreams saw. Found by it and mended: a commit whose answer was lost left the leader waiting for ever when another write was under way; the fence of a crashed owner was tried again and again, and each try put off when its grant has run out; the keys that a killed leader renewed lapsed, as its successor was slow to be found and waited for it; keys of an upstream that started anew under its id skipped the fence, so that a renewal for the earlier life could bring them back. Ruled out: exempting late grants in the oracle; the fence covers them.

--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -23,9 +23,7 @@
 	"chervilwalk/internal/operations/desired"
 	"chervilwalk/internal/operations/journal"
 	"chervilwalk/internal/ownership/assignment"
-	"chervilwalk/internal/ownership/election"
-	"chervilwalk/internal/ownership/leader"
-	"chervilwalk/internal/ownership/renewal"
+	"chervilwalk/internal/ownership/duty"
 	"chervilwalk/internal/serving/caller"
 	"chervilwalk/internal/serving/journey"
 	"chervilwalk/internal/serving/link"
@@ -97,16 +95,12 @@
 	coldAgain map[ident.Domain]clock.Instant
 	// evacuated tells since when domains are to get nothing.
 	evacuated map[ident.Domain]clock.Instant
-	election  *election.Core
-	leader    *leader.Core
-	renewal   *renewal.Core
+	duty      *duty.Core
 	permits   *permit.Core
 	asks      asks
-	writer    writer
-	statusAt  clock.Instant
 	views     viewParts
+	encoded   encodedTable
 	rosterAt  clock.Instant
-	heard     string
 }
 
 // Start starts a process.
@@ -120,12 +114,12 @@
 		cf:     cf,
 		self:   assignment.Member{Host: st.Host, Domain: st.Domain, Address: st.Peers, Incarnation: uint64(time.Now().UnixMicro()), Alive: true},
 		events: make(chan any, eventBuffer), done: make(chan struct{}), book: roster.New(),
-		coldAgain: map[ident.Domain]clock.Instant{}, evacuated: map[ident.Domain]clock.Instant{}, renewal: renewal.New(st.Host), permits: permit.New(),
+		coldAgain: map[ident.Domain]clock.Instant{}, evacuated: map[ident.Domain]clock.Instant{}, permits: permit.New(),
 		owners: owners{clients: map[ident.Upstream]*owner{}},
 	}
 	gw.tally = newTally()
 	gw.asks = newAsks(gw)
-	gw.election = election.New(st.Host, st.Peers, gw.self.Incarnation)
+	gw.duty = duty.New(gw.self)
 	gw.store = platform.NewStore(st.Store, gw.observeStore)
 	gw.links = link.New(echo)
 	gw.places.Store(&map[ident.Upstream]place{})
@@ -186,7 +180,7 @@
 	gw.stopping.Store(true)
 	gw.isReady.Store(false)
 	gw.callers.Drain()
-	gw.send(stopEvent{})
+	gw.send(duty.StopMsg{})
 	end := began.Add(gw.cf.Settings.Bounds.Grace - stopMargin)
 	for time.Now().Before(end) {
 		if time.Since(began) > stopAccepting {
--- a/internal/fleet/gateway/loop.go
+++ b/internal/fleet/gateway/loop.go
@@ -6,10 +6,8 @@
 	"chervilwalk/internal/fleet/clock"
 	"chervilwalk/internal/fleet/ident"
 	"chervilwalk/internal/fleet/roster"
-	"chervilwalk/internal/fleet/talk"
 	"chervilwalk/internal/operations/journal"
-	"chervilwalk/internal/ownership/assignment"
-	"chervilwalk/internal/ownership/election"
+	"chervilwalk/internal/ownership/duty"
 	"chervilwalk/internal/ownership/leader"
 	"chervilwalk/internal/ownership/renewal"
 	"chervilwalk/internal/serving/permit"
@@ -17,10 +15,6 @@
 )
 
 const (
-	// statusEvery is the time between two statuses to the leader.
-	statusEvery = 450 * time.Millisecond
-	// electionTick is how often the election is looked at.
-	electionTick = 150 * time.Millisecond
 	// keyedLeave is how long a leaving upstream still gets requests for its
 	// keys, which need a moment to move; the platform allows two seconds from
 	// the entry's change, of which a read of the entries may take one.
@@ -33,9 +27,6 @@
 	coldAgainTime = 2 * time.Second
 )
 
-// stopEvent begins a planned stop.
-type stopEvent struct{}
-
 // settingsEvent brings changed settings.
 type settingsEvent struct{ settings platform.Settings }
 
@@ -71,10 +62,6 @@
 		gw.wished(ev)
 	case rosterEvent:
 		gw.listed(ev)
-	case rowsEvent:
-		gw.rows(ev)
-	case writtenEvent:
-		gw.written(ev)
 	case datagramEvent:
 		gw.hear(ev)
 	case askEvent:
@@ -83,28 +70,17 @@
 		gw.asks.withdraw(ev)
 	case releaseEvent:
 		gw.asks.release(ev)
-	case renewedEvent:
-		gw.renew(renewal.ResultMsg(ev))
-	case stepEvent:
-		gw.lead(leader.StepMsg(ev))
-	case stopEvent:
-		gw.elect(election.ResignMsg{})
-		gw.statusAt = 0
-		gw.tick()
 	case settingsEvent:
 		gw.cf.Settings.Bounds = ev.settings.Bounds
+	default:
+		gw.own(ev)
 	}
 }
 
 // tick lets every core see that time has passed.
 func (gw *Gateway) tick() {
 	now := gw.clock.Now()
-	gw.elect(election.TickMsg{})
-	if now.Sub(gw.statusAt) >= statusEvery {
-		gw.sendStatus(now)
-	}
-	gw.lead(leader.TickMsg{})
-	gw.renew(renewal.TickMsg{})
+	gw.own(duty.TickMsg{})
 	gw.permit(permit.TickMsg{})
 	gw.asks.tick(now)
 }
@@ -112,11 +88,7 @@
 // next is when the loop has to wake if nothing happens.
 func (gw *Gateway) next() clock.Instant {
 	now := gw.clock.Now()
-	next := min(gw.statusAt.Add(statusEvery), now.Add(electionTick), gw.renewal.Next(now), gw.permits.Next(now), gw.asks.next())
-	if gw.leader != nil {
-		next = min(next, gw.leader.Next(now))
-	}
-	return next
+	return min(gw.duty.Next(now), gw.permits.Next(now), gw.asks.next())
 }
 
 // wished takes what the operators want.
@@ -172,7 +144,6 @@
 		return known && !up.Gone
 	})
 	gw.owners.retain(gw.book)
-	gw.renewals()
 	gw.fleetChanged()
 }
 
@@ -185,6 +156,7 @@
 	}
 	places := make(map[ident.Upstream]place, gw.book.Len())
 	lead := leader.FleetMsg{Keyed: map[ident.Service]bool{}}
+	domains := make(map[ident.Upstream]ident.Domain, gw.book.Len())
 	hand := permit.FleetMsg{Services: st.Services, Table: gw.table.Load()}
 	for name, sv := range st.Services {
 		if sv.Keyed {
@@ -199,6 +171,7 @@
 		evacuated := gw.wishes.Evacuated[up.Domain]
 		coldUntil := max(up.ColdUntil, gw.coldAgain[up.Domain])
 		refuseAt := gw.refuseAt(up, sv.Keyed, evacuated)
+		domains[up.ID] = up.Domain
 		places[up.ID] = place{address: up.Address, refuseAt: refuseAt}
 		if now < refuseAt {
 			hand.Upstreams = append(hand.Upstreams, permit.Upstream{
@@ -213,7 +186,7 @@
 		}
 	})
 	gw.places.Store(&places)
-	gw.lead(lead)
+	gw.own(duty.FleetMsg{Fleet: lead, Domains: domains})
 	gw.permit(hand)
 	gw.isReady.Store(!gw.stopping.Load())
 }
@@ -234,101 +207,47 @@
 	return refuseAt
 }
 
-// follow takes a table into force if it is newer.
-func (gw *Gateway) follow(tb *assignment.Table) {
-	if tb.Revision <= gw.table.Load().Revision {
-		return
-	}
-	gw.table.Store(tb)
-	gw.renewals()
-	gw.fleetChanged()
-}
-
-// renewals tells the renewals what to renew.
-func (gw *Gateway) renewals() {
-	domains := map[ident.Upstream]ident.Domain{}
-	gw.book.All(func(up *roster.Upstream) { domains[up.ID] = up.Domain })
-	gw.renew(renewal.TableMsg{Table: gw.table.Load(), Domains: domains})
-}
-
-// confirm notes that the table in force was the newest at a time.
-func (gw *Gateway) confirm(at clock.Instant) {
-	gw.confirmedAt.Store(max(gw.confirmedAt.Load(), int64(at)))
-	gw.renew(renewal.ConfirmMsg{At: at})
-}
-
-// rows takes chervilwalk's own rows as they were read.
-func (gw *Gateway) rows(ev rowsEvent) {
-	if ev.err != nil {
-		gw.elect(election.ReadFailedMsg{})
-		return
-	}
-	gw.follow(ev.table)
-	if ev.table.Revision == gw.table.Load().Revision {
-		gw.confirm(ev.readAt)
-	}
-	gw.writer.tableAt = ev.tableAt
-	gw.elect(ev.row)
-	if gw.leader != nil && gw.election.Leading() {
-		gw.lead(leader.NotStoredMsg{Table: ev.table})
-	}
-}
-
-// elect runs the election and does what it says.
-func (gw *Gateway) elect(msg any) {
-	now := gw.clock.Now()
-	before := gw.election.Leading()
-	cmd := gw.election.Update(now, msg)
-	leading := gw.election.Leading()
-	if before != leading {
-		gw.cf.Journal.Event("leading", journal.Fields{"now": leading, "term": gw.election.Term(), "revision": gw.table.Load().Revision})
-	}
-	gw.ledAt.Store(int64(gw.election.Confirmed()))
-	switch {
-	case leading && gw.leader == nil:
-		gw.leader = leader.New(now, gw.table.Load())
-		gw.fleetChanged()
-		gw.sendStatus(now)
-		gw.broadcast()
-	case !leading && gw.leader != nil:
-		gw.leader, gw.writer.table = nil, nil
-		if gw.stopping.Load() {
-			gw.resigned()
-		}
-	}
-	switch cmd {
-	case election.Read:
-		go gw.readOwn()
-	case election.Write:
-		gw.writer.row = true
-	case election.Wait:
-	}
-	gw.write()
-}
-
-// lead runs the leader's core and does what it says.
-func (gw *Gateway) lead(msg any) {
-	if gw.leader == nil {
-		return
-	}
-	for _, cmd := range gw.leader.Update(gw.clock.Now(), msg) {
+// own runs the core of ownership and does what it says.
+func (gw *Gateway) own(msg any) {
+	cmds := gw.duty.Update(gw.clock.Now(), msg)
+	gw.ledAt.Store(int64(gw.duty.Led()))
+	gw.confirmedAt.Store(int64(gw.duty.Confirmed()))
+	for _, cmd := range cmds {
 		switch cmd := cmd.(type) {
-		case leader.CommitCmd:
-			gw.writer.table = cmd.Table
-		case leader.CallCmd:
-			gw.call(cmd)
-		case leader.EventCmd:
+		case duty.ReadCmd:
+			go gw.readOwn()
+		case duty.WriteCmd:
+			go gw.writeOwn(cmd)
+		case duty.CallCmd:
+			gw.call(leader.CallCmd(cmd))
+		case duty.RenewCmd:
+			gw.renewUpstream(renewal.RenewCmd(cmd))
+		case duty.EventCmd:
 			gw.cf.Journal.Event(cmd.What, cmd.Fields)
+		case duty.StatusCmd:
+			gw.sendStatus(cmd)
+		case duty.BeatCmd:
+			gw.transmit(cmd.To, cmd.Beat)
+		case duty.ViewCmd:
+			gw.sendView(cmd)
+		case duty.TableCmd:
+			gw.table.Store(cmd.Table)
+			gw.fleetChanged()
 		}
 	}
-	gw.write()
 }
 
-// renew runs the renewals.
-func (gw *Gateway) renew(msg any) {
-	for _, cmd := range gw.renewal.Update(gw.clock.Now(), msg) {
-		gw.renewUpstream(cmd)
+// sendStatus sends this host's status with what it counted since the last.
+func (gw *Gateway) sendStatus(cmd duty.StatusCmd) {
+	st := cmd.Status
+	keys, loads := gw.tally.take()
+	st.Keys = keys
+	st.Upstreams = append(st.Upstreams, loads...)
+	if cmd.To == "" {
+		gw.own(duty.StatusMsg{Status: st})
+		return
 	}
+	gw.transmit(cmd.To, st)
 }
 
 // permit runs the permits' core and sends what it says.
@@ -352,28 +271,3 @@
 		}
 	}
 }
-
-// status is what this host tells the leader.
-func (gw *Gateway) status(now clock.Instant) talk.Status {
-	st := talk.Status{
-		Member: gw.self, Term: gw.election.Term(), Revision: gw.table.Load().Revision, Stopping: gw.stopping.Load(),
-		Upstreams: gw.renewal.Report(now),
-	}
-	keys, loads := gw.tally.take()
-	st.Keys = keys
-	st.Upstreams = append(st.Upstreams, loads...)
-	return st
-}
-
-func (gw *Gateway) sendStatus(now clock.Instant) {
-	gw.statusAt = now
-	st := gw.status(now)
-	if gw.leader != nil {
-		gw.confirm(now)
-		gw.lead(leader.StatusMsg{Status: st})
-		return
-	}
-	if address := gw.election.Leader().Address; address != "" {
-		gw.transmit(address, st)
-	}
-}
--- a/internal/fleet/gateway/owners.go
+++ b/internal/fleet/gateway/owners.go
@@ -9,6 +9,7 @@
 	"chervilwalk/internal/fleet/roster"
 	"chervilwalk/internal/operations/journal"
 	"chervilwalk/internal/ownership/assignment"
+	"chervilwalk/internal/ownership/duty"
 	"chervilwalk/internal/ownership/election"
 	"chervilwalk/internal/ownership/keyspace"
 	"chervilwalk/internal/ownership/leader"
@@ -16,12 +17,6 @@
 	"chervilwalk/platform"
 )
 
-// renewedEvent is the end of a renewal.
-type renewedEvent renewal.ResultMsg
-
-// stepEvent is the end of a call about a move.
-type stepEvent leader.StepMsg
-
 // owner is a client of one upstream's calls about keys.
 type owner struct {
 	*platform.Owner
@@ -90,7 +85,7 @@
 				break
 			}
 		}
-		gw.send(renewedEvent(result))
+		gw.send(duty.RenewedMsg(result))
 	}()
 }
 
@@ -138,7 +133,7 @@
 			}
 			gw.cf.Journal.Event("stepFailed", fields)
 		}
-		gw.send(stepEvent(msg))
+		gw.send(duty.StepMsg(msg))
 	}()
 }
 
--- a/internal/fleet/gateway/peers.go
+++ b/internal/fleet/gateway/peers.go
@@ -8,8 +8,7 @@
 	"chervilwalk/internal/fleet/talk"
 	"chervilwalk/internal/operations/journal"
 	"chervilwalk/internal/ownership/assignment"
-	"chervilwalk/internal/ownership/election"
-	"chervilwalk/internal/ownership/leader"
+	"chervilwalk/internal/ownership/duty"
 	"chervilwalk/internal/serving/permit"
 )
 
@@ -70,9 +69,9 @@
 	now := gw.clock.Now()
 	switch ms := ev.msg.(type) {
 	case talk.Status:
-		gw.heardStatus(ev.from, ms)
+		gw.own(duty.StatusMsg{Status: ms, From: ev.from.String()})
 	case talk.Beat:
-		gw.heardBeat(ev.from, ms)
+		gw.own(duty.BeatMsg{Beat: ms, From: ev.from.String()})
 	case talk.View:
 		gw.heardView(ev.from, ms)
 	case talk.Ask:
@@ -92,84 +91,28 @@
 	}
 }
 
-// heardStatus answers a member; without a lead it is not ours to answer.
-func (gw *Gateway) heardStatus(from netip.AddrPort, st talk.Status) {
-	if gw.leader == nil {
-		return
-	}
-	if st.Revision < gw.table.Load().Revision {
-		gw.sendView(from)
-	} else {
-		gw.transmitTo(from, gw.beat())
-	}
-	gw.lead(leader.StatusMsg{Status: st})
-}
-
-// beat is the sign of this host's lead.
-func (gw *Gateway) beat() talk.Beat {
-	return talk.Beat{
-		Term: gw.election.Term(), Leader: gw.self.Host, Revision: gw.table.Load().Revision,
-		StoreAge: gw.clock.Now().Sub(gw.election.Confirmed()),
-	}
-}
-
-func (gw *Gateway) heardBeat(from netip.AddrPort, bt talk.Beat) {
-	if bt.Term < gw.election.Term() {
-		return
-	}
-	if heard := string(bt.Leader) + " " + from.String(); heard != gw.heard {
-		gw.heard = heard
-		gw.cf.Journal.Event("leader", journal.Fields{"leader": bt.Leader, "term": bt.Term, "address": from.String(), "storeAgeMs": bt.StoreAge.Milliseconds()})
-	}
-	gw.elect(election.BeatMsg{Term: bt.Term, Host: bt.Leader, Address: from.String()})
-	if bt.Revision == gw.table.Load().Revision && bt.Leader != "" {
-		gw.confirm(gw.clock.Now())
-	}
-}
-
-// sendView sends the assignment in force.
-func (gw *Gateway) sendView(to netip.AddrPort) {
-	body, err := assignment.Encode(gw.table.Load())
-	if err != nil {
-		gw.cf.Journal.Problem("assignmentNotEncoded", err, nil)
-		return
+// sendView sends an assignment, in parts that fit into datagrams.
+func (gw *Gateway) sendView(cmd duty.ViewCmd) {
+	if gw.encoded.table != cmd.Table {
+		body, err := assignment.Encode(cmd.Table)
+		if err != nil {
+			gw.cf.Journal.Problem("assignmentNotEncoded", err, nil)
+			return
+		}
+		gw.encoded = encodedTable{cmd.Table, string(body)}
 	}
-	gw.sendParts(to, string(body))
-}
-
-func (gw *Gateway) sendParts(to netip.AddrPort, body string) {
+	body := gw.encoded.body
 	parts := (len(body) + viewPartBytes - 1) / viewPartBytes
 	for part := range parts {
 		piece := body[part*viewPartBytes : min((part+1)*viewPartBytes, len(body))]
-		gw.transmitTo(to, talk.View{Beat: gw.beat(), Part: part, Parts: parts, Body: piece})
+		gw.transmit(cmd.To, talk.View{Beat: cmd.Beat, Part: part, Parts: parts, Body: piece})
 	}
 }
 
-// broadcast sends the assignment in force to every member.
-func (gw *Gateway) broadcast() {
-	tb := gw.table.Load()
-	body, err := assignment.Encode(tb)
-	if err != nil {
-		gw.cf.Journal.Problem("assignmentNotEncoded", err, nil)
-		return
-	}
-	for _, mb := range tb.Members {
-		to, err := netip.ParseAddrPort(mb.Address)
-		if err != nil || mb.Host == gw.self.Host {
-			continue
-		}
-		gw.sendParts(to, string(body))
-	}
-	gw.sendStatus(gw.clock.Now())
-}
-
-// resigned tells the members that this host leads no more.
-func (gw *Gateway) resigned() {
-	for _, mb := range gw.table.Load().Members {
-		if mb.Host != gw.self.Host {
-			gw.transmit(mb.Address, talk.Beat{Term: gw.election.Term(), Revision: gw.table.Load().Revision})
-		}
-	}
+// encodedTable is the assignment that was sent last.
+type encodedTable struct {
+	table *assignment.Table
+	body  string
 }
 
 // viewParts collects the parts of an assignment.
@@ -199,8 +142,10 @@
 	return body, true
 }
 
+// heardView takes a part of an assignment.
 func (gw *Gateway) heardView(from netip.AddrPort, ms talk.View) {
-	if ms.Term < gw.election.Term() {
+	if ms.Revision <= gw.table.Load().Revision {
+		gw.own(duty.BeatMsg{Beat: ms.Beat, From: from.String()})
 		return
 	}
 	body, complete := gw.views.add(ms)
@@ -212,10 +157,7 @@
 		gw.cf.Journal.Problem("assignmentMalformed", err, journal.Fields{"from": from.String(), "revision": ms.Revision})
 		return
 	}
-	gw.follow(tb)
-	gw.heardBeat(from, ms.Beat)
-	// The leader counts on hearing at once who follows.
-	gw.sendStatus(gw.clock.Now())
+	gw.own(duty.ViewMsg{Beat: ms.Beat, Table: tb, From: from.String()})
 }
 
 // reply sends a holder's word to a host.
--- a/internal/fleet/gateway/store.go
+++ b/internal/fleet/gateway/store.go
@@ -4,10 +4,10 @@
 	"errors"
 	"time"
 
-	"chervilwalk/internal/fleet/clock"
 	"chervilwalk/internal/fleet/roster"
 	"chervilwalk/internal/operations/journal"
 	"chervilwalk/internal/ownership/assignment"
+	"chervilwalk/internal/ownership/duty"
 	"chervilwalk/internal/ownership/election"
 	"chervilwalk/platform"
 )
@@ -51,15 +51,6 @@
 	away bool
 }
 
-// rowsEvent brings chervilwalk's own rows.
-type rowsEvent struct {
-	row     election.RowMsg
-	table   *assignment.Table
-	tableAt platform.Version
-	readAt  clock.Instant
-	err     error
-}
-
 // pause waits unless the process ends; false means that it does.
 func (gw *Gateway) pause(wait time.Duration) bool {
 	tm := time.NewTimer(wait)
@@ -184,27 +175,62 @@
 
 // readOwn reads chervilwalk's own rows.
 func (gw *Gateway) readOwn() {
-	began := gw.clock.Now()
+	ms := duty.RowsMsg{Began: gw.clock.Now(), Table: &assignment.Table{}}
 	rows, _, err := gw.store.Read(ownTable, "", time.Now().Add(readTime))
-	ev := rowsEvent{readAt: began, err: err, table: &assignment.Table{}}
-	ev.row.Began = began
 	for _, rw := range rows {
 		if err != nil {
 			break
 		}
 		switch rw.Key {
 		case leaderKey:
-			ev.row.Version = election.Version(rw.Version)
-			ev.row.Row, ev.err = election.Decode(rw.Value)
+			ms.RowAt = election.Version(rw.Version)
+			ms.Row, err = election.Decode(rw.Value)
 		case assignmentKey:
-			ev.tableAt = rw.Version
-			var tableErr error
-			if ev.table, tableErr = assignment.Decode(rw.Value); tableErr != nil {
-				ev.err = tableErr
-			}
+			ms.TableAt = election.Version(rw.Version)
+			ms.Table, err = assignment.Decode(rw.Value)
 		}
 	}
-	gw.send(ev)
+	if err != nil {
+		gw.cf.Journal.Problem("ownRowsUnread", err, nil)
+		ms.Failed = true
+	}
+	gw.send(ms)
+}
+
+// writeOwn writes one of chervilwalk's own rows.
+func (gw *Gateway) writeOwn(cmd duty.WriteCmd) {
+	ms := duty.WrittenMsg{Write: cmd, Began: gw.clock.Now()}
+	row := platform.Row{Table: ownTable, Key: leaderKey}
+	var err error
+	if cmd.Row != nil {
+		row.Value, err = election.Encode(*cmd.Row)
+	} else {
+		row.Key = assignmentKey
+		row.Value, err = assignment.Encode(cmd.Table)
+	}
+	if err != nil {
+		gw.cf.Journal.Problem("ownRowNotEncoded", err, journal.Fields{"row": row.Key})
+		ms.Outcome = duty.NotDone
+		gw.send(ms)
+		return
+	}
+	outcome, version, err := gw.store.Commit(platform.Transaction{
+		Expect: []platform.Expected{
+			{Table: ownTable, Key: leaderKey, Version: platform.Version(cmd.RowAt)},
+			{Table: ownTable, Key: assignmentKey, Version: platform.Version(cmd.TableAt)},
+		},
+		Puts: []platform.Row{row},
+	}, time.Now().Add(writeTime))
+	if err != nil {
+		gw.cf.Journal.Problem("ownRowNotWritten", err, journal.Fields{"row": row.Key, "outcome": outcome})
+	}
+	ms.Outcome, ms.Version = written[outcome], election.Version(version)
+	gw.send(ms)
+}
+
+// written translates the store's outcomes.
+var written = map[platform.Outcome]duty.Outcome{
+	platform.Unknown: duty.Unknown, platform.Done: duty.Done, platform.Conflict: duty.Conflict, platform.NotDone: duty.NotDone,
 }
 
 func (gw *Gateway) observeStore(call string, took time.Duration, err error) {
--- a/internal/fleet/talk/message.go
+++ b/internal/fleet/talk/message.go
@@ -64,6 +64,8 @@
 	Revision assignment.Revision
 	// StoreAge is how long ago the store last confirmed the leader.
 	StoreAge time.Duration
+	// RowAt is the store's version of the leader's row.
+	RowAt uint64
 }
 
 // View carries a part of the encoded assignment.
@@ -183,6 +185,7 @@
 	text(cd, &ms.Leader)
 	field(cd, &ms.Revision)
 	span(cd, &ms.StoreAge)
+	field(cd, &ms.RowAt)
 }
 
 func (ms *View) code(cd *coder) {
--- a/internal/ownership/election/election.go
+++ b/internal/ownership/election/election.go
@@ -59,13 +59,16 @@
 	Term    talk.Term
 	Host    ident.Host
 	Address string
+	// RowAt is the version that the leader's row has.
+	RowAt Version
 }
 
 // ResignMsg says that this host is about to stop.
 type ResignMsg struct{}
 
-// WrittenMsg says that a claim or renewal of ours, begun at a time, took effect.
+// WrittenMsg says that a row of ours, whose write began at a time, took effect.
 type WrittenMsg struct {
+	Row     Row
 	Version Version
 	Began   clock.Instant
 }
@@ -206,12 +209,15 @@
 	}
 	if ms.Term > co.row.Term {
 		co.leading = false
-		co.row = Row{Term: ms.Term, Address: ms.Address}
-		co.version, co.readOnce = 0, false
+		co.row = Row{Term: ms.Term, Host: ms.Host, Address: ms.Address}
 	}
 	if co.leading {
 		return
 	}
+	if ms.RowAt > co.version {
+		// What the leader says of the row is as good as a read.
+		co.version, co.seenAt, co.readOnce = ms.RowAt, now, true
+	}
 	co.heardAt, co.claimable = now, false
 	if ms.Host == "" {
 		// The leader has resigned: read soon, the hosts one after the other.
@@ -220,8 +226,8 @@
 }
 
 func (co *Core) written(now clock.Instant, ms WrittenMsg) {
-	co.row, _ = co.Proposal()
-	co.leading, co.claimable = !co.resigning, false
+	co.row = ms.Row
+	co.leading, co.claimable = ms.Row.Host == co.self.Host, false
 	co.version, co.seenAt, co.writtenAt, co.confirmedAt = ms.Version, now, ms.Began, ms.Began
 }
 
@@ -234,6 +240,9 @@
 	}
 	switch {
 	case co.leading && !co.readOnce:
+		if now.Sub(co.readAt) < readEvery {
+			return Wait
+		}
 		return co.startRead(now)
 	case co.leading && co.resigning:
 		co.busy = true
--- a/internal/ownership/leader/leader.go
+++ b/internal/ownership/leader/leader.go
@@ -53,9 +53,12 @@
 // StoredMsg brings the assignment as the store has it.
 type StoredMsg struct{ Table *assignment.Table }
 
-// NotStoredMsg says that the last commit did not take effect, as far as is
-// known. Table is what the store holds, if it was read since, else nil.
-type NotStoredMsg struct{ Table *assignment.Table }
+// NotStoredMsg says that the last commit did not take effect.
+type NotStoredMsg struct{}
+
+// ReadMsg brings what the store holds after a commit of which it is not known
+// whether it took effect.
+type ReadMsg struct{ Table *assignment.Table }
 
 // StepMsg is the end of a call about a move.
 type StepMsg struct {
@@ -201,8 +204,9 @@
 	resumed map[MoveID]bool
 }
 
-// New makes the core of a host that has begun to lead with a table.
-func New(now clock.Instant, tb *assignment.Table) *Core {
+// New makes the core of a host that has begun to lead with a table after
+// another host, whose silence let it take over.
+func New(now clock.Instant, tb *assignment.Table, before ident.Host) *Core {
 	co := &Core{
 		began: now, table: tb, draft: tb.Clone(), members: map[ident.Host]*member{}, upstreams: map[ident.Upstream]*upstream{},
 		loads: map[ident.Service]*balance.Load{}, moves: map[MoveID]*move{}, changedAt: now, resumed: map[MoveID]bool{},
@@ -210,6 +214,9 @@
 	for _, mb := range tb.Members {
 		// They have a while to show up before they count as dead.
 		co.members[mb.Host] = &member{heardAt: now, latest: mb}
+		if mb.Host == before {
+			co.members[mb.Host].heardAt = now.Add(-silentTime)
+		}
 	}
 	for _, sh := range tb.Shares {
 		if sh.Moving() {
@@ -234,7 +241,9 @@
 	case StoredMsg:
 		co.stored(now, ms.Table)
 	case NotStoredMsg:
-		co.notStored(now, ms.Table)
+		co.notStored(now)
+	case ReadMsg:
+		co.read(now, ms.Table)
 	case StepMsg:
 		co.step(now, ms)
 	}
@@ -271,15 +280,21 @@
 	co.adopt(now)
 }
 
-// notStored keeps the draft for another try. A write whose answer was lost may
-// still have taken effect: what the store holds is followed either way, and the
-// draft, which all writes came from, has its changes too.
-func (co *Core) notStored(now clock.Instant, tb *assignment.Table) {
+// notStored keeps the draft for another try.
+func (co *Core) notStored(now clock.Instant) {
 	co.inFlight, co.dirty, co.commitAt = false, true, now.Add(commitRetry)
-	if tb != nil {
-		co.table = tb
-		co.adopt(now)
+}
+
+// read takes what the store holds. A write whose answer was lost may have taken
+// effect: what the store holds is followed either way, and the draft, which all
+// writes came from, has its changes too.
+func (co *Core) read(now clock.Instant, tb *assignment.Table) {
+	if !co.inFlight {
+		return
 	}
+	co.notStored(now)
+	co.table = tb
+	co.adopt(now)
 }
 
 // status takes a member's status.
--- a/internal/ownership/leader/move.go
+++ b/internal/ownership/leader/move.go
@@ -71,10 +71,11 @@
 	// heldUntil is until when a call of ours may keep the old owner going.
 	heldUntil clock.Instant
 	handover  keyspace.Handover
-	// resumed moves were begun by an earlier leader, who may already have
-	// granted the keys to the next owner: the old one gets no new grant.
-	resumed bool
-	began   clock.Instant
+	// unfenced moves were begun by an earlier leader, who may already have
+	// granted the keys to the next owner: the old one gets no new grant, and its
+	// release waits until no member renews the old grant any more.
+	unfenced bool
+	began    clock.Instant
 }
 
 // adopt brings the moves in step with the store's table.
@@ -89,8 +90,8 @@
 		if _, known := co.moves[id]; known {
 			continue
 		}
-		mv := &move{id: id, share: sh, due: now, revision: co.table.Revision, storedAt: now, began: now, resumed: co.resumed[id]}
-		if mv.resumed {
+		mv := &move{id: id, share: sh, due: now, revision: co.table.Revision, storedAt: now, began: now, unfenced: co.resumed[id]}
+		if mv.unfenced {
 			mv.step = Release
 		}
 		co.moves[id] = mv
@@ -106,10 +107,6 @@
 func (co *Core) advance(now clock.Instant) []Cmd {
 	var cmds []Cmd
 	for _, mv := range co.moves {
-		if mv.step < Give && co.ownerEnded(mv) {
-			co.event("ownerEnded", map[string]any{"upstream": mv.share.Owner.Upstream, "from": mv.share.From, "to": mv.share.To})
-			mv.next(now, Give)
-		}
 		if mv.step < Give && now >= co.lapsed(mv) {
 			co.event("grantLapsed", map[string]any{"upstream": mv.share.Owner.Upstream, "from": mv.share.From, "to": mv.share.To, "waitedMs": now.Sub(mv.storedAt).Milliseconds()})
 			mv.next(now, Give)
@@ -117,7 +114,11 @@
 		if mv.busy || now < mv.due || mv.step == Finished {
 			continue
 		}
-		if mv.resumed && mv.step == Release && now < co.quiet(mv) {
+		if mv.step == Fence && now.Add(renewal.CallTime).Add(held(fenceHold)) > co.quiet(mv).Add(held(renewal.Hold)) {
+			// One more try would only put off when the old grant has run out.
+			continue
+		}
+		if mv.unfenced && mv.step == Release && now < co.quiet(mv) {
 			continue
 		}
 		cmds = append(cmds, mv.call(now))
@@ -205,13 +206,6 @@
 	})
 }
 
-// ownerEnded tells whether the old owner's life is over, so that it holds
-// nothing any more: it has started anew since.
-func (co *Core) ownerEnded(mv *move) bool {
-	up, known := co.upstreams[mv.share.Owner.Upstream]
-	return known && up.Life > mv.share.Owner.Life
-}
-
 // quiet is when no member renews the old owner's grant any more: after each
 // one has said that it follows the move, or cannot have been told for so long
 // that it has stopped.
