Let the leader read the store for all hosts

The leader now reads and sends entries when they change in a way that matters; its sign tells how new its knowledge is, and a host that does not hear a fresh leader reads by itself. Operators' rows are watched with long waits, and read at once when the leader knows newer ones or falls silent. Ruled out: fewer reads by each host, which the two seconds for leaving upstreams do not allow.

--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -82,12 +82,20 @@
 	table       atomic.Pointer[assignment.Table]
 	confirmedAt atomic.Int64
 	// ledAt is when the store last confirmed this host's lead.
-	ledAt    atomic.Int64
-	isReady  atomic.Bool
-	stopping atomic.Bool
-	events   chan any
-	done     chan struct{}
-	group    sync.WaitGroup
+	ledAt atomic.Int64
+	// newsAt is when a leader with fresh knowledge was last heard, wishesAt the
+	// store's version up to which the operators' rows are known.
+	newsAt   atomic.Int64
+	wishesAt atomic.Uint64
+	leading  atomic.Bool
+	// longWatch tells that the watch of the operators' rows counts on a leader.
+	longWatch atomic.Bool
+	nudge     chan struct{}
+	isReady   atomic.Bool
+	stopping  atomic.Bool
+	events    chan any
+	done      chan struct{}
+	group     sync.WaitGroup
 
 	// What follows belongs to the loop.
 	book      *roster.Book
@@ -100,7 +108,7 @@
 	asks      asks
 	views     viewParts
 	encoded   encodedTable
-	rosterAt  clock.Instant
+	news      news
 }
 
 // Start starts a process.
@@ -113,7 +121,7 @@
 	gw := &Gateway{
 		cf:     cf,
 		self:   assignment.Member{Host: st.Host, Domain: st.Domain, Address: st.Peers, Incarnation: uint64(time.Now().UnixMicro()), Alive: true},
-		events: make(chan any, eventBuffer), done: make(chan struct{}), book: roster.New(),
+		events: make(chan any, eventBuffer), done: make(chan struct{}), nudge: make(chan struct{}, 1), book: roster.New(),
 		coldAgain: map[ident.Domain]clock.Instant{}, evacuated: map[ident.Domain]clock.Instant{}, permits: permit.New(),
 		owners: owners{clients: map[ident.Upstream]*owner{}},
 	}
--- a/internal/fleet/gateway/loop.go
+++ b/internal/fleet/gateway/loop.go
@@ -61,7 +61,9 @@
 	case wishesEvent:
 		gw.wished(ev)
 	case rosterEvent:
-		gw.listed(ev)
+		gw.read(ev)
+	case againEvent:
+		gw.listed()
 	case datagramEvent:
 		gw.hear(ev)
 	case askEvent:
@@ -81,6 +83,10 @@
 func (gw *Gateway) tick() {
 	now := gw.clock.Now()
 	gw.own(duty.TickMsg{})
+	if gw.longWatch.Load() && !gw.led() {
+		gw.longWatch.Store(false)
+		gw.nudgeWishes("leaderSilent")
+	}
 	gw.permit(permit.TickMsg{})
 	gw.asks.tick(now)
 }
@@ -111,6 +117,7 @@
 		}
 	}
 	gw.wishes.Evacuated = ev.wishes.Evacuated
+	gw.news.wishesAt = max(gw.news.wishesAt, ev.changedAt)
 	if st := ev.wishes.Desired; st != nil && (gw.state.Load() == nil || st.Version > gw.state.Load().Version) {
 		gw.state.Store(st)
 		gw.cf.Journal.Event("desiredState", journal.Fields{"version": st.Version, "routes": st.Routes(), "services": len(st.Services)})
@@ -126,8 +133,8 @@
 	return "none"
 }
 
-// listed takes the upstreams' entries.
-func (gw *Gateway) listed(ev rosterEvent) {
+// read takes the upstreams' entries as this host read them.
+func (gw *Gateway) read(ev rosterEvent) {
 	now := gw.clock.Now()
 	for _, pb := range ev.problems {
 		gw.cf.Journal.Problem("entryMalformed", pb.Err, journal.Fields{"key": pb.Key, "version": pb.Version})
@@ -135,10 +142,22 @@
 	if ev.away {
 		gw.book.StoreReturned(now)
 	}
-	for _, ch := range gw.book.Update(now, ev.entries) {
-		gw.cf.Journal.Event("upstream", journal.Fields{"upstream": ch.Upstream, "now": ch.What, "missingMs": ch.Age.Milliseconds()})
+	if uint64(ev.version) < gw.news.rosterAt {
+		return
+	}
+	gw.news.entries, gw.news.rosterAt, gw.news.readAt = ev.entries, uint64(ev.version), now
+	if digest := roster.Digest(ev.entries); digest != gw.news.digest || ev.away {
+		gw.news.digest, gw.news.changedAt = digest, uint64(ev.version)
+		gw.spreadRoster(now)
+	}
+	gw.listed()
+}
+
+// listed follows the entries that are known.
+func (gw *Gateway) listed() {
+	for _, ch := range gw.book.Update(gw.clock.Now(), gw.news.entries) {
+		gw.cf.Journal.Event("upstream", journal.Fields{"upstream": ch.Upstream, "now": ch.What, "missingMs": ch.Age.Milliseconds(), "version": gw.news.rosterAt})
 	}
-	gw.rosterAt = now
 	gw.links.Retain(func(id ident.Upstream) bool {
 		up, known := gw.book.Get(id)
 		return known && !up.Gone
@@ -212,6 +231,7 @@
 	cmds := gw.duty.Update(gw.clock.Now(), msg)
 	gw.ledAt.Store(int64(gw.duty.Led()))
 	gw.confirmedAt.Store(int64(gw.duty.Confirmed()))
+	gw.leading.Store(gw.duty.Leading())
 	for _, cmd := range cmds {
 		switch cmd := cmd.(type) {
 		case duty.ReadCmd:
@@ -227,7 +247,7 @@
 		case duty.StatusCmd:
 			gw.sendStatus(cmd)
 		case duty.BeatCmd:
-			gw.transmit(cmd.To, cmd.Beat)
+			gw.sendBeat(cmd)
 		case duty.ViewCmd:
 			gw.sendView(cmd)
 		case duty.TableCmd:
@@ -240,6 +260,7 @@
 // sendStatus sends this host's status with what it counted since the last.
 func (gw *Gateway) sendStatus(cmd duty.StatusCmd) {
 	st := cmd.Status
+	st.RosterAt = gw.news.rosterAt
 	keys, loads := gw.tally.take()
 	st.Keys = keys
 	st.Upstreams = append(st.Upstreams, loads...)
@@ -264,7 +285,7 @@
 				"objectiveLeftMs": cmd.Ask.ObjectiveLeft.Milliseconds(), "timeLeftMs": cmd.Ask.TimeLeft.Milliseconds(),
 				"upstream": cmd.Outlook.Upstream, "expectedWaitMs": cmd.Outlook.Wait.Milliseconds(), "expectedWorkMs": cmd.Outlook.Work.Milliseconds(),
 				"busy": cmd.Outlook.Busy, "ahead": cmd.Outlook.Ahead, "cold": cmd.Outlook.Cold,
-				"entriesAgeMs": gw.clock.Now().Sub(gw.rosterAt).Milliseconds(), "revision": gw.table.Load().Revision,
+				"entriesAgeMs": gw.clock.Now().Sub(gw.news.readAt).Milliseconds(), "revision": gw.table.Load().Revision,
 			})
 		case permit.QueuedCmd:
 			gw.reply(cmd.Host, cmd.Queued)
--- /dev/null
+++ b/internal/fleet/gateway/news.go
@@ -0,0 +1,131 @@
+package gateway
+
+import (
+	"net/netip"
+	"time"
+
+	"chervilwalk/internal/fleet/clock"
+	"chervilwalk/internal/fleet/roster"
+	"chervilwalk/internal/fleet/talk"
+	"chervilwalk/internal/ownership/duty"
+)
+
+// rosterPart is how many entries go into one datagram.
+const rosterPart = 120
+
+// news is what this host knows of the platform's store, and since when. The
+// leader reads for all hosts and tells them of changes; a host that does not
+// hear a leader whose knowledge is fresh reads by itself.
+type news struct {
+	entries []roster.Entry
+	// rosterAt is the store's version at which they were read, readAt when.
+	rosterAt uint64
+	readAt   clock.Instant
+	digest   uint64
+	// changedAt is the store's version at which they differed last.
+	changedAt uint64
+	wishesAt  uint64
+	// behindSince is since when the leader knows newer wishes.
+	behindSince clock.Instant
+	parts       []talk.Roster
+}
+
+// word is what the leader says of its knowledge.
+func (ns *news) word(now clock.Instant) talk.News {
+	return talk.News{RosterAt: ns.changedAt, RosterAge: now.Sub(ns.readAt), WishesAt: ns.wishesAt}
+}
+
+// sendBeat sends a sign of the lead, and the entries to a host that lacks them.
+func (gw *Gateway) sendBeat(cmd duty.BeatCmd) {
+	now := gw.clock.Now()
+	beat := cmd.Beat
+	beat.News = gw.news.word(now)
+	gw.transmit(cmd.To, beat)
+	if to, err := netip.ParseAddrPort(cmd.To); err == nil && beat.Leader != "" && cmd.RosterAt < gw.news.changedAt {
+		gw.sendRoster(now, to)
+	}
+}
+
+// spreadRoster sends the entries to every member while this host leads.
+func (gw *Gateway) spreadRoster(now clock.Instant) {
+	if !gw.duty.Leading() {
+		return
+	}
+	for _, mb := range gw.table.Load().Members {
+		if to, err := netip.ParseAddrPort(mb.Address); err == nil && mb.Host != gw.self.Host {
+			gw.sendRoster(now, to)
+		}
+	}
+}
+
+func (gw *Gateway) sendRoster(now clock.Instant, to netip.AddrPort) {
+	ns := &gw.news
+	parts := max((len(ns.entries)+rosterPart-1)/rosterPart, 1)
+	for part := range parts {
+		entries := ns.entries[min(part*rosterPart, len(ns.entries)):min((part+1)*rosterPart, len(ns.entries))]
+		gw.transmitTo(to, talk.Roster{
+			Term: gw.duty.Term(), At: ns.rosterAt, Age: now.Sub(ns.readAt), GraceLeft: gw.book.GraceLeft(now), Part: part, Parts: parts, Entries: entries,
+		})
+	}
+}
+
+// heardRoster takes a part of the entries from a leader.
+func (gw *Gateway) heardRoster(now clock.Instant, ms talk.Roster) {
+	ns := &gw.news
+	if ms.Term < gw.duty.Term() || ms.At <= ns.rosterAt || ms.Parts < 1 || ms.Part < 0 || ms.Part >= ms.Parts {
+		return
+	}
+	if len(ns.parts) > 0 && (ns.parts[0].At != ms.At || ns.parts[0].Parts != ms.Parts) {
+		ns.parts = nil
+	}
+	for _, had := range ns.parts {
+		if had.Part == ms.Part {
+			return
+		}
+	}
+	ns.parts = append(ns.parts, ms)
+	if len(ns.parts) < ms.Parts {
+		return
+	}
+	var entries []roster.Entry
+	for _, part := range ns.parts {
+		entries = append(entries, part.Entries...)
+	}
+	ns.parts = nil
+	ns.entries, ns.rosterAt, ns.readAt = entries, ms.At, now.Add(-ms.Age)
+	ns.digest, ns.changedAt = roster.Digest(entries), ms.At
+	gw.book.Grace(now, ms.GraceLeft)
+	gw.listed()
+}
+
+// heardNews compares the leader's knowledge with this host's.
+func (gw *Gateway) heardNews(now clock.Instant, bt talk.Beat) {
+	ns := &gw.news
+	if bt.Term < gw.duty.Term() || bt.Leader == "" {
+		return
+	}
+	if bt.RosterAge < newsSlack && bt.RosterAt <= ns.rosterAt {
+		gw.newsAt.Store(int64(now))
+		ns.readAt = max(ns.readAt, now.Add(-bt.RosterAge))
+	}
+	if bt.WishesAt <= gw.wishesAt.Load() {
+		ns.behindSince = 0
+		return
+	}
+	if ns.behindSince == 0 {
+		ns.behindSince = now
+	}
+	if now.Sub(ns.behindSince) >= nudgeTime {
+		ns.behindSince = now.Add(time.Second)
+		gw.nudgeWishes("leaderKnowsNewer")
+	}
+}
+
+// nudgeWishes lets the operators' rows be read at once.
+func (gw *Gateway) nudgeWishes(reason string) {
+	select {
+	case gw.nudge <- struct{}{}:
+		gw.cf.Journal.Event("wishesReadAgain", map[string]any{"reason": reason, "version": gw.wishesAt.Load()})
+	default:
+	}
+}
--- a/internal/fleet/gateway/peers.go
+++ b/internal/fleet/gateway/peers.go
@@ -71,7 +71,10 @@
 	case talk.Status:
 		gw.own(duty.StatusMsg{Status: ms, From: ev.from.String()})
 	case talk.Beat:
+		gw.heardNews(now, ms)
 		gw.own(duty.BeatMsg{Beat: ms, From: ev.from.String()})
+	case talk.Roster:
+		gw.heardRoster(now, ms)
 	case talk.View:
 		gw.heardView(ev.from, ms)
 	case talk.Ask:
@@ -101,11 +104,12 @@
 		}
 		gw.encoded = encodedTable{cmd.Table, string(body)}
 	}
-	body := gw.encoded.body
+	body, beat := gw.encoded.body, cmd.Beat
+	beat.News = gw.news.word(gw.clock.Now())
 	parts := (len(body) + viewPartBytes - 1) / viewPartBytes
 	for part := range parts {
 		piece := body[part*viewPartBytes : min((part+1)*viewPartBytes, len(body))]
-		gw.transmit(cmd.To, talk.View{Beat: cmd.Beat, Part: part, Parts: parts, Body: piece})
+		gw.transmit(cmd.To, talk.View{Beat: beat, Part: part, Parts: parts, Body: piece})
 	}
 }
 
@@ -144,6 +148,7 @@
 
 // heardView takes a part of an assignment.
 func (gw *Gateway) heardView(from netip.AddrPort, ms talk.View) {
+	gw.heardNews(gw.clock.Now(), ms.Beat)
 	if ms.Revision <= gw.table.Load().Revision {
 		gw.own(duty.BeatMsg{Beat: ms.Beat, From: from.String()})
 		return
--- a/internal/fleet/gateway/store.go
+++ b/internal/fleet/gateway/store.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"chervilwalk/internal/fleet/clock"
 	"chervilwalk/internal/fleet/roster"
 	"chervilwalk/internal/operations/journal"
 	"chervilwalk/internal/ownership/assignment"
@@ -23,6 +24,14 @@
 	// watchWait is how long the store holds a watch open. It bounds how long a
 	// connection that went silent is believed.
 	watchWait = 3 * time.Second
+	// ledWatchWait is the same while a leader says what is newest.
+	ledWatchWait = 25 * time.Second
+	// newsTime is how old the last word of a leader may be for that, and
+	// newsSlack how old what it says.
+	newsTime  = 1100 * time.Millisecond
+	newsSlack = 2 * time.Second
+	// nudgeTime is how long a watch may take to bring what the leader has.
+	nudgeTime = 200 * time.Millisecond
 	// watchSlack is how much later than that its answer may come.
 	watchSlack = 700 * time.Millisecond
 	// readTime bounds a read, also while the store is slow.
@@ -40,17 +49,24 @@
 // wishesEvent brings what the operators want.
 type wishesEvent struct {
 	wishes platform.Wishes
-	err    error
+	// changedAt is the version of the newest row.
+	changedAt uint64
+	err       error
 }
 
 // rosterEvent brings the upstreams' entries.
 type rosterEvent struct {
 	entries  []roster.Entry
 	problems []platform.Problem
+	version  platform.Version
 	// away tells that the store had not answered for long before.
 	away bool
 }
 
+// againEvent lets the entries that are known be looked at again: some that were
+// missing may have to go.
+type againEvent struct{}
+
 // pause waits unless the process ends; false means that it does.
 func (gw *Gateway) pause(wait time.Duration) bool {
 	tm := time.NewTimer(wait)
@@ -63,55 +79,86 @@
 	}
 }
 
-// watchWishes follows the operators' rows.
+// change is the end of a read or a watch.
+type change struct {
+	rows    []platform.Row
+	version platform.Version
+	err     error
+}
+
+// watchWishes follows the operators' rows. A nudge says that they have to be
+// read at once: a watch may have gone silent.
 func (gw *Gateway) watchWishes() {
 	rows := map[string]platform.Row{}
 	var version platform.Version
 	known, lost := false, false
 	for {
-		var changed []platform.Row
-		var err error
+		answer := make(chan change, 1)
 		if known {
-			var at platform.Version
-			changed, at, err = gw.store.Watch(platform.OperatorTable, version, watchWait, time.Now().Add(watchWait+watchSlack))
-			version = max(version, at)
+			go gw.watch(version, answer)
 		} else {
-			var at platform.Version
-			changed, at, err = gw.store.Read(platform.OperatorTable, "", time.Now().Add(readTime))
-			if err == nil {
-				clear(rows)
-				version, known = at, true
-			}
+			go gw.readWishes(answer)
 		}
-		if err != nil {
-			known = known && !errors.Is(err, platform.ErrHistoryGone)
+		var ch change
+		select {
+		case <-gw.done:
+			return
+		case <-gw.nudge:
+			known = false
+			continue
+		case ch = <-answer:
+		}
+		if ch.err != nil {
 			if !lost {
-				gw.cf.Journal.Problem("desiredStateSourceLost", err, journal.Fields{"version": version})
+				gw.cf.Journal.Problem("desiredStateSourceLost", ch.err, journal.Fields{"version": version})
 			}
-			lost = true
+			lost, known = true, known && !errors.Is(ch.err, platform.ErrHistoryGone)
 			if !gw.pause(pollRetry) {
 				return
 			}
 			continue
 		}
 		if lost {
-			lost = false
-			gw.cf.Journal.Event("desiredStateSourceRegained", journal.Fields{"version": version})
+			gw.cf.Journal.Event("desiredStateSourceRegained", journal.Fields{"version": ch.version})
 		}
-		if len(changed) > 0 {
-			gw.wish(rows, changed)
+		if !known {
+			clear(rows)
 		}
-		select {
-		case <-gw.done:
-			return
-		default:
+		if len(ch.rows) > 0 || !known {
+			gw.wish(rows, ch)
 		}
+		version, known, lost = max(version, ch.version), true, false
+		gw.wishesAt.Store(uint64(version))
+	}
+}
+
+func (gw *Gateway) readWishes(answer chan<- change) {
+	rows, version, err := gw.store.Read(platform.OperatorTable, "", time.Now().Add(readTime))
+	answer <- change{rows, version, err}
+}
+
+func (gw *Gateway) watch(after platform.Version, answer chan<- change) {
+	wait := watchWait
+	led := gw.led() && !gw.leading.Load()
+	gw.longWatch.Store(led)
+	if led {
+		// The leader tells of changes that a silent connection keeps back.
+		wait = ledWatchWait
 	}
+	rows, version, err := gw.store.Watch(platform.OperatorTable, after, wait, time.Now().Add(wait+watchSlack))
+	answer <- change{rows, version, err}
+}
+
+// led tells whether a leader with fresh knowledge was heard a moment ago.
+func (gw *Gateway) led() bool {
+	return gw.clock.Now().Sub(clock.Instant(gw.newsAt.Load())) < newsTime
 }
 
 // wish applies changed operator rows and passes on what they ask for.
-func (gw *Gateway) wish(rows map[string]platform.Row, changed []platform.Row) {
-	for _, rw := range changed {
+func (gw *Gateway) wish(rows map[string]platform.Row, ch change) {
+	changedAt := uint64(0)
+	for _, rw := range ch.rows {
+		changedAt = max(changedAt, uint64(rw.Version))
 		if rw.Deleted {
 			delete(rows, rw.Key)
 			continue
@@ -123,7 +170,7 @@
 		all = append(all, rw)
 	}
 	wishes, err := platform.DecodeWishes(all)
-	gw.send(wishesEvent{wishes, err})
+	gw.send(wishesEvent{wishes, changedAt, err})
 }
 
 // pollUpstreams reads the upstreams' entries again and again.
@@ -131,6 +178,15 @@
 	lastOK, lost := time.Now(), false
 	known := map[string]platform.Version{}
 	for {
+		if gw.led() && !gw.leading.Load() {
+			// The leader reads for all.
+			lastOK, lost = time.Now(), false
+			gw.send(againEvent{})
+			if !gw.pause(pollEvery) {
+				return
+			}
+			continue
+		}
 		rows, version, err := gw.store.Read(platform.UpstreamTable, "", time.Now().Add(readTime))
 		wait := pollEvery
 		if err != nil {
@@ -146,7 +202,7 @@
 			}
 			lost, lastOK = false, time.Now()
 			entries, problems := platform.DecodeEntries(rows)
-			gw.send(rosterEvent{entries: entries, problems: fresh(problems, known), away: away})
+			gw.send(rosterEvent{entries: entries, version: version, problems: fresh(problems, known), away: away})
 		}
 		if !gw.pause(wait) {
 			return
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -7,8 +7,11 @@
 package roster
 
 import (
+	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"chervilwalk/internal/fleet/clock"
 	"chervilwalk/internal/fleet/ident"
 )
@@ -74,6 +77,27 @@
 	return &Book{upstreams: map[ident.Upstream]*Upstream{}}
 }
 
+// GraceLeft is how long missing entries may still come back.
+func (bk *Book) GraceLeft(now clock.Instant) time.Duration { return max(bk.graceUntil.Sub(now), 0) }
+
+// Grace lets missing entries come back for a while.
+func (bk *Book) Grace(now clock.Instant, left time.Duration) {
+	bk.graceUntil = max(bk.graceUntil, now.Add(left))
+}
+
+// Digest sums up what of the entries matters to anybody: it stays the same
+// while upstreams only say again that they are there.
+func Digest(entries []Entry) uint64 {
+	sum := uint64(len(entries))
+	for _, en := range entries {
+		dg := xxhash.New()
+		fmt.Fprintf(dg, "%s %s %s %s %d %t %t %d", en.ID, en.Service, en.Address, en.Domain, en.Slots, en.Draining, en.ColdLeft > 0, en.Life)
+		// The order of the entries does not matter.
+		sum += dg.Sum64()
+	}
+	return sum
+}
+
 // StoreReturned notes that the store answers again after it was away.
 func (bk *Book) StoreReturned(now clock.Instant) {
 	bk.graceUntil = now.Add(returnTime)
--- a/internal/fleet/talk/message.go
+++ b/internal/fleet/talk/message.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"chervilwalk/internal/fleet/ident"
+	"chervilwalk/internal/fleet/roster"
 	"chervilwalk/internal/ownership/assignment"
 	"chervilwalk/internal/ownership/keyspace"
 )
@@ -52,7 +53,9 @@
 	Term     Term
 	Revision assignment.Revision
 	// Stopping members hand out no permits and renew no grants.
-	Stopping  bool
+	Stopping bool
+	// RosterAt is the store's version of the entries that it knows.
+	RosterAt  uint64
 	Keys      []KeyLoad
 	Upstreams []UpstreamLoad
 }
@@ -66,6 +69,28 @@
 	StoreAge time.Duration
 	// RowAt is the store's version of the leader's row.
 	RowAt uint64
+	News
+}
+
+// News tells how new the leader's knowledge of the platform is, so that others
+// need not ask the store as long as theirs is as new.
+type News struct {
+	// RosterAt is the store's version at which the upstreams' entries changed
+	// last, RosterAge how long ago they were read.
+	RosterAt  uint64
+	RosterAge time.Duration
+	// WishesAt is the store's version at which the operators' rows changed last.
+	WishesAt uint64
+}
+
+// Roster carries a part of the upstreams' entries as the leader read them.
+type Roster struct {
+	Term        Term
+	At          uint64
+	Age         time.Duration
+	GraceLeft   time.Duration
+	Part, Parts int
+	Entries     []roster.Entry
 }
 
 // View carries a part of the encoded assignment.
@@ -144,6 +169,7 @@
 	queuedNumber
 	doneNumber
 	doneSeenNumber
+	rosterNumber
 )
 
 func (Status) number() uint8   { return statusNumber }
@@ -154,6 +180,7 @@
 func (Refusal) number() uint8  { return refusalNumber }
 func (Queued) number() uint8   { return queuedNumber }
 func (Done) number() uint8     { return doneNumber }
+func (Roster) number() uint8   { return rosterNumber }
 func (DoneSeen) number() uint8 { return doneSeenNumber }
 
 func (ms *Status) code(cd *coder) {
@@ -165,6 +192,7 @@
 	field(cd, &ms.Term)
 	field(cd, &ms.Revision)
 	flag(cd, &ms.Stopping)
+	field(cd, &ms.RosterAt)
 	list(cd, &ms.Keys, func(kl *KeyLoad) {
 		text(cd, &kl.Service)
 		field(cd, &kl.Key)
@@ -186,6 +214,9 @@
 	field(cd, &ms.Revision)
 	span(cd, &ms.StoreAge)
 	field(cd, &ms.RowAt)
+	field(cd, &ms.RosterAt)
+	span(cd, &ms.RosterAge)
+	field(cd, &ms.WishesAt)
 }
 
 func (ms *View) code(cd *coder) {
@@ -195,6 +226,26 @@
 	text(cd, &ms.Body)
 }
 
+func (ms *Roster) code(cd *coder) {
+	field(cd, &ms.Term)
+	field(cd, &ms.At)
+	span(cd, &ms.Age)
+	span(cd, &ms.GraceLeft)
+	field(cd, &ms.Part)
+	field(cd, &ms.Parts)
+	list(cd, &ms.Entries, func(en *roster.Entry) {
+		text(cd, &en.ID)
+		text(cd, &en.Service)
+		text(cd, &en.Address)
+		text(cd, &en.Domain)
+		field(cd, &en.Slots)
+		flag(cd, &en.Draining)
+		span(cd, &en.ColdLeft)
+		field(cd, &en.Sequence)
+		field(cd, &en.Life)
+	})
+}
+
 func (ms *Ask) code(cd *coder) {
 	text(cd, &ms.Host)
 	field(cd, &ms.Incarnation)
@@ -260,6 +311,8 @@
 		ms.code(cd)
 	case DoneSeen:
 		field(cd, &ms.Ticket)
+	case Roster:
+		ms.code(cd)
 	}
 	return cd.buf
 }
@@ -290,6 +343,8 @@
 		msg = decode(cd, func(ms *Done) { ms.code(cd) })
 	case doneSeenNumber:
 		msg = decode(cd, func(ms *DoneSeen) { field(cd, &ms.Ticket) })
+	case rosterNumber:
+		msg = decode(cd, func(ms *Roster) { ms.code(cd) })
 	default:
 		return nil, fmt.Errorf("talk: unknown message %d", datagram[1])
 	}
--- a/internal/ownership/duty/duty.go
+++ b/internal/ownership/duty/duty.go
@@ -124,10 +124,12 @@
 	Status talk.Status
 }
 
-// BeatCmd tells to send a sign of this host's lead.
+// BeatCmd tells to send a sign of this host's lead. RosterAt is the version of
+// the upstreams' entries that the receiver knows.
 type BeatCmd struct {
-	To   string
-	Beat talk.Beat
+	To       string
+	RosterAt uint64
+	Beat     talk.Beat
 }
 
 // ViewCmd tells to send the assignment in force.
@@ -184,6 +186,9 @@
 // Leading tells whether this host leads.
 func (co *Core) Leading() bool { return co.leader != nil }
 
+// Term is the newest term known.
+func (co *Core) Term() talk.Term { return co.election.Term() }
+
 // Led is when the store last confirmed this host's lead.
 func (co *Core) Led() clock.Instant { return co.election.Confirmed() }
 
@@ -410,7 +415,7 @@
 	case ms.Status.Revision < co.table.Revision:
 		co.do(ViewCmd{To: ms.From, Beat: co.sign(now), Table: co.table})
 	default:
-		co.do(BeatCmd{To: ms.From, Beat: co.sign(now)})
+		co.do(BeatCmd{To: ms.From, Beat: co.sign(now), RosterAt: ms.Status.RosterAt})
 	}
 	co.lead(now, leader.StatusMsg{Status: ms.Status})
 }
