--- /dev/null
+++ b/internal/stand/deployment/deployment_test.go
@@ -0,0 +1,141 @@
+package deployment_test
+
+import (
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"chervilwalk/internal/stand/deployment"
+	"chervilwalk/internal/stand/metastore"
+	"chervilwalk/internal/stand/target"
+)
+
+// logs collects the hosts' log lines.
+type logs struct {
+	mu    sync.Mutex
+	lines strings.Builder
+}
+
+func (lg *logs) Write(line []byte) (int, error) {
+	lg.mu.Lock()
+	defer lg.mu.Unlock()
+	return lg.lines.Write(line)
+}
+
+func (lg *logs) String() string {
+	lg.mu.Lock()
+	defer lg.mu.Unlock()
+	return lg.lines.String()
+}
+
+// start starts a deployment whose keys are dealt.
+func start(t *testing.T, net int, seed int64) (*deployment.Deployment, *logs) {
+	t.Helper()
+	lg := &logs{}
+	dp, err := deployment.Start(deployment.Config{Dir: t.TempDir(), Hosts: 3, Keyed: 4, Orders: 3, Files: 3, Seed: seed, Net: net, Log: lg})
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(dp.Close)
+	NewWithT(t).Eventually(func() int {
+		return strings.Count(lg.String(), "event=keysDealt")
+	}, 8*time.Second, 50*time.Millisecond).Should(BeNumerically(">", 0), lg.String)
+	time.Sleep(200 * time.Millisecond)
+	return dp, lg
+}
+
+// TestWholePath serves requests of all kinds through real sockets while one
+// thing goes wrong, and judges by what upstreams and callers saw.
+func TestWholePath(t *testing.T) {
+	cases := map[string]struct {
+		play func(dp *deployment.Deployment)
+		// answered is the least share of the requests that must be answered.
+		answered float64
+	}{
+		"calm":                    {func(*deployment.Deployment) {}, 1},
+		"a host is killed":        {func(dp *deployment.Deployment) { dp.KillHost(dp.Hosts[0]) }, 0.9},
+		"an upstream crashes":     {func(dp *deployment.Deployment) { dp.Upstream("i-orders-0").Close() }, 0.95},
+		"a keyed upstream drains": {func(dp *deployment.Deployment) { dp.DrainUpstream("i-lookup-0") }, 0.97},
+		"the store is down for a while": {func(dp *deployment.Deployment) {
+			dp.Store.Break(metastore.Faults{Down: true})
+			time.AfterFunc(1500*time.Millisecond, func() { dp.Store.Break(metastore.Faults{}) })
+		}, 0.97},
+		"the store loses its history": {func(dp *deployment.Deployment) { dp.Store.Compact() }, 0.99},
+		"answers of the store are lost": {func(dp *deployment.Deployment) {
+			dp.Store.Break(metastore.Faults{LoseAnswers: 0.3})
+		}, 0.97},
+		"answers break": {func(dp *deployment.Deployment) {
+			dp.Upstream("i-files-0").Break(target.Faults{Truncate: 0.2, Stray: 0.2})
+			dp.Upstream("i-orders-1").Break(target.Faults{Reset: 0.1, Stray: 0.3})
+		}, 0.9},
+		"upstreams refuse": {func(dp *deployment.Deployment) {
+			dp.Upstream("i-orders-0").Break(target.Faults{Shed: 0.5})
+		}, 0.9},
+		"grants take effect late": {func(dp *deployment.Deployment) {
+			dp.Upstream("i-lookup-1").Break(target.Faults{LateGrants: 0.3})
+		}, 0.8},
+	}
+	net := 10
+	for name, tc := range cases {
+		net++
+		subnet := net
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			gm := NewWithT(t)
+			dp, lg := start(t, subnet, 1)
+			time.AfterFunc(500*time.Millisecond, func() { tc.play(dp) })
+			counts := dp.Load(t.Context(), 80, 4*time.Second)
+			gm.Expect(counts.Broken()).To(BeFalse(), "%+v", counts)
+			gm.Expect(float64(counts.Answered)).To(BeNumerically(">=", tc.answered*float64(counts.Requests)), "%+v\n%s", counts, lg.String())
+		})
+	}
+}
+
+// TestPlannedStop asks that no request is cut while a host stops as planned.
+func TestPlannedStop(t *testing.T) {
+	t.Parallel()
+	gm := NewWithT(t)
+	dp, lg := start(t, 40, 2)
+	stopped := make(chan struct{})
+	time.AfterFunc(500*time.Millisecond, func() {
+		dp.StopHost(dp.Hosts[1])
+		close(stopped)
+	})
+	counts := dp.Load(t.Context(), 60, 2*time.Second)
+	<-stopped
+	gm.Expect(counts.Broken()).To(BeFalse(), "%+v", counts)
+	gm.Expect(counts.Doubtful).To(BeZero(), "%+v\n%s", counts, lg.String())
+}
+
+// TestNewDesiredState asks that a new state is in force on every host within
+// two seconds and that a malformed one changes nothing.
+func TestNewDesiredState(t *testing.T) {
+	t.Parallel()
+	gm := NewWithT(t)
+	dp, lg := start(t, 41, 3)
+	dp.Configure(func(text string) string { return text[:len(text)/2] })
+	gm.Eventually(lg.String, 2*time.Second).Should(ContainSubstring("event=desiredStateMalformed"))
+	dp.Configure(func(text string) string {
+		return strings.Replace(text, `"service":"orders"`, `"service":"files"`, 1)
+	})
+	gm.Eventually(func() int { return strings.Count(lg.String(), "event=desiredState routes=3 services=3 version=9") },
+		2*time.Second, 20*time.Millisecond).Should(Equal(len(dp.Hosts)), lg.String)
+}
+
+// TestEveryoneDies asks that a deployment whose hosts all died serves again.
+func TestEveryoneDies(t *testing.T) {
+	t.Parallel()
+	gm := NewWithT(t)
+	dp, lg := start(t, 42, 4)
+	for _, host := range dp.Hosts {
+		dp.KillHost(host)
+	}
+	for _, host := range dp.Hosts {
+		gm.Expect(dp.StartHost(host)).To(Succeed())
+	}
+	time.Sleep(4 * time.Second)
+	counts := dp.Load(t.Context(), 60, 2*time.Second)
+	gm.Expect(counts.Broken()).To(BeFalse(), "%+v", counts)
+	gm.Expect(counts.Answered).To(Equal(counts.Requests), "%+v\n%s", counts, lg.String())
+}
