Believe a leader's entries by their age, not by its signs

Hosts went on for two seconds and more with what the leader had read last, since its signs still came. Ruled out: late sends; the requests were sent when the entry was not yet known. Conclusion: a host reads by itself when what it knows is 1.2 s old; the leader reads twice a second.

--- a/cmd/chervilwalk/front.go
+++ b/cmd/chervilwalk/front.go
@@ -32,7 +32,7 @@
 	if err != nil {
 		return err
 	}
-	jl := journal.New(os.Stdout)
+	jl := journal.New(os.Stdout, string(st.Host))
 	defer jl.Close()
 	gw, err := gateway.Start(gateway.Config{Settings: st, Journal: jl, Metrics: gateway.NewMetrics()})
 	if err != nil {
--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -83,8 +83,8 @@
 	confirmedAt atomic.Int64
 	// ledAt is when the store last confirmed this host's lead.
 	ledAt atomic.Int64
-	// newsAt is when a leader with fresh knowledge was last heard, wishesAt the
-	// store's version up to which the operators' rows are known.
+	// newsAt is when the entries were read that a leader vouches for, wishesAt
+	// the store's version up to which the operators' rows are known.
 	newsAt   atomic.Int64
 	wishesAt atomic.Uint64
 	leading  atomic.Bool
@@ -157,7 +157,7 @@
 	}
 	gw.serveMetrics()
 	gw.cf.Journal.Event("start", journal.Fields{
-		"host": gw.self.Host, "domain": gw.self.Domain, "incarnation": gw.self.Incarnation, "callers": gw.cf.Settings.Callers, "store": gw.cf.Settings.Store,
+		"domain": gw.self.Domain, "incarnation": gw.self.Incarnation, "callers": gw.cf.Settings.Callers, "store": gw.cf.Settings.Store,
 	})
 	tasks := []func(){
 		gw.run, gw.receive, gw.watchWishes, gw.pollUpstreams,
--- a/internal/fleet/gateway/loop.go
+++ b/internal/fleet/gateway/loop.go
@@ -18,7 +18,7 @@
 	// keyedLeave is how long a leaving upstream still gets requests for its
 	// keys, which need a moment to move; the platform allows two seconds from
 	// the entry's change, of which a read of the entries may take one.
-	keyedLeave = 700 * time.Millisecond
+	keyedLeave = 500 * time.Millisecond
 	// keyedEvacuate is the same for a domain that is evacuated, for which the
 	// platform allows five seconds.
 	keyedEvacuate = 2500 * time.Millisecond
--- a/internal/fleet/gateway/news.go
+++ b/internal/fleet/gateway/news.go
@@ -75,27 +75,37 @@
 	if ms.Term < gw.duty.Term() || ms.At <= ns.rosterAt || ms.Parts < 1 || ms.Part < 0 || ms.Part >= ms.Parts {
 		return
 	}
+	entries, complete := ns.collect(ms)
+	if !complete {
+		return
+	}
+	ns.entries, ns.rosterAt, ns.readAt = entries, ms.At, now.Add(-ms.Age)
+	ns.digest, ns.changedAt = roster.Digest(entries), ms.At
+	gw.newsAt.Store(int64(ns.readAt))
+	gw.book.Grace(now, ms.GraceLeft)
+	gw.listed()
+}
+
+// collect puts the parts of one version together.
+func (ns *news) collect(ms talk.Roster) ([]roster.Entry, bool) {
 	if len(ns.parts) > 0 && (ns.parts[0].At != ms.At || ns.parts[0].Parts != ms.Parts) {
 		ns.parts = nil
 	}
 	for _, had := range ns.parts {
 		if had.Part == ms.Part {
-			return
+			return nil, false
 		}
 	}
 	ns.parts = append(ns.parts, ms)
 	if len(ns.parts) < ms.Parts {
-		return
+		return nil, false
 	}
 	var entries []roster.Entry
 	for _, part := range ns.parts {
 		entries = append(entries, part.Entries...)
 	}
 	ns.parts = nil
-	ns.entries, ns.rosterAt, ns.readAt = entries, ms.At, now.Add(-ms.Age)
-	ns.digest, ns.changedAt = roster.Digest(entries), ms.At
-	gw.book.Grace(now, ms.GraceLeft)
-	gw.listed()
+	return entries, true
 }
 
 // heardNews compares the leader's knowledge with this host's.
@@ -104,9 +114,9 @@
 	if bt.Term < gw.duty.Term() || bt.Leader == "" {
 		return
 	}
-	if bt.RosterAge < newsSlack && bt.RosterAt <= ns.rosterAt {
-		gw.newsAt.Store(int64(now))
+	if bt.RosterAt <= ns.rosterAt {
 		ns.readAt = max(ns.readAt, now.Add(-bt.RosterAge))
+		gw.newsAt.Store(int64(ns.readAt))
 	}
 	if bt.WishesAt <= gw.wishesAt.Load() {
 		ns.behindSince = 0
--- a/internal/fleet/gateway/store.go
+++ b/internal/fleet/gateway/store.go
@@ -26,10 +26,9 @@
 	watchWait = 3 * time.Second
 	// ledWatchWait is the same while a leader says what is newest.
 	ledWatchWait = 25 * time.Second
-	// newsTime is how old the last word of a leader may be for that, and
-	// newsSlack how old what it says.
-	newsTime  = 1100 * time.Millisecond
-	newsSlack = 2 * time.Second
+	// newsTime is how old the entries may be that are known through a leader:
+	// the time between its reads and between its signs, and their way.
+	newsTime = 1200 * time.Millisecond
 	// nudgeTime is how long a watch may take to bring what the leader has.
 	nudgeTime = 200 * time.Millisecond
 	// watchSlack is how much later than that its answer may come.
@@ -38,8 +37,10 @@
 	readTime = 1200 * time.Millisecond
 	// writeTime bounds a write.
 	writeTime = 1200 * time.Millisecond
-	// pollEvery is the time between two reads of the upstreams' entries.
-	pollEvery = 800 * time.Millisecond
+	// pollEvery is the time between two reads of the upstreams' entries by a host
+	// for itself, leaderPollEvery by the leader for all.
+	pollEvery       = 800 * time.Millisecond
+	leaderPollEvery = 500 * time.Millisecond
 	// pollRetry is the time to the next read after a failed one.
 	pollRetry = 300 * time.Millisecond
 	// awayTime is how long the store must not have answered to count as away.
@@ -149,7 +150,7 @@
 	answer <- change{rows, version, err}
 }
 
-// led tells whether a leader with fresh knowledge was heard a moment ago.
+// led tells whether a leader knows the entries and tells of their changes.
 func (gw *Gateway) led() bool {
 	return gw.clock.Now().Sub(clock.Instant(gw.newsAt.Load())) < newsTime
 }
@@ -182,13 +183,17 @@
 			// The leader reads for all.
 			lastOK, lost = time.Now(), false
 			gw.send(againEvent{})
-			if !gw.pause(pollEvery) {
+			vouched := clock.Instant(gw.newsAt.Load()).Add(newsTime).Sub(gw.clock.Now())
+			if !gw.pause(max(min(vouched, pollEvery), time.Millisecond)) {
 				return
 			}
 			continue
 		}
 		rows, version, err := gw.store.Read(platform.UpstreamTable, "", time.Now().Add(readTime))
 		wait := pollEvery
+		if gw.leading.Load() {
+			wait = leaderPollEvery
+		}
 		if err != nil {
 			wait = pollRetry
 			if !lost {
--- a/internal/operations/journal/journal.go
+++ b/internal/operations/journal/journal.go
@@ -1,7 +1,7 @@
 // Package journal writes structured log lines to standard output. Writing never
 // blocks the caller: lines that find the buffer full are dropped and counted.
 //
-//	jl := journal.New(os.Stdout)
+//	jl := journal.New(os.Stdout, "front-a-1")
 //	defer jl.Close()
 //	jl.Event("leading", journal.Fields{"term": 4})
 package journal
@@ -35,6 +35,7 @@
 // Journal is a process's log. Its methods may be called from many goroutines.
 type Journal struct {
 	logger  *log.Logger
+	host    string
 	lines   chan string
 	dropped atomic.Uint64
 	done    sync.WaitGroup
@@ -45,16 +46,16 @@
 	closed bool
 }
 
-// New starts the writer of a log.
-func New(to io.Writer) *Journal {
-	jl := &Journal{lines: make(chan string, bufferLines)}
+// New starts the writer of a host's log.
+func New(to io.Writer, host string) *Journal {
+	jl := &Journal{host: host, lines: make(chan string, bufferLines)}
 	jl.logger = &log.Logger{Handler: log.HandlerFunc(jl.handle), Level: log.InfoLevel}
 	jl.done.Add(1)
 	go func() {
 		defer jl.done.Done()
 		for line := range jl.lines {
 			if dropped := jl.dropped.Swap(0); dropped > 0 {
-				line = format(time.Now(), "linesDropped", Fields{"count": dropped}) + line
+				line = jl.format(time.Now(), "linesDropped", Fields{"count": dropped}) + line
 			}
 			// A log that cannot be written has nowhere to say so.
 			_, _ = io.WriteString(to, line)
@@ -92,7 +93,7 @@
 
 // handle takes a line from the logging library.
 func (jl *Journal) handle(en *log.Entry) error {
-	line := format(en.Timestamp, en.Message, en.Fields)
+	line := jl.format(en.Timestamp, en.Message, en.Fields)
 	jl.mu.Lock()
 	defer jl.mu.Unlock()
 	if jl.closed {
@@ -114,7 +115,7 @@
 	return nil
 }
 
-func format(at time.Time, what string, fields Fields) string {
+func (jl *Journal) format(at time.Time, what string, fields Fields) string {
 	names := make([]string, 0, len(fields))
 	for name := range fields {
 		names = append(names, name)
@@ -122,6 +123,8 @@
 	sort.Strings(names)
 	var sb strings.Builder
 	sb.WriteString(at.UTC().Format("2006-01-02T15:04:05.000Z"))
+	sb.WriteString(" host=")
+	sb.WriteString(value(jl.host))
 	sb.WriteString(" event=")
 	sb.WriteString(what)
 	for _, name := range names {
--- a/internal/ownership/duty/duty.go
+++ b/internal/ownership/duty/duty.go
@@ -23,7 +23,7 @@
 
 const (
 	// statusEvery is the time between two statuses to the leader.
-	statusEvery = 450 * time.Millisecond
+	statusEvery = 400 * time.Millisecond
 	// electionTick is how often the election is looked at.
 	electionTick = 150 * time.Millisecond
 )
--- a/internal/stand/deployment/deployment.go
+++ b/internal/stand/deployment/deployment.go
@@ -268,7 +268,7 @@
 		}
 		host.log = file
 	}
-	host.journal = journal.New(host.log)
+	host.journal = journal.New(host.log, host.Name)
 	host.gateway, err = gateway.Start(gateway.Config{Settings: st, Journal: host.journal, Metrics: gateway.NewMetrics()})
 	return err
 }
--- a/internal/stand/deployment/deployment_test.go
+++ b/internal/stand/deployment/deployment_test.go
@@ -1,6 +1,7 @@
 package deployment_test
 
 import (
+	"regexp"
 	"strings"
 	"sync"
 	"testing"
@@ -139,3 +140,40 @@
 	gm.Expect(counts.Broken()).To(BeFalse(), "%+v", counts)
 	gm.Expect(counts.Answered).To(Equal(counts.Requests), "%+v\n%s", counts, lg.String())
 }
+
+// TestDrainWhileTheLeaderIsTurnedAway asks that an upstream that leaves gets
+// nothing after two seconds though the leader, who reads the store for all
+// hosts, is just then the only one that the store turns away.
+func TestDrainWhileTheLeaderIsTurnedAway(t *testing.T) {
+	t.Parallel()
+	gm := NewWithT(t)
+	dp, lg := start(t, 43, 5)
+	leads := regexp.MustCompile(`host=(\S+) event=leading now=true`).FindAllStringSubmatch(lg.String(), -1)
+	gm.Expect(leads).NotTo(BeEmpty())
+	for _, host := range dp.Hosts {
+		if host.Name == leads[len(leads)-1][1] {
+			dp.Store.Break(metastore.Faults{Refused: map[string]bool{host.IP: true}})
+		}
+	}
+	var left time.Time
+	time.AfterFunc(100*time.Millisecond, func() {
+		left = time.Now()
+		dp.DrainUpstream("i-lookup-0")
+		dp.DrainUpstream("i-orders-0")
+	})
+	counts := dp.Load(t.Context(), 80, 4*time.Second)
+	gm.Expect(counts.Broken()).To(BeFalse(), "%+v", counts)
+	for _, id := range []string{"i-lookup-0", "i-orders-0"} {
+		for _, run := range dp.Upstream(id).Runs() {
+			gm.Expect(run.At).To(BeTemporally("<", left.Add(2*time.Second)), lg.String())
+		}
+	}
+	// Keyed upstreams still get requests for half a second after that.
+	known := regexp.MustCompile(`(?m)^(\S+) host=\S+ event=upstream missingMs=0 now=draining upstream=i-lookup-0`).FindAllStringSubmatch(lg.String(), -1)
+	gm.Expect(len(known)).To(BeNumerically(">=", len(dp.Hosts)-1))
+	for _, line := range known[:len(dp.Hosts)-1] {
+		at, err := time.Parse(time.RFC3339Nano, line[1])
+		gm.Expect(err).NotTo(HaveOccurred())
+		gm.Expect(at).To(BeTemporally("<", left.Add(1500*time.Millisecond)), lg.String())
+	}
+}
