Admit by the time that is really left; let stalled moves hold up no others

Cause: of the load that all can bear twice, 40% of what was answered came late: a request was admitted when its wait and a usual answer just fitted.

--- a/internal/ownership/balance/balance.go
+++ b/internal/ownership/balance/balance.go
@@ -37,6 +37,9 @@
 	// pieceShare is how much of an upstream's capacity one piece of an orphaned
 	// range may take before it is cut in two.
 	pieceShare = 0.25
+	// deviations is how many standard deviations of an even load an upstream's
+	// rate must lie above it.
+	deviations = 2
 	// slowHandicap is how much use an upstream is charged that takes twice as
 	// long as the mean of all.
 	slowHandicap = 0.25
@@ -189,7 +192,7 @@
 	slices.SortFunc(order, func(left, right *target) int {
 		return cmp.Or(cmp.Compare(right.use(), left.use()), cmp.Compare(left.ID, right.ID))
 	})
-	if pl.start(order[0]) {
+	if pl.start() {
 		return true
 	}
 	for _, from := range order {
@@ -209,7 +212,9 @@
 	if pl.load.Total()/pl.capacity < idleUse {
 		return tg.rate/tg.Capacity > unevenIdle*pl.load.Total()/pl.capacity
 	}
-	return tg.use() >= busyEnough && tg.use() >= pl.mean+unevenEnough
+	// What chance may make of an even load is no reason to move keys.
+	chance := deviations * pl.load.Deviation(pl.load.Total()/float64(len(pl.targets))) / tg.Capacity
+	return tg.use() >= busyEnough && tg.use() >= pl.mean+max(unevenEnough, chance)
 }
 
 // bestFrom is the move after which the busier of the two is used least.
@@ -228,8 +233,12 @@
 	return best
 }
 
-// start gives an upstream without keys a first part, whatever the load.
-func (pl *plan) start(from *target) bool {
+// start gives an upstream without keys a first part of what the busiest has,
+// whatever the load.
+func (pl *plan) start() bool {
+	from := slices.MaxFunc(pl.targets, func(left, right *target) int {
+		return cmp.Or(cmp.Compare(left.rate, right.rate), cmp.Compare(left.ID, right.ID))
+	})
 	for _, to := range pl.targets {
 		if len(to.shares) > 0 || pl.given[to] || to == from {
 			continue
--- a/internal/ownership/balance/load.go
+++ b/internal/ownership/balance/load.go
@@ -51,6 +51,8 @@
 	recent, steady average
 	sums           [keyspace.Count + 1]float64
 	began          clock.Instant
+	// span is the time over which the steady load was seen, in seconds.
+	span float64
 }
 
 // NewLoad makes an estimate that knows nothing yet.
@@ -71,6 +73,7 @@
 func (ld *Load) Refresh(now clock.Instant) {
 	age := max(now.Sub(ld.began).Seconds(), 0.5)
 	recentSpan, steadySpan := ld.recent.span(age), ld.steady.span(age)
+	ld.span = steadySpan
 	recentWeight, steadyWeight := ld.recent.weight(now), ld.steady.weight(now)
 	for ix := range keyspace.Count {
 		rate := priorRate / float64(keyspace.Count)
@@ -95,6 +98,9 @@
 	return ld.sums[int(rg.To)+1] - ld.sums[rg.From]
 }
 
+// Deviation is by how much a rate that was seen may differ from the true one.
+func (ld *Load) Deviation(rate float64) float64 { return math.Sqrt(rate / max(ld.span, 0.5)) }
+
 // Total is the requests a second for all keys.
 func (ld *Load) Total() float64 { return ld.sums[keyspace.Count] }
 
--- a/internal/ownership/duty/duty.go
+++ b/internal/ownership/duty/duty.go
@@ -255,7 +255,7 @@
 
 // elect runs the election and takes up or lays down the lead.
 func (co *Core) elect(now clock.Instant, msg any) {
-	before := co.election.Leader().Host
+	before := co.election.Leader()
 	cmd := co.election.Update(now, msg)
 	leading := co.election.Leading()
 	switch {
@@ -285,6 +285,7 @@
 	if co.leader == nil {
 		return
 	}
+	defer func() { co.election.Settle(co.leader.Settled(now)) }()
 	for _, cmd := range co.leader.Update(now, msg) {
 		switch cmd := cmd.(type) {
 		case leader.CommitCmd:
--- a/internal/ownership/election/codec.go
+++ b/internal/ownership/election/codec.go
@@ -13,11 +13,12 @@
 	Host        string `json:"host"`
 	Address     string `json:"address"`
 	Incarnation uint64 `json:"incarnation"`
+	Settled     bool   `json:"settled"`
 }
 
 // Encode writes the stored form of the leader's row.
 func Encode(rw Row) ([]byte, error) {
-	return json.Marshal(storedRow{uint64(rw.Term), string(rw.Host), rw.Address, rw.Incarnation})
+	return json.Marshal(storedRow{uint64(rw.Term), string(rw.Host), rw.Address, rw.Incarnation, rw.Settled})
 }
 
 // Decode reads the stored form of the leader's row.
@@ -26,5 +27,5 @@
 	if err := json.Unmarshal(body, &st); err != nil {
 		return Row{}, fmt.Errorf("leader's row: %w", err)
 	}
-	return Row{talk.Term(st.Term), ident.Host(st.Host), st.Address, st.Incarnation}, nil
+	return Row{talk.Term(st.Term), ident.Host(st.Host), st.Address, st.Incarnation, st.Settled}, nil
 }
--- a/internal/ownership/election/election.go
+++ b/internal/ownership/election/election.go
@@ -39,6 +39,8 @@
 	Host        ident.Host
 	Address     string
 	Incarnation uint64
+	// Settled tells that no earlier leader can still be at work.
+	Settled bool
 }
 
 // Version is the row's version in the store; 0 where there is none.
@@ -108,6 +110,8 @@
 	// confirmedAt is when the store last confirmed our lead.
 	confirmedAt clock.Instant
 	readOnce    bool
+	// settled is whether the row may say so of this host's lead.
+	settled bool
 	// resigning hosts give the row back and never take it.
 	resigning bool
 	// claimable is set by a read that found the row free to take.
@@ -135,6 +139,9 @@
 // Confirm notes that the store has just taken a write that needs our lead.
 func (co *Core) Confirm(now clock.Instant) { co.confirmedAt = max(co.confirmedAt, now) }
 
+// Settle notes whether no earlier leader can still be at work.
+func (co *Core) Settle(settled bool) { co.settled = settled }
+
 // Proposal is the row to write and the version that it replaces.
 func (co *Core) Proposal() (Row, Version) {
 	rw := co.self
@@ -142,9 +149,10 @@
 	if !co.leading {
 		rw.Term++
 	}
+	rw.Settled = co.leading && co.settled
 	if co.resigning {
 		// A row without a host is free to take.
-		rw = Row{Term: rw.Term}
+		rw = Row{Term: rw.Term, Settled: rw.Settled}
 	}
 	return rw, co.version
 }
--- a/internal/ownership/leader/leader.go
+++ b/internal/ownership/leader/leader.go
@@ -24,6 +24,7 @@
 	"chervilwalk/internal/fleet/talk"
 	"chervilwalk/internal/ownership/assignment"
 	"chervilwalk/internal/ownership/balance"
+	"chervilwalk/internal/ownership/election"
 	"chervilwalk/internal/ownership/keyspace"
 )
 
@@ -185,11 +186,17 @@
 
 // Core decides while its host leads. It is not safe for concurrent use.
 type Core struct {
-	began    clock.Instant
-	table    *assignment.Table
-	draft    *assignment.Table
-	dirty    bool
-	inFlight bool
+	began clock.Instant
+	// before is the leader before this one; beforeGone tells that it is known
+	// to lead no more: it resigned, or follows us.
+	before     election.Row
+	beforeGone bool
+	// settledAt is when the lead became settled, 0 before that.
+	settledAt clock.Instant
+	table     *assignment.Table
+	draft     *assignment.Table
+	dirty     bool
+	inFlight  bool
 	// commitAt is when the next commit may be tried after a failed one.
 	commitAt  clock.Instant
 	members   map[ident.Host]*member
@@ -206,15 +213,15 @@
 
 // New makes the core of a host that has begun to lead with a table after
 // another host, whose silence let it take over.
-func New(now clock.Instant, tb *assignment.Table, before ident.Host) *Core {
+func New(now clock.Instant, tb *assignment.Table, before election.Row) *Core {
 	co := &Core{
-		began: now, table: tb, draft: tb.Clone(), members: map[ident.Host]*member{}, upstreams: map[ident.Upstream]*upstream{},
+		began: now, before: before, beforeGone: before.Host == "", table: tb, draft: tb.Clone(), members: map[ident.Host]*member{}, upstreams: map[ident.Upstream]*upstream{},
 		loads: map[ident.Service]*balance.Load{}, moves: map[MoveID]*move{}, changedAt: now, resumed: map[MoveID]bool{},
 	}
 	for _, mb := range tb.Members {
 		// They have a while to show up before they count as dead.
 		co.members[mb.Host] = &member{heardAt: now, latest: mb}
-		if mb.Host == before {
+		if mb.Host == before.Host {
 			co.members[mb.Host].heardAt = now.Add(-silentTime)
 		}
 	}
@@ -227,6 +234,14 @@
 	return co
 }
 
+// Settled tells whether no earlier leader can still be heard by any member: the
+// last one is known to lead no more and was settled itself, or so much time has
+// passed that all have given up.
+func (co *Core) Settled(now clock.Instant) bool {
+	first := co.before.Term == 0
+	return now.Sub(co.began) >= election.LeadTime || co.beforeGone && (first || co.before.Settled)
+}
+
 // Table is the assignment as the store has it.
 func (co *Core) Table() *assignment.Table { return co.table }
 
@@ -247,6 +262,9 @@
 	case StepMsg:
 		co.step(now, ms)
 	}
+	if co.settledAt == 0 && co.Settled(now) {
+		co.settledAt = now
+	}
 	co.watchMembers(now)
 	if now.Sub(co.plannedAt) >= planEvery {
 		co.plannedAt = now
@@ -309,6 +327,7 @@
 		co.event("memberJoined", map[string]any{"host": st.Member.Host, "incarnation": st.Member.Incarnation})
 	}
 	mb.heardAt, mb.latest, mb.stopping = now, st.Member, st.Stopping
+	co.beforeGone = co.beforeGone || st.Member.Host == co.before.Host
 	mb.ack(now, st.Revision)
 	for _, kl := range st.Keys {
 		ld, known := co.loads[kl.Service]
--- a/internal/ownership/leader/move.go
+++ b/internal/ownership/leader/move.go
@@ -113,7 +113,7 @@
 func (co *Core) advance(now clock.Instant) []Cmd {
 	var cmds []Cmd
 	for _, mv := range co.moves {
-		if mv.step < Give && now >= co.lapsed(mv) {
+		if mv.step < Give && now >= co.lapsed(now, mv) {
 			co.event("grantLapsed", map[string]any{"upstream": mv.share.Owner.Upstream, "from": mv.share.From, "to": mv.share.To, "waitedMs": now.Sub(mv.storedAt).Milliseconds()})
 			mv.next(now, Give)
 		}
@@ -128,7 +128,7 @@
 			// A fence of the earlier leader may still take effect.
 			continue
 		}
-		if mv.unfenced && mv.step == Release && now < co.quiet(mv) {
+		if mv.unfenced && mv.step == Release && now < co.quiet(now, mv) {
 			continue
 		}
 		cmds = append(cmds, mv.call(now))
@@ -168,6 +168,11 @@
 	return time.Duration(clockRate*float64(hold)) + clockSlack
 }
 
+// stalled moves wait for time to pass; they keep nobody busy.
+func (mv *move) stalled() bool {
+	return mv.unfenced && mv.step == Release || mv.step == Fence && mv.tries == fences && !mv.busy
+}
+
 // step takes the end of a call.
 func (co *Core) step(now clock.Instant, ms StepMsg) {
 	mv, known := co.moves[ms.Move]
@@ -220,12 +225,14 @@
 // quiet is when no member renews the old owner's grant any more: after each
 // one has said that it follows the move, or cannot have been told for so long
 // that it has stopped.
-func (co *Core) quiet(mv *move) clock.Instant {
+func (co *Core) quiet(now clock.Instant, mv *move) clock.Instant {
 	last := mv.storedAt
 	unheard := mv.storedAt.Add(renewal.ConfirmTime)
-	if mv.storedAt.Sub(co.began) < election.LeadTime {
+	if !co.Settled(now) {
 		// An earlier leader may still be heard by members that do not hear us.
 		unheard = co.began.Add(election.LeadTime + renewal.ConfirmTime)
+	} else if co.settledAt > 0 {
+		unheard = max(unheard, co.settledAt.Add(renewal.ConfirmTime))
 	}
 	for _, mb := range co.table.Members {
 		known, found := co.members[mb.Host]
@@ -243,6 +250,6 @@
 }
 
 // lapsed is when the old owner's last grant has surely run out.
-func (co *Core) lapsed(mv *move) clock.Instant {
-	return max(co.quiet(mv).Add(held(renewal.Hold)), mv.heldUntil)
+func (co *Core) lapsed(now clock.Instant, mv *move) clock.Instant {
+	return max(co.quiet(now, mv).Add(held(renewal.Hold)), mv.heldUntil)
 }
--- a/internal/ownership/leader/plan.go
+++ b/internal/ownership/leader/plan.go
@@ -86,7 +86,9 @@
 		claim := sh.Owner
 		if sh.Moving() {
 			claim = sh.Next
-			moving++
+			if mv, known := co.moves[moveID(sh)]; !known || !mv.stalled() {
+				moving++
+			}
 		}
 		up, known := co.upstreams[claim.Upstream]
 		orphaned := !known || up.Life != claim.Life || !co.mayOwn(now, up)
--- a/internal/serving/permit/queue.go
+++ b/internal/serving/permit/queue.go
@@ -15,11 +15,18 @@
 	// permitSlack is how long after its request's deadline a permit may still
 	// come back.
 	permitSlack = 300 * time.Millisecond
+	// margin is how much longer than usual an answer may take for a request to
+	// be taken as one that can meet its objective: what is admitted too
+	// hopefully comes late and takes a slot from another.
+	margin = 1.1
+	// lastChance is the part of the usual time that must be left when a waiting
+	// request is sent, for it to go before others.
+	lastChance = 0.9
 	// lateWait is how long a request may wait once it cannot meet its objective
 	// any more: it takes what is left, which on a busy upstream is nothing.
 	lateWait = 120 * time.Millisecond
 	// moveTime is how long keys usually need to reach their next owner.
-	moveTime = 350 * time.Millisecond
+	moveTime = 200 * time.Millisecond
 	// minRetryAfter keeps a refused request from coming straight back.
 	minRetryAfter = 100 * time.Millisecond
 	// disownedTime is how long keys are left alone that their owner did not know.
@@ -50,7 +57,7 @@
 		return []Cmd{ak.refuse(now, noOwnerRetry, "noUpstream", ol)}
 	}
 	ak.giveUp = ak.deadline.Add(-ol.Work)
-	if ol.Wait+ol.Work > tk.ObjectiveLeft {
+	if ol.Wait+time.Duration(margin*float64(ol.Work)) > tk.ObjectiveLeft {
 		ak.late = true
 		ak.giveUp = min(ak.giveUp, now.Add(lateWait))
 	}
@@ -226,12 +233,20 @@
 	return PermitCmd{Host: ak.Host, Permit: ak.permit, Waited: now.Sub(ak.arrived), Ask: ak.Ask}
 }
 
+// expectedFor is how long the answer to an ask usually takes.
+func (co *Core) expectedFor(ak *ask) time.Duration {
+	if us, _ := co.owner(ak); ak.Keyed && us != nil {
+		return us.work
+	}
+	return co.expected(ak.Service)
+}
+
 // drop refuses waiting asks that cannot be answered in time any more.
 func (co *Core) drop(now clock.Instant, sv ident.Service) []Cmd {
 	var cmds []Cmd
 	kept := co.waiting[sv][:0]
 	for _, ak := range co.waiting[sv] {
-		if !ak.late && ak.objective.Before(now.Add(co.expected(sv)/2)) {
+		if !ak.late && ak.objective.Before(now.Add(time.Duration(lastChance*float64(co.expectedFor(ak))))) {
 			ak.late = true
 			ak.giveUp = min(ak.giveUp, now.Add(lateWait))
 		}
--- a/internal/stand/metastore/metastore.go
+++ b/internal/stand/metastore/metastore.go
@@ -8,8 +8,10 @@
 package metastore
 
 import (
+	"bytes"
 	"encoding/base64"
 	"encoding/json"
+	"io"
 	"math/rand"
 	"net"
 	"net/http"
@@ -150,6 +152,12 @@
 	fl := db.faults
 	db.mu.Unlock()
 	host, _, _ := net.SplitHostPort(rq.RemoteAddr)
+	// A server notices that a caller left only once its body was read.
+	body, err := io.ReadAll(rq.Body)
+	if err != nil {
+		return
+	}
+	rq.Body = io.NopCloser(bytes.NewReader(body))
 	time.Sleep(fl.Delay)
 	switch {
 	case fl.Silent:
