--- a/cmd/chervilwalk/try.go
+++ b/cmd/chervilwalk/try.go
@@ -8,128 +8,104 @@
 	"os/signal"
 	"sync"
 	"syscall"
-	"text/tabwriter"
 	"time"
 
-	"github.com/apex/log"
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
-	"chervilwalk/examples"
-	"chervilwalk/internal/operations/trial"
+	"chervilwalk/internal/stand/deployment"
 )
 
-// startTimeout bounds the wait until all nodes of a fleet serve.
-const startTimeout = 30 * time.Second
-
 // errBroken says that the trial saw a broken promise.
 var errBroken = eris.New("a promise was broken")
 
-// tryCommand runs both example fleets under a mixed load and planned trouble.
+// dealTime is how long a new deployment needs until its keys have owners.
+const dealTime = 5 * time.Second
+
+// tryCommand runs two whole deployments on loopback under load and trouble.
 type tryCommand struct {
-	Seed     uint64 `long:"seed" default:"1" description:"Seed of what is asked"`
-	Requests int    `long:"requests" default:"4000" description:"Requests over both fleets, besides the probes"`
-	LogLevel string `long:"log-level" default:"error" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"What the nodes log"`
-	Hold     bool   `long:"hold" description:"Stay up afterwards, until SIGINT or SIGTERM"`
+	Seed      int64 `long:"seed" default:"1" description:"Seed of what is asked"`
+	PerSecond int   `long:"per-second" default:"60" description:"Requests a second to each deployment"`
+	Logs      bool  `long:"logs" description:"Write the hosts' logs to standard error"`
+	Hold      bool  `long:"hold" description:"Stay up afterwards, until SIGINT or SIGTERM"`
 }
 
-// tried is one fleet's trial.
+// tried is one deployment's trial.
 type tried struct {
-	fleet    *trial.Fleet
-	counts   trial.Counts
-	failures []trial.Failure
+	name   string
+	config deployment.Config
+	counts deployment.Counts
 }
 
 // Execute implements flags.Commander.
 func (tc *tryCommand) Execute([]string) error {
-	log.SetLevelFromString(tc.LogLevel)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	trials := []tried{{}, {}}
-	var gr errgroup.Group
-	gr.Go(func() error { return tc.try(ctx, "mushi", examples.Mushi, &trials[0]) })
-	gr.Go(func() error { return tc.try(ctx, "abrigo", examples.Abrigo, &trials[1]) })
-	defer closeAll(trials)
-	if err := gr.Wait(); err != nil {
-		return err
+	trials := []*tried{
+		{name: "mushi", config: deployment.Config{Hosts: 4, Keyed: 6, Orders: 4, Files: 3, Net: 200}},
+		{name: "abrigo", config: deployment.Config{Hosts: 3, Keyed: 6, Orders: 3, Files: 3, Net: 201}},
 	}
-	if tc.Hold {
-		hold(ctx, trials)
+	var mu sync.Mutex
+	say := func(name, step string, err error) {
+		mu.Lock()
+		defer mu.Unlock()
+		if err != nil {
+			step += ": " + err.Error()
+		}
+		fmt.Printf("%-8s %s\n", name, step)
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	for _, tr := range trials {
+		group.Go(func() error { return tc.try(ctx, tr, say) })
+	}
+	if err := group.Wait(); err != nil {
+		return err
 	}
 	return report(trials)
 }
 
-func (tc *tryCommand) try(ctx context.Context, name string, body []byte, tr *tried) error {
-	say("%s: starting", name)
-	fl, err := trial.StartFleet(name, body)
+// try runs one deployment's trial.
+func (tc *tryCommand) try(ctx context.Context, tr *tried, say func(name, step string, err error)) error {
+	dir, err := os.MkdirTemp("", "chervilwalk-try-")
 	if err != nil {
-		return err
+		return eris.Wrap(err, "directory for settings")
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	tr.config.Dir, tr.config.Seed = dir, tc.Seed
+	if tc.Logs {
+		tr.config.Log = os.Stderr
 	}
-	tr.fleet = fl
-	limited, cancel := context.WithTimeout(ctx, startTimeout)
-	defer cancel()
-	if err := fl.AwaitServing(limited); err != nil {
+	dp, err := deployment.Start(tr.config)
+	if err != nil {
 		return err
 	}
-	tr.counts, tr.failures, err = trial.NewScript(fl, say).Run(ctx, tc.Seed, tc.Requests/2)
-	return err
-}
-
-var sayMutex sync.Mutex
-
-// say prints a line of progress.
-func say(format string, args ...any) {
-	sayMutex.Lock()
-	defer sayMutex.Unlock()
-	fmt.Printf(format+"\n", args...)
-}
-
-// hold prints the addresses and waits for a signal.
-func hold(ctx context.Context, trials []tried) {
-	for _, tr := range trials {
-		say("%s: platform %s", tr.fleet.Name, tr.fleet.PlatformAddress())
-		for _, ho := range tr.fleet.Bundle.Hosts {
-			say("%s: node %s for callers http://%s", tr.fleet.Name, ho.Name, tr.fleet.Entry(ho.Name))
-		}
+	defer dp.Close()
+	select {
+	case <-time.After(dealTime):
+	case <-ctx.Done():
+		return ctx.Err()
 	}
-	say("holding until SIGINT or SIGTERM")
-	<-ctx.Done()
-}
-
-func closeAll(trials []tried) {
-	for _, tr := range trials {
-		if tr.fleet != nil {
-			tr.fleet.Close()
-		}
+	tr.counts = dp.Trial(ctx, tc.PerSecond, func(step string, err error) { say(tr.name, step, err) })
+	if tc.Hold {
+		say(tr.name, "asks go to http://"+dp.Hosts[0].Address+"/lookup/… with the headers of README.md; SIGINT ends", nil)
+		<-ctx.Done()
 	}
+	return nil
 }
 
-func report(trials []tried) error {
-	var counts []trial.Counts
+// report prints each trial's counts as one line of JSON.
+func report(trials []*tried) error {
+	broken := false
 	for _, tr := range trials {
-		counts = append(counts, tr.counts)
-		printFailures(tr)
-	}
-	sum := trial.Sum(counts)
-	tw := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
-	for _, line := range sum.Lines() {
-		_, _ = fmt.Fprintln(tw, line)
-	}
-	if err := tw.Flush(); err != nil {
-		return err
-	}
-	if err := json.NewEncoder(os.Stdout).Encode(sum); err != nil {
-		return err
+		line, err := json.Marshal(tr.counts)
+		if err != nil {
+			return eris.Wrap(err, "counts")
+		}
+		fmt.Printf("%-8s %s\n", tr.name, line)
+		broken = broken || tr.counts.Broken()
 	}
-	if sum.Broken() {
+	if broken {
 		return errBroken
 	}
 	return nil
 }
-
-// printFailures lists why requests were not answered.
-func printFailures(tr tried) {
-	for _, fa := range tr.failures {
-		fmt.Printf("%s: %s\n", tr.fleet.Name, fa)
-	}
-}
--- /dev/null
+++ b/internal/fleet/talk/talk_test.go
@@ -0,0 +1,65 @@
+package talk_test
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"chervilwalk/internal/fleet/roster"
+	"chervilwalk/internal/fleet/talk"
+	"chervilwalk/internal/ownership/assignment"
+)
+
+func messages() map[string]talk.Msg {
+	beat := talk.Beat{Term: 3, Leader: "a", Revision: 9, StoreAge: 20 * time.Millisecond, RowAt: 7, News: talk.News{RosterAt: 5, RosterAge: time.Second, WishesAt: 4}}
+	return map[string]talk.Msg{
+		"status": talk.Status{
+			Member: assignment.Member{Host: "a", Domain: "d", Address: "10.0.0.1:7540", Incarnation: 1 << 60, Alive: true}, Term: 3, Revision: 9, Stopping: true, RosterAt: 5,
+			Keys:      []talk.KeyLoad{{Service: "lookup", Key: 65535, Count: 3}},
+			Upstreams: []talk.UpstreamLoad{{Upstream: "u", Answers: 2, Work: 300 * time.Millisecond, Failures: 1, Unreached: time.Second, Superseded: true}},
+		},
+		"beat":     beat,
+		"view":     talk.View{Beat: beat, Part: 1, Parts: 2, Body: "{}"},
+		"ask":      talk.Ask{Host: "a", Incarnation: 4, Ticket: 9, Request: "r", Service: "lookup", Domain: "d", Key: 7, Keyed: true, Large: true, Repeatable: true, Priority: 2, ObjectiveLeft: 0, TimeLeft: time.Second, Avoid: "u"},
+		"permit":   talk.Permit{Ticket: 9, Upstream: "u", Epoch: 12},
+		"refusal":  talk.Refusal{Ticket: 9, RetryAfter: time.Second, Reason: "noRoomInTime"},
+		"queued":   talk.Queued{Ticket: 9},
+		"done":     talk.Done{Host: "a", Incarnation: 4, Ticket: 9, Service: "lookup", Upstream: "u", Outcome: 3, Took: time.Millisecond, Reported: true, Running: 1, Waiting: 2, Pace: 140},
+		"doneSeen": talk.DoneSeen{Ticket: 9},
+		"roster":   talk.Roster{Term: 3, At: 5, Age: time.Second, GraceLeft: time.Second, Part: 0, Parts: 1, Entries: []roster.Entry{{ID: "u", Service: "lookup", Address: "10.0.0.9:80", Domain: "d", Slots: 2, Draining: true, ColdLeft: time.Second, Sequence: 8, Life: 99}}},
+	}
+}
+
+func TestMessages(t *testing.T) {
+	for name, msg := range messages() {
+		t.Run(name, func(t *testing.T) {
+			gm := NewWithT(t)
+			datagram := talk.Encode(msg)
+			decoded, err := talk.Decode(datagram)
+			gm.Expect(err).NotTo(HaveOccurred())
+			gm.Expect(decoded).To(Equal(msg))
+			for cut := range datagram {
+				_, err := talk.Decode(datagram[:cut])
+				gm.Expect(err).To(HaveOccurred(), "cut at %d", cut)
+			}
+		})
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	for _, msg := range messages() {
+		f.Add(talk.Encode(msg))
+	}
+	f.Fuzz(func(t *testing.T, datagram []byte) {
+		msg, err := talk.Decode(datagram)
+		if err != nil {
+			return
+		}
+		again, err := talk.Decode(talk.Encode(msg))
+		if err != nil || reflect.TypeOf(again) != reflect.TypeOf(msg) {
+			t.Fatalf("%#v became %#v: %v", msg, again, err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/serving/caller/caller_test.go
@@ -0,0 +1,189 @@
+package caller_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"chervilwalk/internal/serving/caller"
+)
+
+func limits() caller.Limits {
+	return caller.Limits{HeaderBytes: 1024, BodyBytes: 1 << 20, HeaderTimeout: time.Second, IdleTimeout: time.Second}
+}
+
+// serve starts a server and opens a connection to it.
+func serve(t *testing.T, handler caller.Handler) (*caller.Server, net.Conn, *bufio.Reader) {
+	t.Helper()
+	gm := NewWithT(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	gm.Expect(err).NotTo(HaveOccurred())
+	sv := caller.New(handler, limits)
+	go func() { _ = sv.Serve(ln) }()
+	t.Cleanup(sv.Close)
+	conn, err := net.Dial("tcp", ln.Addr().String())
+	gm.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = conn.Close() })
+	gm.Expect(conn.SetDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+	return sv, conn, bufio.NewReader(conn)
+}
+
+// echo answers with what was asked, later for paths that say so.
+func echo(_ context.Context, rq *caller.Request) *caller.Response {
+	if strings.HasPrefix(rq.URI, "/slow") {
+		time.Sleep(100 * time.Millisecond)
+	}
+	body := rq.Body
+	if rq.Rest != nil {
+		rest, err := io.ReadAll(rq.Rest)
+		if err != nil {
+			return nil
+		}
+		body = append(body, rest...)
+	}
+	return &caller.Response{Status: 200, Header: http.Header{}, Body: fmt.Appendf(nil, "%s %s %d", rq.Method, rq.URI, len(body))}
+}
+
+func read(t *testing.T, from *bufio.Reader) (*http.Response, string) {
+	t.Helper()
+	gm := NewWithT(t)
+	rs, err := http.ReadResponse(from, nil)
+	gm.Expect(err).NotTo(HaveOccurred())
+	body, err := io.ReadAll(rs.Body)
+	gm.Expect(err).NotTo(HaveOccurred())
+	return rs, string(body)
+}
+
+// TestRequests sends bytes and looks at the answers in order.
+func TestRequests(t *testing.T) {
+	cases := map[string]struct {
+		sent    string
+		answers []string
+		// closes tells whether the connection ends after them.
+		closes bool
+	}{
+		"one":                      {"GET /a HTTP/1.1\r\nHost: h\r\n\r\n", []string{"200 GET /a 0"}, false},
+		"answers keep their order": {"GET /slow HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n", []string{"200 GET /slow 0", "200 GET /b 0"}, false},
+		"a body with a length":     {"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabcGET /b HTTP/1.1\r\nHost: h\r\n\r\n", []string{"200 POST /a 3", "200 GET /b 0"}, false},
+		"a body in chunks":         {"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n", []string{"200 POST /a 3", "200 GET /b 0"}, false},
+		"a long body":              {"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 300000\r\n\r\n" + strings.Repeat("x", 300000) + "GET /b HTTP/1.1\r\nHost: h\r\n\r\n", []string{"200 POST /a 300000", "200 GET /b 0"}, false},
+		"close is asked for":       {"GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", []string{"200 GET /a 0"}, true},
+		"an old protocol":          {"GET /a HTTP/1.0\r\nHost: h\r\n\r\n", []string{"200 GET /a 0"}, true},
+		"not a request":            {"hello\r\n\r\n", []string{"400 "}, true},
+		"a header too large":       {"GET /a HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 2000) + "\r\n\r\n", []string{"431 "}, true},
+		"a body too large":         {"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2000000\r\n\r\n", []string{"413 "}, true},
+		"two lengths":              {"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", []string{"400 "}, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			gm := NewWithT(t)
+			_, conn, from := serve(t, echo)
+			_, err := io.WriteString(conn, tc.sent)
+			gm.Expect(err).NotTo(HaveOccurred())
+			for _, want := range tc.answers {
+				rs, body := read(t, from)
+				gm.Expect(fmt.Sprintf("%d %s", rs.StatusCode, body)).To(Equal(want))
+			}
+			if tc.closes {
+				_, err := from.ReadByte()
+				gm.Expect(err).To(MatchError(io.EOF))
+			}
+		})
+	}
+}
+
+// TestCallerLeaves asks that a handler learns at once that its caller left.
+func TestCallerLeaves(t *testing.T) {
+	gm := NewWithT(t)
+	left := make(chan struct{})
+	_, conn, _ := serve(t, func(ctx context.Context, _ *caller.Request) *caller.Response {
+		<-ctx.Done()
+		close(left)
+		return nil
+	})
+	_, err := io.WriteString(conn, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+	gm.Expect(err).NotTo(HaveOccurred())
+	time.Sleep(50 * time.Millisecond)
+	gm.Expect(conn.Close()).To(Succeed())
+	gm.Eventually(left, 400*time.Millisecond).Should(BeClosed())
+}
+
+// TestDrain asks that a draining server answers what was sent, closes then, and
+// hands nothing to the handler that stands behind the last answer.
+func TestDrain(t *testing.T) {
+	gm := NewWithT(t)
+	sv, conn, from := serve(t, echo)
+	_, err := io.WriteString(conn, "GET /slow1 HTTP/1.1\r\nHost: h\r\n\r\nGET /slow2 HTTP/1.1\r\nHost: h\r\n\r\n")
+	gm.Expect(err).NotTo(HaveOccurred())
+	time.Sleep(30 * time.Millisecond)
+	sv.Drain()
+	rs, _ := read(t, from)
+	gm.Expect(rs.Close).To(BeFalse())
+	rs, body := read(t, from)
+	gm.Expect(body).To(Equal("GET /slow2 0"))
+	gm.Expect(rs.Close).To(BeTrue())
+	_, err = io.WriteString(conn, "GET /behind HTTP/1.1\r\nHost: h\r\n\r\n")
+	gm.Expect(err).NotTo(HaveOccurred())
+	_, err = from.ReadByte()
+	gm.Expect(err).To(MatchError(io.EOF))
+	gm.Eventually(sv.Connections, 2*time.Second).Should(BeZero())
+}
+
+// TestCutAnswer asks that an answer that breaks off never looks whole.
+func TestCutAnswer(t *testing.T) {
+	for name, length := range map[string]int64{"with a length": 100, "without": -1} {
+		t.Run(name, func(t *testing.T) {
+			gm := NewWithT(t)
+			_, conn, from := serve(t, func(context.Context, *caller.Request) *caller.Response {
+				return &caller.Response{Status: 200, Header: http.Header{}, Body: []byte("begin"), Length: length, Rest: io.NopCloser(io.MultiReader(bytes.NewBufferString("more"), broken{}))}
+			})
+			_, err := io.WriteString(conn, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+			gm.Expect(err).NotTo(HaveOccurred())
+			rs, err := http.ReadResponse(from, nil)
+			if err == nil {
+				_, err = io.ReadAll(rs.Body)
+			}
+			gm.Expect(err).To(HaveOccurred())
+		})
+	}
+}
+
+type broken struct{}
+
+func (broken) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+func FuzzRequests(f *testing.F) {
+	f.Add([]byte("GET /a HTTP/1.1\r\nHost: h\r\n\r\n"))
+	f.Add([]byte("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, sent []byte) {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Skip(err)
+		}
+		sv := caller.New(echo, limits)
+		go func() { _ = sv.Serve(ln) }()
+		defer sv.Close()
+		conn, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Skip(err)
+		}
+		_, _ = conn.Write(sent)
+		if tc, ok := conn.(*net.TCPConn); ok {
+			_ = tc.CloseWrite()
+		}
+		_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+		if _, err := io.Copy(io.Discard, conn); err != nil && strings.Contains(err.Error(), "timeout") {
+			t.Fatalf("the connection hangs after %q", sent)
+		}
+		_ = conn.Close()
+	})
+}
--- a/internal/serving/caller/connection.go
+++ b/internal/serving/caller/connection.go
@@ -161,12 +161,15 @@
 		}
 	}
 	_ = cn.raw.SetReadDeadline(time.Now().Add(lm.HeaderTimeout))
-	cn.source.left = lm.HeaderBytes
+	cn.source.left = max(lm.HeaderBytes-cn.reader.Buffered(), 0)
 	hr, err := http.ReadRequest(cn.reader)
 	cn.source.left = unlimited
 	if err != nil {
 		return nil, statusOf(err)
 	}
+	if headBytes(hr) > lm.HeaderBytes {
+		return nil, http.StatusRequestHeaderFieldsTooLarge
+	}
 	if hr.ContentLength > int64(lm.BodyBytes) {
 		return nil, http.StatusRequestEntityTooLarge
 	}
@@ -183,6 +186,18 @@
 	return tn, cn.body(tn, hr, lm)
 }
 
+// headBytes is about the size of a request's head, of which a part may have
+// been in the buffer before it was bounded.
+func headBytes(hr *http.Request) int {
+	size := len(hr.RequestURI)
+	for name, values := range hr.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + len(": \r\n")
+		}
+	}
+	return size
+}
+
 func (cn *connection) isClosing() bool {
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
--- /dev/null
+++ b/internal/serving/link/link_test.go
@@ -0,0 +1,170 @@
+package link_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"chervilwalk/internal/fleet/ident"
+	"chervilwalk/internal/serving/link"
+)
+
+func echo(hd http.Header) ident.Request { return ident.Request(hd.Get("Id")) }
+
+// upstream answers each request on a connection with the next of some texts.
+type upstream struct {
+	address string
+	conns   atomic.Int32
+}
+
+func start(t *testing.T, answers ...string) *upstream {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = ln.Close() })
+	up := &upstream{address: ln.Addr().String()}
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			up.conns.Add(1)
+			go talk(conn, answers)
+		}
+	}()
+	return up
+}
+
+func talk(conn net.Conn, answers []string) {
+	defer func() { _ = conn.Close() }()
+	from := bufio.NewReader(conn)
+	for _, answer := range answers {
+		rq, err := http.ReadRequest(from)
+		if err != nil {
+			return
+		}
+		if rq.ContentLength > 0 {
+			_, _ = from.Discard(int(rq.ContentLength))
+		}
+		if answer == "" {
+			return
+		}
+		if answer == "silence" {
+			time.Sleep(time.Second)
+			return
+		}
+		if _, err := conn.Write([]byte(answer)); err != nil {
+			return
+		}
+		if strings.HasSuffix(answer, "…") {
+			return
+		}
+	}
+}
+
+func request() *link.Request {
+	return &link.Request{ID: "r1", Method: "GET", URI: "/a", Host: "h", Header: http.Header{}, Repeatable: true, Deadline: time.Now().Add(300 * time.Millisecond)}
+}
+
+const whole = "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 5\r\n\r\nwhole"
+
+func TestAnswers(t *testing.T) {
+	cases := map[string]struct {
+		answers []string
+		body    string
+		sent    bool
+		timeout bool
+	}{
+		"whole":                    {[]string{whole}, "whole", false, false},
+		"in chunks":                {[]string{"HTTP/1.1 200 OK\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"}, "whole", false, false},
+		"ends with its connection": {[]string{"HTTP/1.1 200 OK\r\nId: r1\r\n\r\nwhole…"}, "whole…", false, false},
+		"a stray one comes first":  {[]string{"HTTP/1.1 200 OK\r\nId: r0\r\nContent-Length: 5\r\n\r\nstray" + whole}, "whole", false, false},
+		"an interim one":           {[]string{"HTTP/1.1 103 Early Hints\r\n\r\n" + whole}, "whole", false, false},
+		"breaks off":               {[]string{"HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 50\r\n\r\nwhole…"}, "", true, false},
+		"no answer":                {[]string{""}, "", true, false},
+		"not an answer":            {[]string{"hello\r\n\r\n…"}, "", true, false},
+		"silence":                  {[]string{"silence"}, "", true, true},
+		"only strays":              {[]string{strings.Repeat("HTTP/1.1 200 OK\r\nId: r0\r\nContent-Length: 5\r\n\r\nstray", 4)}, "", true, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			gm := NewWithT(t)
+			up := start(t, tc.answers...)
+			pl := link.New(echo)
+			t.Cleanup(pl.Close)
+			an, err := pl.Send(t.Context(), link.Target{ID: "u", Address: up.address}, request())
+			if tc.body != "" {
+				gm.Expect(err).NotTo(HaveOccurred())
+				gm.Expect(string(an.Body)).To(Equal(tc.body))
+				return
+			}
+			var fl *link.Failure
+			gm.Expect(errors.As(err, &fl)).To(BeTrue())
+			gm.Expect(fl.Sent).To(Equal(tc.sent))
+			gm.Expect(fl.TimedOut).To(Equal(tc.timeout))
+		})
+	}
+}
+
+// TestNotSent asks that a refused connection is known to have carried nothing.
+func TestNotSent(t *testing.T) {
+	gm := NewWithT(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	gm.Expect(err).NotTo(HaveOccurred())
+	gm.Expect(ln.Close()).To(Succeed())
+	_, err = link.New(echo).Send(t.Context(), link.Target{ID: "u", Address: ln.Addr().String()}, request())
+	var fl *link.Failure
+	gm.Expect(errors.As(err, &fl)).To(BeTrue())
+	gm.Expect(fl.Sent).To(BeFalse())
+}
+
+// TestReuse asks which connections are used again.
+func TestReuse(t *testing.T) {
+	cases := map[string]struct {
+		answers []string
+		conns   int32
+	}{
+		"kept":                    {[]string{whole, whole}, 1},
+		"the upstream closes":     {[]string{strings.Replace(whole, "Id", "Connection: close\r\nId", 1), whole}, 2},
+		"something follows":       {[]string{whole + "HTTP/1.1 200 OK\r\nId: r0\r\nContent-Length: 0\r\n\r\n", whole}, 2},
+		"kept for too short":      {[]string{strings.Replace(whole, "Id", "Keep-Alive: timeout=1\r\nId", 1), whole}, 2},
+		"closed without a notice": {[]string{whole}, 2},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			gm := NewWithT(t)
+			up := start(t, tc.answers...)
+			pl := link.New(echo)
+			t.Cleanup(pl.Close)
+			for range 2 {
+				_, err := pl.Send(t.Context(), link.Target{ID: "u", Address: up.address}, request())
+				gm.Expect(err).NotTo(HaveOccurred())
+				time.Sleep(30 * time.Millisecond)
+			}
+			gm.Expect(up.conns.Load()).To(Equal(tc.conns))
+		})
+	}
+}
+
+// TestCallerLeaves asks that the upstream's connection closes at once.
+func TestCallerLeaves(t *testing.T) {
+	gm := NewWithT(t)
+	up := start(t, "silence")
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	began := time.Now()
+	rq := request()
+	rq.Deadline = time.Now().Add(3 * time.Second)
+	_, err := link.New(echo).Send(ctx, link.Target{ID: "u", Address: up.address}, rq)
+	gm.Expect(err).To(HaveOccurred())
+	gm.Expect(time.Since(began)).To(BeNumerically("<", 400*time.Millisecond))
+}
