--- a/internal/ownership/duty/duty_test.go
+++ b/internal/ownership/duty/duty_test.go
@@ -51,6 +51,11 @@
 		"leader freezes for four seconds": {func(wd *world) { ho := leaderOf(wd); ho.frozen = wd.now.Add(4 * time.Second); ho.thawedAt = ho.frozen }, 6 * time.Second},
 		"leader is cut from the store":    {func(wd *world) { leaderOf(wd).storeCut = true }, 5 * time.Second},
 		"store is down for nine seconds":  {func(wd *world) { wd.storeDown = true; wd.after(9*time.Second, func() { wd.storeDown = false }) }, 12 * time.Second},
+		"store is down for longer":        {func(wd *world) { wd.storeDown = true }, 9500 * time.Millisecond},
+		"a host is lost for good, then an upstream": {func(wd *world) {
+			wd.kill(leaderOf(wd))
+			wd.after(2500*time.Millisecond, func() { wd.upstreams[0].up, wd.upstreams[0].downAt = false, wd.now })
+		}, 15 * time.Second},
 		"a domain is cut off": {func(wd *world) {
 			wd.cutDomain = "b"
 			wd.after(6*time.Second, func() { wd.cutDomain, wd.healedAt = "", wd.now })
--- a/internal/ownership/election/election.go
+++ b/internal/ownership/election/election.go
@@ -29,8 +29,10 @@
 	// order upstreams: with the time of a call it ends before the row can be
 	// taken over.
 	ActTime = 1200 * time.Millisecond
-	// LeadTime is how long a leader that the store does not answer goes on.
-	LeadTime = 11 * time.Second
+	// LeadTime is how long a leader that the store does not answer goes on. With
+	// the time that members renew after its last sign, and that of their grants,
+	// keys outlast eleven seconds without the store.
+	LeadTime = 5 * time.Second
 )
 
 // Row is the leader's row.
--- a/internal/ownership/renewal/renewal.go
+++ b/internal/ownership/renewal/renewal.go
@@ -31,7 +31,7 @@
 	again = 250 * time.Millisecond
 	// ConfirmTime is how long a table may be renewed after it was last
 	// confirmed by the leader or read from the store.
-	ConfirmTime = 3 * time.Second
+	ConfirmTime = 2 * time.Second
 	// CallTime bounds one call to an upstream.
 	CallTime = 400 * time.Millisecond
 )
