Spread the permits of a large service over several holders

A holder now has at most 32 upstreams, and hosts with little processor wait a little longer for the leader's row. Ruled out: lost datagrams; the holders' loops were behind.

--- a/internal/fleet/gateway/asks.go
+++ b/internal/fleet/gateway/asks.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"slices"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -21,7 +22,7 @@
 	replyTime = 60 * time.Millisecond
 	// queuedTime is how long after its last word a holder is asked again
 	// whether it still has the ask.
-	queuedTime = 400 * time.Millisecond
+	queuedTime = 150 * time.Millisecond
 	// suspectTime is how long a holder that did not answer is passed over.
 	suspectTime = 2 * time.Second
 	// askTries is how often a holder is asked before it is passed over.
@@ -32,6 +33,9 @@
 	// holderTries is how many holders are asked before the host hands out the
 	// permit itself.
 	holderTries = 3
+	// partUpstreams is how many upstreams one holder hands out at most, so that
+	// the permits of a large service are spread over the hosts.
+	partUpstreams = 32
 	// unusableRetry is when to ask again after a permit for an upstream that is
 	// not known here, or leaves.
 	unusableRetry = 60 * time.Millisecond
@@ -145,6 +149,7 @@
 // find asks the next holder, or this host's own core if none is left.
 func (as *asks) find(now clock.Instant, ws *wish) {
 	ws.tries = 0
+	as.choosePart(ws)
 	ws.holder, ws.address = as.gw.self.Host, ""
 	if len(ws.passed) < holderTries {
 		ws.holder, ws.address = as.holder(now, ws)
@@ -165,18 +170,35 @@
 	as.gw.transmit(ws.address, ws.ask)
 }
 
-// holder is the member that hands out the permits of a service, chosen alike
-// by all hosts; those that did not answer lately are passed over.
+// choosePart says which part of its service's upstreams a wish is about: that
+// of its key's owner, else each part in turn.
+func (as *asks) choosePart(ws *wish) {
+	ws.ask.Parts = (as.gw.upstreams[ws.ask.Service] + partUpstreams - 1) / partUpstreams
+	if !ws.ask.Keyed {
+		ws.ask.Part = int(ws.ask.Ticket) % max(ws.ask.Parts, 1)
+		return
+	}
+	sh, _ := as.gw.table.Load().Owner(ws.ask.Service, ws.ask.Key)
+	owner := sh.Owner.Upstream
+	if sh.Moving() {
+		owner = sh.Next.Upstream
+	}
+	ws.ask.Part = ident.PartOf(owner, ws.ask.Parts)
+}
+
+// holder is the member that hands out the permits of a part of a service,
+// chosen alike by all hosts; those that did not answer lately are passed over.
 func (as *asks) holder(now clock.Instant, ws *wish) (ident.Host, string) {
 	var best *assignment.Member
 	var bestWeight uint64
+	pool := "permits/" + string(ws.ask.Service) + "/" + strconv.Itoa(ws.ask.Part)
 	members := as.gw.table.Load().Members
 	for ix := range members {
 		mb := &members[ix]
 		if !mb.Alive || now.Before(as.suspect[mb.Host]) || slices.Contains(ws.passed, mb.Host) {
 			continue
 		}
-		if weight := ident.Weight("permits/"+string(ws.ask.Service), string(mb.Host)); best == nil || weight > bestWeight {
+		if weight := ident.Weight(pool, string(mb.Host)); best == nil || weight > bestWeight {
 			best, bestWeight = mb, weight
 		}
 	}
--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -104,6 +104,8 @@
 	// evacuated tells since when domains are to get nothing.
 	evacuated map[ident.Domain]clock.Instant
 	duty      *duty.Core
+	// upstreams counts the upstreams of each service.
+	upstreams map[ident.Service]int
 	permits   *permit.Core
 	asks      asks
 	views     viewParts
@@ -127,7 +129,7 @@
 	}
 	gw.tally = newTally()
 	gw.asks = newAsks(gw)
-	gw.duty = duty.New(gw.self)
+	gw.duty = duty.New(gw.self, st.Processor)
 	gw.store = platform.NewStore(st.Store, gw.observeStore)
 	gw.links = link.New(echo)
 	gw.places.Store(&map[ident.Upstream]place{})
--- a/internal/fleet/gateway/loop.go
+++ b/internal/fleet/gateway/loop.go
@@ -176,6 +176,7 @@
 	places := make(map[ident.Upstream]place, gw.book.Len())
 	lead := leader.FleetMsg{Keyed: map[ident.Service]bool{}}
 	domains := make(map[ident.Upstream]ident.Domain, gw.book.Len())
+	gw.upstreams = map[ident.Service]int{}
 	hand := permit.FleetMsg{Services: st.Services, Table: gw.table.Load()}
 	for name, sv := range st.Services {
 		if sv.Keyed {
@@ -191,6 +192,7 @@
 		coldUntil := max(up.ColdUntil, gw.coldAgain[up.Domain])
 		refuseAt := gw.refuseAt(up, sv.Keyed, evacuated)
 		domains[up.ID] = up.Domain
+		gw.upstreams[up.Service]++
 		places[up.ID] = place{address: up.Address, refuseAt: refuseAt}
 		if now < refuseAt {
 			hand.Upstreams = append(hand.Upstreams, permit.Upstream{
--- a/internal/fleet/ident/ident.go
+++ b/internal/fleet/ident/ident.go
@@ -63,6 +63,14 @@
 	return Slice(xxhash.Sum64String(string(ky)) % uint64(count))
 }
 
+// PartOf maps an upstream to one of a number of parts of its service.
+func PartOf(up Upstream, parts int) int {
+	if parts < 2 {
+		return 0
+	}
+	return int(xxhash.Sum64String(string(up)) % uint64(parts))
+}
+
 // Weight is the rendezvous weight of a pair of names: the candidate with the
 // highest weight for an item is its choice, and few choices change when a
 // candidate joins or leaves.
--- a/internal/fleet/talk/message.go
+++ b/internal/fleet/talk/message.go
@@ -110,6 +110,8 @@
 	Domain      ident.Domain
 	Key         keyspace.Key
 	Keyed       bool
+	// Part of Parts of the service's upstreams is what the holder hands out.
+	Part, Parts int
 	// Large answers should not cross domains.
 	Large bool
 	// Repeatable requests may run more than once.
@@ -255,6 +257,8 @@
 	text(cd, &ms.Domain)
 	field(cd, &ms.Key)
 	flag(cd, &ms.Keyed)
+	field(cd, &ms.Part)
+	field(cd, &ms.Parts)
 	flag(cd, &ms.Large)
 	flag(cd, &ms.Repeatable)
 	field(cd, &ms.Priority)
--- a/internal/ownership/duty/duty.go
+++ b/internal/ownership/duty/duty.go
@@ -172,10 +172,10 @@
 	cmds []Cmd
 }
 
-// New makes a host's core.
-func New(self assignment.Member) *Core {
+// New makes the core of a host with a part of a processor: leading takes some.
+func New(self assignment.Member, processor float64) *Core {
 	return &Core{
-		self: self, election: election.New(self.Host, self.Address, self.Incarnation), renewal: renewal.New(self.Host),
+		self: self, election: election.New(self.Host, self.Address, self.Incarnation, processor), renewal: renewal.New(self.Host),
 		table: &assignment.Table{},
 	}
 }
--- a/internal/ownership/duty/world_test.go
+++ b/internal/ownership/duty/world_test.go
@@ -140,7 +140,7 @@
 
 func (wd *world) start(ho *host) {
 	ho.member.Incarnation = uint64(wd.now)
-	ho.core, ho.up, ho.frozen = duty.New(ho.member), true, 0
+	ho.core, ho.up, ho.frozen = duty.New(ho.member, 0.2), true, 0
 	core := ho.core
 	wd.after(time.Duration(wd.rng.Intn(200))*time.Millisecond, func() { wd.poll(ho, core) })
 	wd.tick(ho, core)
--- a/internal/ownership/election/election.go
+++ b/internal/ownership/election/election.go
@@ -25,6 +25,8 @@
 	// stale is how long the row must be unchanged before it is taken over: two
 	// renewals, with the time that a slow store takes.
 	stale = 1700 * time.Millisecond
+	// holdBack is how much longer a host waits that has hardly any processor.
+	holdBack = 250 * time.Millisecond
 	// ActTime is how long after the store confirmed its lead a leader may still
 	// order upstreams: with the time of a call it ends before the row can be
 	// taken over.
@@ -120,9 +122,11 @@
 	claimable bool
 }
 
-// New makes a host's core.
-func New(host ident.Host, address string, incarnation uint64) *Core {
-	jitter := time.Duration(ident.Weight("election", string(host))%300) * time.Millisecond
+// New makes the core of a host with a part of a processor. Hosts with less of
+// it hold back a little longer, so that the row falls to one with more.
+func New(host ident.Host, address string, incarnation uint64, processor float64) *Core {
+	jitter := time.Duration(ident.Weight("election", string(host))%100) * time.Millisecond
+	jitter += time.Duration((1 - min(max(processor, 0), 1)) * float64(holdBack))
 	return &Core{self: Row{Host: host, Address: address, Incarnation: incarnation}, jitter: jitter}
 }
 
@@ -164,6 +168,9 @@
 
 // Update takes one message and returns what to do.
 func (co *Core) Update(now clock.Instant, msg any) Cmd {
+	if co.readAt == 0 {
+		co.readAt = now.Add(co.jitter - readEvery)
+	}
 	switch ms := msg.(type) {
 	case RowMsg:
 		co.busy = false
--- a/internal/serving/permit/queue.go
+++ b/internal/serving/permit/queue.go
@@ -102,7 +102,7 @@
 func (co *Core) poolOutlook(now clock.Instant, ak *ask) (ol Outlook, known bool) {
 	rate, open := 0.0, 0
 	for _, us := range co.upstreams {
-		if us.Service != ak.Service || !us.usable {
+		if !ak.mayUse(us) || !us.usable {
 			continue
 		}
 		known = true
@@ -275,7 +275,7 @@
 	var best *upstream
 	var bestCost time.Duration
 	for _, us := range co.upstreams {
-		if us.Service != ak.Service || us.ID == ak.Avoid || !us.free(now, coldRate) {
+		if !ak.mayUse(us) || us.ID == ak.Avoid || !us.free(now, coldRate) {
 			continue
 		}
 		cost, ok := ak.cost(now, us)
@@ -286,6 +286,11 @@
 	return best
 }
 
+// mayUse tells whether an upstream is of the part that the ask is about.
+func (ak *ask) mayUse(us *upstream) bool {
+	return us.Service == ak.Service && ident.PartOf(us.ID, ak.Parts) == ak.Part
+}
+
 // cost is how long an answer is expected to take, with what crossing domains
 // costs; ok is false while it is worth waiting for an upstream nearby.
 func (ak *ask) cost(now clock.Instant, us *upstream) (time.Duration, bool) {
