--- a/internal/stand/target/target.go
+++ b/internal/stand/target/target.go
@@ -61,7 +61,7 @@
 	Request string
 	At      time.Time
 	Key     int
-	// Alone tells whether the request's key was held, when it began.
+	// Held tells whether the upstream held the request's key when it began.
 	Held bool
 }
 
@@ -81,7 +81,7 @@
 	runs     []Run
 	arrivals int
 	refusals int
-	// perSecond counts the requests in each second while cold.
+	// cold counts the requests in each second while cold.
 	cold    map[int64]int
 	epochs  [1 << 16]uint64
 	until   [1 << 16]time.Time
