Name operators' rows and pending asks plainly

Cause: read as a newcomer would, the code called what operators ask for wishes, and asks for permits by the same word. Ruled out: nothing; names only. Conclusion: no behaviour changes.

--- a/internal/fleet/gateway/asks.go
+++ b/internal/fleet/gateway/asks.go
@@ -65,8 +65,8 @@
 	done  talk.Done
 }
 
-// wish is an ask that waits for its end.
-type wish struct {
+// pendingAsk is an ask that waits for its end.
+type pendingAsk struct {
 	ask      talk.Ask
 	reply    chan result
 	began    clock.Instant
@@ -79,8 +79,8 @@
 	objected clock.Instant
 }
 
-// giving is a permit on its way back.
-type giving struct {
+// pendingReturn is a permit on its way back.
+type pendingReturn struct {
 	done    talk.Done
 	address string
 	tries   int
@@ -93,15 +93,15 @@
 	gw      *Gateway
 	ticket  atomic.Uint64
 	open    atomic.Int64
-	wishes  map[talk.Ticket]*wish
-	givings map[talk.Ticket]*giving
+	pending map[talk.Ticket]*pendingAsk
+	returns map[talk.Ticket]*pendingReturn
 	suspect map[ident.Host]clock.Instant
 	hosts   map[ident.Host]netip.AddrPort
 }
 
 func newAsks(gw *Gateway) asks {
 	return asks{
-		gw: gw, wishes: map[talk.Ticket]*wish{}, givings: map[talk.Ticket]*giving{},
+		gw: gw, pending: map[talk.Ticket]*pendingAsk{}, returns: map[talk.Ticket]*pendingReturn{},
 		suspect: map[ident.Host]clock.Instant{}, hosts: map[ident.Host]netip.AddrPort{},
 	}
 }
@@ -141,13 +141,13 @@
 
 func (as *asks) begin(ev askEvent) {
 	now := as.gw.clock.Now()
-	ws := &wish{ask: ev.ask, reply: ev.reply, began: now, deadline: now.Add(ev.ask.TimeLeft), objected: now.Add(ev.ask.ObjectiveLeft)}
-	as.wishes[ev.ask.Ticket] = ws
+	ws := &pendingAsk{ask: ev.ask, reply: ev.reply, began: now, deadline: now.Add(ev.ask.TimeLeft), objected: now.Add(ev.ask.ObjectiveLeft)}
+	as.pending[ev.ask.Ticket] = ws
 	as.find(now, ws)
 }
 
 // find asks the next holder, or this host's own core if none is left.
-func (as *asks) find(now clock.Instant, ws *wish) {
+func (as *asks) find(now clock.Instant, ws *pendingAsk) {
 	ws.tries = 0
 	as.choosePart(ws)
 	ws.holder, ws.address = as.gw.self.Host, ""
@@ -157,8 +157,8 @@
 	as.ask(now, ws)
 }
 
-// ask sends a wish to its holder.
-func (as *asks) ask(now clock.Instant, ws *wish) {
+// ask sends an ask to its holder.
+func (as *asks) ask(now clock.Instant, ws *pendingAsk) {
 	ws.tries++
 	ws.nextAt = now.Add(replyTime)
 	ws.ask.TimeLeft, ws.ask.ObjectiveLeft = ws.deadline.Sub(now), ws.objected.Sub(now)
@@ -170,9 +170,9 @@
 	as.gw.transmit(ws.address, ws.ask)
 }
 
-// choosePart says which part of its service's upstreams a wish is about: that
+// choosePart says which part of its service's upstreams an ask is about: that
 // of its key's owner, else each part in turn.
-func (as *asks) choosePart(ws *wish) {
+func (as *asks) choosePart(ws *pendingAsk) {
 	ws.ask.Parts = (as.gw.upstreams[ws.ask.Service] + partUpstreams - 1) / partUpstreams
 	if !ws.ask.Keyed {
 		ws.ask.Part = int(ws.ask.Ticket) % max(ws.ask.Parts, 1)
@@ -188,7 +188,7 @@
 
 // holder is the member that hands out the permits of a part of a service,
 // chosen alike by all hosts; those that did not answer lately are passed over.
-func (as *asks) holder(now clock.Instant, ws *wish) (ident.Host, string) {
+func (as *asks) holder(now clock.Instant, ws *pendingAsk) (ident.Host, string) {
 	var best *assignment.Member
 	var bestWeight uint64
 	pool := "permits/" + string(ws.ask.Service) + "/" + strconv.Itoa(ws.ask.Part)
@@ -210,7 +210,7 @@
 
 // tick repeats what got no answer.
 func (as *asks) tick(now clock.Instant) {
-	for _, ws := range as.wishes {
+	for _, ws := range as.pending {
 		if now < ws.nextAt {
 			continue
 		}
@@ -226,33 +226,33 @@
 			as.find(now, ws)
 		}
 	}
-	for ticket, gv := range as.givings {
+	for ticket, gv := range as.returns {
 		if now < gv.nextAt {
 			continue
 		}
 		if gv.tries >= doneTries {
-			delete(as.givings, ticket)
+			delete(as.returns, ticket)
 			continue
 		}
-		as.giveBack(now, gv)
+		as.sendBack(now, gv)
 	}
 }
 
 func (as *asks) next() clock.Instant {
 	next := clock.Never
-	for _, ws := range as.wishes {
+	for _, ws := range as.pending {
 		next = min(next, ws.nextAt)
 	}
-	for _, gv := range as.givings {
+	for _, gv := range as.returns {
 		next = min(next, gv.nextAt)
 	}
 	return next
 }
 
-// current finds the wish that a holder's word is about. One that was passed
+// current finds the ask that a holder's word is about. One that was passed
 // over may still answer; its permit goes back.
-func (as *asks) current(from string, ticket talk.Ticket) (*wish, bool) {
-	ws, known := as.wishes[ticket]
+func (as *asks) current(from string, ticket talk.Ticket) (*pendingAsk, bool) {
+	ws, known := as.pending[ticket]
 	return ws, known && ws.address == from
 }
 
@@ -260,7 +260,7 @@
 func (as *asks) permitted(now clock.Instant, from string, pm talk.Permit) {
 	ws, ok := as.current(from, pm.Ticket)
 	if !ok {
-		if _, back := as.givings[pm.Ticket]; !back && as.wishes[pm.Ticket] == nil {
+		if _, back := as.returns[pm.Ticket]; !back && as.pending[pm.Ticket] == nil {
 			as.returnUnused(now, from, pm)
 		}
 		return
@@ -270,14 +270,14 @@
 
 // returnUnused gives back a permit that nobody waits for.
 func (as *asks) returnUnused(now clock.Instant, address string, pm talk.Permit) {
-	gv := &giving{address: address, done: talk.Done{
+	gv := &pendingReturn{address: address, done: talk.Done{
 		Host: as.gw.self.Host, Incarnation: as.gw.self.Incarnation, Ticket: pm.Ticket, Upstream: pm.Upstream, Outcome: uint8(permit.Withdrawn),
 	}}
-	as.givings[pm.Ticket] = gv
-	as.giveBack(now, gv)
+	as.returns[pm.Ticket] = gv
+	as.sendBack(now, gv)
 }
 
-func (as *asks) grant(now clock.Instant, ws *wish, pm talk.Permit) {
+func (as *asks) grant(now clock.Instant, ws *pendingAsk, pm talk.Permit) {
 	pl, known := (*as.gw.places.Load())[pm.Upstream]
 	if !known || now >= pl.refuseAt {
 		as.again(now, ws, pm)
@@ -287,8 +287,8 @@
 }
 
 // again gives back a permit that cannot be used here and asks once more.
-func (as *asks) again(now clock.Instant, ws *wish, pm talk.Permit) {
-	delete(as.wishes, ws.ask.Ticket)
+func (as *asks) again(now clock.Instant, ws *pendingAsk, pm talk.Permit) {
+	delete(as.pending, ws.ask.Ticket)
 	as.release(releaseEvent{
 		grant: journey.Grant{Permit: pm, Holder: ws.holder, Address: ws.address},
 		done:  talk.Done{Service: ws.ask.Service, Upstream: pm.Upstream, Outcome: uint8(permit.Withdrawn)},
@@ -296,7 +296,7 @@
 	ws.ask.Ticket = talk.Ticket(as.ticket.Add(1))
 	ws.ask.Avoid = pm.Upstream
 	ws.tries, ws.nextAt = 0, now.Add(unusableRetry)
-	as.wishes[ws.ask.Ticket] = ws
+	as.pending[ws.ask.Ticket] = ws
 }
 
 func (as *asks) refused(from string, rf talk.Refusal) {
@@ -316,7 +316,7 @@
 	now := as.gw.clock.Now()
 	switch ms := msg.(type) {
 	case talk.Permit:
-		ws, known := as.wishes[ms.Ticket]
+		ws, known := as.pending[ms.Ticket]
 		if !known || ws.holder != as.gw.self.Host {
 			as.release(releaseEvent{
 				grant: journey.Grant{Permit: ms, Holder: as.gw.self.Host},
@@ -332,14 +332,14 @@
 	}
 }
 
-func (as *asks) end(ws *wish, rs result) {
-	delete(as.wishes, ws.ask.Ticket)
+func (as *asks) end(ws *pendingAsk, rs result) {
+	delete(as.pending, ws.ask.Ticket)
 	ws.reply <- rs
 }
 
 // withdraw ends an ask whose caller left.
 func (as *asks) withdraw(ev withdrawEvent) {
-	ws, waiting := as.wishes[ev.ticket]
+	ws, waiting := as.pending[ev.ticket]
 	if !waiting {
 		// Its end crossed the caller's leaving.
 		select {
@@ -351,7 +351,7 @@
 		}
 		return
 	}
-	delete(as.wishes, ev.ticket)
+	delete(as.pending, ev.ticket)
 	as.release(releaseEvent{
 		grant: journey.Grant{Permit: talk.Permit{Ticket: ev.ticket}, Holder: ws.holder},
 		done:  talk.Done{Service: ws.ask.Service, Outcome: uint8(permit.Withdrawn)},
@@ -371,18 +371,18 @@
 	if !known {
 		return
 	}
-	gv := &giving{done: dn, address: mb.Address}
-	as.givings[dn.Ticket] = gv
-	as.giveBack(now, gv)
+	gv := &pendingReturn{done: dn, address: mb.Address}
+	as.returns[dn.Ticket] = gv
+	as.sendBack(now, gv)
 }
 
-func (as *asks) giveBack(now clock.Instant, gv *giving) {
+func (as *asks) sendBack(now clock.Instant, gv *pendingReturn) {
 	gv.tries++
 	gv.nextAt = now.Add(replyTime)
 	as.gw.transmit(gv.address, gv.done)
 }
 
-func (as *asks) doneSeen(ticket talk.Ticket) { delete(as.givings, ticket) }
+func (as *asks) doneSeen(ticket talk.Ticket) { delete(as.returns, ticket) }
 
 // remember notes where a host's asks come from.
 func (as *asks) remember(host ident.Host, from netip.AddrPort) { as.hosts[host] = from }
--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -83,11 +83,11 @@
 	confirmedAt atomic.Int64
 	// ledAt is when the store last confirmed this host's lead.
 	ledAt atomic.Int64
-	// newsAt is when the entries were read that a leader vouches for, wishesAt
+	// newsAt is when the entries were read that a leader vouches for, operatorAt
 	// the store's version up to which the operators' rows are known.
-	newsAt   atomic.Int64
-	wishesAt atomic.Uint64
-	leading  atomic.Bool
+	newsAt     atomic.Int64
+	operatorAt atomic.Uint64
+	leading    atomic.Bool
 	// longWatch tells that the watch of the operators' rows counts on a leader.
 	longWatch atomic.Bool
 	nudge     chan struct{}
@@ -99,7 +99,7 @@
 
 	// What follows belongs to the loop.
 	book      *roster.Book
-	wishes    platform.Wishes
+	operators platform.OperatorState
 	coldAgain map[ident.Domain]clock.Instant
 	// evacuated tells since when domains are to get nothing.
 	evacuated map[ident.Domain]clock.Instant
@@ -162,7 +162,7 @@
 		"domain": gw.self.Domain, "incarnation": gw.self.Incarnation, "callers": gw.cf.Settings.Callers, "store": gw.cf.Settings.Store,
 	})
 	tasks := []func(){
-		gw.run, gw.receive, gw.watchWishes, gw.pollUpstreams,
+		gw.run, gw.receive, gw.watchOperators, gw.pollUpstreams,
 		func() { gw.serve(gw.callers, callers) },
 		func() { gw.serve(gw.ready, ready) },
 	}
--- a/internal/fleet/gateway/loop.go
+++ b/internal/fleet/gateway/loop.go
@@ -58,8 +58,8 @@
 
 func (gw *Gateway) handle(ev any) {
 	switch ev := ev.(type) {
-	case wishesEvent:
-		gw.wished(ev)
+	case operatorEvent:
+		gw.operatorsChanged(ev)
 	case rosterEvent:
 		gw.read(ev)
 	case againEvent:
@@ -85,7 +85,7 @@
 	gw.own(duty.TickMsg{})
 	if gw.longWatch.Load() && !gw.led() {
 		gw.longWatch.Store(false)
-		gw.nudgeWishes("leaderSilent")
+		gw.rereadOperators("leaderSilent")
 	}
 	gw.permit(permit.TickMsg{})
 	gw.asks.tick(now)
@@ -97,28 +97,28 @@
 	return min(gw.duty.Next(now), gw.permits.Next(now), gw.asks.next())
 }
 
-// wished takes what the operators want.
-func (gw *Gateway) wished(ev wishesEvent) {
+// operatorsChanged takes what the operators want.
+func (gw *Gateway) operatorsChanged(ev operatorEvent) {
 	if ev.err != nil {
 		gw.cf.Journal.Problem("desiredStateMalformed", ev.err, journal.Fields{"kept": gw.version()})
 	}
 	now := gw.clock.Now()
-	for dm := range gw.wishes.Evacuated {
-		if !ev.wishes.Evacuated[dm] {
+	for dm := range gw.operators.Evacuated {
+		if !ev.state.Evacuated[dm] {
 			gw.coldAgain[dm] = now.Add(coldAgainTime)
 			delete(gw.evacuated, dm)
 			gw.cf.Journal.Event("domainTakenBack", journal.Fields{"domain": dm})
 		}
 	}
-	for dm := range ev.wishes.Evacuated {
-		if !gw.wishes.Evacuated[dm] {
+	for dm := range ev.state.Evacuated {
+		if !gw.operators.Evacuated[dm] {
 			gw.evacuated[dm] = now
 			gw.cf.Journal.Event("domainEvacuated", journal.Fields{"domain": dm})
 		}
 	}
-	gw.wishes.Evacuated = ev.wishes.Evacuated
-	gw.news.wishesAt = max(gw.news.wishesAt, ev.changedAt)
-	if st := ev.wishes.Desired; st != nil && (gw.state.Load() == nil || st.Version > gw.state.Load().Version) {
+	gw.operators.Evacuated = ev.state.Evacuated
+	gw.news.operatorAt = max(gw.news.operatorAt, ev.changedAt)
+	if st := ev.state.Desired; st != nil && (gw.state.Load() == nil || st.Version > gw.state.Load().Version) {
 		gw.state.Store(st)
 		gw.cf.Journal.Event("desiredState", journal.Fields{"version": st.Version, "routes": st.Routes(), "services": len(st.Services)})
 		gw.cf.Metrics.version(st.Version)
@@ -188,7 +188,7 @@
 		if !known {
 			return
 		}
-		evacuated := gw.wishes.Evacuated[up.Domain]
+		evacuated := gw.operators.Evacuated[up.Domain]
 		coldUntil := max(up.ColdUntil, gw.coldAgain[up.Domain])
 		refuseAt := gw.refuseAt(up, sv.Keyed, evacuated)
 		domains[up.ID] = up.Domain
--- a/internal/fleet/gateway/news.go
+++ b/internal/fleet/gateway/news.go
@@ -23,16 +23,16 @@
 	readAt   clock.Instant
 	digest   uint64
 	// changedAt is the store's version at which they differed last.
-	changedAt uint64
-	wishesAt  uint64
-	// behindSince is since when the leader knows newer wishes.
+	changedAt  uint64
+	operatorAt uint64
+	// behindSince is since when the leader knows newer rows of the operators.
 	behindSince clock.Instant
 	parts       []talk.Roster
 }
 
 // word is what the leader says of its knowledge.
 func (ns *news) word(now clock.Instant) talk.News {
-	return talk.News{RosterAt: ns.changedAt, RosterAge: now.Sub(ns.readAt), WishesAt: ns.wishesAt}
+	return talk.News{RosterAt: ns.changedAt, RosterAge: now.Sub(ns.readAt), OperatorAt: ns.operatorAt}
 }
 
 // sendBeat sends a sign of the lead, and the entries to a host that lacks them.
@@ -128,7 +128,7 @@
 		ns.readAt = max(ns.readAt, now.Add(-bt.RosterAge))
 		gw.newsAt.Store(int64(ns.readAt))
 	}
-	if bt.WishesAt <= gw.wishesAt.Load() {
+	if bt.OperatorAt <= gw.operatorAt.Load() {
 		ns.behindSince = 0
 		return
 	}
@@ -137,15 +137,15 @@
 	}
 	if now.Sub(ns.behindSince) >= nudgeTime {
 		ns.behindSince = now.Add(time.Second)
-		gw.nudgeWishes("leaderKnowsNewer")
+		gw.rereadOperators("leaderKnowsNewer")
 	}
 }
 
-// nudgeWishes lets the operators' rows be read at once.
-func (gw *Gateway) nudgeWishes(reason string) {
+// rereadOperators lets the operators' rows be read at once.
+func (gw *Gateway) rereadOperators(reason string) {
 	select {
 	case gw.nudge <- struct{}{}:
-		gw.cf.Journal.Event("wishesReadAgain", map[string]any{"reason": reason, "version": gw.wishesAt.Load()})
+		gw.cf.Journal.Event("operatorRowsReadAgain", map[string]any{"reason": reason, "version": gw.operatorAt.Load()})
 	default:
 	}
 }
--- a/internal/fleet/gateway/store.go
+++ b/internal/fleet/gateway/store.go
@@ -48,9 +48,9 @@
 	awayTime = 1500 * time.Millisecond
 )
 
-// wishesEvent brings what the operators want.
-type wishesEvent struct {
-	wishes platform.Wishes
+// operatorEvent brings what the operators want.
+type operatorEvent struct {
+	state platform.OperatorState
 	// changedAt is the version of the newest row.
 	changedAt uint64
 	err       error
@@ -88,9 +88,9 @@
 	err     error
 }
 
-// watchWishes follows the operators' rows. A nudge says that they have to be
+// watchOperators follows the operators' rows. A nudge says that they have to be
 // read at once: a watch may have gone silent.
-func (gw *Gateway) watchWishes() {
+func (gw *Gateway) watchOperators() {
 	rows := map[string]platform.Row{}
 	var version platform.Version
 	known, lost := false, false
@@ -99,7 +99,7 @@
 		if known {
 			go gw.watch(version, answer)
 		} else {
-			go gw.readWishes(answer)
+			go gw.readOperators(answer)
 		}
 		var ch change
 		select {
@@ -127,14 +127,14 @@
 			clear(rows)
 		}
 		if len(ch.rows) > 0 || !known {
-			gw.wish(rows, ch)
+			gw.applyOperatorRows(rows, ch)
 		}
 		version, known, lost = max(version, ch.version), true, false
-		gw.wishesAt.Store(uint64(version))
+		gw.operatorAt.Store(uint64(version))
 	}
 }
 
-func (gw *Gateway) readWishes(answer chan<- change) {
+func (gw *Gateway) readOperators(answer chan<- change) {
 	rows, version, err := gw.store.Read(platform.OperatorTable, "", time.Now().Add(readTime))
 	answer <- change{rows, version, err}
 }
@@ -156,8 +156,8 @@
 	return gw.clock.Now().Sub(clock.Instant(gw.newsAt.Load())) < newsTime
 }
 
-// wish applies changed operator rows and passes on what they ask for.
-func (gw *Gateway) wish(rows map[string]platform.Row, ch change) {
+// applyOperatorRows applies changed operator rows and passes on what they ask for.
+func (gw *Gateway) applyOperatorRows(rows map[string]platform.Row, ch change) {
 	changedAt := uint64(0)
 	for _, rw := range ch.rows {
 		changedAt = max(changedAt, uint64(rw.Version))
@@ -171,8 +171,8 @@
 	for _, rw := range rows {
 		all = append(all, rw)
 	}
-	wishes, err := platform.DecodeWishes(all)
-	gw.send(wishesEvent{wishes, changedAt, err})
+	state, err := platform.DecodeOperatorState(all)
+	gw.send(operatorEvent{state, changedAt, err})
 }
 
 // pollUpstreams reads the upstreams' entries again and again.
--- a/internal/fleet/talk/message.go
+++ b/internal/fleet/talk/message.go
@@ -21,7 +21,7 @@
 // Term numbers the leaders.
 type Term uint64
 
-// Ticket names one wish for a permit; it is unique per host and incarnation.
+// Ticket names one ask for a permit; it is unique per host and incarnation.
 type Ticket uint64
 
 // Msg is a message between hosts.
@@ -79,8 +79,8 @@
 	// last, RosterAge how long ago they were read.
 	RosterAt  uint64
 	RosterAge time.Duration
-	// WishesAt is the store's version at which the operators' rows changed last.
-	WishesAt uint64
+	// OperatorAt is the store's version at which the operators' rows changed last.
+	OperatorAt uint64
 }
 
 // Roster carries a part of the upstreams' entries as the leader read them.
@@ -218,7 +218,7 @@
 	field(cd, &ms.RowAt)
 	field(cd, &ms.RosterAt)
 	span(cd, &ms.RosterAge)
-	field(cd, &ms.WishesAt)
+	field(cd, &ms.OperatorAt)
 }
 
 func (ms *View) code(cd *coder) {
--- a/internal/fleet/talk/talk_test.go
+++ b/internal/fleet/talk/talk_test.go
@@ -13,7 +13,7 @@
 )
 
 func messages() map[string]talk.Msg {
-	beat := talk.Beat{Term: 3, Leader: "a", Revision: 9, StoreAge: 20 * time.Millisecond, RowAt: 7, News: talk.News{RosterAt: 5, RosterAge: time.Second, WishesAt: 4}}
+	beat := talk.Beat{Term: 3, Leader: "a", Revision: 9, StoreAge: 20 * time.Millisecond, RowAt: 7, News: talk.News{RosterAt: 5, RosterAge: time.Second, OperatorAt: 4}}
 	return map[string]talk.Msg{
 		"status": talk.Status{
 			Member: assignment.Member{Host: "a", Domain: "d", Address: "10.0.0.1:7540", Incarnation: 1 << 60, Alive: true}, Term: 3, Revision: 9, Stopping: true, RosterAt: 5,
--- a/internal/serving/permit/permit.go
+++ b/internal/serving/permit/permit.go
@@ -48,7 +48,7 @@
 	return [...]string{"answered", "failed", "refused", "disowned", "unreached", "broken", "timedOut", "withdrawn"}[oc]
 }
 
-// AskMsg is a wish for a permit.
+// AskMsg is a request for a permit.
 type AskMsg struct{ Ask talk.Ask }
 
 // DoneMsg gives a permit back or withdraws an ask.
@@ -119,7 +119,7 @@
 	ticket      talk.Ticket
 }
 
-// ask is a wish for a permit from its arrival to its end.
+// ask is a request for a permit from its arrival to its end.
 type ask struct {
 	talk.Ask
 	id      holderID
