Put a test's bound of 15 s back and find a silent leader sooner

Cause: read again, the bound of a test had been let out to 15.9 s when holding back smaller hosts made takeovers slower. The fault was the takeover: the row is now read 0.9 s after the leader's last sign, two signs missed, in place of 1.1 s. Ruled out: keeping the wider bound; nothing states it. Before: fails at 15 s; after: passes.

--- a/internal/ownership/duty/duty_test.go
+++ b/internal/ownership/duty/duty_test.go
@@ -8,9 +8,6 @@
 
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
-
-	"chervilwalk/internal/ownership/election"
-	"chervilwalk/internal/ownership/renewal"
 )
 
 // tail is the end of the world's log, for a failure's report.
@@ -42,9 +39,6 @@
 		}
 		return wd.hosts[0]
 	}
-	// takeover is how long a host may go on without being heard, be read about
-	// and leave its row unchanged before another leads.
-	const takeover = 3500 * time.Millisecond
 	cases := map[string]struct {
 		play func(wd *world)
 		// within is when all keys have an owner again.
@@ -61,7 +55,7 @@
 		"a host is lost for good, then an upstream": {func(wd *world) {
 			wd.kill(leaderOf(wd))
 			wd.after(2500*time.Millisecond, func() { wd.upstreams[0].up, wd.upstreams[0].downAt = false, wd.now })
-		}, takeover + election.LeadTime + renewal.ConfirmTime + renewal.CallTime + renewal.Hold + time.Second},
+		}, 15 * time.Second},
 		"a domain is cut off": {func(wd *world) {
 			wd.cutDomain = "b"
 			wd.after(6*time.Second, func() { wd.cutDomain, wd.healedAt = "", wd.now })
--- a/internal/ownership/election/election.go
+++ b/internal/ownership/election/election.go
@@ -19,7 +19,7 @@
 	// renewEvery is the time between two renewals of the row.
 	renewEvery = 500 * time.Millisecond
 	// silence is how long no leader is heard before the row is read.
-	silence = 1100 * time.Millisecond
+	silence = 900 * time.Millisecond
 	// readEvery is the time between reads while no leader is heard.
 	readEvery = 450 * time.Millisecond
 	// stale is how long the row must be unchanged before it is taken over: two
