--- a/cmd/chervilwalk/bundle.go
+++ b/cmd/chervilwalk/bundle.go
@@ -8,7 +8,7 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/rotisserie/eris"
 
-	"chervilwalk/internal/operations/bundle"
+	"chervilwalk/internal/catalog/bundle"
 	"chervilwalk/internal/operations/keyfile"
 )
 
@@ -110,7 +110,7 @@
 	}
 	fmt.Printf("private key: %s (keep it; mode 0600)\n", kc.Out)
 	fmt.Printf("for trustedKeys of a bundle:\n  - {name: %s, public: %s}\n", ky.Name, ky.Public())
-	fmt.Printf("for a node:\n  --trusted-key %s=%s\n", ky.Name, ky.Public())
+	fmt.Printf("for each host:\n  --trusted-key %s=%s\n", ky.Name, ky.Public())
 	return nil
 }
 
--- a/cmd/chervilwalk/bundleaccept.go
+++ b/cmd/chervilwalk/bundleaccept.go
@@ -9,37 +9,31 @@
 
 	"github.com/rotisserie/eris"
 
-	"chervilwalk/internal/fleet/inner"
+	"chervilwalk/internal/catalog/bundle"
 	"chervilwalk/internal/operations/acceptance"
-	"chervilwalk/internal/operations/bundle"
-	"chervilwalk/internal/platform/client"
+	"chervilwalk/platform"
 )
 
-// anyVersion is above every version, so that a node answers without its body.
-const anyVersion = bundle.Version(1 << 63)
-
 // platformOption is how a command reaches the platform.
 type platformOption struct {
-	Platform string        `long:"platform" env:"CHERVILWALK_PLATFORM" required:"true" description:"IP and port of the platform"`
+	Platform string        `long:"platform" env:"CHERVILWALK_PLATFORM" required:"true" description:"IP and port of the platform's store"`
 	Timeout  time.Duration `long:"timeout" default:"10s" description:"Time for the whole command"`
 }
 
 // shelf opens the place of accepted bundles for the time of a command.
 func (po *platformOption) shelf() (context.Context, acceptance.Shelf, func()) {
 	ctx, cancel := context.WithTimeout(context.Background(), po.Timeout)
-	cl := client.New(po.Platform)
-	return ctx, acceptance.Shelf{Table: cl, Objects: cl}, func() {
+	db := platform.NewStore(po.Platform, func(string, time.Duration, error) {})
+	return ctx, acceptance.On(db), func() {
 		cancel()
-		cl.Close()
+		db.Close()
 	}
 }
 
-// askInner asks a host's node for the version in force.
-func askInner(ctx context.Context, ho bundle.Host) (bundle.Version, error) {
-	pe := inner.NewPeer(ho.Inner)
-	defer pe.Close()
-	sl, err := pe.FetchBundle(ctx, anyVersion)
-	return sl.Version, err
+// askHost asks a host for the version of the bundle in force.
+func askHost(ctx context.Context, ho bundle.Host) (bundle.Version, error) {
+	dm, err := fetchDump(ctx, ho.Admin)
+	return bundle.Version(dm.DesiredVersion), err
 }
 
 // acceptCommand accepts a signed bundle.
@@ -81,7 +75,7 @@
 	if !wait {
 		return nil
 	}
-	states, all := acceptance.Await(ctx, accepted.Bundle, askInner)
+	states, all := acceptance.Await(ctx, accepted.Bundle, askHost)
 	return reportHosts(accepted.Bundle, states, all)
 }
 
@@ -91,7 +85,7 @@
 	for _, hs := range states {
 		switch {
 		case hs.Err != nil:
-			fmt.Printf("not reached: %s (%s)\n", hs.Host.Name, hs.Host.Inner)
+			fmt.Printf("not reached: %s (%s)\n", hs.Host.Name, hs.Host.Admin)
 		case hs.Version < bn.Version:
 			fmt.Printf("still on bundle %d: %s\n", hs.Version, hs.Host.Name)
 		default:
@@ -174,7 +168,7 @@
 	fmt.Printf("accepted: %s; signed with key %q\n", summary(ac.Bundle), ac.Seal.Key)
 	tw := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
 	_, _ = fmt.Fprintln(tw, "host\tdomain\tservice\tin force")
-	for _, hs := range acceptance.Survey(ctx, ac.Bundle, askInner) {
+	for _, hs := range acceptance.Survey(ctx, ac.Bundle, askHost) {
 		version := fmt.Sprint(hs.Version)
 		if hs.Err != nil {
 			version = "not reached"
@@ -186,7 +180,7 @@
 
 // serviceState says whether the bundle has a host in service.
 func serviceState(bn *bundle.Bundle, ho bundle.Host) string {
-	ef, _ := bundle.Effective(bn, nil).Host(ho.Name)
+	ef, _ := bundle.Effective(bn).Host(ho.Name)
 	if ef.Out {
 		return "out"
 	}
--- a/cmd/chervilwalk/domain.go
+++ b/cmd/chervilwalk/domain.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/jessevdk/go-flags"
 
-	"chervilwalk/internal/operations/bundle"
+	"chervilwalk/internal/catalog/bundle"
 )
 
 // addDomain registers the commands that take failure domains out and in.
@@ -16,7 +16,6 @@
 // domainOutCommand takes a domain out.
 type domainOutCommand struct {
 	editOption
-	Dark bool `long:"declare-dark" description:"State that nothing runs in the domain any more, so that the others need not wait for it"`
 	Args struct {
 		Name string `positional-arg-name:"DOMAIN" required:"true"`
 	} `positional-args:"true"`
@@ -24,7 +23,7 @@
 
 // Execute implements flags.Commander.
 func (dc *domainOutCommand) Execute([]string) error {
-	return dc.run([]bundle.Edit{{Target: bundle.DomainTarget, Name: dc.Args.Name, Out: true, Dark: dc.Dark}})
+	return dc.run([]bundle.Edit{{Target: bundle.DomainTarget, Name: dc.Args.Name, Out: true}})
 }
 
 // domainInCommand takes a domain back in.
--- a/cmd/chervilwalk/dump.go
+++ b/cmd/chervilwalk/dump.go
@@ -2,25 +2,23 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/rotisserie/eris"
 
-	"chervilwalk/internal/fleet/node"
-	"chervilwalk/internal/operations/dump"
+	"chervilwalk/internal/fleet/gateway"
 )
 
-// maxDumpBytes bounds a node's answer.
+// maxDumpBytes bounds a host's answer.
 const maxDumpBytes = 64 << 20
 
-// dumpCommand shows the state of one node.
+// dumpCommand shows the state of one host's process.
 type dumpCommand struct {
-	Admin   string        `long:"admin" env:"CHERVILWALK_ADMIN" default:"127.0.0.1:7200" description:"The node's IP and port for operators"`
-	JSON    bool          `long:"json" description:"Print JSON"`
+	Admin   string        `long:"admin" env:"CHERVILWALK_ADMIN" required:"true" description:"IP and port of the host's metrics"`
 	Timeout time.Duration `long:"timeout" default:"5s" description:"Time for the whole command"`
 }
 
@@ -28,34 +26,35 @@
 func (dc *dumpCommand) Execute([]string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), dc.Timeout)
 	defer cancel()
-	data, err := fetchDump(ctx, dc.Admin)
+	dm, err := fetchDump(ctx, dc.Admin)
 	if err != nil {
 		return err
 	}
-	if dc.JSON {
-		_, err = os.Stdout.Write(data)
-		return err
-	}
-	sn, err := dump.Decode(data)
+	text, err := json.MarshalIndent(dm, "", "  ")
 	if err != nil {
-		return err
+		return eris.Wrap(err, "dump")
 	}
-	fmt.Print(dump.Text(sn))
+	fmt.Println(string(text))
 	return nil
 }
 
-func fetchDump(ctx context.Context, admin string) ([]byte, error) {
-	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+admin+node.DumpPath, nil)
+func fetchDump(ctx context.Context, admin string) (gateway.Dump, error) {
+	var dm gateway.Dump
+	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+admin+gateway.DumpPath, nil)
 	if err != nil {
-		return nil, err
+		return dm, eris.Wrapf(err, "address %q: write IP:PORT of the host's metrics", admin)
 	}
 	rs, err := http.DefaultClient.Do(rq)
 	if err != nil {
-		return nil, eris.Wrap(err, "the node does not answer on its --admin address")
+		return dm, eris.Wrap(err, "the host does not answer at the address of its metrics")
 	}
 	defer func() { _ = rs.Body.Close() }()
 	if rs.StatusCode != http.StatusOK {
-		return nil, eris.Errorf("the node answered with status %d", rs.StatusCode)
+		return dm, eris.Errorf("the host answered with status %d", rs.StatusCode)
+	}
+	body, err := io.ReadAll(io.LimitReader(rs.Body, maxDumpBytes))
+	if err != nil {
+		return dm, eris.Wrap(err, "the host's answer broke off")
 	}
-	return io.ReadAll(io.LimitReader(rs.Body, maxDumpBytes))
+	return dm, eris.Wrap(json.Unmarshal(body, &dm), "the host's answer")
 }
--- a/cmd/chervilwalk/front.go
+++ b/cmd/chervilwalk/front.go
@@ -6,6 +6,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"chervilwalk/internal/catalog/bundle"
 	"chervilwalk/internal/fleet/gateway"
 	"chervilwalk/internal/operations/journal"
 	"chervilwalk/platform"
@@ -21,7 +22,8 @@
 
 // frontCommand runs the gateway of one of the platform's machines.
 type frontCommand struct {
-	Settings string `long:"settings" env:"CHERVILWALK_NODE_FILE" required:"true" description:"Path of the platform's settings file"`
+	Settings string   `long:"settings" env:"CHERVILWALK_NODE_FILE" required:"true" description:"Path of the platform's settings file"`
+	Trusted  []string `long:"trusted-key" env:"CHERVILWALK_TRUSTED_KEYS" env-delim:"," description:"NAME=BASE64 of a key that signs bundles, as bundle keygen prints it; without any the platform's operators state what is in force"`
 }
 
 // Execute implements flags.Commander.
@@ -32,9 +34,13 @@
 	if err != nil {
 		return err
 	}
+	trusted, err := bundle.ParseKeys(fc.Trusted)
+	if err != nil {
+		return err
+	}
 	jl := journal.New(os.Stdout, string(st.Host))
 	defer jl.Close()
-	gw, err := gateway.Start(gateway.Config{Settings: st, Journal: jl, Metrics: gateway.NewMetrics()})
+	gw, err := gateway.Start(gateway.Config{Settings: st, Journal: jl, Metrics: gateway.NewMetrics(), Trusted: trusted})
 	if err != nil {
 		return err
 	}
--- a/cmd/chervilwalk/host.go
+++ b/cmd/chervilwalk/host.go
@@ -7,8 +7,8 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/rotisserie/eris"
 
+	"chervilwalk/internal/catalog/bundle"
 	"chervilwalk/internal/operations/acceptance"
-	"chervilwalk/internal/operations/bundle"
 	"chervilwalk/internal/operations/keyfile"
 )
 
@@ -43,15 +43,14 @@
 // hostInCommand takes hosts or upstreams back in.
 type hostInCommand struct {
 	editOption
-	FollowCensus bool `long:"follow-census" description:"Let the census take them out again; without it they stay in whatever it says"`
-	Args         struct {
+	Args struct {
 		Names []string `positional-arg-name:"NAME" required:"1"`
 	} `positional-args:"true"`
 }
 
 // Execute implements flags.Commander.
 func (hc *hostInCommand) Execute([]string) error {
-	return hc.run(editsOf(hc.Args.Names, bundle.Edit{FollowCensus: hc.FollowCensus}))
+	return hc.run(editsOf(hc.Args.Names, bundle.Edit{}))
 }
 
 // editsOf repeats an edit for each name.
--- a/cmd/chervilwalk/main.go
+++ b/cmd/chervilwalk/main.go
@@ -1,5 +1,6 @@
-// Command chervilwalk is the router: it runs a node, does the operators' work on
-// bundles, hosts and domains, and tries a whole fleet on loopback.
+// Command chervilwalk is the router: it runs the gateway of a host, does the
+// operators' work on bundles, hosts and domains, and tries whole deployments on
+// loopback.
 package main
 
 import (
@@ -13,13 +14,12 @@
 func main() {
 	pr := flags.NewParser(nil, flags.HelpFlag|flags.PassDoubleDash)
 	pr.Name = "chervilwalk"
-	mustAdd(pr, "front", "Run the gateway of a machine of the platform", &frontCommand{})
-	mustAdd(pr, "node", "Run one node of the router", &nodeCommand{})
+	mustAdd(pr, "front", "Run the gateway of a host", &frontCommand{})
 	addBundle(pr)
 	addHost(pr)
 	addDomain(pr)
-	mustAdd(pr, "dump", "Show the state of a node", &dumpCommand{})
-	mustAdd(pr, "try", "Try a whole fleet on loopback", &tryCommand{})
+	mustAdd(pr, "dump", "Show the state of a host's gateway", &dumpCommand{})
+	mustAdd(pr, "try", "Try two whole deployments on loopback", &tryCommand{})
 	if _, err := pr.Parse(); err != nil {
 		var fe *flags.Error
 		if errors.As(err, &fe) && fe.Type == flags.ErrHelp {
--- a/cmd/chervilwalk/try.go
+++ b/cmd/chervilwalk/try.go
@@ -43,7 +43,7 @@
 	defer stop()
 	trials := []*tried{
 		{name: "mushi", config: deployment.Config{Hosts: 4, Keyed: 6, Orders: 4, Files: 3, Net: 200}},
-		{name: "abrigo", config: deployment.Config{Hosts: 3, Keyed: 6, Orders: 3, Files: 3, Net: 201}},
+		{name: "abrigo", config: deployment.Config{Hosts: 3, Keyed: 6, Orders: 3, Files: 3, Net: 201, Bundles: true}},
 	}
 	var mu sync.Mutex
 	say := func(name, step string, err error) {
--- a/internal/ownership/assignment/assignment.go
+++ b/internal/catalog/assignment/assignment.go
@@ -9,9 +9,9 @@
 import (
 	"slices"
 
-	"chervilwalk/internal/fleet/ident"
-	"chervilwalk/internal/fleet/roster"
-	"chervilwalk/internal/ownership/keyspace"
+	"chervilwalk/internal/base/ident"
+	"chervilwalk/internal/base/keyspace"
+	"chervilwalk/internal/catalog/roster"
 )
 
 // Revision orders tables.
--- a/internal/ownership/assignment/codec.go
+++ b/internal/catalog/assignment/codec.go
@@ -5,9 +5,9 @@
 	"errors"
 	"fmt"
 
-	"chervilwalk/internal/fleet/ident"
-	"chervilwalk/internal/fleet/roster"
-	"chervilwalk/internal/ownership/keyspace"
+	"chervilwalk/internal/base/ident"
+	"chervilwalk/internal/base/keyspace"
+	"chervilwalk/internal/catalog/roster"
 )
 
 // The stored form names each upstream and service once and refers to it by its
--- a/internal/operations/bundle/capacity.go
+++ b/internal/catalog/bundle/capacity.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"chervilwalk/internal/fleet/ident"
+	"chervilwalk/internal/base/ident"
 )
 
 // neededShare is the part of a service's slots, and of the fleet's entry
@@ -42,7 +42,7 @@
 // its total. Half of a fleet may go without force; a service's slots in a
 // domain without an entry host in service count as lost.
 func Losses(before, after *Bundle) []Loss {
-	old, now := capacities(Effective(before, nil)), capacities(Effective(after, nil))
+	old, now := capacities(Effective(before)), capacities(Effective(after))
 	var losses []Loss
 	for _, what := range now.order {
 		ls := Loss{What: what, Total: now.total[what], Before: old.inService[what], After: now.inService[what]}
--- a/internal/operations/bundle/diff.go
+++ b/internal/catalog/bundle/diff.go
@@ -51,20 +51,20 @@
 	fl := &flat{entries: map[string][]flatField{}}
 	fl.add("bundle", "version", bn.Version)
 	for _, dm := range bn.Domains {
-		fl.add("domain "+string(dm.Name), "region", dm.Region, "out", dm.Out, "dark", dm.Dark)
+		fl.add("domain "+string(dm.Name), "region", dm.Region, "out", dm.Out)
 	}
 	for _, ho := range bn.Hosts {
-		fl.add("host "+string(ho.Name), "domain", ho.Domain, "inner", ho.Inner, "out", outWord(ho.Out, ho.HeldIn))
+		fl.add("host "+string(ho.Name), "domain", ho.Domain, "admin", ho.Admin, "out", ho.Out)
 	}
 	for ix := range bn.Services {
 		sv := &bn.Services[ix]
-		fl.add("service "+string(sv.Name), "keyed", sv.Keyed, "key", sv.Key, "slices", sv.Slices,
+		fl.add("service "+string(sv.Name), "keyed", sv.Keyed, "key", sv.Key,
 			"idempotentMethods", strings.Join(sv.IdempotentMethods, ","), "defaultTimeout", sv.DefaultTimeout,
-			"maxTimeout", sv.MaxTimeout, "maxBodyBytes", sv.MaxBodyBytes, "whenCutOff", sv.WhenCutOff, "keepFor", sv.KeepFor, "poolUpstreams", sv.PoolUpstreams)
+			"objective", sv.Objective, "maxTimeout", sv.MaxTimeout, "maxBodyBytes", sv.MaxBodyBytes)
 		for _, up := range sv.Upstreams {
 			fl.add("upstream "+string(up.Name), "service", sv.Name, "domain", up.Domain, "address", up.Address,
-				"slots", up.Slots, "connections", up.Connections, "coldLimit", up.ColdLimit,
-				"checksTokens", up.ChecksTokens, "out", outWord(up.Out, up.HeldIn))
+				"slots", up.Slots, "connections", up.Connections, "coldPerSecond", up.ColdPerSecond,
+				"out", up.Out)
 		}
 	}
 	for _, tk := range bn.TrustedKeys {
@@ -72,15 +72,3 @@
 	}
 	return fl
 }
-
-// outWord is what an entry states of being out; "-" when it states nothing.
-func outWord(out, heldIn bool) string {
-	switch {
-	case out:
-		return "true"
-	case heldIn:
-		return "false"
-	default:
-		return "-"
-	}
-}
--- a/internal/operations/bundle/edit.go
+++ b/internal/catalog/bundle/edit.go
@@ -30,10 +30,6 @@
 	Target Target
 	Name   string
 	Out    bool
-	// Dark declares a domain stopped; only with Out.
-	Dark bool
-	// FollowCensus takes a host back in without overruling the census.
-	FollowCensus bool
 }
 
 // ApplyAll returns the text of the next version with all edits made. Comments
@@ -84,20 +80,12 @@
 	return nil
 }
 
-// change sets or removes the flags of an entry and tells whether any differed.
+// change sets or removes the flag of an entry and tells whether it differed.
 func (ed Edit) change(entry *yaml.Node) bool {
-	switch {
-	case ed.Out:
-		changed := setFlag(entry, "out", "true")
-		return ed.Dark && setFlag(entry, "dark", "true") || changed
-	case ed.Target == DomainTarget:
-		changed := removeField(entry, "out")
-		return removeField(entry, "dark") || changed
-	case ed.FollowCensus:
-		return removeField(entry, "out")
-	default:
-		return setFlag(entry, "out", "false")
+	if ed.Out {
+		return setFlag(entry, "out", "true")
 	}
+	return removeField(entry, "out")
 }
 
 func raiseVersion(root *yaml.Node) error {
--- a/internal/operations/bundle/format.go
+++ b/internal/catalog/bundle/format.go
@@ -19,40 +19,35 @@
 	Name   string `yaml:"name"`
 	Region string `yaml:"region"`
 	Out    bool   `yaml:"out,omitempty"`
-	Dark   bool   `yaml:"dark,omitempty"`
 }
 
 type hostYAML struct {
 	Name   string `yaml:"name"`
 	Domain string `yaml:"domain"`
-	Inner  string `yaml:"inner"`
-	Out    *bool  `yaml:"out,omitempty"`
+	Admin  string `yaml:"admin"`
+	Out    bool   `yaml:"out,omitempty"`
 }
 
 type serviceYAML struct {
 	Name              string         `yaml:"name"`
 	Keyed             bool           `yaml:"keyed,omitempty"`
 	Key               string         `yaml:"key,omitempty"`
-	Slices            uint32         `yaml:"slices,omitempty"`
 	IdempotentMethods []string       `yaml:"idempotentMethods,flow"`
 	DefaultTimeout    time.Duration  `yaml:"defaultTimeout"`
+	Objective         time.Duration  `yaml:"objective,omitempty"`
 	MaxTimeout        time.Duration  `yaml:"maxTimeout"`
 	MaxBodyBytes      int            `yaml:"maxBodyBytes"`
-	WhenCutOff        string         `yaml:"whenCutOff,omitempty"`
-	KeepFor           time.Duration  `yaml:"keepFor,omitempty"`
-	PoolUpstreams     int            `yaml:"poolUpstreams,omitempty"`
 	Upstreams         []upstreamYAML `yaml:"upstreams"`
 }
 
 type upstreamYAML struct {
-	Name         string `yaml:"name"`
-	Domain       string `yaml:"domain"`
-	Address      string `yaml:"address"`
-	Slots        int    `yaml:"slots"`
-	Connections  int    `yaml:"connections"`
-	ColdLimit    int    `yaml:"coldLimit"`
-	ChecksTokens bool   `yaml:"checksTokens,omitempty"`
-	Out          *bool  `yaml:"out,omitempty"`
+	Name          string `yaml:"name"`
+	Domain        string `yaml:"domain"`
+	Address       string `yaml:"address"`
+	Slots         int    `yaml:"slots"`
+	Connections   int    `yaml:"connections"`
+	ColdPerSecond int    `yaml:"coldPerSecond"`
+	Out           bool   `yaml:"out,omitempty"`
 }
 
 type keyYAML struct {
@@ -64,11 +59,11 @@
 func Format(bn *Bundle) ([]byte, error) {
 	fy := fileYAML{Version: uint64(bn.Version)}
 	for _, dm := range bn.Domains {
-		fy.Domains = append(fy.Domains, domainYAML{Name: string(dm.Name), Region: string(dm.Region), Out: dm.Out, Dark: dm.Dark})
+		fy.Domains = append(fy.Domains, domainYAML{Name: string(dm.Name), Region: string(dm.Region), Out: dm.Out})
 	}
 	for _, ho := range bn.Hosts {
 		fy.Hosts = append(fy.Hosts, hostYAML{
-			Name: string(ho.Name), Domain: string(ho.Domain), Inner: ho.Inner, Out: formatOut(ho.Out, ho.HeldIn),
+			Name: string(ho.Name), Domain: string(ho.Domain), Admin: ho.Admin, Out: ho.Out,
 		})
 	}
 	for ix := range bn.Services {
@@ -82,25 +77,16 @@
 
 func formatService(sv *Service) serviceYAML {
 	sy := serviceYAML{
-		Name: string(sv.Name), Keyed: sv.Keyed, Key: string(sv.Key), Slices: sv.Slices,
-		IdempotentMethods: sv.IdempotentMethods, DefaultTimeout: sv.DefaultTimeout, MaxTimeout: sv.MaxTimeout,
-		MaxBodyBytes: sv.MaxBodyBytes, WhenCutOff: string(sv.WhenCutOff), KeepFor: sv.KeepFor,
-		PoolUpstreams: sv.PoolUpstreams,
+		Name: string(sv.Name), Keyed: sv.Keyed, Key: string(sv.Key),
+		IdempotentMethods: sv.IdempotentMethods, DefaultTimeout: sv.DefaultTimeout, Objective: sv.Objective, MaxTimeout: sv.MaxTimeout,
+		MaxBodyBytes: sv.MaxBodyBytes,
 	}
 	for _, up := range sv.Upstreams {
 		sy.Upstreams = append(sy.Upstreams, upstreamYAML{
 			Name: string(up.Name), Domain: string(up.Domain), Address: up.Address, Slots: up.Slots,
-			Connections: up.Connections, ColdLimit: up.ColdLimit, ChecksTokens: up.ChecksTokens,
-			Out: formatOut(up.Out, up.HeldIn),
+			Connections: up.Connections, ColdPerSecond: up.ColdPerSecond,
+			Out: up.Out,
 		})
 	}
 	return sy
 }
-
-// formatOut writes out only when an operator stated it.
-func formatOut(out, heldIn bool) *bool {
-	if !out && !heldIn {
-		return nil
-	}
-	return &out
-}
--- a/internal/operations/bundle/mapping.go
+++ b/internal/catalog/bundle/mapping.go
@@ -119,17 +119,21 @@
 	return number
 }
 
-// flag reads an optional true or false; stated tells whether it was written.
-func (mp *mapping) flag(field string) (value, stated bool) {
+// flag reads an optional true or false.
+func (mp *mapping) flag(field string) bool {
 	text, ok := mp.scalar(field, "true or false")
-	if !ok {
-		return false, false
-	}
-	if text != "true" && text != "false" {
+	if ok && text != "true" && text != "false" {
 		mp.reader.add(mp.at(field), "write true or false", "%s in %s is %q", field, mp.what, text)
-		return false, false
 	}
-	return text == "true", true
+	return text == "true"
+}
+
+// optionalDuration reads a time that may be left out.
+func (mp *mapping) optionalDuration(field string) time.Duration {
+	if !mp.has(field) {
+		return 0
+	}
+	return mp.duration(field)
 }
 
 // duration reads a required time such as 1500ms or 2s.
--- a/internal/operations/bundle/parse.go
+++ b/internal/catalog/bundle/parse.go
@@ -9,14 +9,12 @@
 
 	"gopkg.in/yaml.v3"
 
-	"chervilwalk/internal/fleet/ident"
+	"chervilwalk/internal/base/ident"
 )
 
 const (
 	// MaxBodyBytes bounds a bundle's text.
 	MaxBodyBytes = 8 << 20
-	// MaxSlices bounds the parts of one service's key space.
-	MaxSlices = 1 << 16
 	// maxNameBytes bounds every name.
 	maxNameBytes = 63
 	// maxSlots bounds the slots and connections of one upstream.
@@ -125,26 +123,21 @@
 }
 
 func (rd *reader) domain(nd *yaml.Node) Domain {
-	mp := rd.mapping(nd, "a domain", "name", "region", "out", "dark")
+	mp := rd.mapping(nd, "a domain", "name", "region", "out")
 	dm := Domain{Name: ident.Domain(mp.name("name")), Region: ident.Region(mp.name("region"))}
-	dm.Out, _ = mp.flag("out")
-	dm.Dark, _ = mp.flag("dark")
+	dm.Out = mp.flag("out")
 	rd.claim(mp.at("name"), "domain name", string(dm.Name))
-	if dm.Dark && !dm.Out {
-		rd.add(mp.at("dark"), "add out: true, or remove dark", "domain %q is declared dark but not out", dm.Name)
-	}
 	return dm
 }
 
 func (rd *reader) host(nd *yaml.Node, bn *Bundle) Host {
-	mp := rd.mapping(nd, "a host", "name", "domain", "inner", "out")
+	mp := rd.mapping(nd, "a host", "name", "domain", "admin", "out")
 	ho := Host{
 		Name:   ident.Host(mp.name("name")),
 		Domain: rd.domainOf(mp, bn),
-		Inner:  rd.address(mp, "inner"),
+		Admin:  rd.address(mp, "admin"),
 	}
-	out, stated := mp.flag("out")
-	ho.Out, ho.HeldIn = out, stated && !out
+	ho.Out = mp.flag("out")
 	rd.claim(mp.at("name"), "host or upstream name", string(ho.Name))
 	return ho
 }
--- a/internal/operations/bundle/parsefleet.go
+++ b/internal/catalog/bundle/parsefleet.go
@@ -8,7 +8,8 @@
 
 	"gopkg.in/yaml.v3"
 
-	"chervilwalk/internal/fleet/ident"
+	"chervilwalk/internal/base/ident"
+	"chervilwalk/internal/catalog/desired"
 )
 
 // address reads an IP number and port that no other entry has.
@@ -30,8 +31,8 @@
 }
 
 var serviceFields = []string{
-	"name", "keyed", "key", "slices", "idempotentMethods", "defaultTimeout", "maxTimeout",
-	"maxBodyBytes", "whenCutOff", "keepFor", "poolUpstreams", "upstreams",
+	"name", "keyed", "key", "idempotentMethods", "defaultTimeout", "objective", "maxTimeout",
+	"maxBodyBytes", "upstreams",
 }
 
 func (rd *reader) service(nd *yaml.Node, bn *Bundle) Service {
@@ -40,17 +41,19 @@
 		Name:              ident.Service(mp.name("name")),
 		IdempotentMethods: rd.methods(mp),
 		DefaultTimeout:    mp.duration("defaultTimeout"),
+		Objective:         mp.optionalDuration("objective"),
 		MaxTimeout:        mp.duration("maxTimeout"),
 		MaxBodyBytes:      int(mp.count("maxBodyBytes", maxRequestBytes)),
 	}
 	rd.claim(mp.at("name"), "service name", string(sv.Name))
-	sv.Keyed, _ = mp.flag("keyed")
+	sv.Keyed = mp.flag("keyed")
 	if sv.MaxTimeout < sv.DefaultTimeout && sv.MaxTimeout > 0 {
 		rd.add(mp.at("maxTimeout"), "raise maxTimeout or lower defaultTimeout",
 			"maxTimeout %s is below defaultTimeout %s", sv.MaxTimeout, sv.DefaultTimeout)
 	}
-	if mp.has("poolUpstreams") {
-		sv.PoolUpstreams = int(mp.count("poolUpstreams", MaxPoolUpstreams))
+	if sv.Objective > sv.DefaultTimeout && sv.DefaultTimeout > 0 {
+		rd.add(mp.at("objective"), "lower objective or raise defaultTimeout",
+			"objective %s is above defaultTimeout %s", sv.Objective, sv.DefaultTimeout)
 	}
 	rd.keyed(mp, &sv)
 	children := mp.list("upstreams")
@@ -66,18 +69,10 @@
 // keyed reads what only keyed services have.
 func (rd *reader) keyed(mp *mapping, sv *Service) {
 	if !sv.Keyed {
-		mp.forbid("remove it, or add keyed: true", "key", "slices", "whenCutOff", "keepFor")
+		mp.forbid("remove it, or add keyed: true", "key")
 		return
 	}
-	sv.Key = KeySource(mp.choice("key", string(KeyInPath), string(KeyInQuery), string(KeyInHeader)))
-	sv.Slices = uint32(mp.count("slices", MaxSlices))
-	sv.WhenCutOff = CutOff(mp.choice("whenCutOff", string(Yield), string(Keep)))
-	switch sv.WhenCutOff {
-	case Keep:
-		sv.KeepFor = mp.duration("keepFor")
-	case Yield:
-		mp.forbid("remove it, or write whenCutOff: keep", "keepFor")
-	}
+	sv.Key = desired.KeySource(mp.choice("key", string(desired.KeyInPath), string(desired.KeyInQuery), string(desired.KeyInHeader)))
 }
 
 // methods reads the idempotent methods: upper-case HTTP methods, none twice.
@@ -95,22 +90,17 @@
 }
 
 func (rd *reader) upstream(nd *yaml.Node, bn *Bundle) Upstream {
-	mp := rd.mapping(nd, "an upstream", "name", "domain", "address", "slots", "connections", "coldLimit", "checksTokens", "out")
+	mp := rd.mapping(nd, "an upstream", "name", "domain", "address", "slots", "connections", "coldPerSecond", "out")
 	up := Upstream{
-		Name:        ident.Upstream(mp.name("name")),
-		Domain:      rd.domainOf(mp, bn),
-		Address:     rd.address(mp, "address"),
-		Slots:       int(mp.count("slots", maxSlots)),
-		Connections: int(mp.count("connections", maxSlots)),
-		ColdLimit:   int(mp.count("coldLimit", maxSlots)),
+		Name:          ident.Upstream(mp.name("name")),
+		Domain:        rd.domainOf(mp, bn),
+		Address:       rd.address(mp, "address"),
+		Slots:         int(mp.count("slots", maxSlots)),
+		Connections:   int(mp.count("connections", maxSlots)),
+		ColdPerSecond: int(mp.count("coldPerSecond", maxSlots)),
+		Out:           mp.flag("out"),
 	}
-	up.ChecksTokens, _ = mp.flag("checksTokens")
-	out, stated := mp.flag("out")
-	up.Out, up.HeldIn = out, stated && !out
 	rd.claim(mp.at("name"), "host or upstream name", string(up.Name))
-	if up.ColdLimit > up.Slots && up.Slots > 0 {
-		rd.add(mp.at("coldLimit"), "write at most the slots", "coldLimit %d is above the %d slots", up.ColdLimit, up.Slots)
-	}
 	if up.Connections < up.Slots && up.Connections > 0 {
 		rd.add(mp.at("connections"), "write at least the slots", "connections %d is below the %d slots", up.Connections, up.Slots)
 	}
--- a/internal/operations/bundle/pointer.go
+++ b/internal/catalog/bundle/pointer.go
@@ -1,18 +1,27 @@
 package bundle
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 
 	"github.com/rotisserie/eris"
-
-	"chervilwalk/internal/platform/object"
 )
 
+// Digest is the SHA-256 of a body, in hex.
+type Digest string
+
+// DigestOf computes a body's digest.
+func DigestOf(body []byte) Digest {
+	sum := sha256.Sum256(body)
+	return Digest(hex.EncodeToString(sum[:]))
+}
+
 // Pointer is the content of the table row: where the body lies, and its seal
 // without the body.
 type Pointer struct {
 	Version       Version
-	Digest        object.Digest
+	Digest        Digest
 	Key           string
 	Signature     []byte
 	KeysSignature []byte
@@ -22,7 +31,7 @@
 // PointerOf is the row's content for a seal.
 func PointerOf(sl Seal) Pointer {
 	return Pointer{
-		Version: sl.Version, Digest: object.DigestOf(sl.Body), Key: sl.Key, Signature: sl.Signature,
+		Version: sl.Version, Digest: DigestOf(sl.Body), Key: sl.Key, Signature: sl.Signature,
 		KeysSignature: sl.KeysSignature, Lineage: sl.Lineage,
 	}
 }
@@ -79,7 +88,7 @@
 		return Pointer{}, eris.Wrap(err, "bundle row")
 	}
 	pt := Pointer{
-		Version: Version(pj.Version), Digest: object.Digest(pj.Digest), Key: pj.Key, Signature: pj.Signature,
+		Version: Version(pj.Version), Digest: Digest(pj.Digest), Key: pj.Key, Signature: pj.Signature,
 		KeysSignature: pj.KeysSignature,
 	}
 	for _, kj := range pj.Lineage {
--- a/internal/operations/bundle/seal.go
+++ b/internal/catalog/bundle/seal.go
@@ -102,6 +102,20 @@
 	return bn, nil
 }
 
+// ParseKeys reads keys written as NAME=BASE64.
+func ParseKeys(texts []string) ([]TrustedKey, error) {
+	var keys []TrustedKey
+	for _, text := range texts {
+		name, encoded, _ := strings.Cut(text, "=")
+		public, err := base64.StdEncoding.DecodeString(encoded)
+		if err != nil || name == "" || len(public) != ed25519.PublicKeySize {
+			return nil, eris.Errorf("trusted key %q: write NAME=BASE64 as bundle keygen printed it", text)
+		}
+		keys = append(keys, TrustedKey{Name: name, Public: public})
+	}
+	return keys, nil
+}
+
 // follow returns the keys trusted at a seal: those of the trust, moved on by
 // every change between it and the seal that a key trusted until then signed.
 func (tr Trust) follow(sl Seal) []TrustedKey {
--- a/internal/fleet/roster/roster.go
+++ b/internal/catalog/roster/roster.go
@@ -12,8 +12,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"chervilwalk/internal/fleet/clock"
-	"chervilwalk/internal/fleet/ident"
+	"chervilwalk/internal/base/clock"
+	"chervilwalk/internal/base/ident"
 )
 
 // returnTime is how long an entry that vanished while the store was away may
--- a/internal/fleet/gateway/asks.go
+++ b/internal/fleet/gateway/asks.go
@@ -8,10 +8,10 @@
 	"sync/atomic"
 	"time"
 
-	"chervilwalk/internal/fleet/clock"
-	"chervilwalk/internal/fleet/ident"
-	"chervilwalk/internal/fleet/talk"
-	"chervilwalk/internal/ownership/assignment"
+	"chervilwalk/internal/base/clock"
+	"chervilwalk/internal/base/ident"
+	"chervilwalk/internal/catalog/assignment"
+	"chervilwalk/internal/peer/talk"
 	"chervilwalk/internal/serving/journey"
 	"chervilwalk/internal/serving/permit"
 )
--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -17,12 +17,14 @@
 
 	"github.com/rotisserie/eris"
 
-	"chervilwalk/internal/fleet/clock"
-	"chervilwalk/internal/fleet/ident"
-	"chervilwalk/internal/fleet/roster"
-	"chervilwalk/internal/operations/desired"
+	"chervilwalk/internal/base/clock"
+	"chervilwalk/internal/base/ident"
+	"chervilwalk/internal/catalog/assignment"
+	"chervilwalk/internal/catalog/bundle"
+	"chervilwalk/internal/catalog/desired"
+	"chervilwalk/internal/catalog/roster"
+	"chervilwalk/internal/operations/acceptance"
 	"chervilwalk/internal/operations/journal"
-	"chervilwalk/internal/ownership/assignment"
 	"chervilwalk/internal/ownership/duty"
 	"chervilwalk/internal/serving/caller"
 	"chervilwalk/internal/serving/journey"
@@ -37,6 +39,9 @@
 	Journal  *journal.Journal
 	// Metrics is nil where none are kept.
 	Metrics *Metrics
+	// Trusted are the keys whose bundles are put in force; without any the
+	// platform's operators say what is.
+	Trusted []bundle.TrustedKey
 }
 
 const (
@@ -69,6 +74,7 @@
 	self        assignment.Member
 	clock       clock.Boot
 	store       *platform.Store
+	source      source
 	socket      *net.UDPConn
 	links       *link.Pool
 	callers     *caller.Server
@@ -103,7 +109,9 @@
 	coldAgain map[ident.Domain]clock.Instant
 	// evacuated tells since when domains are to get nothing.
 	evacuated map[ident.Domain]clock.Instant
-	duty      *duty.Core
+	// outSince tells since when upstreams are out of service.
+	outSince map[ident.Upstream]clock.Instant
+	duty     *duty.Core
 	// upstreams counts the upstreams of each service.
 	upstreams map[ident.Service]int
 	permits   *permit.Core
@@ -131,6 +139,12 @@
 	gw.asks = newAsks(gw)
 	gw.duty = duty.New(gw.self, st.Processor)
 	gw.store = platform.NewStore(st.Store, gw.observeStore)
+	gw.source = operatorRows{}
+	callers := journey.Callers(platformCallers{})
+	if len(cf.Trusted) > 0 {
+		gw.source = &signedBundles{shelf: acceptance.On(gw.store), jl: cf.Journal, trust: bundle.Trust{Keys: cf.Trusted}}
+		callers = bundleCallers{}
+	}
 	gw.links = link.New(echo)
 	gw.places.Store(&map[ident.Upstream]place{})
 	gw.table.Store(&assignment.Table{})
@@ -138,7 +152,7 @@
 		return nil, eris.Wrap(err, "address for peers")
 	}
 	gw.journey = journey.New(journey.Config{
-		State: gw.state.Load, Permits: &gw.asks, Links: gw.links, Dialect: dialect{}, Domain: st.Domain,
+		State: gw.state.Load, Permits: &gw.asks, Links: gw.links, Callers: callers, Upstreams: platformUpstreams{}, Domain: st.Domain,
 		Budget:  journey.NewBudget(st.Bounds.RetryRatio, gw.retryAllowance),
 		Observe: gw.observe, Arrived: gw.tally.arrived,
 	})
--- a/internal/fleet/gateway/loop.go
+++ b/internal/fleet/gateway/loop.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"chervilwalk/internal/fleet/clock"
-	"chervilwalk/internal/fleet/ident"
-	"chervilwalk/internal/fleet/roster"
+	"chervilwalk/internal/base/clock"
+	"chervilwalk/internal/base/ident"
+	"chervilwalk/internal/catalog/roster"
 	"chervilwalk/internal/operations/journal"
 	"chervilwalk/internal/ownership/duty"
 	"chervilwalk/internal/ownership/leader"
@@ -72,6 +72,8 @@
 		gw.asks.withdraw(ev)
 	case releaseEvent:
 		gw.asks.release(ev)
+	case dumpEvent:
+		ev.reply <- gw.dump()
 	case settingsEvent:
 		gw.cf.Settings.Bounds = ev.settings.Bounds
 	default:
@@ -122,10 +124,27 @@
 		gw.state.Store(st)
 		gw.cf.Journal.Event("desiredState", journal.Fields{"version": st.Version, "routes": st.Routes(), "services": len(st.Services)})
 		gw.cf.Metrics.version(st.Version)
+		gw.noteOut(now, st.Upstreams)
+		gw.checkHost(st.Hosts)
 	}
 	gw.fleetChanged()
 }
 
+// noteOut keeps since when upstreams are out of service.
+func (gw *Gateway) noteOut(now clock.Instant, inService map[ident.Upstream]bool) {
+	since := map[ident.Upstream]clock.Instant{}
+	for id, in := range inService {
+		if in {
+			continue
+		}
+		since[id] = now
+		if before, known := gw.outSince[id]; known {
+			since[id] = before
+		}
+	}
+	gw.outSince = since
+}
+
 func (gw *Gateway) version() any {
 	if st := gw.state.Load(); st != nil {
 		return st.Version
@@ -185,12 +204,14 @@
 	}
 	gw.book.All(func(up *roster.Upstream) {
 		sv, known := st.Services[up.Service]
-		if !known {
+		inService, listed := st.Upstreams[up.ID]
+		if !known || st.Upstreams != nil && !listed {
 			return
 		}
+		out := listed && !inService
 		evacuated := gw.operators.Evacuated[up.Domain]
 		coldUntil := max(up.ColdUntil, gw.coldAgain[up.Domain])
-		refuseAt := gw.refuseAt(up, sv.Keyed, evacuated)
+		refuseAt := gw.refuseAt(up, sv.Keyed, evacuated, out)
 		domains[up.ID] = up.Domain
 		gw.upstreams[up.Service]++
 		places[up.ID] = place{address: up.Address, refuseAt: refuseAt}
@@ -202,20 +223,23 @@
 		if sv.Keyed {
 			lead.Upstreams = append(lead.Upstreams, leader.Upstream{
 				ID: up.ID, Service: up.Service, Domain: up.Domain, Slots: up.Slots, Life: up.Life,
-				Usable: !up.Leaving() && !evacuated, ColdUntil: coldUntil, ColdRate: sv.ColdRate,
+				Usable: !up.Leaving() && !evacuated && !out, ColdUntil: coldUntil, ColdRate: sv.ColdRate,
 			})
 		}
 	})
 	gw.places.Store(&places)
 	gw.own(duty.FleetMsg{Fleet: lead, Domains: domains})
 	gw.permit(hand)
-	gw.isReady.Store(!gw.stopping.Load())
+	gw.isReady.Store(!gw.stopping.Load() && st.InService(gw.self.Host))
 }
 
 // refuseAt is from when an upstream gets nothing new.
-func (gw *Gateway) refuseAt(up *roster.Upstream, keyed, evacuated bool) clock.Instant {
+func (gw *Gateway) refuseAt(up *roster.Upstream, keyed, evacuated, out bool) clock.Instant {
 	refuseAt := up.LeavingAt
-	if keyed && up.Leaving() {
+	if out {
+		refuseAt = min(refuseAt, gw.outSince[up.ID])
+	}
+	if keyed && refuseAt != clock.Never {
 		refuseAt = refuseAt.Add(keyedLeave)
 	}
 	if evacuated {
--- a/internal/fleet/gateway/metrics.go
+++ b/internal/fleet/gateway/metrics.go
@@ -8,7 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
-	"chervilwalk/internal/operations/desired"
+	"chervilwalk/internal/catalog/desired"
 	"chervilwalk/internal/operations/journal"
 	"chervilwalk/internal/serving/journey"
 )
@@ -90,6 +90,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", promhttp.HandlerFor(gw.cf.Metrics.registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc(DumpPath, gw.serveDump)
 	gw.metrics = &http.Server{Addr: gw.cf.Settings.Metrics, Handler: mux, ReadHeaderTimeout: metricsHeaderTime}
 	go func() {
 		if err := gw.metrics.ListenAndServe(); err != nil && err != http.ErrServerClosed {
--- a/internal/fleet/gateway/news.go
+++ b/internal/fleet/gateway/news.go
@@ -4,10 +4,10 @@
 	"net/netip"
 	"time"
 
-	"chervilwalk/internal/fleet/clock"
-	"chervilwalk/internal/fleet/roster"
-	"chervilwalk/internal/fleet/talk"
+	"chervilwalk/internal/base/clock"
+	"chervilwalk/internal/catalog/roster"
 	"chervilwalk/internal/ownership/duty"
+	"chervilwalk/internal/peer/talk"
 )
 
 // rosterPart is how many entries go into one datagram.
--- a/internal/fleet/gateway/peers.go
+++ b/internal/fleet/gateway/peers.go
@@ -4,11 +4,11 @@
 	"net/netip"
 	"strings"
 
-	"chervilwalk/internal/fleet/ident"
-	"chervilwalk/internal/fleet/talk"
+	"chervilwalk/internal/base/ident"
+	"chervilwalk/internal/catalog/assignment"
 	"chervilwalk/internal/operations/journal"
-	"chervilwalk/internal/ownership/assignment"
 	"chervilwalk/internal/ownership/duty"
+	"chervilwalk/internal/peer/talk"
 	"chervilwalk/internal/serving/permit"
 )
 
--- a/internal/fleet/gateway/store.go
+++ b/internal/fleet/gateway/store.go
@@ -4,10 +4,10 @@
 	"errors"
 	"time"
 
-	"chervilwalk/internal/fleet/clock"
-	"chervilwalk/internal/fleet/roster"
+	"chervilwalk/internal/base/clock"
+	"chervilwalk/internal/catalog/assignment"
+	"chervilwalk/internal/catalog/roster"
 	"chervilwalk/internal/operations/journal"
-	"chervilwalk/internal/ownership/assignment"
 	"chervilwalk/internal/ownership/duty"
 	"chervilwalk/internal/ownership/election"
 	"chervilwalk/platform"
@@ -127,7 +127,15 @@
 			clear(rows)
 		}
 		if len(ch.rows) > 0 || !known {
-			gw.applyOperatorRows(rows, ch)
+			ch.err = gw.applyOperatorRows(rows, ch)
+		}
+		if ch.err != nil {
+			gw.cf.Journal.Problem("desiredStateNotFetched", ch.err, journal.Fields{"version": ch.version})
+			known = false
+			if !gw.pause(pollRetry) {
+				return
+			}
+			continue
 		}
 		version, known, lost = max(version, ch.version), true, false
 		gw.operatorAt.Store(uint64(version))
@@ -135,7 +143,7 @@
 }
 
 func (gw *Gateway) readOperators(answer chan<- change) {
-	rows, version, err := gw.store.Read(platform.OperatorTable, "", time.Now().Add(readTime))
+	rows, version, err := gw.store.Read(gw.source.table(), "", time.Now().Add(readTime))
 	answer <- change{rows, version, err}
 }
 
@@ -147,7 +155,7 @@
 		// The leader tells of changes that a silent connection keeps back.
 		wait = ledWatchWait
 	}
-	rows, version, err := gw.store.Watch(platform.OperatorTable, after, wait, time.Now().Add(wait+watchSlack))
+	rows, version, err := gw.store.Watch(gw.source.table(), after, wait, time.Now().Add(wait+watchSlack))
 	answer <- change{rows, version, err}
 }
 
@@ -156,8 +164,9 @@
 	return gw.clock.Now().Sub(clock.Instant(gw.newsAt.Load())) < newsTime
 }
 
-// applyOperatorRows applies changed operator rows and passes on what they ask for.
-func (gw *Gateway) applyOperatorRows(rows map[string]platform.Row, ch change) {
+// applyOperatorRows applies changed operator rows and passes on what they ask
+// for. An error means that they have to be read again.
+func (gw *Gateway) applyOperatorRows(rows map[string]platform.Row, ch change) error {
 	changedAt := uint64(0)
 	for _, rw := range ch.rows {
 		changedAt = max(changedAt, uint64(rw.Version))
@@ -171,8 +180,11 @@
 	for _, rw := range rows {
 		all = append(all, rw)
 	}
-	state, err := platform.DecodeOperatorState(all)
-	gw.send(operatorEvent{state, changedAt, err})
+	state, problem, err := gw.source.decode(all)
+	if err == nil {
+		gw.send(operatorEvent{state, changedAt, problem})
+	}
+	return err
 }
 
 // pollUpstreams reads the upstreams' entries again and again.
--- a/internal/fleet/gateway/tally.go
+++ b/internal/fleet/gateway/tally.go
@@ -4,9 +4,9 @@
 	"sync"
 	"time"
 
-	"chervilwalk/internal/fleet/ident"
-	"chervilwalk/internal/fleet/talk"
-	"chervilwalk/internal/ownership/keyspace"
+	"chervilwalk/internal/base/ident"
+	"chervilwalk/internal/base/keyspace"
+	"chervilwalk/internal/peer/talk"
 	"chervilwalk/internal/serving/permit"
 )
 
--- a/internal/operations/acceptance/acceptance.go
+++ b/internal/operations/acceptance/acceptance.go
@@ -3,7 +3,7 @@
 // Of operators who race, one wins; a run that is cut short leaves either the
 // old bundle or the new one, and can be run again.
 //
-//	sh := acceptance.Shelf{Table: cl, Objects: cl}
+//	sh := acceptance.On(platform.NewStore("10.0.0.9:8541", observe))
 //	ac, err := sh.Accept(ctx, seal)
 package acceptance
 
@@ -15,9 +15,8 @@
 
 	"github.com/rotisserie/eris"
 
-	"chervilwalk/internal/operations/bundle"
-	"chervilwalk/internal/platform/object"
-	"chervilwalk/internal/platform/table"
+	"chervilwalk/internal/catalog/bundle"
+	"chervilwalk/platform"
 )
 
 // retryPause is the time between two tries of a write that had no effect or
@@ -27,8 +26,8 @@
 var (
 	// ErrNone says that no bundle was accepted yet.
 	ErrNone = eris.New("no bundle was accepted yet")
-	// ErrSilent says that the platform's table did not answer.
-	ErrSilent = eris.New("the platform's table does not answer")
+	// ErrSilent says that the platform's store did not answer.
+	ErrSilent = eris.New("the platform's store does not answer")
 	// ErrDoubt says that it is not known whether the row was written.
 	ErrDoubt = eris.New("it is not known whether the bundle was accepted; run the same command again")
 	// ErrBody says that an accepted body is missing or not what was accepted.
@@ -58,31 +57,38 @@
 	return fmt.Sprintf("bundle %d is the accepted one, so the next must state version: %d, not %d", er.Accepted, er.Accepted+1, er.Tried)
 }
 
-// Shelf is where bundles are accepted.
-type Shelf struct {
-	Table   table.Table
-	Objects object.Store
+// Store keeps the row of the accepted bundle and the bodies of all.
+type Store interface {
+	// Row returns the row's value and version, 0 where there is none.
+	Row(ctx context.Context) ([]byte, platform.Version, error)
+	// Replace writes the row if it still has a version.
+	Replace(ctx context.Context, base platform.Version, value []byte) (platform.Outcome, platform.Version)
+	// Put and Get keep bodies by digest.
+	Put(ctx context.Context, dg bundle.Digest, body []byte) error
+	Get(ctx context.Context, dg bundle.Digest) ([]byte, error)
 }
 
+// Shelf is where bundles are accepted.
+type Shelf struct{ Store Store }
+
 // Accepted is the accepted bundle with the row that points at it.
 type Accepted struct {
-	Row    table.Version
+	Row    platform.Version
 	Seal   bundle.Seal
 	Bundle *bundle.Bundle
 }
 
 // pointer reads the row; version 0 when there is none.
-func (sh Shelf) pointer(ctx context.Context) (table.Version, bundle.Pointer, error) {
-	res := sh.Table.Read(ctx, bundle.RowKey)
-	if res.Outcome != table.Done || len(res.Rows) != 1 {
-		return 0, bundle.Pointer{}, ErrSilent
+func (sh Shelf) pointer(ctx context.Context) (platform.Version, bundle.Pointer, error) {
+	value, row, err := sh.Store.Row(ctx)
+	if err != nil {
+		return 0, bundle.Pointer{}, eris.Wrapf(ErrSilent, "%v", err)
 	}
-	row := res.Rows[0]
-	if row.Version == 0 {
+	if row == 0 {
 		return 0, bundle.Pointer{}, nil
 	}
-	pt, err := bundle.DecodePointer(row.Value)
-	return row.Version, pt, err
+	pt, err := bundle.DecodePointer(value)
+	return row, pt, err
 }
 
 // Current returns the accepted bundle, or ErrNone. Its body is checked against
@@ -95,15 +101,24 @@
 	if row == 0 {
 		return Accepted{}, ErrNone
 	}
-	body, err := sh.Objects.Get(ctx, pt.Digest)
+	sl, err := sh.Body(ctx, pt)
+	if err != nil {
+		return Accepted{}, err
+	}
+	bn, err := bundle.Parse("accepted", sl.Body)
+	return Accepted{Row: row, Seal: sl, Bundle: bn}, err
+}
+
+// Body fetches what a pointer points at and checks its digest.
+func (sh Shelf) Body(ctx context.Context, pt bundle.Pointer) (bundle.Seal, error) {
+	body, err := sh.Store.Get(ctx, pt.Digest)
 	if err != nil {
-		return Accepted{}, eris.Wrapf(ErrBody, "bundle %d: %v", pt.Version, err)
+		return bundle.Seal{}, eris.Wrapf(ErrBody, "bundle %d: %v", pt.Version, err)
 	}
-	if object.DigestOf(body) != pt.Digest {
-		return Accepted{}, eris.Wrapf(ErrBody, "bundle %d", pt.Version)
+	if bundle.DigestOf(body) != pt.Digest {
+		return bundle.Seal{}, eris.Wrapf(ErrBody, "bundle %d", pt.Version)
 	}
-	bn, err := bundle.Parse("accepted", body)
-	return Accepted{Row: row, Seal: pt.Seal(body), Bundle: bn}, err
+	return pt.Seal(body), nil
 }
 
 // Accept makes a sealed bundle the accepted one. Accepting the accepted bundle
@@ -114,7 +129,7 @@
 		return Accepted{}, err
 	}
 	if row != 0 && isOurs(pt, sl) {
-		if err := sh.Objects.Put(ctx, pt.Digest, sl.Body); err != nil {
+		if err := sh.Store.Put(ctx, pt.Digest, sl.Body); err != nil {
 			return Accepted{}, eris.Wrap(err, "the bundle is accepted, but its body cannot be checked")
 		}
 		return sh.Current(ctx)
@@ -123,7 +138,7 @@
 	if err != nil {
 		return Accepted{}, err
 	}
-	if err := sh.Objects.Put(ctx, object.DigestOf(ready.Seal.Body), ready.Seal.Body); err != nil {
+	if err := sh.Store.Put(ctx, bundle.DigestOf(ready.Seal.Body), ready.Seal.Body); err != nil {
 		return Accepted{}, eris.Wrap(err, "nothing was accepted")
 	}
 	return sh.point(ctx, ready, pt)
@@ -134,7 +149,7 @@
 }
 
 // prepare checks a seal as the nodes will, and gives it its lineage.
-func (sh Shelf) prepare(ctx context.Context, row table.Version, pt bundle.Pointer, sl bundle.Seal) (Accepted, error) {
+func (sh Shelf) prepare(ctx context.Context, row platform.Version, pt bundle.Pointer, sl bundle.Seal) (Accepted, error) {
 	if row == 0 {
 		return sh.prepareFirst(sl)
 	}
@@ -175,9 +190,9 @@
 		return Accepted{}, err
 	}
 	for {
-		res := sh.Table.Transact(ctx, table.Write{Key: bundle.RowKey, Base: ac.Row, Value: value})
-		if res.Outcome == table.Done {
-			ac.Row++
+		outcome, version := sh.Store.Replace(ctx, ac.Row, value)
+		if outcome == platform.Done {
+			ac.Row = version
 			return ac, nil
 		}
 		row, pt, err := sh.pointer(ctx)
--- a/internal/operations/acceptance/await.go
+++ b/internal/operations/acceptance/await.go
@@ -6,7 +6,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"chervilwalk/internal/operations/bundle"
+	"chervilwalk/internal/catalog/bundle"
 )
 
 const (
--- a/internal/operations/keyfile/keyfile.go
+++ b/internal/operations/keyfile/keyfile.go
@@ -15,7 +15,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"chervilwalk/internal/operations/bundle"
+	"chervilwalk/internal/catalog/bundle"
 )
 
 const (
--- a/internal/ownership/balance/balance.go
+++ b/internal/ownership/balance/balance.go
@@ -10,8 +10,8 @@
 	"cmp"
 	"slices"
 
-	"chervilwalk/internal/fleet/ident"
-	"chervilwalk/internal/ownership/keyspace"
+	"chervilwalk/internal/base/ident"
+	"chervilwalk/internal/base/keyspace"
 )
 
 const (
--- a/internal/ownership/balance/load.go
+++ b/internal/ownership/balance/load.go
@@ -4,8 +4,8 @@
 	"math"
 	"time"
 
-	"chervilwalk/internal/fleet/clock"
-	"chervilwalk/internal/ownership/keyspace"
+	"chervilwalk/internal/base/clock"
+	"chervilwalk/internal/base/keyspace"
 )
 
 const (
--- a/internal/ownership/duty/duty.go
+++ b/internal/ownership/duty/duty.go
@@ -12,13 +12,13 @@
 import (
 	"time"
 
-	"chervilwalk/internal/fleet/clock"
-	"chervilwalk/internal/fleet/ident"
-	"chervilwalk/internal/fleet/talk"
-	"chervilwalk/internal/ownership/assignment"
+	"chervilwalk/internal/base/clock"
+	"chervilwalk/internal/base/ident"
+	"chervilwalk/internal/catalog/assignment"
 	"chervilwalk/internal/ownership/election"
 	"chervilwalk/internal/ownership/leader"
 	"chervilwalk/internal/ownership/renewal"
+	"chervilwalk/internal/peer/talk"
 )
 
 const (
--- a/internal/ownership/election/codec.go
+++ b/internal/ownership/election/codec.go
@@ -4,8 +4,8 @@
 	"encoding/json"
 	"fmt"
 
-	"chervilwalk/internal/fleet/ident"
-	"chervilwalk/internal/fleet/talk"
+	"chervilwalk/internal/base/ident"
+	"chervilwalk/internal/peer/talk"
 )
 
 type storedRow struct {
--- a/internal/ownership/election/election.go
+++ b/internal/ownership/election/election.go
@@ -10,9 +10,9 @@
 import (
 	"time"
 
-	"chervilwalk/internal/fleet/clock"
-	"chervilwalk/internal/fleet/ident"
-	"chervilwalk/internal/fleet/talk"
+	"chervilwalk/internal/base/clock"
+	"chervilwalk/internal/base/ident"
+	"chervilwalk/internal/peer/talk"
 )
 
 const (
--- a/internal/ownership/leader/leader.go
+++ b/internal/ownership/leader/leader.go
@@ -16,14 +16,14 @@
 	"math"
 	"time"
 
-	"chervilwalk/internal/fleet/clock"
-	"chervilwalk/internal/fleet/ident"
-	"chervilwalk/internal/fleet/roster"
-	"chervilwalk/internal/fleet/talk"
-	"chervilwalk/internal/ownership/assignment"
+	"chervilwalk/internal/base/clock"
+	"chervilwalk/internal/base/ident"
+	"chervilwalk/internal/base/keyspace"
+	"chervilwalk/internal/catalog/assignment"
+	"chervilwalk/internal/catalog/roster"
 	"chervilwalk/internal/ownership/balance"
 	"chervilwalk/internal/ownership/election"
-	"chervilwalk/internal/ownership/keyspace"
+	"chervilwalk/internal/peer/talk"
 )
 
 // StatusMsg is a member's status.
--- a/internal/ownership/leader/member.go
+++ b/internal/ownership/leader/member.go
@@ -4,9 +4,9 @@
 	"cmp"
 	"slices"
 
-	"chervilwalk/internal/fleet/clock"
-	"chervilwalk/internal/fleet/ident"
-	"chervilwalk/internal/ownership/assignment"
+	"chervilwalk/internal/base/clock"
+	"chervilwalk/internal/base/ident"
+	"chervilwalk/internal/catalog/assignment"
 )
 
 // ack is a member's word that it follows a revision.
--- a/internal/ownership/leader/plan.go
+++ b/internal/ownership/leader/plan.go
@@ -3,11 +3,11 @@
 import (
 	"slices"
 
-	"chervilwalk/internal/fleet/clock"
-	"chervilwalk/internal/fleet/ident"
-	"chervilwalk/internal/ownership/assignment"
+	"chervilwalk/internal/base/clock"
+	"chervilwalk/internal/base/ident"
+	"chervilwalk/internal/base/keyspace"
+	"chervilwalk/internal/catalog/assignment"
 	"chervilwalk/internal/ownership/balance"
-	"chervilwalk/internal/ownership/keyspace"
 )
 
 // plan writes new moves into the draft.
--- a/internal/ownership/renewal/renewal.go
+++ b/internal/ownership/renewal/renewal.go
@@ -13,11 +13,11 @@
 import (
 	"time"
 
-	"chervilwalk/internal/fleet/clock"
-	"chervilwalk/internal/fleet/ident"
-	"chervilwalk/internal/fleet/talk"
-	"chervilwalk/internal/ownership/assignment"
-	"chervilwalk/internal/ownership/keyspace"
+	"chervilwalk/internal/base/clock"
+	"chervilwalk/internal/base/ident"
+	"chervilwalk/internal/base/keyspace"
+	"chervilwalk/internal/catalog/assignment"
+	"chervilwalk/internal/peer/talk"
 )
 
 const (
--- a/internal/fleet/talk/message.go
+++ b/internal/peer/talk/message.go
@@ -9,10 +9,10 @@
 	"fmt"
 	"time"
 
-	"chervilwalk/internal/fleet/ident"
-	"chervilwalk/internal/fleet/roster"
-	"chervilwalk/internal/ownership/assignment"
-	"chervilwalk/internal/ownership/keyspace"
+	"chervilwalk/internal/base/ident"
+	"chervilwalk/internal/base/keyspace"
+	"chervilwalk/internal/catalog/assignment"
+	"chervilwalk/internal/catalog/roster"
 )
 
 // version begins each datagram; hosts that speak another one are not heard.
--- a/internal/serving/journey/budget.go
+++ b/internal/serving/journey/budget.go
@@ -3,7 +3,7 @@
 import (
 	"sync"
 
-	"chervilwalk/internal/fleet/ident"
+	"chervilwalk/internal/base/ident"
 )
 
 const (
--- a/internal/serving/journey/journey.go
+++ b/internal/serving/journey/journey.go
@@ -11,13 +11,14 @@
 	"net/http"
 	"time"
 
-	"chervilwalk/internal/fleet/ident"
-	"chervilwalk/internal/fleet/talk"
-	"chervilwalk/internal/operations/desired"
-	"chervilwalk/internal/ownership/keyspace"
+	"chervilwalk/internal/base/ident"
+	"chervilwalk/internal/base/keyspace"
+	"chervilwalk/internal/catalog/desired"
+	"chervilwalk/internal/peer/talk"
 	"chervilwalk/internal/serving/caller"
 	"chervilwalk/internal/serving/link"
 	"chervilwalk/internal/serving/permit"
+	"chervilwalk/internal/serving/verdict"
 )
 
 const (
@@ -34,7 +35,7 @@
 	maxDisowned = 3
 )
 
-// Terms are what a caller's header says.
+// Terms are what a request says of itself.
 type Terms struct {
 	Request ident.Request
 	// TimeLimit is how long the caller waits; zero when it did not say.
@@ -54,15 +55,21 @@
 	Running, Waiting, Pace int
 }
 
-// Dialect reads and writes the header fields of callers and upstreams.
-type Dialect interface {
-	Terms(hd http.Header) (Terms, error)
-	Address(hd http.Header, id ident.Upstream, left time.Duration)
+// Callers reads and writes the header fields that callers use.
+type Callers interface {
+	// Terms reads what a request says of itself, for the service that it goes to.
+	Terms(rq *caller.Request, sv desired.Service) (Terms, error)
+	// Answer turns the header of an upstream's answer into one for the caller.
+	Answer(hd http.Header, tm Terms, id ident.Upstream)
+	// Refusal fills the header of an answer of the router's own.
+	Refusal(hd http.Header, tm Terms, vd verdict.Verdict, retryAfter time.Duration)
+}
+
+// Upstreams reads and writes the header fields that upstreams use.
+type Upstreams interface {
+	// Address says whom a request is for and how long it may take.
+	Address(hd http.Header, tm Terms, id ident.Upstream, left time.Duration)
 	Report(status int, hd http.Header) Report
-	// ForCaller removes what is not for the caller from an answer's header.
-	ForCaller(hd http.Header)
-	// Own fills the header of an answer of the router's own.
-	Own(hd http.Header, id ident.Request, retryAfter time.Duration)
 }
 
 // Permits hands out permits to send.
@@ -112,8 +119,10 @@
 	State   func() *desired.State
 	Permits Permits
 	Links   *link.Pool
-	Dialect Dialect
-	Budget  *Budget
+	Callers Callers
+	// Upstreams is how upstreams are spoken to.
+	Upstreams Upstreams
+	Budget    *Budget
 	// Observe is told of each request's end, Arrived of each keyed request.
 	Observe func(End)
 	Arrived func(sv ident.Service, ky keyspace.Key)
@@ -164,25 +173,31 @@
 }
 
 func (tp *trip) serve(ctx context.Context) *caller.Response {
+	route, found := &desired.Route{}, false
+	if tp.state != nil {
+		tp.end.Version = tp.state.Version
+		route, found = tp.state.Lookup(tp.rq.Host, tp.rq.URI)
+	}
+	if found {
+		tp.route, tp.end.Route = route, route.Name
+		tp.service = tp.jn.splits.choose(route)
+	}
 	var err error
-	if tp.terms, err = tp.jn.cf.Dialect.Terms(tp.rq.Header); err != nil || tp.terms.Request == "" {
+	if tp.terms, err = tp.jn.cf.Callers.Terms(tp.rq, tp.sv()); err != nil {
 		tp.end.Err = err
 		return tp.own(http.StatusBadRequest, "malformed", 0)
 	}
-	if tp.state == nil {
+	switch {
+	case tp.state == nil:
 		return tp.own(http.StatusServiceUnavailable, "noDesiredState", startRetry)
-	}
-	tp.end.Version = tp.state.Version
-	route, found := tp.state.Lookup(tp.rq.Host, tp.rq.URI)
-	if !found {
+	case !found:
 		return tp.own(http.StatusNotFound, "noRoute", 0)
-	}
-	tp.route, tp.end.Route = route, route.Name
-	tp.service = tp.jn.splits.choose(route)
-	tp.times()
-	if tp.keyed() && !tp.terms.Keyed {
+	case tp.keyed() && !tp.terms.Keyed:
 		return tp.own(http.StatusBadRequest, "noKey", 0)
+	case tp.tooLarge():
+		return tp.own(http.StatusRequestEntityTooLarge, "bodyTooLarge", 0)
 	}
+	tp.times()
 	if tp.keyed() {
 		tp.jn.cf.Arrived(tp.service, tp.terms.Key)
 	}
@@ -190,12 +205,33 @@
 	return tp.attempts(ctx)
 }
 
-func (tp *trip) keyed() bool { return tp.state.Services[tp.service].Keyed }
+// sv is the service that the request goes to; empty where none is known.
+func (tp *trip) sv() desired.Service {
+	if tp.state == nil {
+		return desired.Service{}
+	}
+	return tp.state.Services[tp.service]
+}
+
+func (tp *trip) keyed() bool { return tp.sv().Keyed }
+
+// repeatable tells whether the request may run more than once.
+func (tp *trip) repeatable() bool { return tp.route.Repeatable(tp.rq.Method) }
+
+// tooLarge tells whether the body is larger than the route takes. A body of
+// unknown length that is not read whole counts as such.
+func (tp *trip) tooLarge() bool {
+	limit := tp.route.BodyBytes
+	return limit > 0 && (tp.rq.Length > limit || int64(len(tp.rq.Body)) > limit || tp.rq.Chunked && tp.rq.Rest != nil)
+}
 
 // times sets the deadline and the objective. A caller that comes again states
 // less time than a first one, which tells how long it has waited already.
 func (tp *trip) times() {
 	limit := tp.route.Timeout
+	if tp.route.DefaultTimeout > 0 && tp.terms.TimeLimit == 0 {
+		limit = tp.route.DefaultTimeout
+	}
 	waited := time.Duration(0)
 	if tp.terms.TimeLimit > 0 {
 		limit = min(limit, tp.terms.TimeLimit)
@@ -229,7 +265,7 @@
 	began := time.Now()
 	gr, refusal, err := tp.jn.cf.Permits.Acquire(ctx, talk.Ask{
 		Request: tp.terms.Request, Service: tp.service, Domain: tp.jn.cf.Domain, Key: tp.terms.Key, Keyed: tp.keyed(),
-		Large: tp.route.Kind == desired.Download, Repeatable: tp.route.Kind.Repeatable(), Priority: tp.route.Priority,
+		Large: tp.route.Kind == desired.Download, Repeatable: tp.repeatable(), Priority: tp.route.Priority,
 		ObjectiveLeft: time.Until(tp.objective), TimeLeft: time.Until(tp.deadline), Avoid: tp.avoid,
 	})
 	tp.end.Waited += time.Since(began)
@@ -249,23 +285,23 @@
 
 // send sends the request to the permit's upstream and gives the permit back.
 func (tp *trip) send(ctx context.Context, gr *Grant) (*link.Answer, error) {
-	if !tp.route.Kind.Repeatable() {
+	if !tp.repeatable() {
 		// What may not be repeated is finished even if its caller leaves.
 		ctx = context.WithoutCancel(ctx)
 	}
 	hd := forwarded(tp.rq.Header)
-	tp.jn.cf.Dialect.Address(hd, gr.Upstream, time.Until(tp.deadline))
+	tp.jn.cf.Upstreams.Address(hd, tp.terms, gr.Upstream, time.Until(tp.deadline))
 	began := time.Now()
 	an, err := tp.jn.cf.Links.Send(ctx, link.Target{ID: gr.Upstream, Address: gr.Address}, &link.Request{
 		ID: tp.terms.Request, Method: tp.rq.Method, URI: tp.rq.URI, Host: tp.rq.Host, Header: hd,
 		Body: tp.rq.Body, Rest: tp.rq.Rest, Chunked: tp.rq.Chunked, Length: tp.rq.Length,
-		Repeatable: tp.route.Kind.Repeatable(), Deadline: tp.deadline.Add(answerGrace),
+		Repeatable: tp.repeatable(), Deadline: tp.deadline.Add(answerGrace),
 	})
 	done := talk.Done{Service: tp.service, Upstream: gr.Upstream, Took: time.Since(began)}
 	outcome := tp.outcome(ctx, an, err)
 	done.Outcome = uint8(outcome)
 	if an != nil {
-		rp := tp.jn.cf.Dialect.Report(an.Status, an.Header)
+		rp := tp.jn.cf.Upstreams.Report(an.Status, an.Header)
 		done.Reported, done.Running, done.Waiting, done.Pace = rp.Reported, rp.Running, rp.Waiting, rp.Pace
 	}
 	tp.jn.cf.Permits.Release(*gr, done)
@@ -285,7 +321,7 @@
 	case err != nil:
 		return permit.Broken
 	}
-	rp := tp.jn.cf.Dialect.Report(an.Status, an.Header)
+	rp := tp.jn.cf.Upstreams.Report(an.Status, an.Header)
 	switch {
 	case rp.NotRun && an.Status == http.StatusMisdirectedRequest:
 		return permit.Disowned
@@ -305,12 +341,12 @@
 		tp.end.Cause = "answered"
 		return tp.deliver(an), false
 	case permit.Failed:
-		if rp := tp.jn.cf.Dialect.Report(an.Status, an.Header); rp.Sealed {
+		if rp := tp.jn.cf.Upstreams.Report(an.Status, an.Header); rp.Sealed {
 			tp.end.Cause = "upstreamFailed"
 			return tp.deliver(an), false
 		}
 		tp.mayHaveRun = true
-		return tp.retry(gr, "unsignedAnswer", tp.route.Kind.Repeatable())
+		return tp.retry(gr, "unsignedAnswer", tp.repeatable())
 	case permit.Withdrawn:
 		tp.end.Cause = "callerLeft"
 		return nil, false
@@ -327,7 +363,7 @@
 		return tp.retry(gr, outcome.String(), true)
 	default:
 		tp.end.Err, tp.mayHaveRun = err, true
-		return tp.retry(gr, outcome.String(), tp.route.Kind.Repeatable())
+		return tp.retry(gr, outcome.String(), tp.repeatable())
 	}
 }
 
@@ -357,7 +393,11 @@
 func (tp *trip) own(status int, cause string, retryAfter time.Duration) *caller.Response {
 	tp.end.Cause, tp.end.RetryAfter = cause, retryAfter
 	hd := http.Header{}
-	tp.jn.cf.Dialect.Own(hd, tp.terms.Request, retryAfter)
+	vd := verdict.NotRun
+	if tp.mayHaveRun {
+		vd = verdict.MayHaveRun
+	}
+	tp.jn.cf.Callers.Refusal(hd, tp.terms, vd, retryAfter)
 	return &caller.Response{Status: status, Header: hd}
 }
 
@@ -365,6 +405,6 @@
 func (tp *trip) deliver(an *link.Answer) *caller.Response {
 	tp.end.Sealed = true
 	hd := forwarded(an.Header)
-	tp.jn.cf.Dialect.ForCaller(hd)
+	tp.jn.cf.Callers.Answer(hd, tp.terms, tp.end.Upstream)
 	return &caller.Response{Status: an.Status, Header: hd, Body: an.Body, Rest: an.Rest, Length: an.Length}
 }
--- a/internal/serving/journey/split.go
+++ b/internal/serving/journey/split.go
@@ -4,8 +4,8 @@
 	"sync"
 	"time"
 
-	"chervilwalk/internal/fleet/ident"
-	"chervilwalk/internal/operations/desired"
+	"chervilwalk/internal/base/ident"
+	"chervilwalk/internal/catalog/desired"
 )
 
 // splits deals the requests of each route to its parts in proportion to their
--- a/internal/serving/link/link.go
+++ b/internal/serving/link/link.go
@@ -19,8 +19,8 @@
 	"sync"
 	"time"
 
-	"chervilwalk/internal/fleet/ident"
-	"chervilwalk/internal/fleet/socket"
+	"chervilwalk/internal/base/ident"
+	"chervilwalk/internal/serving/socket"
 )
 
 const (
--- a/internal/serving/permit/permit.go
+++ b/internal/serving/permit/permit.go
@@ -12,13 +12,13 @@
 import (
 	"time"
 
-	"chervilwalk/internal/fleet/clock"
-	"chervilwalk/internal/fleet/ident"
-	"chervilwalk/internal/fleet/roster"
-	"chervilwalk/internal/fleet/talk"
-	"chervilwalk/internal/operations/desired"
-	"chervilwalk/internal/ownership/assignment"
-	"chervilwalk/internal/ownership/keyspace"
+	"chervilwalk/internal/base/clock"
+	"chervilwalk/internal/base/ident"
+	"chervilwalk/internal/base/keyspace"
+	"chervilwalk/internal/catalog/assignment"
+	"chervilwalk/internal/catalog/desired"
+	"chervilwalk/internal/catalog/roster"
+	"chervilwalk/internal/peer/talk"
 )
 
 // Outcome is how the use of a permit ended.
--- a/internal/serving/permit/queue.go
+++ b/internal/serving/permit/queue.go
@@ -3,10 +3,10 @@
 import (
 	"time"
 
-	"chervilwalk/internal/fleet/clock"
-	"chervilwalk/internal/fleet/ident"
-	"chervilwalk/internal/fleet/talk"
-	"chervilwalk/internal/ownership/assignment"
+	"chervilwalk/internal/base/clock"
+	"chervilwalk/internal/base/ident"
+	"chervilwalk/internal/catalog/assignment"
+	"chervilwalk/internal/peer/talk"
 )
 
 const (
--- a/internal/serving/permit/upstream.go
+++ b/internal/serving/permit/upstream.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"chervilwalk/internal/fleet/clock"
-	"chervilwalk/internal/fleet/talk"
+	"chervilwalk/internal/base/clock"
+	"chervilwalk/internal/peer/talk"
 )
 
 const (
--- a/internal/stand/deployment/deployment.go
+++ b/internal/stand/deployment/deployment.go
@@ -21,6 +21,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"chervilwalk/internal/catalog/bundle"
 	"chervilwalk/internal/fleet/gateway"
 	"chervilwalk/internal/operations/journal"
 	"chervilwalk/internal/stand/metastore"
@@ -35,7 +36,10 @@
 	Hosts int
 	// Keyed, Orders and Files are how many upstreams each service has.
 	Keyed, Orders, Files int
-	Seed                 int64
+	// Bundles lets signed bundles say what is in force, and callers speak
+	// chervilwalk's own header fields; else the platform's operators and theirs.
+	Bundles bool
+	Seed    int64
 	// Net is the second and third number of the loopback addresses, so that
 	// deployments of one machine do not meet.
 	Net int
@@ -49,11 +53,16 @@
 	OrderService = "orders"
 	FileService  = "files"
 	hostName     = "shop.example"
-	beatTime     = 300 * time.Millisecond
-	keyedWork    = 20 * time.Millisecond
-	orderWork    = 25 * time.Millisecond
-	fileWork     = 15 * time.Millisecond
-	fileBytes    = 60000
+	coldTime     = 2 * time.Second
+	coldRate     = 5
+	// coldMost is how many requests a cold upstream may get in a second: half as
+	// many again as its rate, and five.
+	coldMost  = coldRate*3/2 + 5
+	beatTime  = 300 * time.Millisecond
+	keyedWork = 20 * time.Millisecond
+	orderWork = 25 * time.Millisecond
+	fileWork  = 15 * time.Millisecond
+	fileBytes = 60000
 	// balancerTime is how long callers still come to a host that is not ready.
 	balancerTime = 1200 * time.Millisecond
 	timeout      = 1500 * time.Millisecond
@@ -89,6 +98,7 @@
 	upstream map[string]*upstream
 	retired  []*target.Target
 	random   int
+	operator *operator
 }
 
 type upstream struct {
@@ -111,7 +121,9 @@
 		// Serve ends when the server is closed.
 		_ = dp.server.Serve(ln)
 	}()
-	dp.Configure(nil)
+	if !cf.Bundles {
+		dp.Configure(nil)
+	}
 	for service, count := range map[string]int{KeyedService: cf.Keyed, OrderService: cf.Orders, FileService: cf.Files} {
 		for ix := range count {
 			if err := dp.AddUpstream(fmt.Sprintf("i-%s-%d", service, ix), service, zones[ix%len(zones)]); err != nil {
@@ -119,6 +131,11 @@
 			}
 		}
 	}
+	if cf.Bundles {
+		if dp.operator, err = newOperator(dp); err != nil {
+			return nil, err
+		}
+	}
 	dp.group.Add(1)
 	go dp.beat()
 	for ix := range cf.Hosts {
@@ -162,8 +179,8 @@
 	defer dp.mu.Unlock()
 	dp.random++
 	cf := target.Config{
-		ID: id, Address: dp.ip(100+dp.random%100) + ":0", Service: service, Zone: zone, Slots: 2, Queue: 8,
-		Keyed: service == KeyedService, Work: keyedWork, AnswerBytes: 500, Seed: dp.cf.Seed + int64(dp.random),
+		ID: id, Address: dp.ip(100+dp.random%100) + ":0", Service: service, Zone: zone, Slots: upstreamSlots, Queue: 8,
+		Keyed: service == KeyedService, Work: keyedWork, AnswerBytes: 500, ColdFor: coldTime, ColdRate: coldRate, Seed: dp.cf.Seed + int64(dp.random),
 	}
 	switch service {
 	case OrderService:
@@ -240,8 +257,16 @@
 	}
 }
 
+// adminPort is where a host serves its metrics: the second of its free ports.
+const adminPort = ":7541"
+
+// place says where a host is.
+func (dp *Deployment) place(ix int) *Host {
+	return &Host{Name: fmt.Sprintf("front-%d", ix), Zone: zones[ix%len(zones)], IP: dp.ip(1 + ix)}
+}
+
 func (dp *Deployment) newHost(ix int) (*Host, error) {
-	host := &Host{Name: fmt.Sprintf("front-%d", ix), Zone: zones[ix%len(zones)], IP: dp.ip(1 + ix)}
+	host := dp.place(ix)
 	host.Address = host.IP + ":8080"
 	host.file = filepath.Join(dp.cf.Dir, host.Name+".yaml")
 	text := fmt.Sprintf("node: %s\nzone: %s\nip: %s\nlisten:\n  front: %s:8080\n  ready: %s:8081\nport-range: [7540, 7550]\nbounds:\n  - \"drain-s=2\"\n  - \"grace-s=6\"\nplatform:\n  address: %s\n",
@@ -269,7 +294,11 @@
 		host.log = file
 	}
 	host.journal = journal.New(host.log, host.Name)
-	host.gateway, err = gateway.Start(gateway.Config{Settings: st, Journal: host.journal, Metrics: gateway.NewMetrics()})
+	gc := gateway.Config{Settings: st, Journal: host.journal, Metrics: gateway.NewMetrics()}
+	if dp.operator != nil {
+		gc.Trusted = []bundle.TrustedKey{dp.operator.key.Trusted()}
+	}
+	host.gateway, err = gateway.Start(gc)
 	return err
 }
 
--- a/internal/stand/deployment/load.go
+++ b/internal/stand/deployment/load.go
@@ -30,15 +30,17 @@
 	DoubleRuns   int `json:"doubleRuns"`
 	FalseNotRun  int `json:"falseNotRun"`
 	// DoubleOwners are pairs of holdings of one key at one time.
-	DoubleOwners int     `json:"doubleOwners"`
-	UnheldRuns   int     `json:"unheldRuns"`
-	P50Ms        float64 `json:"p50Ms"`
-	P99Ms        float64 `json:"p99Ms"`
+	DoubleOwners int `json:"doubleOwners"`
+	UnheldRuns   int `json:"unheldRuns"`
+	// ColdViolations are upstreams that got more than they bear while cold.
+	ColdViolations int     `json:"coldViolations"`
+	P50Ms          float64 `json:"p50Ms"`
+	P99Ms          float64 `json:"p99Ms"`
 }
 
 // Broken tells whether a promise was broken.
 func (ct *Counts) Broken() bool {
-	return ct.WrongAnswers+ct.DoubleRuns+ct.FalseNotRun+ct.DoubleOwners+ct.UnheldRuns+ct.Rejected > 0
+	return ct.WrongAnswers+ct.DoubleRuns+ct.FalseNotRun+ct.DoubleOwners+ct.UnheldRuns+ct.ColdViolations+ct.Rejected > 0
 }
 
 // attempt is one request of a caller with its end.
@@ -74,7 +76,7 @@
 			defer group.Done()
 			began := time.Now()
 			at := attempt{id: id, order: kind >= 6 && kind < 9}
-			outcome := send(ctx, client, host, kind, key, id)
+			outcome := dp.send(ctx, client, host, kind, key, id)
 			mu.Lock()
 			defer mu.Unlock()
 			counts.Requests++
@@ -123,7 +125,7 @@
 )
 
 // send sends one request and looks at its answer.
-func send(ctx context.Context, client *http.Client, host *Host, kind, key int, id string) outcome {
+func (dp *Deployment) send(ctx context.Context, client *http.Client, host *Host, kind, key int, id string) outcome {
 	method, path, body := http.MethodGet, "/lookup/", ""
 	switch {
 	case kind >= 9:
@@ -135,10 +137,15 @@
 	if err != nil {
 		return rejected
 	}
-	rq.Host = hostName
-	rq.Header.Set("Request-Id", id)
-	rq.Header.Set("Request-Deadline", strconv.FormatInt(timeout.Milliseconds(), 10))
-	rq.Header.Set("Shard-Key", strconv.Itoa(key))
+	rq.Header.Set(target.CallerField, id)
+	if dp.cf.Bundles {
+		rq.Header.Set("Chervilwalk-Deadline-Ms", strconv.FormatInt(timeout.Milliseconds(), 10))
+	} else {
+		rq.Host = hostName
+		rq.Header.Set("Request-Id", id)
+		rq.Header.Set("Request-Deadline", strconv.FormatInt(timeout.Milliseconds(), 10))
+		rq.Header.Set("Shard-Key", strconv.Itoa(key))
+	}
 	rs, err := client.Do(rq)
 	if err != nil {
 		return doubtful
@@ -149,6 +156,9 @@
 	case err != nil:
 		return doubtful
 	case rs.StatusCode == http.StatusOK:
+		if dp.cf.Bundles {
+			id = rs.Header.Get("Chervilwalk-Request")
+		}
 		if rs.Header.Get("Response-Seal") != target.Seal(id, answer) {
 			return wrong
 		}
@@ -168,7 +178,7 @@
 	targets := dp.targets()
 	for _, tg := range targets {
 		for _, run := range tg.Runs() {
-			runs[run.Request]++
+			runs[run.Caller]++
 			if !run.Held {
 				counts.UnheldRuns++
 			}
@@ -183,6 +193,11 @@
 		}
 	}
 	counts.DoubleOwners = doubleOwners(targets)
+	for _, tg := range targets {
+		if tg.MaxCold() > coldMost {
+			counts.ColdViolations++
+		}
+	}
 }
 
 // span is a time in which an upstream held a key.
--- /dev/null
+++ b/internal/stand/deployment/operator.go
@@ -0,0 +1,145 @@
+package deployment
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"chervilwalk/internal/base/ident"
+	"chervilwalk/internal/catalog/bundle"
+	"chervilwalk/internal/catalog/desired"
+	"chervilwalk/internal/operations/acceptance"
+	"chervilwalk/internal/operations/keyfile"
+	"chervilwalk/platform"
+)
+
+const (
+	// acceptTime bounds the acceptance of a bundle.
+	acceptTime = 5 * time.Second
+	// Limits of every service and upstream of the bundles.
+	bundleObjective   = 500 * time.Millisecond
+	bundleBodyBytes   = 1 << 20
+	bundleConnections = 100
+	upstreamSlots     = 2
+)
+
+// operator signs bundles and makes them the accepted ones.
+type operator struct {
+	key   keyfile.Key
+	shelf acceptance.Shelf
+}
+
+// newOperator accepts the first bundle of a deployment.
+func newOperator(dp *Deployment) (*operator, error) {
+	key, err := keyfile.Generate("ops")
+	if err != nil {
+		return nil, eris.Wrap(err, "key of the operator")
+	}
+	op := &operator{key: key, shelf: acceptance.On(platform.NewStore(dp.address, func(string, time.Duration, error) {}))}
+	body, err := bundle.Format(dp.firstBundle(key))
+	if err != nil {
+		return nil, eris.Wrap(err, "first bundle")
+	}
+	return op, op.accept(body)
+}
+
+// accept signs a bundle's text and accepts it.
+func (op *operator) accept(body []byte) error {
+	bn, err := bundle.Parse("trial", body)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), acceptTime)
+	defer cancel()
+	_, err = op.shelf.Accept(ctx, bundle.Sign(bn, body, op.key.Name, op.key.Private))
+	return err
+}
+
+// Edit accepts a bundle that differs from the accepted one by edits.
+func (dp *Deployment) Edit(edits ...bundle.Edit) error {
+	ctx, cancel := context.WithTimeout(context.Background(), acceptTime)
+	defer cancel()
+	base, err := dp.operator.shelf.Current(ctx)
+	if err != nil {
+		return err
+	}
+	body, err := bundle.ApplyAll(base.Seal.Body, edits)
+	if err != nil {
+		return err
+	}
+	return dp.operator.accept(body)
+}
+
+// Forge puts a bundle into the store that a stranger signed.
+func (dp *Deployment) Forge() error {
+	stranger, err := keyfile.Generate("ops")
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), acceptTime)
+	defer cancel()
+	base, err := dp.operator.shelf.Current(ctx)
+	if err != nil {
+		return err
+	}
+	next := *base.Bundle
+	next.Version++
+	body, err := bundle.Format(&next)
+	if err != nil {
+		return err
+	}
+	sl := bundle.Sign(&next, body, stranger.Name, stranger.Private)
+	if err := dp.operator.shelf.Store.Put(ctx, bundle.DigestOf(body), body); err != nil {
+		return err
+	}
+	value, err := bundle.EncodePointer(bundle.PointerOf(sl))
+	if err != nil {
+		return err
+	}
+	dp.Store.Put(acceptance.Table, bundle.RowKey, value)
+	return nil
+}
+
+// renew brings another version of the desired state.
+func (dp *Deployment) renew() error {
+	if dp.operator == nil {
+		dp.Configure(nil)
+		return nil
+	}
+	return dp.Edit(bundle.Edit{Name: "i-files-2", Out: true})
+}
+
+// firstBundle names all hosts and upstreams.
+func (dp *Deployment) firstBundle(key keyfile.Key) *bundle.Bundle {
+	bn := &bundle.Bundle{Version: 1, TrustedKeys: []bundle.TrustedKey{key.Trusted()}}
+	for _, zone := range zones[:min(len(zones), dp.cf.Hosts)] {
+		bn.Domains = append(bn.Domains, bundle.Domain{Name: ident.Domain(zone), Region: "home"})
+	}
+	for ix := range dp.cf.Hosts {
+		host := dp.place(ix)
+		bn.Hosts = append(bn.Hosts, bundle.Host{Name: ident.Host(host.Name), Domain: ident.Domain(host.Zone), Admin: host.IP + adminPort})
+	}
+	for _, name := range []string{KeyedService, OrderService, FileService} {
+		sv := bundle.Service{
+			Name: ident.Service(name), Keyed: name == KeyedService, IdempotentMethods: []string{"GET"}, DefaultTimeout: timeout,
+			Objective: bundleObjective, MaxTimeout: timeout, MaxBodyBytes: bundleBodyBytes,
+		}
+		if sv.Keyed {
+			sv.Key = desired.KeyInPath
+		}
+		for _, id := range slices.Sorted(maps.Keys(dp.upstream)) {
+			cf := dp.upstream[id].Config()
+			if cf.Service == name {
+				sv.Upstreams = append(sv.Upstreams, bundle.Upstream{
+					Name: ident.Upstream(id), Domain: ident.Domain(cf.Zone), Address: cf.Address, Slots: upstreamSlots,
+					Connections: bundleConnections, ColdPerSecond: coldRate,
+				})
+			}
+		}
+		bn.Services = append(bn.Services, sv)
+	}
+	return bn
+}
--- a/internal/stand/deployment/trial.go
+++ b/internal/stand/deployment/trial.go
@@ -24,7 +24,7 @@
 	return []Step{
 		{1 * time.Second, "a host is killed", func(dp *Deployment) error { dp.KillHost(dp.Hosts[0]); return nil }},
 		{2500 * time.Millisecond, "it starts again", func(dp *Deployment) error { return dp.StartHost(dp.Hosts[0]) }},
-		{4 * time.Second, "a new desired state", func(dp *Deployment) error { dp.Configure(nil); return nil }},
+		{4 * time.Second, "a new desired state", func(dp *Deployment) error { return dp.renew() }},
 		{4500 * time.Millisecond, "an upstream crashes", func(dp *Deployment) error { dp.Upstream("i-orders-0").Close(); return nil }},
 		{5 * time.Second, "an owner of keys drains", func(dp *Deployment) error { dp.DrainUpstream("i-lookup-0"); return nil }},
 		{6 * time.Second, "answers break", func(dp *Deployment) error {
--- a/internal/stand/metastore/metastore.go
+++ b/internal/stand/metastore/metastore.go
@@ -61,6 +61,7 @@
 type Store struct {
 	mu      sync.Mutex
 	rows    map[rowKey]row
+	objects map[string][]byte
 	history []row
 	// oldest is the first version that the feed can continue from.
 	oldest  uint64
@@ -74,7 +75,7 @@
 
 // New makes an empty store.
 func New() *Store {
-	return &Store{rows: map[rowKey]row{}, changed: make(chan struct{}), began: time.Now(), random: rand.New(rand.NewSource(1))}
+	return &Store{rows: map[rowKey]row{}, objects: map[string][]byte{}, changed: make(chan struct{}), began: time.Now(), random: rand.New(rand.NewSource(1))}
 }
 
 // Break sets what is wrong from now on.
@@ -157,6 +158,9 @@
 	if err != nil {
 		return
 	}
+	if db.control(rw, rq, body) {
+		return
+	}
 	rq.Body = io.NopCloser(bytes.NewReader(body))
 	time.Sleep(fl.Delay)
 	switch {
@@ -167,6 +171,14 @@
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if name, found := strings.CutPrefix(rq.URL.Path, "/api/blob-put/"); found {
+		db.putObject(name, body)
+		return
+	}
+	if name, found := strings.CutPrefix(rq.URL.Path, "/api/blob-get/"); found {
+		db.getObject(rw, name)
+		return
+	}
 	switch rq.URL.Path {
 	case "/api/rows-get":
 		db.get(rw, rq)
@@ -179,6 +191,24 @@
 	}
 }
 
+func (db *Store) putObject(name string, body []byte) {
+	db.mu.Lock()
+	defer db.mu.Unlock()
+	db.objects[name] = body
+}
+
+func (db *Store) getObject(to http.ResponseWriter, name string) {
+	db.mu.Lock()
+	body, found := db.objects[name]
+	db.mu.Unlock()
+	if !found {
+		to.WriteHeader(http.StatusNotFound)
+		return
+	}
+	// A caller that is gone needs no answer.
+	_, _ = to.Write(body)
+}
+
 func (db *Store) reply(to http.ResponseWriter, status int, an answer) {
 	an.Now = time.Since(db.began).Seconds()
 	to.Header().Set("Content-Type", "application/json")
--- a/internal/stand/target/target.go
+++ b/internal/stand/target/target.go
@@ -56,8 +56,14 @@
 	Deaf bool
 }
 
+// CallerField is the header field with a caller's own name for its request,
+// which routers pass on unchanged.
+const CallerField = "Caller-Request"
+
 // Run is one request that was run.
 type Run struct {
+	// Caller is the caller's own name for the request.
+	Caller  string
 	Request string
 	At      time.Time
 	Key     int
@@ -72,17 +78,14 @@
 	listener net.Listener
 	began    time.Time
 
-	mu       sync.Mutex
-	faults   Faults
-	random   *rand.Rand
-	running  int
-	queued   int
-	leaving  bool
-	runs     []Run
-	arrivals int
-	refusals int
-	// cold counts the requests in each second while cold.
-	cold    map[int64]int
+	mu      sync.Mutex
+	faults  Faults
+	random  *rand.Rand
+	running int
+	queued  int
+	runs    []Run
+	// cold are the arrivals while cold.
+	cold    []time.Time
 	epochs  [1 << 16]uint64
 	until   [1 << 16]time.Time
 	freed   *sync.Cond
@@ -104,7 +107,7 @@
 	if err != nil {
 		return nil, err
 	}
-	tg := &Target{cf: cf, listener: ln, began: time.Now(), random: rand.New(rand.NewSource(cf.Seed + 1)), cold: map[int64]int{}, faults: Faults{Slow: 1}}
+	tg := &Target{cf: cf, listener: ln, began: time.Now(), random: rand.New(rand.NewSource(cf.Seed + 1)), faults: Faults{Slow: 1}}
 	tg.freed = sync.NewCond(&tg.mu)
 	tg.server = &http.Server{Handler: tg, ReadHeaderTimeout: 5 * time.Second}
 	go func() {
@@ -134,13 +137,6 @@
 	tg.faults = fl
 }
 
-// Leave lets the health answer say that the upstream is leaving.
-func (tg *Target) Leave() {
-	tg.mu.Lock()
-	defer tg.mu.Unlock()
-	tg.leaving = true
-}
-
 // Runs lists what was run.
 func (tg *Target) Runs() []Run {
 	tg.mu.Lock()
@@ -155,13 +151,16 @@
 	return append([]Holding(nil), tg.changes...)
 }
 
-// MaxCold is the most requests that came in one second while cold.
+// MaxCold is the most requests that came in any one second while cold.
 func (tg *Target) MaxCold() int {
 	tg.mu.Lock()
 	defer tg.mu.Unlock()
-	most := 0
-	for _, count := range tg.cold {
-		most = max(most, count)
+	most, first := 0, 0
+	for last, at := range tg.cold {
+		for at.Sub(tg.cold[first]) >= time.Second {
+			first++
+		}
+		most = max(most, last-first+1)
 	}
 	return most
 }
@@ -191,6 +190,10 @@
 		tg.grant(rw, rq)
 	case "/api/release":
 		tg.release(rw, rq)
+	case faultsPath:
+		tg.setFaults(rw, rq)
+	case runsPath:
+		tg.listRuns(rw)
 	default:
 		tg.serve(rw, rq)
 	}
@@ -277,7 +280,7 @@
 	fl := tg.faults
 	wait := time.Duration(float64(tg.cf.Work) * fl.Slow)
 	draw := tg.random.Float64()
-	tg.runs = append(tg.runs, Run{Request: id, At: time.Now(), Key: key, Held: !tg.cf.Keyed || time.Now().Before(tg.until[key])})
+	tg.runs = append(tg.runs, Run{Caller: rq.Header.Get(CallerField), Request: id, At: time.Now(), Key: key, Held: !tg.cf.Keyed || time.Now().Before(tg.until[key])})
 	tg.mu.Unlock()
 	limit, err := strconv.Atoi(rq.Header.Get("Request-Deadline"))
 	status := http.StatusOK
@@ -300,7 +303,6 @@
 func (tg *Target) admit(rw http.ResponseWriter, rq *http.Request, key int, keyed bool) bool {
 	tg.mu.Lock()
 	defer tg.mu.Unlock()
-	tg.arrivals++
 	if tg.faults.Deaf {
 		tg.mu.Unlock()
 		<-rq.Context().Done()
@@ -308,7 +310,7 @@
 		return false
 	}
 	if time.Since(tg.began) < tg.cf.ColdFor {
-		tg.cold[time.Now().Unix()]++
+		tg.cold = append(tg.cold, time.Now())
 	}
 	if tg.cf.Keyed && (!keyed || !time.Now().Before(tg.until[key])) {
 		rw.Header().Set("Not-Executed", "1")
@@ -316,13 +318,11 @@
 		return false
 	}
 	if tg.random.Float64() < tg.faults.Shed {
-		tg.refusals++
 		rw.Header().Set("Not-Executed", "1")
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		return false
 	}
 	if tg.running >= tg.cf.Slots && tg.queued >= tg.cf.Queue {
-		tg.refusals++
 		hijackAndReset(rw)
 		return false
 	}
@@ -335,13 +335,6 @@
 	return true
 }
 
-// Refusals counts the requests that found the upstream full or shedding.
-func (tg *Target) Refusals() int {
-	tg.mu.Lock()
-	defer tg.mu.Unlock()
-	return tg.refusals
-}
-
 func hijackAndReset(rw http.ResponseWriter) {
 	hj, ok := rw.(http.Hijacker)
 	if !ok {
