Grown sites: send deltas, let fit hosts hand out permits, do less per event

Each change of the assignment was sent whole, 14 KB to 141 hosts, and each change of the upstreams' entries as 39 KB; keys that move and upstreams that come change them several times a second, on links of 10 to 200 Mbit/s. Holders of permits were drawn alike from all hosts, of which 134 have 0.112 of a core and 8 have 0.8: refusals with nothing busy and requests ahead, 300 silent holders in two seconds.

Changed: deltas of assignment and entries, whole ones only to hosts that know nothing to begin from; a member's fitness (processor, less for a slow link) decides who leads first and, squared, who hands out permits; asks to a holder that is passed over say so, and get no cold upstream; the cores are told of upstreams and tables only when these changed; a holder looks at the upstreams of the service and sorts its queue once.

Ruled out: the leader's processor alone (0.8 core, mean load below 0.1).

The world can now isolate a domain from hosts and store at once.

--- a/internal/base/ident/ident.go
+++ b/internal/base/ident/ident.go
@@ -3,12 +3,11 @@
 // Every id is a type of its own, so that a host can never be passed where an
 // upstream is meant:
 //
-//	pl := ident.NewPool("lookup", "north", 0) // "lookup@north#0"
+//	holder := ident.Score("lookup", "a-1", 0.8)
 package ident
 
 import (
-	"fmt"
-	"strings"
+	"math"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -31,44 +30,23 @@
 // Request is the id of one request, unique over all nodes.
 type Request string
 
-// Key is the key of a request for a keyed service.
-type Key string
+// Hash spreads upstreams evenly over the parts of their service.
+func Hash(up Upstream) uint64 { return xxhash.Sum64String(string(up)) }
 
-// Slice numbers a part of a service's key space, from 0.
-type Slice uint32
-
-// Pool names up to MaxPoolUpstreams upstreams of one service in one domain.
-type Pool string
-
-// NewPool builds the name of the pool with the given number, from 0.
-func NewPool(sv Service, dm Domain, number int) Pool {
-	return Pool(fmt.Sprintf("%s@%s#%d", sv, dm, number))
-}
-
-// Service returns the service part of the pool's name.
-func (pl Pool) Service() Service {
-	name, _, _ := strings.Cut(string(pl), "@")
-	return Service(name)
-}
-
-// Domain returns the failure domain part of the pool's name.
-func (pl Pool) Domain() Domain {
-	_, rest, _ := strings.Cut(string(pl), "@")
-	name, _, _ := strings.Cut(rest, "#")
-	return Domain(name)
-}
-
-// SliceOf maps a key to one of count slices; count must not be zero.
-func SliceOf(ky Key, count uint32) Slice {
-	return Slice(xxhash.Sum64String(string(ky)) % uint64(count))
-}
-
-// PartOf maps an upstream to one of a number of parts of its service.
-func PartOf(up Upstream, parts int) int {
+// PartOf maps an upstream's hash to one of a number of parts of its service.
+func PartOf(hash uint64, parts int) int {
 	if parts < 2 {
 		return 0
 	}
-	return int(xxhash.Sum64String(string(up)) % uint64(parts))
+	return int(hash % uint64(parts))
+}
+
+// Score is the rendezvous score of a pair of names where candidates have
+// weights: the candidate with the highest score for an item is its choice, and
+// each is chosen in proportion to its weight.
+func Score(item, candidate string, weight float64) float64 {
+	part := (float64(Weight(item, candidate)>>11) + 0.5) / (1 << 53)
+	return -weight / math.Log(part)
 }
 
 // Weight is the rendezvous weight of a pair of names: the candidate with the
--- a/internal/catalog/assignment/assignment.go
+++ b/internal/catalog/assignment/assignment.go
@@ -47,6 +47,9 @@
 	Address string
 	// Incarnation tells a host's processes apart.
 	Incarnation uint64
+	// Fitness is how well the host can do more than its own callers' work, in
+	// hundredths.
+	Fitness int
 	// Alive is false for a member that fell silent.
 	Alive bool
 }
--- a/internal/catalog/assignment/codec.go
+++ b/internal/catalog/assignment/codec.go
@@ -29,6 +29,7 @@
 	Domain      string `json:"domain"`
 	Address     string `json:"address"`
 	Incarnation uint64 `json:"incarnation"`
+	Fitness     int    `json:"fitness"`
 	Alive       bool   `json:"alive"`
 }
 
@@ -44,7 +45,7 @@
 		Services: []string{}, Upstreams: []string{}, Lives: []int64{}, Members: []storedMember{}, Shares: [][]uint64{},
 	}
 	for _, mb := range tb.Members {
-		st.Members = append(st.Members, storedMember{string(mb.Host), string(mb.Domain), mb.Address, mb.Incarnation, mb.Alive})
+		st.Members = append(st.Members, storedMember{string(mb.Host), string(mb.Domain), mb.Address, mb.Incarnation, mb.Fitness, mb.Alive})
 	}
 	services, claims := map[ident.Service]uint64{}, map[Claim]uint64{}
 	for _, sh := range tb.Shares {
@@ -87,7 +88,7 @@
 	}
 	tb := &Table{Revision: Revision(st.Revision), NextEpoch: keyspace.Epoch(st.NextEpoch)}
 	for _, mb := range st.Members {
-		tb.Members = append(tb.Members, Member{ident.Host(mb.Host), ident.Domain(mb.Domain), mb.Address, mb.Incarnation, mb.Alive})
+		tb.Members = append(tb.Members, Member{ident.Host(mb.Host), ident.Domain(mb.Domain), mb.Address, mb.Incarnation, mb.Fitness, mb.Alive})
 	}
 	for number, fields := range st.Shares {
 		sh, err := st.share(fields)
--- a/internal/catalog/roster/roster.go
+++ b/internal/catalog/roster/roster.go
@@ -7,7 +7,8 @@
 package roster
 
 import (
-	"fmt"
+	"encoding/binary"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -24,6 +25,9 @@
 // forgetTime is how long an upstream without an entry is remembered.
 const forgetTime = 5 * time.Second
 
+// digestBytes is enough for the text that sums up an entry.
+const digestBytes = 128
+
 // Life tells an upstream's incarnations apart.
 type Life int64
 
@@ -90,14 +94,24 @@
 func Digest(entries []Entry) uint64 {
 	sum := uint64(len(entries))
 	for _, en := range entries {
-		dg := xxhash.New()
-		fmt.Fprintf(dg, "%s %s %s %s %d %t %t %d", en.ID, en.Service, en.Address, en.Domain, en.Slots, en.Draining, en.ColdLeft > 0, en.Life)
 		// The order of the entries does not matter.
-		sum += dg.Sum64()
+		sum += en.digest()
 	}
 	return sum
 }
 
+func (en *Entry) digest() uint64 {
+	text := make([]byte, 0, digestBytes)
+	for _, field := range []string{string(en.ID), string(en.Service), en.Address, string(en.Domain)} {
+		text = append(append(text, field...), 0)
+	}
+	text = binary.AppendVarint(text, int64(en.Slots))
+	text = binary.AppendVarint(text, int64(en.Life))
+	text = strconv.AppendBool(text, en.Draining)
+	text = strconv.AppendBool(text, en.ColdLeft > 0)
+	return xxhash.Sum64(text)
+}
+
 // StoreReturned notes that the store answers again after it was away.
 func (bk *Book) StoreReturned(now clock.Instant) {
 	bk.graceUntil = now.Add(returnTime)
--- a/internal/fleet/gateway/asks.go
+++ b/internal/fleet/gateway/asks.go
@@ -150,6 +150,7 @@
 func (as *asks) find(now clock.Instant, ws *pendingAsk) {
 	ws.tries = 0
 	as.choosePart(ws)
+	ws.ask.Fallback = len(ws.passed) > 0
 	ws.holder, ws.address = as.gw.self.Host, ""
 	if len(ws.passed) < holderTries {
 		ws.holder, ws.address = as.holder(now, ws)
@@ -183,14 +184,19 @@
 	if sh.Moving() {
 		owner = sh.Next.Upstream
 	}
-	ws.ask.Part = ident.PartOf(owner, ws.ask.Parts)
+	ws.ask.Part = ident.PartOf(ident.Hash(owner), ws.ask.Parts)
 }
 
+// holderWeight is how likely a member is chosen as a holder. It grows faster
+// than fitness: a part of a busy service takes some 1,400 datagrams a second,
+// which fill a tenth of a processor and more, while a fit host bears many parts.
+func holderWeight(mb *assignment.Member) float64 { return float64(mb.Fitness * mb.Fitness) }
+
 // holder is the member that hands out the permits of a part of a service,
 // chosen alike by all hosts; those that did not answer lately are passed over.
 func (as *asks) holder(now clock.Instant, ws *pendingAsk) (ident.Host, string) {
 	var best *assignment.Member
-	var bestWeight uint64
+	var bestScore float64
 	pool := "permits/" + string(ws.ask.Service) + "/" + strconv.Itoa(ws.ask.Part)
 	members := as.gw.table.Load().Members
 	for ix := range members {
@@ -198,8 +204,8 @@
 		if !mb.Alive || now.Before(as.suspect[mb.Host]) || slices.Contains(ws.passed, mb.Host) {
 			continue
 		}
-		if weight := ident.Weight(pool, string(mb.Host)); best == nil || weight > bestWeight {
-			best, bestWeight = mb, weight
+		if score := ident.Score(pool, string(mb.Host), holderWeight(mb)); best == nil || score > bestScore {
+			best, bestScore = mb, score
 		}
 	}
 	if best == nil {
--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -104,9 +104,12 @@
 	group     sync.WaitGroup
 
 	// What follows belongs to the loop.
-	book      *roster.Book
-	operators platform.OperatorState
-	coldAgain map[ident.Domain]clock.Instant
+
+	// refuseNext is when the next upstream begins to get nothing new.
+	refuseNext clock.Instant
+	book       *roster.Book
+	operators  platform.OperatorState
+	coldAgain  map[ident.Domain]clock.Instant
 	// evacuated tells since when domains are to get nothing.
 	evacuated map[ident.Domain]clock.Instant
 	// outSince tells since when upstreams are out of service.
@@ -118,6 +121,7 @@
 	asks      asks
 	views     viewParts
 	encoded   encodedTable
+	diff      tableDiff
 	news      news
 }
 
@@ -130,14 +134,14 @@
 	}
 	gw := &Gateway{
 		cf:     cf,
-		self:   assignment.Member{Host: st.Host, Domain: st.Domain, Address: st.Peers, Incarnation: uint64(time.Now().UnixMicro()), Alive: true},
+		self:   assignment.Member{Host: st.Host, Domain: st.Domain, Address: st.Peers, Incarnation: uint64(time.Now().UnixMicro()), Fitness: max(int(100*fitness(st)), 1), Alive: true},
 		events: make(chan any, eventBuffer), done: make(chan struct{}), nudge: make(chan struct{}, 1), book: roster.New(),
 		coldAgain: map[ident.Domain]clock.Instant{}, evacuated: map[ident.Domain]clock.Instant{}, permits: permit.New(),
 		owners: owners{clients: map[ident.Upstream]*owner{}},
 	}
 	gw.tally = newTally()
 	gw.asks = newAsks(gw)
-	gw.duty = duty.New(gw.self, st.Processor)
+	gw.duty = duty.New(gw.self, fitness(st))
 	gw.store = platform.NewStore(st.Store, gw.observeStore)
 	gw.source = operatorRows{}
 	callers := journey.Callers(platformCallers{})
@@ -161,6 +165,20 @@
 	return gw, gw.listen()
 }
 
+// leadLink is the link in megabits a second beyond which more does not make a
+// host a better leader: the users' hosts have from 10 to 700, and a leader tells
+// all others of every change beside serving its callers.
+const leadLink = 100
+
+// fitness is how well a host can lead and hand out permits, up to 1: its part
+// of a processor, less where its link is slow.
+func fitness(st platform.Settings) float64 {
+	if st.Link <= 0 {
+		return st.Processor
+	}
+	return st.Processor * min(st.Link/leadLink, 1)
+}
+
 // listen opens the sockets and starts the tasks.
 func (gw *Gateway) listen() error {
 	callers, err := net.Listen("tcp", gw.cf.Settings.Callers)
--- a/internal/fleet/gateway/loop.go
+++ b/internal/fleet/gateway/loop.go
@@ -63,7 +63,7 @@
 	case rosterEvent:
 		gw.read(ev)
 	case againEvent:
-		gw.listed()
+		gw.listed(false)
 	case datagramEvent:
 		gw.hear(ev)
 	case askEvent:
@@ -164,17 +164,29 @@
 	if uint64(ev.version) < gw.news.rosterAt {
 		return
 	}
+	before := gw.news.digest
+	digest := roster.Digest(ev.entries)
+	if digest != before {
+		gw.news.remember()
+	}
 	gw.news.entries, gw.news.rosterAt, gw.news.readAt = ev.entries, uint64(ev.version), now
-	if digest := roster.Digest(ev.entries); digest != gw.news.digest || ev.away {
+	if digest != before || ev.away {
 		gw.news.digest, gw.news.changedAt = digest, uint64(ev.version)
-		gw.spreadRoster(now)
+		gw.spreadRoster(now, before)
 	}
-	gw.listed()
+	gw.listed(digest != before)
 }
 
-// listed follows the entries that are known.
-func (gw *Gateway) listed() {
-	for _, ch := range gw.book.Update(gw.clock.Now(), gw.news.entries) {
+// listed follows the entries that are known. The cores are told only when
+// something changed or an upstream's time to refuse has come: most looks at the
+// entries of hundreds of upstreams find nothing.
+func (gw *Gateway) listed(changed bool) {
+	now := gw.clock.Now()
+	changes := gw.book.Update(now, gw.news.entries)
+	if len(changes) == 0 && !changed && now < gw.refuseNext {
+		return
+	}
+	for _, ch := range changes {
 		gw.cf.Journal.Event("upstream", journal.Fields{"upstream": ch.Upstream, "now": ch.What, "missingMs": ch.Age.Milliseconds(), "version": gw.news.rosterAt})
 	}
 	gw.links.Retain(func(id ident.Upstream) bool {
@@ -196,6 +208,7 @@
 	lead := leader.FleetMsg{Keyed: map[ident.Service]bool{}}
 	domains := make(map[ident.Upstream]ident.Domain, gw.book.Len())
 	gw.upstreams = map[ident.Service]int{}
+	gw.refuseNext = clock.Never
 	hand := permit.FleetMsg{Services: st.Services, Table: gw.table.Load()}
 	for name, sv := range st.Services {
 		if sv.Keyed {
@@ -216,6 +229,7 @@
 		gw.upstreams[up.Service]++
 		places[up.ID] = place{address: up.Address, refuseAt: refuseAt}
 		if now < refuseAt {
+			gw.refuseNext = min(gw.refuseNext, refuseAt)
 			hand.Upstreams = append(hand.Upstreams, permit.Upstream{
 				ID: up.ID, Service: up.Service, Domain: up.Domain, Slots: up.Slots, Life: up.Life, ColdUntil: coldUntil,
 			})
@@ -278,7 +292,7 @@
 			gw.sendView(cmd)
 		case duty.TableCmd:
 			gw.table.Store(cmd.Table)
-			gw.fleetChanged()
+			gw.permit(permit.TableMsg{Table: cmd.Table})
 		}
 	}
 }
@@ -286,7 +300,7 @@
 // sendStatus sends this host's status with what it counted since the last.
 func (gw *Gateway) sendStatus(cmd duty.StatusCmd) {
 	st := cmd.Status
-	st.RosterAt = gw.news.rosterAt
+	st.RosterAt, st.RosterDigest = gw.news.rosterAt, gw.news.digest
 	keys, loads := gw.tally.take()
 	st.Keys = keys
 	st.Upstreams = append(st.Upstreams, loads...)
--- a/internal/fleet/gateway/news.go
+++ b/internal/fleet/gateway/news.go
@@ -28,6 +28,36 @@
 	// behindSince is since when the leader knows newer rows of the operators.
 	behindSince clock.Instant
 	parts       []talk.Roster
+	// history are the entries as they were before they changed, the newest last.
+	history []pastEntries
+}
+
+// pastEntries are the upstreams' entries at an earlier time.
+type pastEntries struct {
+	digest  uint64
+	entries []roster.Entry
+}
+
+// rosterHistory is how many earlier lists of entries are kept: those of some
+// seconds in which upstreams come and go.
+const rosterHistory = 8
+
+// remember keeps the entries, which are about to be replaced.
+func (ns *news) remember() {
+	ns.history = append(ns.history, pastEntries{ns.digest, ns.entries})
+	if len(ns.history) > rosterHistory {
+		ns.history = ns.history[1:]
+	}
+}
+
+// since are the entries that had a digest not long ago.
+func (ns *news) since(digest uint64) ([]roster.Entry, bool) {
+	for _, past := range ns.history {
+		if past.digest == digest && digest != 0 {
+			return past.entries, true
+		}
+	}
+	return nil, false
 }
 
 // word is what the leader says of its knowledge.
@@ -42,16 +72,17 @@
 	beat.News = gw.news.word(now)
 	gw.transmit(cmd.To, beat)
 	if to, err := netip.ParseAddrPort(cmd.To); err == nil && beat.Leader != "" && cmd.RosterAt < gw.news.changedAt {
-		gw.sendRoster(gw.rosterParts(now), to)
+		gw.sendRoster(gw.rosterParts(now, cmd.RosterDigest), to)
 	}
 }
 
-// spreadRoster sends the entries to every member while this host leads.
-func (gw *Gateway) spreadRoster(now clock.Instant) {
+// spreadRoster sends the entries to every member while this host leads; most of
+// them know those with the digest of before.
+func (gw *Gateway) spreadRoster(now clock.Instant, before uint64) {
 	if !gw.duty.Leading() {
 		return
 	}
-	parts := gw.rosterParts(now)
+	parts := gw.rosterParts(now, before)
 	for _, mb := range gw.table.Load().Members {
 		if to, err := netip.ParseAddrPort(mb.Address); err == nil && mb.Host != gw.self.Host {
 			gw.sendRoster(parts, to)
@@ -59,9 +90,18 @@
 	}
 }
 
-// rosterParts are the datagrams that carry the entries.
-func (gw *Gateway) rosterParts(now clock.Instant) [][]byte {
+// rosterParts are the datagrams that carry the entries to a host that knows
+// those with a digest: what changed, or all.
+func (gw *Gateway) rosterParts(now clock.Instant, known uint64) [][]byte {
 	ns := &gw.news
+	if base, found := ns.since(known); found {
+		datagram := talk.Encode(talk.RosterDelta{
+			Term: gw.duty.Term(), At: ns.rosterAt, Age: now.Sub(ns.readAt), GraceLeft: gw.book.GraceLeft(now), Delta: roster.Diff(base, ns.entries),
+		})
+		if len(datagram) <= deltaBytes {
+			return [][]byte{datagram}
+		}
+	}
 	count := max((len(ns.entries)+rosterPart-1)/rosterPart, 1)
 	parts := make([][]byte, 0, count)
 	for part := range count {
@@ -85,15 +125,30 @@
 	if ms.Term < gw.duty.Term() || ms.At <= ns.rosterAt || ms.Parts < 1 || ms.Part < 0 || ms.Part >= ms.Parts {
 		return
 	}
-	entries, complete := ns.collect(ms)
-	if !complete {
+	if entries, complete := ns.collect(ms); complete {
+		gw.takeEntries(now, entries, ms.At, ms.Age, ms.GraceLeft)
+	}
+}
+
+// heardRosterDelta takes what changed of the entries from a leader. A host
+// that does not know what it begins at gets all with the next sign.
+func (gw *Gateway) heardRosterDelta(now clock.Instant, ms talk.RosterDelta) {
+	if ms.Term < gw.duty.Term() || ms.At <= gw.news.rosterAt {
 		return
 	}
-	ns.entries, ns.rosterAt, ns.readAt = entries, ms.At, now.Add(-ms.Age)
-	ns.digest, ns.changedAt = roster.Digest(entries), ms.At
+	if entries, begins := ms.Apply(gw.news.entries); begins {
+		gw.takeEntries(now, entries, ms.At, ms.Age, ms.GraceLeft)
+	}
+}
+
+// takeEntries takes the entries as the leader knows them.
+func (gw *Gateway) takeEntries(now clock.Instant, entries []roster.Entry, at uint64, age, graceLeft time.Duration) {
+	ns := &gw.news
+	ns.entries, ns.rosterAt, ns.readAt = entries, at, now.Add(-age)
+	ns.digest, ns.changedAt = roster.Digest(entries), at
 	gw.newsAt.Store(int64(ns.readAt))
-	gw.book.Grace(now, ms.GraceLeft)
-	gw.listed()
+	gw.book.Grace(now, graceLeft)
+	gw.listed(true)
 }
 
 // collect puts the parts of one version together.
--- a/internal/fleet/gateway/peers.go
+++ b/internal/fleet/gateway/peers.go
@@ -17,6 +17,9 @@
 	datagramBytes = 16 << 10
 	// viewPartBytes is how much of an assignment goes into one datagram.
 	viewPartBytes = 8 << 10
+	// deltaBytes is the largest datagram with a delta; a larger one is sent as the
+	// whole that it leads to, in parts.
+	deltaBytes = 12 << 10
 )
 
 // datagramEvent is a message from another host.
@@ -77,8 +80,13 @@
 		gw.own(duty.BeatMsg{Beat: ms, From: ev.from.String()})
 	case talk.Roster:
 		gw.heardRoster(now, ms)
+	case talk.RosterDelta:
+		gw.heardRosterDelta(now, ms)
 	case talk.View:
 		gw.heardView(ev.from, ms)
+	case talk.ViewDelta:
+		gw.heardNews(now, ms.Beat)
+		gw.own(duty.DeltaMsg{Beat: ms.Beat, Delta: ms.Delta, From: ev.from.String()})
 	case talk.Ask:
 		gw.asks.remember(ms.Host, ev.from)
 		gw.permit(permit.AskMsg{Ask: ms})
@@ -96,8 +104,12 @@
 	}
 }
 
-// sendView sends an assignment, in parts that fit into datagrams.
+// sendView sends an assignment: what changed since a base if that is known,
+// else all of it in parts that fit into datagrams.
 func (gw *Gateway) sendView(cmd duty.ViewCmd) {
+	if cmd.Base != nil && gw.sendDelta(cmd) {
+		return
+	}
 	if gw.encoded.table != cmd.Table {
 		body, err := assignment.Encode(cmd.Table)
 		if err != nil {
@@ -115,6 +127,32 @@
 	}
 }
 
+// sendDelta sends what changed of an assignment; false means that it does not
+// fit into a datagram.
+func (gw *Gateway) sendDelta(cmd duty.ViewCmd) bool {
+	to, err := netip.ParseAddrPort(cmd.To)
+	if err != nil {
+		return false
+	}
+	if gw.diff.base != cmd.Base || gw.diff.table != cmd.Table {
+		gw.diff = tableDiff{cmd.Base, cmd.Table, assignment.Diff(cmd.Base, cmd.Table)}
+	}
+	beat := cmd.Beat
+	beat.News = gw.news.word(gw.clock.Now())
+	datagram := talk.Encode(talk.ViewDelta{Beat: beat, Delta: gw.diff.delta})
+	if len(datagram) > deltaBytes {
+		return false
+	}
+	gw.write(to, datagram)
+	return true
+}
+
+// tableDiff is the change of the assignment that was sent last.
+type tableDiff struct {
+	base, table *assignment.Table
+	delta       assignment.Delta
+}
+
 // encodedTable is the assignment that was sent last.
 type encodedTable struct {
 	table *assignment.Table
--- a/internal/ownership/duty/duty.go
+++ b/internal/ownership/duty/duty.go
@@ -26,6 +26,9 @@
 	statusEvery = 400 * time.Millisecond
 	// electionTick is how often the election is looked at.
 	electionTick = 150 * time.Millisecond
+	// historySize is how many earlier tables a leader keeps: those of a second
+	// in which many keys move.
+	historySize = 16
 )
 
 // Outcome tells what is known of a write to the store.
@@ -79,6 +82,13 @@
 	From  string
 }
 
+// DeltaMsg is what a leader says that changed of the assignment.
+type DeltaMsg struct {
+	Beat  talk.Beat
+	Delta assignment.Delta
+	From  string
+}
+
 // FleetMsg tells which upstreams there are.
 type FleetMsg struct {
 	Fleet   leader.FleetMsg
@@ -124,19 +134,20 @@
 	Status talk.Status
 }
 
-// BeatCmd tells to send a sign of this host's lead. RosterAt is the version of
-// the upstreams' entries that the receiver knows.
+// BeatCmd tells to send a sign of this host's lead. RosterAt and RosterDigest
+// are of the upstreams' entries that the receiver knows.
 type BeatCmd struct {
-	To       string
-	RosterAt uint64
-	Beat     talk.Beat
+	To                     string
+	RosterAt, RosterDigest uint64
+	Beat                   talk.Beat
 }
 
-// ViewCmd tells to send the assignment in force.
+// ViewCmd tells to send the assignment in force, to a receiver that knows Base;
+// nil where what it knows is too old.
 type ViewCmd struct {
-	To    string
-	Beat  talk.Beat
-	Table *assignment.Table
+	To          string
+	Beat        talk.Beat
+	Table, Base *assignment.Table
 }
 
 // TableCmd says that a newer assignment is in force.
@@ -164,6 +175,9 @@
 	// expects are those that the last one left.
 	writing  bool
 	writeRow bool
+	// history are the tables before the one in force, the newest last, while
+	// this host leads.
+	history []*assignment.Table
 	// unsure is set after a write of the assignment of which it is not known
 	// whether it took effect, until the rows were read.
 	unsure bool
@@ -172,10 +186,10 @@
 	cmds []Cmd
 }
 
-// New makes the core of a host with a part of a processor: leading takes some.
-func New(self assignment.Member, processor float64) *Core {
+// New makes the core of a host; fitness from 0 to 1 is how well it can lead.
+func New(self assignment.Member, fitness float64) *Core {
 	return &Core{
-		self: self, election: election.New(self.Host, self.Address, self.Incarnation, processor), renewal: renewal.New(self.Host),
+		self: self, election: election.New(self.Host, self.Address, self.Incarnation, fitness), renewal: renewal.New(self.Host),
 		table: &assignment.Table{},
 	}
 }
@@ -208,6 +222,8 @@
 		co.beat(now, ms)
 	case ViewMsg:
 		co.view(now, ms)
+	case DeltaMsg:
+		co.delta(now, ms)
 	case FleetMsg:
 		co.fleet = ms
 		co.lead(now, ms.Fleet)
@@ -314,11 +330,35 @@
 	if tb.Revision <= co.table.Revision {
 		return
 	}
+	co.remember(co.table)
 	co.table = tb
 	co.do(TableCmd{Table: tb})
 	co.renewals(now)
 }
 
+// remember keeps a table that is replaced, so that members that know it can be
+// told what changed since.
+func (co *Core) remember(tb *assignment.Table) {
+	if co.leader == nil {
+		co.history = nil
+		return
+	}
+	co.history = append(co.history, tb)
+	if len(co.history) > historySize {
+		co.history = co.history[1:]
+	}
+}
+
+// known finds a table that was in force not long ago; nil where it is too old.
+func (co *Core) known(rv assignment.Revision) *assignment.Table {
+	for _, tb := range co.history {
+		if tb.Revision == rv {
+			return tb
+		}
+	}
+	return nil
+}
+
 // confirm notes that the table in force was the newest at a time.
 func (co *Core) confirm(now, at clock.Instant) {
 	co.confirmedAt = max(co.confirmedAt, at)
@@ -414,9 +454,9 @@
 	switch {
 	case ms.From == "":
 	case ms.Status.Revision < co.table.Revision:
-		co.do(ViewCmd{To: ms.From, Beat: co.sign(now), Table: co.table})
+		co.do(ViewCmd{To: ms.From, Beat: co.sign(now), Table: co.table, Base: co.known(ms.Status.Revision)})
 	default:
-		co.do(BeatCmd{To: ms.From, Beat: co.sign(now), RosterAt: ms.Status.RosterAt})
+		co.do(BeatCmd{To: ms.From, Beat: co.sign(now), RosterAt: ms.Status.RosterAt, RosterDigest: ms.Status.RosterDigest})
 	}
 	co.lead(now, leader.StatusMsg{Status: ms.Status})
 }
@@ -453,11 +493,25 @@
 	co.sendStatus(now)
 }
 
+func (co *Core) delta(now clock.Instant, ms DeltaMsg) {
+	tb, begins := ms.Delta.Apply(co.table)
+	if !begins {
+		// The next status says which table this host has.
+		co.beat(now, BeatMsg{Beat: ms.Beat, From: ms.From})
+		return
+	}
+	co.view(now, ViewMsg{Beat: ms.Beat, Table: tb, From: ms.From})
+}
+
 // broadcast sends the assignment in force to every member.
 func (co *Core) broadcast(now clock.Instant) {
+	var base *assignment.Table
+	if len(co.history) > 0 {
+		base = co.history[len(co.history)-1]
+	}
 	for _, mb := range co.table.Members {
 		if mb.Host != co.self.Host {
-			co.do(ViewCmd{To: mb.Address, Beat: co.sign(now), Table: co.table})
+			co.do(ViewCmd{To: mb.Address, Beat: co.sign(now), Table: co.table, Base: base})
 		}
 	}
 	co.sendStatus(now)
--- a/internal/ownership/duty/duty_test.go
+++ b/internal/ownership/duty/duty_test.go
@@ -8,6 +8,8 @@
 
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
+
+	"chervilwalk/internal/base/ident"
 )
 
 // tail is the end of the world's log, for a failure's report.
@@ -60,6 +62,10 @@
 			wd.cutDomain = "b"
 			wd.after(6*time.Second, func() { wd.cutDomain, wd.healedAt = "", wd.now })
 		}, 12 * time.Second},
+		"a domain and its way to the store are cut off while an upstream there drains": {func(wd *world) {
+			wd.isolate("b", 9*time.Second)
+			wd.upstreams[1].gone = true
+		}, 15 * time.Second},
 		"all hosts are killed": {func(wd *world) {
 			for _, ho := range wd.hosts {
 				wd.kill(ho)
@@ -121,7 +127,7 @@
 	up := wd.upstreams[rapid.IntRange(0, len(wd.upstreams)-1).Draw(rt, "upstream")]
 	span := time.Duration(rapid.IntRange(200, 9000).Draw(rt, "spanMs")) * time.Millisecond
 	kind := rapid.SampledFrom([]string{
-		"kill", "freeze", "cutStore", "storeDown", "lost", "late", "lateGrants", "cutDomain", "crash", "reborn", "drain", "slowRelease", "killAll", "hot",
+		"kill", "freeze", "cutStore", "storeDown", "lost", "late", "lateGrants", "cutDomain", "isolate", "crash", "reborn", "drain", "slowRelease", "killAll", "hot",
 	}).Draw(rt, "kind")
 	wd.note("PLAY %s host=%s upstream=%s span=%s", kind, ho.member.Host, up.id, span)
 	restart := func(ho *host) {
@@ -159,6 +165,8 @@
 	case "cutDomain":
 		wd.cutDomain = ho.member.Domain
 		wd.after(span, func() { wd.cutDomain, wd.healedAt = "", wd.now })
+	case "isolate":
+		wd.isolate(up.domain, span)
 	case "crash", "reborn":
 		wd.crash(up, span)
 	case "drain":
@@ -171,6 +179,18 @@
 	}
 }
 
+// isolate cuts a domain off from the others and its hosts off from the store.
+func (wd *world) isolate(domain ident.Domain, span time.Duration) {
+	wd.cutDomain = domain
+	for _, ho := range wd.hosts {
+		if ho.member.Domain == domain {
+			ho.storeCut = true
+			wd.after(span, func() { ho.storeCut = false })
+		}
+	}
+	wd.after(span, func() { wd.cutDomain, wd.healedAt = "", wd.now })
+}
+
 // crash ends an upstream's life; it comes back as another one.
 func (wd *world) crash(up *upstream, span time.Duration) {
 	if !up.up {
--- a/internal/ownership/duty/world_test.go
+++ b/internal/ownership/duty/world_test.go
@@ -217,6 +217,10 @@
 	case duty.BeatCmd:
 		wd.datagram(ho, cmd.To, duty.BeatMsg{Beat: cmd.Beat, From: ho.member.Address})
 	case duty.ViewCmd:
+		if cmd.Base != nil {
+			wd.datagram(ho, cmd.To, duty.DeltaMsg{Beat: cmd.Beat, Delta: assignment.Diff(cmd.Base, cmd.Table), From: ho.member.Address})
+			return
+		}
 		wd.datagram(ho, cmd.To, duty.ViewMsg{Beat: cmd.Beat, Table: cmd.Table, From: ho.member.Address})
 	case duty.EventCmd:
 		wd.note("%s %s %v", ho.member.Host, cmd.What, cmd.Fields)
--- a/internal/ownership/election/election.go
+++ b/internal/ownership/election/election.go
@@ -25,7 +25,7 @@
 	// stale is how long the row must be unchanged before it is taken over: two
 	// renewals, with the time that a slow store takes.
 	stale = 1700 * time.Millisecond
-	// holdBack is how much longer a host waits that has hardly any processor.
+	// holdBack is how much longer a host waits that is hardly fit to lead.
 	holdBack = 250 * time.Millisecond
 	// ActTime is how long after the store confirmed its lead a leader may still
 	// order upstreams: with the time of a call it ends before the row can be
@@ -122,11 +122,11 @@
 	claimable bool
 }
 
-// New makes the core of a host with a part of a processor. Hosts with less of
-// it hold back a little longer, so that the row falls to one with more.
-func New(host ident.Host, address string, incarnation uint64, processor float64) *Core {
+// New makes the core of a host that can lead more or less well, from 0 to 1.
+// Less fit hosts hold back a little longer, so that the row falls to a fit one.
+func New(host ident.Host, address string, incarnation uint64, fitness float64) *Core {
 	jitter := time.Duration(ident.Weight("election", string(host))%100) * time.Millisecond
-	jitter += time.Duration((1 - min(max(processor, 0), 1)) * float64(holdBack))
+	jitter += time.Duration((1 - min(max(fitness, 0), 1)) * float64(holdBack))
 	return &Core{self: Row{Host: host, Address: address, Incarnation: incarnation}, jitter: jitter}
 }
 
--- a/internal/peer/talk/message.go
+++ b/internal/peer/talk/message.go
@@ -54,8 +54,10 @@
 	Revision assignment.Revision
 	// Stopping members hand out no permits and renew no grants.
 	Stopping bool
-	// RosterAt is the store's version of the entries that it knows.
-	RosterAt  uint64
+	// RosterAt is the store's version of the entries that it knows, and
+	// RosterDigest sums them up.
+	RosterAt, RosterDigest uint64
+
 	Keys      []KeyLoad
 	Upstreams []UpstreamLoad
 }
@@ -93,6 +95,21 @@
 	Entries     []roster.Entry
 }
 
+// RosterDelta carries what changed of the upstreams' entries.
+type RosterDelta struct {
+	Term      Term
+	At        uint64
+	Age       time.Duration
+	GraceLeft time.Duration
+	roster.Delta
+}
+
+// ViewDelta carries what changed of the assignment.
+type ViewDelta struct {
+	Beat
+	Delta assignment.Delta
+}
+
 // View carries a part of the encoded assignment.
 type View struct {
 	Beat
@@ -112,6 +129,10 @@
 	Keyed       bool
 	// Part of Parts of the service's upstreams is what the holder hands out.
 	Part, Parts int
+	// Fallback tells that the holder which hands this part out was passed over.
+	// Several hosts may then do so at a time, and together they would send a
+	// cold upstream more than it bears.
+	Fallback bool
 	// Large answers should not cross domains.
 	Large bool
 	// Repeatable requests may run more than once.
@@ -172,29 +193,40 @@
 	doneNumber
 	doneSeenNumber
 	rosterNumber
+	rosterDeltaNumber
+	viewDeltaNumber
 )
 
-func (Status) number() uint8   { return statusNumber }
-func (Beat) number() uint8     { return beatNumber }
-func (View) number() uint8     { return viewNumber }
-func (Ask) number() uint8      { return askNumber }
-func (Permit) number() uint8   { return permitNumber }
-func (Refusal) number() uint8  { return refusalNumber }
-func (Queued) number() uint8   { return queuedNumber }
-func (Done) number() uint8     { return doneNumber }
-func (Roster) number() uint8   { return rosterNumber }
-func (DoneSeen) number() uint8 { return doneSeenNumber }
+func (Status) number() uint8    { return statusNumber }
+func (Beat) number() uint8      { return beatNumber }
+func (View) number() uint8      { return viewNumber }
+func (Ask) number() uint8       { return askNumber }
+func (Permit) number() uint8    { return permitNumber }
+func (Refusal) number() uint8   { return refusalNumber }
+func (Queued) number() uint8    { return queuedNumber }
+func (Done) number() uint8      { return doneNumber }
+func (Roster) number() uint8    { return rosterNumber }
+func (DoneSeen) number() uint8  { return doneSeenNumber }
+func (ViewDelta) number() uint8 { return viewDeltaNumber }
+
+func (RosterDelta) number() uint8 { return rosterDeltaNumber }
+
+func codeMember(cd *coder, mb *assignment.Member) {
+	text(cd, &mb.Host)
+	text(cd, &mb.Domain)
+	text(cd, &mb.Address)
+	field(cd, &mb.Incarnation)
+	field(cd, &mb.Fitness)
+	flag(cd, &mb.Alive)
+}
 
 func (ms *Status) code(cd *coder) {
-	text(cd, &ms.Member.Host)
-	text(cd, &ms.Member.Domain)
-	text(cd, &ms.Member.Address)
-	field(cd, &ms.Member.Incarnation)
-	flag(cd, &ms.Member.Alive)
+	codeMember(cd, &ms.Member)
 	field(cd, &ms.Term)
 	field(cd, &ms.Revision)
 	flag(cd, &ms.Stopping)
 	field(cd, &ms.RosterAt)
+	field(cd, &ms.RosterDigest)
 	list(cd, &ms.Keys, func(kl *KeyLoad) {
 		text(cd, &kl.Service)
 		field(cd, &kl.Key)
@@ -235,19 +267,58 @@
 	span(cd, &ms.GraceLeft)
 	field(cd, &ms.Part)
 	field(cd, &ms.Parts)
-	list(cd, &ms.Entries, func(en *roster.Entry) {
-		text(cd, &en.ID)
-		text(cd, &en.Service)
-		text(cd, &en.Address)
-		text(cd, &en.Domain)
-		field(cd, &en.Slots)
-		flag(cd, &en.Draining)
-		span(cd, &en.ColdLeft)
-		field(cd, &en.Sequence)
-		field(cd, &en.Life)
+	list(cd, &ms.Entries, func(en *roster.Entry) { codeEntry(cd, en) })
+}
+
+func codeEntry(cd *coder, en *roster.Entry) {
+	text(cd, &en.ID)
+	text(cd, &en.Service)
+	text(cd, &en.Address)
+	text(cd, &en.Domain)
+	field(cd, &en.Slots)
+	flag(cd, &en.Draining)
+	span(cd, &en.ColdLeft)
+	field(cd, &en.Sequence)
+	field(cd, &en.Life)
+}
+
+func (ms *RosterDelta) code(cd *coder) {
+	field(cd, &ms.Term)
+	field(cd, &ms.At)
+	span(cd, &ms.Age)
+	span(cd, &ms.GraceLeft)
+	field(cd, &ms.Base)
+	list(cd, &ms.Gone, func(id *ident.Upstream) { text(cd, id) })
+	list(cd, &ms.Entries, func(en *roster.Entry) { codeEntry(cd, en) })
+}
+
+func (ms *ViewDelta) code(cd *coder) {
+	ms.Beat.code(cd)
+	dl := &ms.Delta
+	field(cd, &dl.Base)
+	field(cd, &dl.Revision)
+	field(cd, &dl.NextEpoch)
+	list(cd, &dl.Members, func(mb *assignment.Member) { codeMember(cd, mb) })
+	list(cd, &dl.Dropped, func(pl *assignment.Place) {
+		text(cd, &pl.Service)
+		field(cd, &pl.From)
+	})
+	list(cd, &dl.Added, func(sh *assignment.Share) {
+		text(cd, &sh.Service)
+		field(cd, &sh.From)
+		field(cd, &sh.To)
+		codeClaim(cd, &sh.Owner)
+		codeClaim(cd, &sh.Next)
+		field(cd, &sh.Fence)
 	})
 }
 
+func codeClaim(cd *coder, cl *assignment.Claim) {
+	text(cd, &cl.Upstream)
+	field(cd, &cl.Life)
+	field(cd, &cl.Epoch)
+}
+
 func (ms *Ask) code(cd *coder) {
 	text(cd, &ms.Host)
 	field(cd, &ms.Incarnation)
@@ -259,6 +330,7 @@
 	flag(cd, &ms.Keyed)
 	field(cd, &ms.Part)
 	field(cd, &ms.Parts)
+	flag(cd, &ms.Fallback)
 	flag(cd, &ms.Large)
 	flag(cd, &ms.Repeatable)
 	field(cd, &ms.Priority)
@@ -317,6 +389,10 @@
 		field(cd, &ms.Ticket)
 	case Roster:
 		ms.code(cd)
+	case RosterDelta:
+		ms.code(cd)
+	case ViewDelta:
+		ms.code(cd)
 	}
 	return cd.buf
 }
@@ -349,6 +425,10 @@
 		msg = decode(cd, func(ms *DoneSeen) { field(cd, &ms.Ticket) })
 	case rosterNumber:
 		msg = decode(cd, func(ms *Roster) { ms.code(cd) })
+	case rosterDeltaNumber:
+		msg = decode(cd, func(ms *RosterDelta) { ms.code(cd) })
+	case viewDeltaNumber:
+		msg = decode(cd, func(ms *ViewDelta) { ms.code(cd) })
 	default:
 		return nil, fmt.Errorf("talk: unknown message %d", datagram[1])
 	}
--- a/internal/peer/talk/talk_test.go
+++ b/internal/peer/talk/talk_test.go
@@ -7,6 +7,8 @@
 
 	. "github.com/onsi/gomega"
 
+	"chervilwalk/internal/base/ident"
+	"chervilwalk/internal/base/keyspace"
 	"chervilwalk/internal/catalog/assignment"
 	"chervilwalk/internal/catalog/roster"
 	"chervilwalk/internal/peer/talk"
@@ -16,13 +18,24 @@
 	beat := talk.Beat{Term: 3, Leader: "a", Revision: 9, StoreAge: 20 * time.Millisecond, RowAt: 7, News: talk.News{RosterAt: 5, RosterAge: time.Second, OperatorAt: 4}}
 	return map[string]talk.Msg{
 		"status": talk.Status{
-			Member: assignment.Member{Host: "a", Domain: "d", Address: "10.0.0.1:7540", Incarnation: 1 << 60, Alive: true}, Term: 3, Revision: 9, Stopping: true, RosterAt: 5,
+			Member: assignment.Member{Host: "a", Domain: "d", Address: "10.0.0.1:7540", Incarnation: 1 << 60, Fitness: 80, Alive: true}, Term: 3, Revision: 9, Stopping: true, RosterAt: 5, RosterDigest: 1 << 63,
 			Keys:      []talk.KeyLoad{{Service: "lookup", Key: 65535, Count: 3}},
 			Upstreams: []talk.UpstreamLoad{{Upstream: "u", Answers: 2, Work: 300 * time.Millisecond, Failures: 1, Unreached: time.Second, Superseded: true}},
 		},
-		"beat":     beat,
+		"beat": beat,
+		"viewDelta": talk.ViewDelta{Beat: beat, Delta: assignment.Delta{
+			Base: 8, Revision: 9, NextEpoch: 40, Members: []assignment.Member{{Host: "a", Domain: "d", Address: "10.0.0.1:7540", Incarnation: 7, Alive: true}},
+			Dropped: []assignment.Place{{Service: "lookup", From: 16}},
+			Added: []assignment.Share{{
+				Service: "lookup", Range: keyspace.Range{From: 16, To: 99}, Owner: assignment.Claim{Upstream: "u", Life: 5, Epoch: 12},
+				Next: assignment.Claim{Upstream: "v", Life: 6, Epoch: 16}, Fence: 13,
+			}},
+		}},
+		"rosterDelta": talk.RosterDelta{Term: 3, At: 5, Age: time.Second, GraceLeft: time.Second, Delta: roster.Delta{
+			Base: 1 << 63, Gone: []ident.Upstream{"w"}, Entries: []roster.Entry{{ID: "u", Service: "lookup", Address: "10.0.0.9:80", Domain: "d", Slots: 2, Life: 99}},
+		}},
 		"view":     talk.View{Beat: beat, Part: 1, Parts: 2, Body: "{}"},
-		"ask":      talk.Ask{Host: "a", Incarnation: 4, Ticket: 9, Request: "r", Service: "lookup", Domain: "d", Key: 7, Keyed: true, Large: true, Repeatable: true, Priority: 2, ObjectiveLeft: 0, TimeLeft: time.Second, Avoid: "u"},
+		"ask":      talk.Ask{Host: "a", Incarnation: 4, Ticket: 9, Request: "r", Service: "lookup", Domain: "d", Key: 7, Keyed: true, Part: 1, Parts: 2, Fallback: true, Large: true, Repeatable: true, Priority: 2, ObjectiveLeft: 0, TimeLeft: time.Second, Avoid: "u"},
 		"permit":   talk.Permit{Ticket: 9, Upstream: "u", Epoch: 12},
 		"refusal":  talk.Refusal{Ticket: 9, RetryAfter: time.Second, Reason: "noRoomInTime"},
 		"queued":   talk.Queued{Ticket: 9},
--- a/internal/serving/permit/permit.go
+++ b/internal/serving/permit/permit.go
@@ -61,6 +61,9 @@
 	Table     *assignment.Table
 }
 
+// TableMsg tells who owns which keys.
+type TableMsg struct{ Table *assignment.Table }
+
 // TickMsg says that time has passed.
 type TickMsg struct{}
 
@@ -141,8 +144,12 @@
 type Core struct {
 	services  map[ident.Service]desired.Service
 	upstreams map[ident.Upstream]*upstream
-	table     *assignment.Table
-	asks      map[holderID]*ask
+	// pools are the upstreams by service.
+	pools map[ident.Service][]*upstream
+	// free is reused by each dispatch.
+	free  []*upstream
+	table *assignment.Table
+	asks  map[holderID]*ask
 	// waiting are the asks without a permit, by service.
 	waiting map[ident.Service][]*ask
 	// disowned are the epochs of shares that their owner did not know, until
@@ -171,6 +178,8 @@
 		return co.dispatch(now, ms.Done.Service)
 	case FleetMsg:
 		co.fleet(now, ms)
+	case TableMsg:
+		co.table = ms.Table
 	}
 	co.expire(now)
 	for sv := range co.waiting {
@@ -210,7 +219,7 @@
 			us = newUpstream(now, up, co.expected(up.Service))
 			co.upstreams[up.ID] = us
 		}
-		us.Upstream, us.usable = up, true
+		us.Upstream, us.usable, us.hash = up, true, ident.Hash(up.ID)
 	}
 	for id, us := range co.upstreams {
 		if listed[id] {
@@ -221,6 +230,10 @@
 			delete(co.upstreams, id)
 		}
 	}
+	co.pools = make(map[ident.Service][]*upstream, len(co.services))
+	for _, us := range co.upstreams {
+		co.pools[us.Service] = append(co.pools[us.Service], us)
+	}
 }
 
 // expected is how long an answer of the service usually takes.
--- a/internal/serving/permit/permit_test.go
+++ b/internal/serving/permit/permit_test.go
@@ -309,3 +309,54 @@
 	ask.Ticket = 3
 	gm.Expect(co.Update(now, permit.AskMsg{Ask: ask})[0]).To(BeAssignableToTypeOf(permit.SendCmd{}))
 }
+
+// TestManyHoldersSpareColdUpstreams answers a day on which half of the hosts
+// lost the holder of a service at a time and handed out permits by themselves:
+// together they must not send a cold upstream more than it bears.
+func TestManyHoldersSpareColdUpstreams(t *testing.T) {
+	for name, keyed := range map[string]bool{"keyed": true, "any": false} {
+		t.Run(name, func(t *testing.T) {
+			gm := NewWithT(t)
+			cold, warm := 0, 0
+			for range 70 {
+				pl := newPlay(1, keyed, even(3, 50*time.Millisecond)...)
+				pl.tell(pl.fleet(1))
+				for _, key := range []keyspace.Key{7, 60000} {
+					pl.tell(permit.AskMsg{Ask: talk.Ask{
+						Host: "a", Ticket: talk.Ticket(key), Service: service, Domain: "d0", Key: key, Keyed: keyed, Fallback: true,
+						Repeatable: true, ObjectiveLeft: objective, TimeLeft: limit,
+					}})
+				}
+				pl.run(time.Second)
+				for _, count := range pl.sent["u0"] {
+					cold += count
+				}
+				for _, id := range []ident.Upstream{"u1", "u2"} {
+					for _, count := range pl.sent[id] {
+						warm += count
+					}
+				}
+			}
+			gm.Expect(cold).To(BeZero())
+			gm.Expect(warm).To(BeNumerically(">", 0))
+		})
+	}
+}
+
+// BenchmarkAsk is the work of a holder for one request to a large service.
+func BenchmarkAsk(b *testing.B) {
+	for name, keyed := range map[string]bool{"keyed": true, "any": false} {
+		b.Run(name, func(b *testing.B) {
+			pl := newPlay(1, keyed, even(321, 200*time.Millisecond)...)
+			for range 300 {
+				pl.ask(keyspace.Key(pl.rng.Intn(keyspace.Count)), 0)
+			}
+			b.ReportAllocs()
+			for ticket := talk.Ticket(1 << 20); b.Loop(); ticket++ {
+				ask := talk.Ask{Host: "b", Ticket: ticket, Service: service, Key: keyspace.Key(ticket * 977), Keyed: keyed, ObjectiveLeft: objective, TimeLeft: limit, Repeatable: true}
+				pl.core.Update(pl.now, permit.AskMsg{Ask: ask})
+				pl.core.Update(pl.now, permit.DoneMsg{Done: talk.Done{Host: "b", Ticket: ticket, Service: service, Outcome: uint8(permit.Answered), Took: time.Millisecond}})
+			}
+		})
+	}
+}
--- a/internal/serving/permit/queue.go
+++ b/internal/serving/permit/queue.go
@@ -1,6 +1,7 @@
 package permit
 
 import (
+	"slices"
 	"time"
 
 	"chervilwalk/internal/base/clock"
@@ -101,7 +102,7 @@
 // poolOutlook is the outlook of an ask that any upstream of its service serves.
 func (co *Core) poolOutlook(now clock.Instant, ak *ask) (ol Outlook, known bool) {
 	rate, open := 0.0, 0
-	for _, us := range co.upstreams {
+	for _, us := range co.pools[ak.Service] {
 		if !ak.mayUse(us) || !us.usable {
 			continue
 		}
@@ -155,6 +156,18 @@
 	return ak.objective < other.objective
 }
 
+// compare orders asks as the queue does.
+func (ak *ask) compare(other *ask) int {
+	switch {
+	case ak.before(other):
+		return -1
+	case other.before(ak):
+		return 1
+	default:
+		return 0
+	}
+}
+
 // owner finds the upstream that serves an ask's key, or will after its move.
 func (co *Core) owner(ak *ask) (us *upstream, moving bool) {
 	sh, found := co.table.Owner(ak.Service, ak.Key)
@@ -192,32 +205,37 @@
 // longer be served.
 func (co *Core) dispatch(now clock.Instant, sv ident.Service) []Cmd {
 	cmds := co.drop(now, sv)
+	if len(co.waiting[sv]) == 0 {
+		return cmds
+	}
 	coldRate := co.services[sv].ColdRate
-	tried := map[*ask]bool{}
-	for {
-		ak := co.first(sv, tried)
-		if ak == nil {
-			return cmds
-		}
-		tried[ak] = true
-		us := co.choose(now, ak, coldRate)
+	free := co.freeOf(now, sv, coldRate)
+	queue := slices.Clone(co.waiting[sv])
+	slices.SortStableFunc(queue, (*ask).compare)
+	for _, ak := range queue {
+		us := co.choose(now, ak, coldRate, free)
 		if us == nil {
 			continue
 		}
 		co.unqueue(ak)
 		cmds = append(cmds, co.permit(now, ak, us))
 	}
+	return cmds
 }
 
-// first returns the waiting ask to serve next among those not tried.
-func (co *Core) first(sv ident.Service, tried map[*ask]bool) *ask {
-	var best *ask
-	for _, ak := range co.waiting[sv] {
-		if !tried[ak] && (best == nil || ak.before(best)) {
-			best = ak
+// freeOf are the upstreams of a service that can take one more request, where
+// any of them may serve it. The list is good until the next call.
+func (co *Core) freeOf(now clock.Instant, sv ident.Service, coldRate float64) []*upstream {
+	co.free = co.free[:0]
+	if co.services[sv].Keyed {
+		return co.free
+	}
+	for _, us := range co.pools[sv] {
+		if us.free(now, coldRate) {
+			co.free = append(co.free, us)
 		}
 	}
-	return best
+	return co.free
 }
 
 func (co *Core) permit(now clock.Instant, ak *ask, us *upstream) Cmd {
@@ -263,19 +281,19 @@
 }
 
 // choose picks the upstream that an ask may go to now: for a key its owner,
-// else the one that is expected to answer first.
-func (co *Core) choose(now clock.Instant, ak *ask, coldRate float64) *upstream {
+// else the one of the free ones that is expected to answer first.
+func (co *Core) choose(now clock.Instant, ak *ask, coldRate float64, free []*upstream) *upstream {
 	if ak.Keyed {
 		us, moving := co.owner(ak)
-		if us == nil || moving || co.isDisowned(now, ak) || !us.free(now, coldRate) {
+		if us == nil || moving || co.isDisowned(now, ak) || !us.free(now, coldRate) || ak.Fallback && us.cold(now) {
 			return nil
 		}
 		return us
 	}
 	var best *upstream
 	var bestCost time.Duration
-	for _, us := range co.upstreams {
-		if !ak.mayUse(us) || us.ID == ak.Avoid || !us.free(now, coldRate) {
+	for _, us := range free {
+		if !ak.mayUse(us) || us.ID == ak.Avoid || !us.free(now, coldRate) || ak.Fallback && us.cold(now) {
 			continue
 		}
 		cost, ok := ak.cost(now, us)
@@ -288,7 +306,7 @@
 
 // mayUse tells whether an upstream is of the part that the ask is about.
 func (ak *ask) mayUse(us *upstream) bool {
-	return us.Service == ak.Service && ident.PartOf(us.ID, ak.Parts) == ak.Part
+	return us.Service == ak.Service && ident.PartOf(us.hash, ak.Parts) == ak.Part
 }
 
 // cost is how long an answer is expected to take, with what crossing domains
--- a/internal/serving/permit/upstream.go
+++ b/internal/serving/permit/upstream.go
@@ -30,6 +30,8 @@
 // upstream is what the holder knows of an upstream.
 type upstream struct {
 	Upstream
+	// hash decides which part of its service the upstream belongs to.
+	hash uint64
 	// usable upstreams may get new work.
 	usable  bool
 	running map[holderID]*ask
