Count signs from when they were asked for; pass over a leader without the store

Now a status carries its time by the member's own clock, the leader's sign echoes it, and the table is confirmed, and the entries are vouched for, from that time. The world has datagrams that take up to four seconds.

Now signs whose StoreAge is above 1.2 s do not keep others from reading the row, and a new leader sends what changed since the table that members have.

Also: the next table is stored when the members may have been told of the last one (0.5 ms each), a view is not answered with a status at once, and statuses do not make a leader look at all moves.

--- a/cmd/chervilwalk/main.go
+++ b/cmd/chervilwalk/main.go
@@ -19,6 +19,7 @@
 	addHost(pr)
 	addDomain(pr)
 	mustAdd(pr, "dump", "Show the state of a host's gateway", &dumpCommand{})
+	mustAdd(pr, "explain", "Tell one request's story from the hosts' logs", &explainCommand{})
 	mustAdd(pr, "try", "Try two whole deployments on loopback", &tryCommand{})
 	if _, err := pr.Parse(); err != nil {
 		var fe *flags.Error
--- a/internal/fleet/gateway/news.go
+++ b/internal/fleet/gateway/news.go
@@ -126,7 +126,7 @@
 		return
 	}
 	if entries, complete := ns.collect(ms); complete {
-		gw.takeEntries(now, entries, ms.At, ms.Age, ms.GraceLeft)
+		gw.takeEntries(now, entries, ms.At, ms.GraceLeft)
 	}
 }
 
@@ -137,16 +137,17 @@
 		return
 	}
 	if entries, begins := ms.Apply(gw.news.entries); begins {
-		gw.takeEntries(now, entries, ms.At, ms.Age, ms.GraceLeft)
+		gw.takeEntries(now, entries, ms.At, ms.GraceLeft)
 	}
 }
 
 // takeEntries takes the entries as the leader knows them.
-func (gw *Gateway) takeEntries(now clock.Instant, entries []roster.Entry, at uint64, age, graceLeft time.Duration) {
+func (gw *Gateway) takeEntries(now clock.Instant, entries []roster.Entry, at uint64, graceLeft time.Duration) {
 	ns := &gw.news
-	ns.entries, ns.rosterAt, ns.readAt = entries, at, now.Add(-age)
+	// How fresh they are is for the next sign to say: this may have been on its
+	// way for long.
+	ns.entries, ns.rosterAt = entries, at
 	ns.digest, ns.changedAt = roster.Digest(entries), at
-	gw.newsAt.Store(int64(ns.readAt))
 	gw.book.Grace(now, graceLeft)
 	gw.listed(true)
 }
@@ -179,8 +180,10 @@
 	if bt.Term < gw.duty.Term() || bt.Leader == "" {
 		return
 	}
-	if bt.RosterAt <= ns.rosterAt {
-		ns.readAt = max(ns.readAt, now.Add(-bt.RosterAge))
+	if bt.RosterAt <= ns.rosterAt && bt.Echo <= now {
+		// The sign may have been on its way for long; the leader had read the
+		// entries this long before it got this host's status, at the latest.
+		ns.readAt = max(ns.readAt, bt.Echo.Add(-bt.RosterAge))
 		gw.newsAt.Store(int64(ns.readAt))
 	}
 	if bt.OperatorAt <= gw.operatorAt.Load() {
--- a/internal/fleet/gateway/store.go
+++ b/internal/fleet/gateway/store.go
@@ -42,8 +42,11 @@
 	// for itself, leaderPollEvery by the leader for all.
 	pollEvery       = 800 * time.Millisecond
 	leaderPollEvery = 500 * time.Millisecond
-	// pollRetry is the time to the next read after a failed one.
+	// pollRetry is the time to the next read after a failed one. It doubles with
+	// each further failure up to lastRetry: a store that is away for seconds is
+	// not asked by all hosts all the time, and its return is noticed in time.
 	pollRetry = 300 * time.Millisecond
+	lastRetry = 900 * time.Millisecond
 	// awayTime is how long the store must not have answered to count as away.
 	awayTime = 1500 * time.Millisecond
 )
@@ -94,6 +97,7 @@
 	rows := map[string]platform.Row{}
 	var version platform.Version
 	known, lost := false, false
+	retry := pollRetry
 	for {
 		answer := make(chan change, 1)
 		if known {
@@ -115,11 +119,13 @@
 				gw.cf.Journal.Problem("desiredStateSourceLost", ch.err, journal.Fields{"version": version})
 			}
 			lost, known = true, known && !errors.Is(ch.err, platform.ErrHistoryGone)
-			if !gw.pause(pollRetry) {
+			if !gw.pause(retry) {
 				return
 			}
+			retry = min(2*retry, lastRetry)
 			continue
 		}
+		retry = pollRetry
 		if lost {
 			gw.cf.Journal.Event("desiredStateSourceRegained", journal.Fields{"version": ch.version})
 		}
@@ -191,6 +197,7 @@
 func (gw *Gateway) pollUpstreams() {
 	lastOK, lost := time.Now(), false
 	known := map[string]platform.Version{}
+	retry := pollRetry
 	for {
 		if gw.led() && !gw.leading.Load() {
 			// The leader reads for all.
@@ -208,7 +215,7 @@
 			wait = leaderPollEvery
 		}
 		if err != nil {
-			wait = pollRetry
+			wait, retry = retry, min(2*retry, lastRetry)
 			if !lost {
 				gw.cf.Journal.Problem("storeLost", err, journal.Fields{"sinceMs": time.Since(lastOK).Milliseconds()})
 			}
@@ -218,7 +225,7 @@
 			if lost {
 				gw.cf.Journal.Event("storeRegained", journal.Fields{"awayMs": time.Since(lastOK).Milliseconds(), "version": version})
 			}
-			lost, lastOK = false, time.Now()
+			lost, lastOK, retry = false, time.Now(), pollRetry
 			entries, problems := platform.DecodeEntries(rows)
 			gw.send(rosterEvent{entries: entries, version: version, problems: fresh(problems, known), away: away})
 		}
--- a/internal/ownership/duty/duty.go
+++ b/internal/ownership/duty/duty.go
@@ -29,6 +29,8 @@
 	// historySize is how many earlier tables a leader keeps: those of a second
 	// in which many keys move.
 	historySize = 16
+	// followedSize is the same for all others, one of which may lead next.
+	followedSize = 3
 )
 
 // Outcome tells what is known of a write to the store.
@@ -170,14 +172,19 @@
 	statusAt    clock.Instant
 	stopping    bool
 	heard       string
+	// startedAt is when this process began; echoes are the newest SentAt of each
+	// member's statuses by its address, while this host leads.
+	startedAt clock.Instant
+	echoes    map[string]clock.Instant
 
 	// One write goes to the store at a time, so that the versions that it
 	// expects are those that the last one left.
 	writing  bool
 	writeRow bool
-	// history are the tables before the one in force, the newest last, while
-	// this host leads.
+	// history are the tables before the one in force, the newest last.
 	history []*assignment.Table
+	// leadSince is the revision with which this host took up the lead.
+	leadSince assignment.Revision
 	// unsure is set after a write of the assignment of which it is not known
 	// whether it took effect, until the rows were read.
 	unsure bool
@@ -190,7 +197,7 @@
 func New(self assignment.Member, fitness float64) *Core {
 	return &Core{
 		self: self, election: election.New(self.Host, self.Address, self.Incarnation, fitness), renewal: renewal.New(self.Host),
-		table: &assignment.Table{},
+		table: &assignment.Table{}, echoes: map[string]clock.Instant{},
 	}
 }
 
@@ -211,6 +218,9 @@
 
 // Update takes one message and returns what to do.
 func (co *Core) Update(now clock.Instant, msg any) []Cmd {
+	if co.startedAt == 0 {
+		co.startedAt = now
+	}
 	switch ms := msg.(type) {
 	case RowsMsg:
 		co.rows(now, ms)
@@ -277,12 +287,13 @@
 	switch {
 	case leading && co.leader == nil:
 		co.event("leading", map[string]any{"now": true, "term": co.election.Term(), "revision": co.table.Revision})
-		co.leader = leader.New(now, co.table, before)
+		co.leader, co.leadSince = leader.New(now, co.table, before), co.table.Revision
 		co.lead(now, co.fleet.Fleet)
 		co.broadcast(now)
 	case !leading && co.leader != nil:
 		co.event("leading", map[string]any{"now": false, "term": co.election.Term(), "revision": co.table.Revision})
 		co.leader, co.draft, co.unsure = nil, nil, false
+		clear(co.echoes)
 		if co.stopping {
 			co.resigned()
 		}
@@ -339,14 +350,12 @@
 // remember keeps a table that is replaced, so that members that know it can be
 // told what changed since.
 func (co *Core) remember(tb *assignment.Table) {
-	if co.leader == nil {
-		co.history = nil
-		return
+	size := followedSize
+	if co.leader != nil {
+		size = historySize
 	}
 	co.history = append(co.history, tb)
-	if len(co.history) > historySize {
-		co.history = co.history[1:]
-	}
+	co.history = co.history[max(len(co.history)-size, 0):]
 }
 
 // known finds a table that was in force not long ago; nil where it is too old.
@@ -435,7 +444,7 @@
 func (co *Core) sendStatus(now clock.Instant) {
 	co.statusAt = now
 	cmd := StatusCmd{To: co.election.Leader().Address, Status: talk.Status{
-		Member: co.self, Term: co.election.Term(), Revision: co.table.Revision, Stopping: co.stopping, Upstreams: co.renewal.Report(now),
+		Member: co.self, Term: co.election.Term(), Revision: co.table.Revision, Stopping: co.stopping, SentAt: now, Upstreams: co.renewal.Report(now),
 	}}
 	if co.leader != nil {
 		co.confirm(now, now)
@@ -451,21 +460,22 @@
 	if co.leader == nil {
 		return
 	}
+	co.echoes[ms.From] = ms.Status.SentAt
 	switch {
 	case ms.From == "":
 	case ms.Status.Revision < co.table.Revision:
-		co.do(ViewCmd{To: ms.From, Beat: co.sign(now), Table: co.table, Base: co.known(ms.Status.Revision)})
+		co.do(ViewCmd{To: ms.From, Beat: co.sign(now, ms.From), Table: co.table, Base: co.known(ms.Status.Revision)})
 	default:
-		co.do(BeatCmd{To: ms.From, Beat: co.sign(now), RosterAt: ms.Status.RosterAt, RosterDigest: ms.Status.RosterDigest})
+		co.do(BeatCmd{To: ms.From, Beat: co.sign(now, ms.From), RosterAt: ms.Status.RosterAt, RosterDigest: ms.Status.RosterDigest})
 	}
 	co.lead(now, leader.StatusMsg{Status: ms.Status})
 }
 
-// sign is the sign of this host's lead.
-func (co *Core) sign(now clock.Instant) talk.Beat {
+// sign is the sign of this host's lead to a member at an address.
+func (co *Core) sign(now clock.Instant, to string) talk.Beat {
 	return talk.Beat{
 		Term: co.election.Term(), Leader: co.self.Host, Revision: co.table.Revision, StoreAge: now.Sub(co.election.Confirmed()),
-		RowAt: uint64(co.election.Expected()),
+		RowAt: uint64(co.election.Expected()), Echo: co.echoes[to],
 	}
 }
 
@@ -477,9 +487,9 @@
 		co.heard = heard
 		co.event("leader", map[string]any{"leader": ms.Beat.Leader, "term": ms.Beat.Term, "address": ms.From, "storeAgeMs": ms.Beat.StoreAge.Milliseconds()})
 	}
-	co.elect(now, election.BeatMsg{Term: ms.Beat.Term, Host: ms.Beat.Leader, Address: ms.From, RowAt: election.Version(ms.Beat.RowAt)})
-	if ms.Beat.Revision == co.table.Revision && ms.Beat.Leader != "" {
-		co.confirm(now, now)
+	co.elect(now, election.BeatMsg{Term: ms.Beat.Term, Host: ms.Beat.Leader, Address: ms.From, RowAt: election.Version(ms.Beat.RowAt), StoreAge: ms.Beat.StoreAge})
+	if at := ms.Beat.Echo; ms.Beat.Revision == co.table.Revision && ms.Beat.Leader != "" && co.startedAt <= at && at <= now {
+		co.confirm(now, at)
 	}
 }
 
@@ -489,8 +499,6 @@
 	}
 	co.follow(now, ms.Table)
 	co.beat(now, BeatMsg{Beat: ms.Beat, From: ms.From})
-	// The leader counts on hearing at once who follows.
-	co.sendStatus(now)
 }
 
 func (co *Core) delta(now clock.Instant, ms DeltaMsg) {
@@ -505,13 +513,15 @@
 
 // broadcast sends the assignment in force to every member.
 func (co *Core) broadcast(now clock.Instant) {
-	var base *assignment.Table
-	if len(co.history) > 0 {
+	// Members mostly know the table before this one; with a lead that was just
+	// taken up they know this one.
+	base := co.table
+	if co.leadSince < co.table.Revision && len(co.history) > 0 {
 		base = co.history[len(co.history)-1]
 	}
 	for _, mb := range co.table.Members {
 		if mb.Host != co.self.Host {
-			co.do(ViewCmd{To: mb.Address, Beat: co.sign(now), Table: co.table, Base: base})
+			co.do(ViewCmd{To: mb.Address, Beat: co.sign(now, mb.Address), Table: co.table, Base: base})
 		}
 	}
 	co.sendStatus(now)
--- a/internal/ownership/duty/duty_test.go
+++ b/internal/ownership/duty/duty_test.go
@@ -41,6 +41,11 @@
 		}
 		return wd.hosts[0]
 	}
+	const (
+		isolation = 9 * time.Second
+		// recovery is the platform's bound for serving again once all are back.
+		recovery = 15 * time.Second
+	)
 	cases := map[string]struct {
 		play func(wd *world)
 		// within is when all keys have an owner again.
@@ -63,9 +68,9 @@
 			wd.after(6*time.Second, func() { wd.cutDomain, wd.healedAt = "", wd.now })
 		}, 12 * time.Second},
 		"a domain and its way to the store are cut off while an upstream there drains": {func(wd *world) {
-			wd.isolate("b", 9*time.Second)
+			wd.isolate("b", isolation)
 			wd.upstreams[1].gone = true
-		}, 15 * time.Second},
+		}, isolation + recovery},
 		"all hosts are killed": {func(wd *world) {
 			for _, ho := range wd.hosts {
 				wd.kill(ho)
@@ -127,7 +132,7 @@
 	up := wd.upstreams[rapid.IntRange(0, len(wd.upstreams)-1).Draw(rt, "upstream")]
 	span := time.Duration(rapid.IntRange(200, 9000).Draw(rt, "spanMs")) * time.Millisecond
 	kind := rapid.SampledFrom([]string{
-		"kill", "freeze", "cutStore", "storeDown", "lost", "late", "lateGrants", "cutDomain", "isolate", "crash", "reborn", "drain", "slowRelease", "killAll", "hot",
+		"kill", "freeze", "cutStore", "storeDown", "lost", "late", "lateGrants", "cutDomain", "isolate", "crash", "reborn", "drain", "slowRelease", "slowLinks", "killAll", "hot",
 	}).Draw(rt, "kind")
 	wd.note("PLAY %s host=%s upstream=%s span=%s", kind, ho.member.Host, up.id, span)
 	restart := func(ho *host) {
@@ -174,6 +179,9 @@
 		wd.after(span, func() { up.gone = false })
 	case "slowRelease":
 		wd.slowRelease = 400 * time.Millisecond
+	case "slowLinks":
+		wd.slowShare = 0.4
+		wd.after(span, func() { wd.slowShare = 0 })
 	case "hot":
 		wd.hot = rapid.IntRange(0, samples-1).Draw(rt, "hotKey")
 	}
@@ -205,7 +213,7 @@
 
 // calm ends every disturbance.
 func (wd *world) calm() {
-	wd.storeDown, wd.lostShare, wd.lateShare, wd.lateGrants, wd.slowRelease = false, 0, 0, 0, 0
+	wd.storeDown, wd.lostShare, wd.lateShare, wd.lateGrants, wd.slowRelease, wd.slowShare = false, 0, 0, 0, 0, 0
 	wd.cutDomain, wd.healedAt = "", wd.now
 	for _, ho := range wd.hosts {
 		ho.storeCut = false
--- a/internal/ownership/duty/world_test.go
+++ b/internal/ownership/duty/world_test.go
@@ -91,9 +91,11 @@
 	lateShare   float64
 	lateGrants  float64
 	slowRelease time.Duration
-	cutDomain   ident.Domain
-	healedAt    clock.Instant
-	violations  []string
+	// slowShare is the part of the datagrams that take up to four seconds.
+	slowShare  float64
+	cutDomain  ident.Domain
+	healedAt   clock.Instant
+	violations []string
 	// highest is the highest epoch with which any upstream had a key.
 	highest [samples]keyspace.Epoch
 	holder  [samples]*upstream
@@ -245,8 +247,11 @@
 		if to.member.Address != address || !to.up || wd.apart(from.member.Domain, to.member.Domain) || wd.rng.Intn(50) == 0 {
 			continue
 		}
-		core := to.core
-		wd.after(wd.delay(), func() { wd.tell(to, core, msg) })
+		core, delay := to.core, wd.delay()
+		if wd.rng.Float64() < wd.slowShare {
+			delay += time.Duration(wd.rng.Intn(4000)) * time.Millisecond
+		}
+		wd.after(delay, func() { wd.tell(to, core, msg) })
 	}
 }
 
--- a/internal/ownership/election/election.go
+++ b/internal/ownership/election/election.go
@@ -60,13 +60,15 @@
 // ReadFailedMsg says that the store did not answer a read.
 type ReadFailedMsg struct{}
 
-// BeatMsg is a sign of a leader that the store confirmed not long ago.
+// BeatMsg is a sign of a leader.
 type BeatMsg struct {
 	Term    talk.Term
 	Host    ident.Host
 	Address string
 	// RowAt is the version that the leader's row has.
 	RowAt Version
+	// StoreAge is how long ago the store confirmed the leader.
+	StoreAge time.Duration
 }
 
 // ResignMsg says that this host is about to stop.
@@ -235,7 +237,11 @@
 		// What the leader says of the row is as good as a read.
 		co.version, co.seenAt, co.readOnce = ms.RowAt, now, true
 	}
-	co.heardAt, co.claimable = now, false
+	if ms.StoreAge < ActTime {
+		co.heardAt, co.claimable = now, false
+	}
+	// A leader that the store no longer answers cannot move keys. Whoever still
+	// reaches the store looks whether the row is free to take.
 	if ms.Host == "" {
 		// The leader has resigned: read soon, the hosts one after the other.
 		co.heardAt, co.readAt = now.Add(-silence), now.Add(-readEvery)
--- a/internal/ownership/leader/leader.go
+++ b/internal/ownership/leader/leader.go
@@ -115,6 +115,9 @@
 const (
 	// tickTime is how often the core wants to be woken.
 	tickTime = 100 * time.Millisecond
+	// tellTime is how long it takes to tell one member of a new table; the next
+	// one is stored when all may have been told.
+	tellTime = 500 * time.Microsecond
 	// silentTime is how long a member may say nothing before it counts as dead:
 	// two statuses lost and a third late.
 	silentTime = 1300 * time.Millisecond
@@ -182,7 +185,7 @@
 	draft     *assignment.Table
 	dirty     bool
 	inFlight  bool
-	// commitAt is when the next commit may be tried after a failed one.
+	// commitAt is when the next commit may be tried.
 	commitAt  clock.Instant
 	members   map[ident.Host]*member
 	keyed     map[ident.Service]bool
@@ -259,7 +262,11 @@
 		co.plannedAt = now
 		co.plan(now)
 	}
-	cmds = append(cmds, co.advance(now)...)
+	if _, isStatus := msg.(StatusMsg); !isStatus {
+		// Statuses come by the hundred each second; what follows from them can
+		// wait for the next tick.
+		cmds = append(cmds, co.advance(now)...)
+	}
 	if co.dirty && !co.inFlight && now >= co.commitAt {
 		cmds = append(cmds, co.commit())
 	}
@@ -269,7 +276,12 @@
 }
 
 // Next returns when the core has to be woken.
-func (co *Core) Next(now clock.Instant) clock.Instant { return now.Add(tickTime) }
+func (co *Core) Next(now clock.Instant) clock.Instant {
+	if co.dirty && !co.inFlight {
+		return min(now.Add(tickTime), max(co.commitAt, now))
+	}
+	return now.Add(tickTime)
+}
 
 func (co *Core) event(what string, fields map[string]any) {
 	co.events = append(co.events, EventCmd{What: what, Fields: fields})
@@ -284,6 +296,7 @@
 // stored takes a table that was committed.
 func (co *Core) stored(now clock.Instant, tb *assignment.Table) {
 	co.inFlight, co.table = false, tb
+	co.commitAt = now.Add(time.Duration(len(tb.Members)) * tellTime)
 	co.adopt(now)
 }
 
--- /dev/null
+++ b/internal/ownership/leader/leader_test.go
@@ -0,0 +1,67 @@
+package leader_test
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"chervilwalk/internal/base/clock"
+	"chervilwalk/internal/base/ident"
+	"chervilwalk/internal/base/keyspace"
+	"chervilwalk/internal/catalog/assignment"
+	"chervilwalk/internal/ownership/election"
+	"chervilwalk/internal/ownership/leader"
+	"chervilwalk/internal/peer/talk"
+)
+
+// BenchmarkLeader is a leader's work for one second of a grown site: 142 hosts
+// that each tell it of their requests every 400 ms, and 321 upstreams with keys.
+func BenchmarkLeader(b *testing.B) {
+	const hosts, upstreams, service, statusEvery = 142, 321, "lookup", 400 * time.Millisecond
+	now := clock.Instant(time.Hour)
+	rng := rand.New(rand.NewSource(1))
+	co := leader.New(now, &assignment.Table{}, election.Row{})
+	fleet := leader.FleetMsg{Keyed: map[ident.Service]bool{service: true}}
+	for ix := range upstreams {
+		fleet.Upstreams = append(fleet.Upstreams, leader.Upstream{
+			ID: ident.Upstream(fmt.Sprint("u", ix)), Service: service, Domain: ident.Domain(fmt.Sprint("d", ix%4)), Slots: 2, Usable: true, ColdRate: 2,
+		})
+	}
+	var tell func(msg any)
+	tell = func(msg any) {
+		for _, cmd := range co.Update(now, msg) {
+			switch cmd := cmd.(type) {
+			case leader.CommitCmd:
+				tell(leader.StoredMsg{Table: cmd.Table})
+			case leader.CallCmd:
+				tell(leader.StepMsg{Move: cmd.Move, Step: cmd.Step, Result: leader.Taken})
+			}
+		}
+	}
+	second := func() {
+		for step := range 1000 / 10 {
+			now = now.Add(10 * time.Millisecond)
+			tell(leader.TickMsg{})
+			for host := range hosts {
+				if (step+host)%int(statusEvery/(10*time.Millisecond)) != 0 {
+					continue
+				}
+				st := talk.Status{Member: assignment.Member{Host: ident.Host(fmt.Sprint("h", host)), Incarnation: 1, Alive: true}, Revision: co.Table().Revision}
+				for range 5 {
+					st.Keys = append(st.Keys, talk.KeyLoad{Service: service, Key: keyspace.Key(rng.NormFloat64()*3000 + 30000), Count: 1})
+					st.Upstreams = append(st.Upstreams, talk.UpstreamLoad{Upstream: ident.Upstream(fmt.Sprint("u", rng.Intn(upstreams))), Answers: 1, Work: 200 * time.Millisecond})
+				}
+				tell(leader.StatusMsg{Status: st})
+			}
+		}
+	}
+	tell(fleet)
+	for range 6 {
+		second()
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		second()
+	}
+}
--- a/internal/peer/talk/message.go
+++ b/internal/peer/talk/message.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"time"
 
+	"chervilwalk/internal/base/clock"
 	"chervilwalk/internal/base/ident"
 	"chervilwalk/internal/base/keyspace"
 	"chervilwalk/internal/catalog/assignment"
@@ -54,6 +55,8 @@
 	Revision assignment.Revision
 	// Stopping members hand out no permits and renew no grants.
 	Stopping bool
+	// SentAt is when it was sent, by the member's own clock.
+	SentAt clock.Instant
 	// RosterAt is the store's version of the entries that it knows, and
 	// RosterDigest sums them up.
 	RosterAt, RosterDigest uint64
@@ -71,6 +74,10 @@
 	StoreAge time.Duration
 	// RowAt is the store's version of the leader's row.
 	RowAt uint64
+	// Echo is the SentAt of the receiver's last status that the leader had when
+	// it wrote this; zero where it had none. What the sign says held at that time
+	// or later, however long the sign was on its way.
+	Echo clock.Instant
 	News
 }
 
@@ -227,6 +234,7 @@
 	flag(cd, &ms.Stopping)
 	field(cd, &ms.RosterAt)
 	field(cd, &ms.RosterDigest)
+	field(cd, &ms.SentAt)
 	list(cd, &ms.Keys, func(kl *KeyLoad) {
 		text(cd, &kl.Service)
 		field(cd, &kl.Key)
@@ -248,6 +256,7 @@
 	field(cd, &ms.Revision)
 	span(cd, &ms.StoreAge)
 	field(cd, &ms.RowAt)
+	field(cd, &ms.Echo)
 	field(cd, &ms.RosterAt)
 	span(cd, &ms.RosterAge)
 	field(cd, &ms.OperatorAt)
--- a/internal/peer/talk/talk_test.go
+++ b/internal/peer/talk/talk_test.go
@@ -15,10 +15,10 @@
 )
 
 func messages() map[string]talk.Msg {
-	beat := talk.Beat{Term: 3, Leader: "a", Revision: 9, StoreAge: 20 * time.Millisecond, RowAt: 7, News: talk.News{RosterAt: 5, RosterAge: time.Second, OperatorAt: 4}}
+	beat := talk.Beat{Term: 3, Leader: "a", Revision: 9, StoreAge: 20 * time.Millisecond, RowAt: 7, Echo: 1 << 40, News: talk.News{RosterAt: 5, RosterAge: time.Second, OperatorAt: 4}}
 	return map[string]talk.Msg{
 		"status": talk.Status{
-			Member: assignment.Member{Host: "a", Domain: "d", Address: "10.0.0.1:7540", Incarnation: 1 << 60, Fitness: 80, Alive: true}, Term: 3, Revision: 9, Stopping: true, RosterAt: 5, RosterDigest: 1 << 63,
+			Member: assignment.Member{Host: "a", Domain: "d", Address: "10.0.0.1:7540", Incarnation: 1 << 60, Fitness: 80, Alive: true}, Term: 3, Revision: 9, Stopping: true, RosterAt: 5, RosterDigest: 1 << 63, SentAt: 1 << 40,
 			Keys:      []talk.KeyLoad{{Service: "lookup", Key: 65535, Count: 3}},
 			Upstreams: []talk.UpstreamLoad{{Upstream: "u", Answers: 2, Work: 300 * time.Millisecond, Failures: 1, Unreached: time.Second, Superseded: true}},
 		},
--- /dev/null
+++ b/internal/stand/deployment/explain_test.go
@@ -0,0 +1,71 @@
+package deployment_test
+
+import (
+	"fmt"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"chervilwalk/internal/operations/explain"
+	"chervilwalk/internal/stand/deployment"
+	"chervilwalk/internal/stand/target"
+)
+
+// TestFailuresAreExplained makes requests fail in several ways and asks that
+// each one's cause is found by its id in the hosts' logs alone.
+func TestFailuresAreExplained(t *testing.T) {
+	orders := func(fl target.Faults) func(*deployment.Deployment) {
+		return func(dp *deployment.Deployment) {
+			for ix := range 3 {
+				dp.Upstream(fmt.Sprint("i-orders-", ix)).Break(fl)
+			}
+		}
+	}
+	cases := map[string]struct {
+		play  func(*deployment.Deployment)
+		cause string
+		// says is what the story must name.
+		says []string
+	}{
+		"orders break":         {orders(target.Faults{Reset: 1}), "broken", []string{"may have run", "upstream=i-orders-", "event=desiredState"}},
+		"orders are refused":   {orders(target.Faults{Shed: 1}), "refused", []string{"did not run", "event=desiredState"}},
+		"orders are not heard": {orders(target.Faults{Deaf: true}), "timedOut", []string{"no answer came in time", "upstream=i-orders-"}},
+		"orders have no server": {func(dp *deployment.Deployment) {
+			for ix := range 3 {
+				dp.DelistUpstream(fmt.Sprint("i-orders-", ix))
+			}
+		}, "noUpstream", []string{"did not run", "event=refused", "event=desiredState"}},
+	}
+	net := 80
+	for name, tc := range cases {
+		net++
+		subnet := net
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			gm := NewWithT(t)
+			dp, lg := start(t, subnet, 11)
+			tc.play(dp)
+			time.Sleep(1500 * time.Millisecond)
+			dp.Load(t.Context(), 20, 2*time.Second)
+			ended := regexp.MustCompile(`event=request .*cause=` + tc.cause + ` .*request=(\S+) `)
+			var found []string
+			gm.Eventually(func() []string {
+				found = ended.FindStringSubmatch(lg.String())
+				return found
+			}, 2*time.Second, 50*time.Millisecond).ShouldNot(BeEmpty(), lg.String)
+			tl := explain.New(found[1])
+			gm.Expect(tl.Read(strings.NewReader(lg.String()))).To(Succeed())
+			story, known := tl.Story()
+			gm.Expect(known).To(BeTrue())
+			var text strings.Builder
+			gm.Expect(story.Write(&text)).To(Succeed())
+			gm.Expect(text.String()).To(ContainSubstring("cause " + tc.cause))
+			for _, part := range tc.says {
+				gm.Expect(text.String()).To(ContainSubstring(part))
+			}
+		})
+	}
+}
