--- a/cmd/chervilwalk/main.go
+++ b/cmd/chervilwalk/main.go
@@ -21,6 +21,7 @@
 	mustAdd(pr, "dump", "Show the state of a host's gateway", &dumpCommand{})
 	mustAdd(pr, "explain", "Tell one request's story from the hosts' logs", &explainCommand{})
 	mustAdd(pr, "try", "Try two whole deployments on loopback", &tryCommand{})
+	mustAdd(pr, "version", "Say which source this was built from", &versionCommand{})
 	if _, err := pr.Parse(); err != nil {
 		var fe *flags.Error
 		if errors.As(err, &fe) && fe.Type == flags.ErrHelp {
--- a/internal/catalog/assignment/assignment_test.go
+++ b/internal/catalog/assignment/assignment_test.go
@@ -1,6 +1,10 @@
 package assignment_test
 
 import (
+	"bytes"
+	"compress/flate"
+	"fmt"
+	"math/rand"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -35,6 +39,7 @@
 func TestMalformed(t *testing.T) {
 	cases := map[string]string{
 		"not json":          "{",
+		"nothing":           "",
 		"too few fields":    `{"services":["s"],"upstreams":["u"],"lives":[1],"shares":[[0,0,1]]}`,
 		"a range backwards": `{"services":["s"],"upstreams":["u"],"lives":[1],"shares":[[0,5,1,0,1]]}`,
 		"beyond the keys":   `{"services":["s"],"upstreams":["u"],"lives":[1],"shares":[[0,5,70000,0,1]]}`,
@@ -44,12 +49,69 @@
 	}
 	for name, body := range cases {
 		t.Run(name, func(t *testing.T) {
-			_, err := assignment.Decode([]byte(body))
+			_, err := assignment.Decode(pack(t, body))
 			NewWithT(t).Expect(err).To(HaveOccurred())
 		})
 	}
 }
 
+// pack is how the stored form's text lies in the store.
+func pack(t *testing.T, text string) []byte {
+	var packed bytes.Buffer
+	pk, err := flate.NewWriter(&packed, flate.BestSpeed)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	_, err = pk.Write([]byte(text))
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	NewWithT(t).Expect(pk.Close()).To(Succeed())
+	return packed.Bytes()
+}
+
+func TestNotPacked(t *testing.T) {
+	_, err := assignment.Decode([]byte(`{"services":[],"upstreams":[],"lives":[],"shares":[]}`))
+	NewWithT(t).Expect(err).To(HaveOccurred())
+}
+
+// TestLargeTablesFitIntoARow answers the grown sites, and three hundred hosts:
+// a table that does not fit is never stored, and no key moves any more.
+func TestLargeTablesFitIntoARow(t *testing.T) {
+	cases := map[string]struct{ hosts, upstreams, shares int }{
+		"a grown site":  {142, 496, assignment.MaxShares},
+		"300 hosts":     {300, 700, assignment.MaxShares},
+		"all that fits": {420, 1000, assignment.MaxShares},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			gm := NewWithT(t)
+			rng := rand.New(rand.NewSource(1))
+			tb := &assignment.Table{Revision: 9000, NextEpoch: 90000}
+			for ix := range tc.hosts {
+				tb.Members = append(tb.Members, assignment.Member{
+					Host: ident.Host(fmt.Sprintf("front-manizales-c-%d", ix)), Domain: "manizales-c", Address: fmt.Sprintf("10.%d.0.%d:7540", ix%4, ix%250),
+					Incarnation: 1776684635927399 + uint64(rng.Intn(1<<30)), Fitness: 1, Alive: true,
+				})
+			}
+			claim := func() assignment.Claim {
+				number := rng.Intn(tc.upstreams)
+				return assignment.Claim{Upstream: ident.Upstream(fmt.Sprintf("i-%010x", uint64(number)*0x9e3779b97f)), Life: roster.Life(1776684635927 + number*1009), Epoch: keyspace.Epoch(rng.Intn(90000))}
+			}
+			for ix := range tc.shares {
+				from, to := ix*keyspace.Count/tc.shares, (ix+1)*keyspace.Count/tc.shares-1
+				sh := assignment.Share{Service: "lookup", Range: keyspace.Range{From: keyspace.Key(from), To: keyspace.Key(to)}, Owner: claim()}
+				if ix%3 == 0 {
+					sh.Next, sh.Fence = claim(), keyspace.Epoch(rng.Intn(90000))
+				}
+				tb.Shares = append(tb.Shares, sh)
+			}
+			body, err := assignment.Encode(tb)
+			gm.Expect(err).NotTo(HaveOccurred())
+			t.Logf("%d bytes", len(body))
+			decoded, err := assignment.Decode(body)
+			gm.Expect(err).NotTo(HaveOccurred())
+			gm.Expect(decoded).To(Equal(tb))
+		})
+	}
+}
+
 // TestSplit asks that splitting keeps every key in exactly one share.
 func TestSplit(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
--- a/internal/catalog/assignment/codec.go
+++ b/internal/catalog/assignment/codec.go
@@ -1,17 +1,41 @@
 package assignment
 
 import (
+	"bytes"
+	"compress/flate"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
+	"sync"
 
 	"chervilwalk/internal/base/ident"
 	"chervilwalk/internal/base/keyspace"
 	"chervilwalk/internal/catalog/roster"
 )
 
-// The stored form names each upstream and service once and refers to it by its
-// number, so that a thousand shares fit into one row.
+// MaxBytes is how much of the stored form fits into one row of the store.
+const MaxBytes = 64 << 10
+
+// MaxShares is how finely the keys may be cut for a table with hundreds of
+// members and upstreams to fit into a row.
+const MaxShares = 1500
+
+// maxTextBytes bounds what a stored form may unpack to.
+const maxTextBytes = 4 << 20
+
+// ErrTooLarge says that a table does not fit into one row.
+var ErrTooLarge = errors.New("assignment: too large for one row")
+
+// packers are kept: each takes about a megabyte.
+var packers = sync.Pool{New: func() any {
+	// The level is valid, so that there is no error.
+	pk, _ := flate.NewWriter(nil, flate.BestSpeed)
+	return pk
+}}
+
+// The stored form is packed text. It names each upstream and service once and
+// refers to it by its number, so that thousands of shares fit into one row.
 type storedTable struct {
 	Revision  uint64         `json:"revision"`
 	NextEpoch uint64         `json:"nextEpoch"`
@@ -61,7 +85,32 @@
 		}
 		st.Shares = append(st.Shares, fields)
 	}
-	return json.Marshal(st)
+	text, err := json.Marshal(st)
+	if err != nil {
+		return nil, fmt.Errorf("assignment: %w", err)
+	}
+	body, err := pack(text)
+	if err == nil && len(body) > MaxBytes {
+		err = fmt.Errorf("%w: %d bytes, %d shares, %d members", ErrTooLarge, len(body), len(tb.Shares), len(tb.Members))
+	}
+	return body, err
+}
+
+func pack(text []byte) ([]byte, error) {
+	pk, ok := packers.Get().(*flate.Writer)
+	if !ok {
+		return nil, errors.New("assignment: no packer")
+	}
+	defer packers.Put(pk)
+	var packed bytes.Buffer
+	pk.Reset(&packed)
+	if _, err := pk.Write(text); err != nil {
+		return nil, fmt.Errorf("assignment: %w", err)
+	}
+	if err := pk.Close(); err != nil {
+		return nil, fmt.Errorf("assignment: %w", err)
+	}
+	return packed.Bytes(), nil
 }
 
 // upstream returns the number of a claim's upstream and life.
@@ -79,8 +128,12 @@
 
 // Decode reads the stored form of a table.
 func Decode(body []byte) (*Table, error) {
+	text, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(body)), maxTextBytes))
+	if err != nil {
+		return nil, fmt.Errorf("assignment: %w", err)
+	}
 	var st storedTable
-	if err := json.Unmarshal(body, &st); err != nil {
+	if err := json.Unmarshal(text, &st); err != nil {
 		return nil, fmt.Errorf("assignment: %w", err)
 	}
 	if len(st.Lives) != len(st.Upstreams) {
--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -75,6 +75,7 @@
 	clock       clock.Boot
 	store       *platform.Store
 	source      source
+	calls       storeCalls
 	socket      *net.UDPConn
 	links       *link.Pool
 	callers     *caller.Server
--- a/internal/fleet/gateway/loop.go
+++ b/internal/fleet/gateway/loop.go
@@ -91,6 +91,9 @@
 	}
 	gw.permit(permit.TickMsg{})
 	gw.asks.tick(now)
+	if fields, worth := gw.calls.line(now); worth {
+		gw.cf.Journal.Event("storeCalls", fields)
+	}
 }
 
 // next is when the loop has to wake if nothing happens.
--- a/internal/fleet/gateway/store.go
+++ b/internal/fleet/gateway/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"sync"
 	"time"
 
 	"chervilwalk/internal/base/clock"
@@ -29,8 +30,13 @@
 	// newsTime is how old the entries may be that are known through a leader:
 	// the time between its reads and between its signs, and their way.
 	newsTime = 1200 * time.Millisecond
-	// nudgeTime is how long a watch may take to bring what the leader has.
-	nudgeTime = 200 * time.Millisecond
+	// nudgeTime is how long a watch may take to bring what the leader has: longer
+	// than a pause between two watches, shorter than the time between two signs.
+	nudgeTime = 350 * time.Millisecond
+	// watchPause is the time from a change to the next watch, so that changes in
+	// quick succession cost a call for several of them; the platform allows two
+	// seconds for a change to be in force.
+	watchPause = 250 * time.Millisecond
 	// watchSlack is how much later than that its answer may come.
 	watchSlack = 700 * time.Millisecond
 	// readTime bounds a read, also while the store is slow.
@@ -145,6 +151,9 @@
 		}
 		version, known, lost = max(version, ch.version), true, false
 		gw.operatorAt.Store(uint64(version))
+		if len(ch.rows) > 0 && !gw.pause(watchPause) {
+			return
+		}
 	}
 }
 
@@ -316,4 +325,49 @@
 
 func (gw *Gateway) observeStore(call string, took time.Duration, err error) {
 	gw.cf.Metrics.storeCall(call, took, err)
+	gw.calls.add(call, err)
+}
+
+const (
+	// callsEvery is the time between two lines about calls to the store.
+	callsEvery = 5 * time.Second
+	// callsWorthALine is how many calls in that time are worth one: a host that
+	// hears a leader makes fewer.
+	callsWorthALine = 10
+)
+
+// storeCalls counts calls to the store since the last line about them.
+type storeCalls struct {
+	mu     sync.Mutex
+	counts map[string]int
+	at     clock.Instant
+}
+
+func (sc *storeCalls) add(call string, err error) {
+	if err != nil {
+		call += "Unanswered"
+	}
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	if sc.counts == nil {
+		sc.counts = map[string]int{}
+	}
+	sc.counts[call]++
+}
+
+// line returns what was counted, once it is due and worth a line.
+func (sc *storeCalls) line(now clock.Instant) (journal.Fields, bool) {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	if now.Sub(sc.at) < callsEvery {
+		return nil, false
+	}
+	fields, total := journal.Fields{}, 0
+	for call, count := range sc.counts {
+		fields[call] = count
+		total += count
+	}
+	sc.at = now
+	clear(sc.counts)
+	return fields, total >= callsWorthALine
 }
--- a/internal/ownership/balance/balance.go
+++ b/internal/ownership/balance/balance.go
@@ -86,13 +86,23 @@
 // useWith is the use that the upstream would have at a rate.
 func (tg *target) useWith(rate float64) float64 { return rate/tg.Capacity + tg.handicap }
 
+// Option changes how moves are planned.
+type Option func(*plan)
+
+// WholeShares lets shares move only as they are, so that their number does not
+// grow.
+func WholeShares() Option { return func(pl *plan) { pl.whole = true } }
+
 // Plan lists moves: all that orphaned shares need, and at most budget others.
 // The shares are all of one service.
-func Plan(ld *Load, shares []Share, targets []Target, budget int) []Move {
+func Plan(ld *Load, shares []Share, targets []Target, budget int, opts ...Option) []Move {
 	if len(targets) == 0 {
 		return nil
 	}
 	pl := newPlan(ld, shares, targets)
+	for _, opt := range opts {
+		opt(pl)
+	}
 	pl.placeOrphans(shares)
 	for range budget {
 		if !pl.relieve() {
@@ -109,6 +119,8 @@
 	moves   []Move
 	// mean is the mean use of the targets, capacity that of all together.
 	mean, capacity float64
+	// whole shares are not cut.
+	whole bool
 	// given are targets that got their first keys in this plan.
 	given map[*target]bool
 }
@@ -165,7 +177,7 @@
 func (pl *plan) cut(rg keyspace.Range) []keyspace.Range {
 	rate := pl.load.Rate(rg)
 	limit := max(pieceShare*pl.targets[0].Capacity, smallestRate)
-	if rate <= limit || rg.From == rg.To {
+	if rate <= limit || rg.From == rg.To || pl.whole {
 		return []keyspace.Range{rg}
 	}
 	left, ok := pl.load.prefix(rg, rate/2)
@@ -244,6 +256,13 @@
 			continue
 		}
 		pl.given[to] = true
+		if pl.whole {
+			if rg, ok := smallest(from.shares); ok {
+				pl.shift(rg, from, to)
+				return true
+			}
+			continue
+		}
 		want := min(firstPart*max(pl.mean, 0.01)*to.Capacity, from.rate/2)
 		for _, sh := range from.shares {
 			if sh.Fixed || sh.From == sh.To {
@@ -260,6 +279,20 @@
 	return false
 }
 
+// smallest is the shortest of several shares that may move.
+func smallest(shares []Share) (keyspace.Range, bool) {
+	var best *Share
+	for ix := range shares {
+		if sh := &shares[ix]; !sh.Fixed && (best == nil || sh.Len() < best.Len()) {
+			best = sh
+		}
+	}
+	if best == nil || len(shares) < 2 {
+		return keyspace.Range{}, false
+	}
+	return best.Range, true
+}
+
 // shift moves a part of one of from's shares.
 func (pl *plan) shift(rg keyspace.Range, from, to *target) {
 	for ix, sh := range from.shares {
@@ -307,6 +340,9 @@
 	// The rate whose move makes both uses equal.
 	ideal := (from.use() - to.use()) * from.Capacity * to.Capacity / (from.Capacity + to.Capacity)
 	pieces := []keyspace.Range{rg}
+	if pl.whole {
+		return pieces
+	}
 	if left, ok := pl.load.prefix(rg, ideal); ok && left != rg {
 		pieces = append(pieces, left)
 	}
--- a/internal/ownership/balance/balance_test.go
+++ b/internal/ownership/balance/balance_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand"
+	"slices"
 	"testing"
 	"time"
 
@@ -196,3 +197,34 @@
 	}
 	gm.Expect(owns).To(BeTrue())
 }
+
+// TestWholeSharesStayWhole asks that a service whose keys are cut as finely as
+// they may be still follows its load, without more shares.
+func TestWholeSharesStayWhole(t *testing.T) {
+	gm := NewWithT(t)
+	now := clock.Instant(time.Hour)
+	ld := balance.NewLoad(now)
+	var shares []balance.Share
+	var targets []balance.Target
+	owners := []ident.Upstream{"a", "b", "c", "d"}
+	for ix := range 16 {
+		rg := keyspace.Range{From: keyspace.Key(ix * 4096), To: keyspace.Key(ix*4096 + 4095)}
+		owner := owners[min(ix/5, 2)]
+		shares = append(shares, balance.Share{Range: rg, Owner: owner, Orphaned: ix == 3})
+		for step := range 40 {
+			ld.Add(now, rg.From+keyspace.Key(step*100), 3)
+		}
+	}
+	for _, id := range owners {
+		targets = append(targets, balance.Target{ID: id, Capacity: 400})
+	}
+	ld.Refresh(now.Add(time.Second))
+	moves := balance.Plan(ld, shares, targets, 6, balance.WholeShares())
+	gm.Expect(moves).NotTo(BeEmpty())
+	given := map[ident.Upstream]int{}
+	for _, mv := range moves {
+		given[mv.To]++
+		gm.Expect(slices.ContainsFunc(shares, func(sh balance.Share) bool { return sh.Range == mv.Keys })).To(BeTrue(), "%v is a share", mv.Keys)
+	}
+	gm.Expect(given["d"]).To(BeNumerically(">", 0), "an upstream without keys gets some")
+}
--- a/internal/ownership/leader/plan.go
+++ b/internal/ownership/leader/plan.go
@@ -39,10 +39,11 @@
 	}
 	ld.Refresh(now)
 	budget := max(minMoves, int(movesPerTarget*float64(len(targets)))) - moving
-	if len(shares) > sharesPerTarget*len(targets) {
-		budget = 0
+	var opts []balance.Option
+	if len(shares) > min(sharesPerTarget*len(targets), assignment.MaxShares) {
+		opts = append(opts, balance.WholeShares())
 	}
-	for _, mv := range balance.Plan(ld, shares, targets, budget) {
+	for _, mv := range balance.Plan(ld, shares, targets, budget, opts...) {
 		co.begin(sv, mv)
 	}
 }
--- a/internal/stand/metastore/metastore.go
+++ b/internal/stand/metastore/metastore.go
@@ -54,6 +54,9 @@
 	Now     float64 `json:"now-s"`
 }
 
+// rowBytes is the largest value that a row holds.
+const rowBytes = 64 << 10
+
 // pageRows is how many rows one answer holds at most.
 const pageRows = 500
 
@@ -307,6 +310,9 @@
 		return http.StatusPreconditionFailed, an
 	}
 	for _, put := range tx.Puts {
+		if base64.StdEncoding.DecodedLen(len(put.Value)) > rowBytes+2 {
+			return http.StatusBadRequest, an
+		}
 		if put.Table == "op" || put.Table == "servers" {
 			return http.StatusForbidden, an
 		}
