Unfit hosts leave the lead to fit ones

Hosts with 0.112 of a core and 10 Mbit/s took the row, filled their link with the table for 141 hosts and lost the row again. Their hold-back of 0.25 s only delayed their first read, not their claim.

Now a host knows from the table how fit the fittest member is and leaves a free row alone for up to a second if it is less fit; reads are not delayed.

Tests: the world of internal/ownership/duty with 400 sequences; no test of its own fails before this, as the world's links have no bandwidth.

--- a/internal/ownership/duty/duty.go
+++ b/internal/ownership/duty/duty.go
@@ -343,6 +343,13 @@
 	}
 	co.remember(co.table)
 	co.table = tb
+	best := 0
+	for _, mb := range tb.Members {
+		if mb.Alive {
+			best = max(best, mb.Fitness)
+		}
+	}
+	co.election.Among(float64(best) / 100)
 	co.do(TableCmd{Table: tb})
 	co.renewals(now)
 }
--- a/internal/ownership/election/election.go
+++ b/internal/ownership/election/election.go
@@ -25,8 +25,9 @@
 	// stale is how long the row must be unchanged before it is taken over: two
 	// renewals, with the time that a slow store takes.
 	stale = 1700 * time.Millisecond
-	// holdBack is how much longer a host waits that is hardly fit to lead.
-	holdBack = 250 * time.Millisecond
+	// holdBack is how much longer a host leaves a free row alone that is hardly
+	// fit to lead beside others that are: two reads of the row by a fit one.
+	holdBack = time.Second
 	// ActTime is how long after the store confirmed its lead a leader may still
 	// order upstreams: with the time of a call it ends before the row can be
 	// taken over.
@@ -104,7 +105,11 @@
 type Core struct {
 	self Row
 	// jitter spreads the hosts' reads.
-	jitter    time.Duration
+	jitter time.Duration
+	// fitness is how well this host can lead, best how well the fittest can.
+	fitness, best float64
+	// freeSince is since when the row is known to be free to take.
+	freeSince clock.Instant
 	leading   bool
 	busy      bool
 	row       Row
@@ -125,11 +130,23 @@
 }
 
 // New makes the core of a host that can lead more or less well, from 0 to 1.
-// Less fit hosts hold back a little longer, so that the row falls to a fit one.
+// Hosts less fit than others leave a free row alone for a while, so that it
+// falls to a fit one.
 func New(host ident.Host, address string, incarnation uint64, fitness float64) *Core {
 	jitter := time.Duration(ident.Weight("election", string(host))%100) * time.Millisecond
-	jitter += time.Duration((1 - min(max(fitness, 0), 1)) * float64(holdBack))
-	return &Core{self: Row{Host: host, Address: address, Incarnation: incarnation}, jitter: jitter}
+	fitness = max(fitness, leastFitness)
+	return &Core{self: Row{Host: host, Address: address, Incarnation: incarnation}, jitter: jitter, fitness: fitness, best: fitness, freeSince: clock.Never}
+}
+
+// leastFitness keeps shares of fitness above zero.
+const leastFitness = 0.01
+
+// Among says how fit the fittest of all hosts is.
+func (co *Core) Among(best float64) { co.best = max(best, co.fitness) }
+
+// patience is how long this host leaves a free row to others.
+func (co *Core) patience() time.Duration {
+	return time.Duration((1 - co.fitness/co.best) * float64(holdBack))
 }
 
 // Leading tells whether this host leads.
@@ -219,7 +236,12 @@
 	// The last process on this host held the row; it is gone.
 	earlier := ms.Row.Host == co.self.Host
 	free := ms.Version == 0 || ms.Row.Host == ""
-	co.claimable = free || earlier || now.Sub(co.seenAt) >= stale && now.Sub(co.heardAt) >= silence
+	if !free && !earlier && (now.Sub(co.seenAt) < stale || now.Sub(co.heardAt) < silence) {
+		co.freeSince, co.claimable = clock.Never, false
+		return
+	}
+	co.freeSince = min(co.freeSince, now)
+	co.claimable = now.Sub(co.freeSince) >= co.patience()
 }
 
 func (co *Core) beat(now clock.Instant, ms BeatMsg) {
@@ -238,7 +260,7 @@
 		co.version, co.seenAt, co.readOnce = ms.RowAt, now, true
 	}
 	if ms.StoreAge < ActTime {
-		co.heardAt, co.claimable = now, false
+		co.heardAt, co.claimable, co.freeSince = now, false, clock.Never
 	}
 	// A leader that the store no longer answers cannot move keys. Whoever still
 	// reaches the store looks whether the row is free to take.
