--- /dev/null
+++ b/internal/ownership/election/election_test.go
@@ -0,0 +1,103 @@
+package election_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"chervilwalk/internal/base/clock"
+	"chervilwalk/internal/ownership/election"
+)
+
+// claim plays a host that reads a free row whenever it asks to, and returns how
+// long after the first read it takes the row.
+func claim(gm *WithT, fitness, best float64) time.Duration {
+	co := election.New("a", "10.0.0.1:1", 1, fitness)
+	co.Among(best)
+	now := clock.Instant(time.Hour)
+	var first clock.Instant
+	for range 1000 {
+		switch co.Update(now, election.TickMsg{}) {
+		case election.Read:
+			if first == 0 {
+				first = now
+			}
+			if co.Update(now, election.RowMsg{Began: now}) == election.Write {
+				return now.Sub(first)
+			}
+		case election.Write:
+			return now.Sub(first)
+		case election.Wait:
+		}
+		now = now.Add(10 * time.Millisecond)
+	}
+	gm.Expect(true).To(BeFalse(), "the row was never taken")
+	return 0
+}
+
+// TestUnfitHostsHoldBack answers a site of which one host in twenty can lead:
+// a free row falls to such a host, and to any other only when none is left.
+func TestUnfitHostsHoldBack(t *testing.T) {
+	cases := map[string]struct {
+		fitness, best float64
+		least, most   time.Duration
+	}{
+		"the fittest":         {0.8, 0.8, 0, 0},
+		"all are alike":       {0.01, 0.01, 0, 0},
+		"nothing is known":    {0.2, 0, 0, 0},
+		"hardly fit":          {0.01, 0.8, 900 * time.Millisecond, 1500 * time.Millisecond},
+		"half as fit as some": {0.4, 0.8, 400 * time.Millisecond, time.Second},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			gm := NewWithT(t)
+			took := claim(gm, tc.fitness, tc.best)
+			gm.Expect(took).To(BeNumerically(">=", tc.least))
+			gm.Expect(took).To(BeNumerically("<=", tc.most))
+		})
+	}
+}
+
+// TestALeaderWithoutTheStoreIsPassedOver asks that signs of a leader which the
+// store no longer answers do not keep a host from looking at the row.
+func TestALeaderWithoutTheStoreIsPassedOver(t *testing.T) {
+	for name, tc := range map[string]struct {
+		// stale leaders are not answered by the store.
+		stale bool
+	}{"answered": {false}, "not answered": {true}} {
+		t.Run(name, func(t *testing.T) {
+			gm := NewWithT(t)
+			co := election.New("a", "10.0.0.1:1", 1, 0.2)
+			now := clock.Instant(time.Hour)
+			row := election.RowMsg{Row: election.Row{Term: 1, Host: "b", Address: "10.0.0.2:1"}, Version: 7}
+			reads, tookOver := 0, time.Duration(0)
+			for at := time.Duration(0); at < 6*time.Second && tookOver == 0; at += 10 * time.Millisecond {
+				now = now.Add(10 * time.Millisecond)
+				cmd := co.Update(now, election.TickMsg{})
+				if at%(400*time.Millisecond) == 0 {
+					age := 100 * time.Millisecond
+					if tc.stale {
+						age = at
+					}
+					cmd = co.Update(now, election.BeatMsg{Term: 1, Host: "b", Address: "10.0.0.2:1", RowAt: 7, StoreAge: age})
+				}
+				if cmd == election.Read {
+					reads++
+					row.Began = now
+					cmd = co.Update(now, row)
+				}
+				if cmd == election.Write {
+					tookOver = at
+				}
+			}
+			if !tc.stale {
+				gm.Expect(tookOver).To(BeZero())
+				gm.Expect(reads).To(BeNumerically("<=", 1))
+				return
+			}
+			gm.Expect(tookOver).To(BeNumerically(">", election.ActTime))
+			gm.Expect(tookOver).To(BeNumerically("<", election.LeadTime))
+		})
+	}
+}
