--- a/internal/ownership/duty/duty_test.go
+++ b/internal/ownership/duty/duty_test.go
@@ -71,6 +71,22 @@
 			wd.isolate("b", isolation)
 			wd.upstreams[1].gone = true
 		}, isolation + recovery},
+		"a domain is cut off just as keys begin to leave one of its upstreams": {func(wd *world) {
+			up := wd.upstreams[0]
+			for _, other := range wd.upstreams {
+				if other.domain != leaderOf(wd).member.Domain {
+					up = other
+				}
+			}
+			up.gone = true
+			for range 3000 {
+				if wd.moving(up.id) {
+					break
+				}
+				wd.run(time.Millisecond)
+			}
+			wd.isolate(up.domain, isolation)
+		}, isolation + recovery},
 		"all hosts are killed": {func(wd *world) {
 			for _, ho := range wd.hosts {
 				wd.kill(ho)
@@ -187,6 +203,16 @@
 	}
 }
 
+// moving tells whether the store has a move from an upstream.
+func (wd *world) moving(id ident.Upstream) bool {
+	for _, sh := range wd.table.Shares {
+		if sh.Owner.Upstream == id && sh.Moving() {
+			return true
+		}
+	}
+	return false
+}
+
 // isolate cuts a domain off from the others and its hosts off from the store.
 func (wd *world) isolate(domain ident.Domain, span time.Duration) {
 	wd.cutDomain = domain
