--- a/internal/catalog/bundle/bundle.go
+++ b/internal/catalog/bundle/bundle.go
@@ -13,7 +13,7 @@
 	"chervilwalk/internal/catalog/desired"
 )
 
-// Version orders bundles; a node only ever moves to a higher one.
+// Version orders bundles; a host only ever moves to a higher one.
 type Version uint64
 
 // Bundle is one accepted state of the whole fleet. It is never changed.
--- a/internal/catalog/bundle/parse_test.go
+++ b/internal/catalog/bundle/parse_test.go
@@ -93,7 +93,7 @@
 }
 
 func TestExamplesAreValid(t *testing.T) {
-	for name, body := range map[string][]byte{"mushi": examples.Mushi, "abrigo": examples.Abrigo, "sample": []byte(sample)} {
+	for name, body := range map[string][]byte{"mushi": examples.Mushi, "abrigo": examples.Abrigo, "by hand": examples.ByHand, "sample": []byte(sample)} {
 		t.Run(name, func(t *testing.T) {
 			_, err := bundle.Parse(name, body)
 			NewWithT(t).Expect(err).NotTo(HaveOccurred())
--- a/internal/catalog/bundle/seal.go
+++ b/internal/catalog/bundle/seal.go
@@ -37,7 +37,7 @@
 	// keys alone. It goes into the lineage of later bundles.
 	KeysSignature []byte
 	// Lineage holds the earlier changes of trusted keys, oldest first, so that
-	// a node that missed a rotation can still check this seal.
+	// a host that missed a rotation can still check this seal.
 	Lineage []KeyChange
 }
 
--- a/internal/catalog/bundle/seal_test.go
+++ b/internal/catalog/bundle/seal_test.go
@@ -78,7 +78,7 @@
 	}
 }
 
-// Keys are rotated from alice to bob to carol; a node that trusts alice only
+// Keys are rotated from alice to bob to carol; a host that trusts alice only
 // checks the last seal by its lineage.
 func TestRotationIsFollowedByTheLineage(t *testing.T) {
 	one, first := sealed(t, 1, "alice", "alice")
@@ -102,9 +102,9 @@
 		trust bundle.Trust
 		opens bool
 	}{
-		"a node that missed both rotations": {fourth, old, true},
-		"a node that missed one":            {fourth, bundle.TrustOf(two), true},
-		"a node up to date":                 {fourth, bundle.TrustOf(three), true},
+		"a host that missed both rotations": {fourth, old, true},
+		"a host that missed one":            {fourth, bundle.TrustOf(two), true},
+		"a host up to date":                 {fourth, bundle.TrustOf(three), true},
 		"the rotating bundle itself":        {second, bundle.TrustOf(one), true},
 		"no lineage":                        {without, old, false},
 		"a forged lineage":                  {forged, old, false},
--- a/internal/catalog/desired/desired.go
+++ b/internal/catalog/desired/desired.go
@@ -14,7 +14,7 @@
 	"chervilwalk/internal/base/ident"
 )
 
-// Version orders states; a node only ever moves to a higher one.
+// Version orders states; a host only ever moves to a higher one.
 type Version uint64
 
 // Kind says how often a request may run.
--- a/internal/operations/acceptance/await.go
+++ b/internal/operations/acceptance/await.go
@@ -10,11 +10,11 @@
 )
 
 const (
-	// askTimeout bounds the wait for one node's answer.
+	// askTimeout bounds the wait for one host's answer.
 	askTimeout = time.Second
 	// askPause is the time between two rounds of asking.
 	askPause = 100 * time.Millisecond
-	// askAtOnce bounds the nodes that are asked at a time.
+	// askAtOnce bounds the hosts that are asked at a time.
 	askAtOnce = 64
 )
 
