Read a bundle's state after it was opened, not in the same return

Found when reading the diff: the order in which a return evaluates a field and the call that sets it is not specified. TestBundles passes either way with this compiler; the platform's own desired state does not come this way.

--- a/internal/fleet/gateway/source.go
+++ b/internal/fleet/gateway/source.go
@@ -58,7 +58,8 @@
 		if err != nil {
 			return sb.last, nil, err
 		}
-		return sb.last, sb.open(sl), nil
+		problem = sb.open(sl)
+		return sb.last, problem, nil
 	}
 	return sb.last, nil, nil
 }
