--- a/internal/fleet/gateway/news.go
+++ b/internal/fleet/gateway/news.go
@@ -96,7 +96,7 @@
 	ns := &gw.news
 	if base, found := ns.since(known); found {
 		datagram := talk.Encode(talk.RosterDelta{
-			Term: gw.duty.Term(), At: ns.rosterAt, Age: now.Sub(ns.readAt), GraceLeft: gw.book.GraceLeft(now), Delta: roster.Diff(base, ns.entries),
+			Term: gw.duty.Term(), At: ns.rosterAt, GraceLeft: gw.book.GraceLeft(now), Delta: roster.Diff(base, ns.entries),
 		})
 		if len(datagram) <= deltaBytes {
 			return [][]byte{datagram}
@@ -107,7 +107,7 @@
 	for part := range count {
 		entries := ns.entries[min(part*rosterPart, len(ns.entries)):min((part+1)*rosterPart, len(ns.entries))]
 		parts = append(parts, talk.Encode(talk.Roster{
-			Term: gw.duty.Term(), At: ns.rosterAt, Age: now.Sub(ns.readAt), GraceLeft: gw.book.GraceLeft(now), Part: part, Parts: count, Entries: entries,
+			Term: gw.duty.Term(), At: ns.rosterAt, GraceLeft: gw.book.GraceLeft(now), Part: part, Parts: count, Entries: entries,
 		}))
 	}
 	return parts
--- a/internal/ownership/election/election.go
+++ b/internal/ownership/election/election.go
@@ -3,7 +3,7 @@
 // unchanged for long takes it over. Two hosts that both believe to lead are no
 // danger: only the holder of the row can change the assignment.
 //
-//	co := election.New("a-1", incarnation)
+//	co := election.New("a-1", "10.0.0.7:7540", incarnation, 0.8)
 //	cmd := co.Update(now, election.TickMsg{})
 package election
 
--- a/internal/peer/talk/message.go
+++ b/internal/peer/talk/message.go
@@ -96,7 +96,6 @@
 type Roster struct {
 	Term        Term
 	At          uint64
-	Age         time.Duration
 	GraceLeft   time.Duration
 	Part, Parts int
 	Entries     []roster.Entry
@@ -106,7 +105,6 @@
 type RosterDelta struct {
 	Term      Term
 	At        uint64
-	Age       time.Duration
 	GraceLeft time.Duration
 	roster.Delta
 }
@@ -272,7 +270,6 @@
 func (ms *Roster) code(cd *coder) {
 	field(cd, &ms.Term)
 	field(cd, &ms.At)
-	span(cd, &ms.Age)
 	span(cd, &ms.GraceLeft)
 	field(cd, &ms.Part)
 	field(cd, &ms.Parts)
@@ -294,7 +291,6 @@
 func (ms *RosterDelta) code(cd *coder) {
 	field(cd, &ms.Term)
 	field(cd, &ms.At)
-	span(cd, &ms.Age)
 	span(cd, &ms.GraceLeft)
 	field(cd, &ms.Base)
 	list(cd, &ms.Gone, func(id *ident.Upstream) { text(cd, id) })
--- a/internal/peer/talk/talk_test.go
+++ b/internal/peer/talk/talk_test.go
@@ -31,7 +31,7 @@
 				Next: assignment.Claim{Upstream: "v", Life: 6, Epoch: 16}, Fence: 13,
 			}},
 		}},
-		"rosterDelta": talk.RosterDelta{Term: 3, At: 5, Age: time.Second, GraceLeft: time.Second, Delta: roster.Delta{
+		"rosterDelta": talk.RosterDelta{Term: 3, At: 5, GraceLeft: time.Second, Delta: roster.Delta{
 			Base: 1 << 63, Gone: []ident.Upstream{"w"}, Entries: []roster.Entry{{ID: "u", Service: "lookup", Address: "10.0.0.9:80", Domain: "d", Slots: 2, Life: 99}},
 		}},
 		"view":     talk.View{Beat: beat, Part: 1, Parts: 2, Body: "{}"},
@@ -41,7 +41,7 @@
 		"queued":   talk.Queued{Ticket: 9},
 		"done":     talk.Done{Host: "a", Incarnation: 4, Ticket: 9, Service: "lookup", Upstream: "u", Outcome: 3, Took: time.Millisecond, Reported: true, Running: 1, Waiting: 2, Pace: 140},
 		"doneSeen": talk.DoneSeen{Ticket: 9},
-		"roster":   talk.Roster{Term: 3, At: 5, Age: time.Second, GraceLeft: time.Second, Part: 0, Parts: 1, Entries: []roster.Entry{{ID: "u", Service: "lookup", Address: "10.0.0.9:80", Domain: "d", Slots: 2, Draining: true, ColdLeft: time.Second, Sequence: 8, Life: 99}}},
+		"roster":   talk.Roster{Term: 3, At: 5, GraceLeft: time.Second, Part: 0, Parts: 1, Entries: []roster.Entry{{ID: "u", Service: "lookup", Address: "10.0.0.9:80", Domain: "d", Slots: 2, Draining: true, ColdLeft: time.Second, Sequence: 8, Life: 99}}},
 	}
 }
 
