Let a host that knows no members spare cold upstreams

Only an ask whose first holder was silent just then did; one that skipped a holder which had been silent before did not either.

Now an ask says so whenever its holder is not the one that all hosts would choose among the members that are alive.

Ruled out: silent holders in that domain (two lines), two tables at a time.

Test: TestHolderSaysWhenItIsAFallback; of its cases "no member is known", "the only member was silent" and "the first choice was silent before" are the ones that the earlier rule missed.

--- a/internal/fleet/gateway/asks.go
+++ b/internal/fleet/gateway/asks.go
@@ -150,10 +150,9 @@
 func (as *asks) find(now clock.Instant, ws *pendingAsk) {
 	ws.tries = 0
 	as.choosePart(ws)
-	ws.ask.Fallback = len(ws.passed) > 0
-	ws.holder, ws.address = as.gw.self.Host, ""
+	ws.holder, ws.address, ws.ask.Fallback = as.gw.self.Host, "", true
 	if len(ws.passed) < holderTries {
-		ws.holder, ws.address = as.holder(now, ws)
+		ws.holder, ws.address, ws.ask.Fallback = as.holder(now, ws)
 	}
 	as.ask(now, ws)
 }
@@ -194,24 +193,31 @@
 
 // holder is the member that hands out the permits of a part of a service,
 // chosen alike by all hosts; those that did not answer lately are passed over.
-func (as *asks) holder(now clock.Instant, ws *pendingAsk) (ident.Host, string) {
-	var best *assignment.Member
-	var bestScore float64
+// Fallback tells that it is not the one that all would choose: hosts pass over
+// different members, and then several hand out the same permits.
+func (as *asks) holder(now clock.Instant, ws *pendingAsk) (host ident.Host, address string, fallback bool) {
+	var best, first *assignment.Member
+	var bestScore, firstScore float64
 	pool := "permits/" + string(ws.ask.Service) + "/" + strconv.Itoa(ws.ask.Part)
 	members := as.gw.table.Load().Members
 	for ix := range members {
 		mb := &members[ix]
-		if !mb.Alive || now.Before(as.suspect[mb.Host]) || slices.Contains(ws.passed, mb.Host) {
+		if !mb.Alive {
 			continue
 		}
-		if score := ident.Score(pool, string(mb.Host), holderWeight(mb)); best == nil || score > bestScore {
+		score := ident.Score(pool, string(mb.Host), holderWeight(mb))
+		if first == nil || score > firstScore {
+			first, firstScore = mb, score
+		}
+		passed := now.Before(as.suspect[mb.Host]) || slices.Contains(ws.passed, mb.Host)
+		if !passed && (best == nil || score > bestScore) {
 			best, bestScore = mb, score
 		}
 	}
 	if best == nil {
-		return as.gw.self.Host, ""
+		return as.gw.self.Host, "", true
 	}
-	return best.Host, best.Address
+	return best.Host, best.Address, best != first
 }
 
 // tick repeats what got no answer.
