--- a/cmd/chervilwalk/main.go
+++ b/cmd/chervilwalk/main.go
@@ -19,7 +19,7 @@
 	addHost(pr)
 	addDomain(pr)
 	mustAdd(pr, "dump", "Show the state of a host's gateway", &dumpCommand{})
-	mustAdd(pr, "explain", "Tell one request's story from the hosts' logs", &explainCommand{})
+	mustAdd(pr, "explain", "Report on one request from the hosts' logs", &explainCommand{})
 	mustAdd(pr, "try", "Try two whole deployments on loopback", &tryCommand{})
 	mustAdd(pr, "version", "Say which source this was built from", &versionCommand{})
 	if _, err := pr.Parse(); err != nil {
--- a/internal/catalog/bundle/bundle.go
+++ b/internal/catalog/bundle/bundle.go
@@ -69,7 +69,7 @@
 	Slots int
 	// Connections bounds the connections it accepts from all nodes together.
 	Connections int
-	// ColdPerSecond is how many requests a second it bears just after a start.
+	// ColdPerSecond is how many requests a second it can take just after a start.
 	ColdPerSecond int
 	Out           bool
 }
--- a/internal/catalog/bundle/state.go
+++ b/internal/catalog/bundle/state.go
@@ -48,7 +48,7 @@
 	return out
 }
 
-// serviceOf takes the least of what the service's upstreams bear.
+// serviceOf takes the lowest limits of the service's upstreams.
 func serviceOf(sv *Service) desired.Service {
 	ds := desired.Service{Name: sv.Name, Keyed: sv.Keyed, Key: sv.Key}
 	for ix, up := range sv.Upstreams {
--- a/internal/catalog/desired/desired.go
+++ b/internal/catalog/desired/desired.go
@@ -93,7 +93,7 @@
 	Name ident.Service
 	// Connections bounds an upstream's connections from all hosts together.
 	Connections int
-	// ColdRate is how many requests a second a cold upstream bears.
+	// ColdRate is how many requests a second a cold upstream can take.
 	ColdRate float64
 	// ColdTime is how long an upstream stays cold after its start.
 	ColdTime time.Duration
--- a/internal/fleet/gateway/asks.go
+++ b/internal/fleet/gateway/asks.go
@@ -188,7 +188,7 @@
 
 // holderWeight is how likely a member is chosen as a holder. It grows faster
 // than fitness: a part of a busy service takes some 1,400 datagrams a second,
-// which fill a tenth of a processor and more, while a fit host bears many parts.
+// which fill a tenth of a processor and more, while a fit host can hold many parts.
 func holderWeight(mb *assignment.Member) float64 { return float64(mb.Fitness * mb.Fitness) }
 
 // holder is the member that hands out the permits of a part of a service,
--- a/internal/fleet/gateway/asks_test.go
+++ b/internal/fleet/gateway/asks_test.go
@@ -15,7 +15,7 @@
 
 // TestHolderSaysWhenItIsAFallback asks that an ask to any holder but the one that
 // all hosts would choose says so: on a day of cuts each host passes over others,
-// and a cold upstream must not hear of it.
+// and together they would overload a cold upstream.
 func TestHolderSaysWhenItIsAFallback(t *testing.T) {
 	const now = clock.Instant(time.Hour)
 	members := func(count int) []assignment.Member {
--- a/internal/fleet/gateway/news.go
+++ b/internal/fleet/gateway/news.go
@@ -65,7 +65,7 @@
 	return talk.News{RosterAt: ns.changedAt, RosterAge: now.Sub(ns.readAt), OperatorAt: ns.operatorAt}
 }
 
-// sendBeat sends a sign of the lead, and the entries to a host that lacks them.
+// sendBeat sends a heartbeat, and the entries to a host that lacks them.
 func (gw *Gateway) sendBeat(cmd duty.BeatCmd) {
 	now := gw.clock.Now()
 	beat := cmd.Beat
@@ -131,7 +131,7 @@
 }
 
 // heardRosterDelta takes what changed of the entries from a leader. A host
-// that does not know what it begins at gets all with the next sign.
+// that does not know what it begins at gets all with the next heartbeat.
 func (gw *Gateway) heardRosterDelta(now clock.Instant, ms talk.RosterDelta) {
 	if ms.Term < gw.duty.Term() || ms.At <= gw.news.rosterAt {
 		return
@@ -144,7 +144,7 @@
 // takeEntries takes the entries as the leader knows them.
 func (gw *Gateway) takeEntries(now clock.Instant, entries []roster.Entry, at uint64, graceLeft time.Duration) {
 	ns := &gw.news
-	// How fresh they are is for the next sign to say: this may have been on its
+	// How fresh they are is for the next heartbeat to say: this may have been on its
 	// way for long.
 	ns.entries, ns.rosterAt = entries, at
 	ns.digest, ns.changedAt = roster.Digest(entries), at
@@ -181,7 +181,7 @@
 		return
 	}
 	if bt.RosterAt <= ns.rosterAt && bt.Echo <= now {
-		// The sign may have been on its way for long; the leader had read the
+		// The heartbeat may have been on its way for long; the leader had read the
 		// entries this long before it got this host's status, at the latest.
 		ns.readAt = max(ns.readAt, bt.Echo.Add(-bt.RosterAge))
 		gw.newsAt.Store(int64(ns.readAt))
--- a/internal/fleet/gateway/store.go
+++ b/internal/fleet/gateway/store.go
@@ -28,10 +28,10 @@
 	// ledWatchWait is the same while a leader says what is newest.
 	ledWatchWait = 25 * time.Second
 	// newsTime is how old the entries may be that are known through a leader:
-	// the time between its reads and between its signs, and their way.
+	// the time between its reads and between its heartbeats, and their way.
 	newsTime = 1200 * time.Millisecond
 	// nudgeTime is how long a watch may take to bring what the leader has: longer
-	// than a pause between two watches, shorter than the time between two signs.
+	// than a pause between two watches, shorter than the time between two heartbeats.
 	nudgeTime = 350 * time.Millisecond
 	// watchPause is the time from a change to the next watch, so that changes in
 	// quick succession cost a call for several of them; the platform allows two
--- a/internal/operations/explain/explain.go
+++ b/internal/operations/explain/explain.go
@@ -1,10 +1,10 @@
-// Package explain tells one request's story from the log lines of several
+// Package explain reports on one request from the log lines of several
 // hosts: what became of it, why, and what the hosts believed meanwhile.
 //
-//	tl := explain.New("cb4920573ed3d158")
-//	err := tl.Read(file)
-//	story, found := tl.Story()
-//	story.Write(os.Stdout)
+//	cl := explain.New("cb4920573ed3d158")
+//	err := cl.Read(file)
+//	report, found := cl.Report()
+//	report.Write(os.Stdout)
 package explain
 
 import (
@@ -30,8 +30,8 @@
 	clockLayout = "15:04:05.000"
 )
 
-// meanings say what each cause of a request's end is.
-var meanings = map[string]string{
+// descriptions say what each cause of a request's end is.
+var descriptions = map[string]string{
 	"answered":           "an upstream answered it",
 	"upstreamFailed":     "the upstream answered with a failure of its own, which was passed on",
 	"callerLeft":         "its caller left before it was answered",
@@ -49,12 +49,12 @@
 	"disowned":           "the upstream did not hold the key; it did not run",
 	"broken":             "it was sent and the connection ended without an answer; it may have run",
 	"timedOut":           "it was sent and no answer came in time; it may have run",
-	"unsignedAnswer":     "what came back did not bear the upstream's signature; it may have run",
+	"unsignedAnswer":     "what came back lacked the upstream's signature; it may have run",
 	"outOfTime":          "its time had passed before it could be sent again",
 }
 
-// beliefs are the events that change what a host believes.
-var beliefs = map[string]bool{
+// stateEvents change what a host takes for true.
+var stateEvents = map[string]bool{
 	"start": true, "stopping": true, "stop": true, "desiredState": true, "desiredStateMalformed": true, "bundleOpened": true, "leader": true,
 	"leading": true, "storeLost": true, "storeRegained": true, "desiredStateSourceLost": true, "desiredStateSourceRegained": true,
 	"domainEvacuated": true, "domainTakenBack": true, "memberLost": true, "linesDropped": true,
@@ -66,35 +66,35 @@
 // moveEvents tell how keys move.
 var moveEvents = map[string]bool{"movePlanned": true, "moved": true, "grantLapsed": true, "stepFailed": true}
 
-// Teller collects what belongs to one request.
-type Teller struct {
+// Collector collects what belongs to one request.
+type Collector struct {
 	id    string
 	own   []journal.Line
 	other []journal.Line
 }
 
-// New begins the story of a request.
-func New(id string) *Teller { return &Teller{id: id} }
+// New makes the collector of a request.
+func New(id string) *Collector { return &Collector{id: id} }
 
 // Read takes the lines of a log; other lines in it are passed over.
-func (tl *Teller) Read(from io.Reader) error {
+func (cl *Collector) Read(from io.Reader) error {
 	sc := bufio.NewScanner(from)
 	sc.Buffer(nil, maxLineBytes)
 	for sc.Scan() {
 		ln, ok := journal.ParseLine(sc.Text())
 		switch {
 		case !ok:
-		case ln.Fields["request"] == tl.id:
-			tl.own = append(tl.own, ln)
-		case beliefs[ln.Event], upstreamEvents[ln.Event], moveEvents[ln.Event], ln.Event == "holderSilent":
-			tl.other = append(tl.other, ln)
+		case ln.Fields["request"] == cl.id:
+			cl.own = append(cl.own, ln)
+		case stateEvents[ln.Event], upstreamEvents[ln.Event], moveEvents[ln.Event], ln.Event == "holderSilent":
+			cl.other = append(cl.other, ln)
 		}
 	}
 	return eris.Wrap(sc.Err(), "log")
 }
 
-// Story is what became of a request.
-type Story struct {
+// Report is what became of a request.
+type Report struct {
 	ID string
 	// Ends are its ends, more than one where its caller came again.
 	Ends []End
@@ -105,35 +105,35 @@
 	Line journal.Line
 	// Meaning says in words what the cause is.
 	Meaning string
-	// Steps are the request's lines, Moves those of its key, Beliefs the newest
-	// of each kind that the hosts on its way had.
-	Steps, Moves, Beliefs []journal.Line
+	// Steps are the request's lines, Moves those of its key, State the newest of
+	// each kind from the hosts on its way.
+	Steps, Moves, State []journal.Line
 }
 
-// Story puts the lines together; false means that none is about the request.
-func (tl *Teller) Story() (Story, bool) {
+// Report puts the lines together; false means that none is about the request.
+func (cl *Collector) Report() (Report, bool) {
 	byTime := func(left, right journal.Line) int { return left.At.Compare(right.At) }
-	slices.SortStableFunc(tl.own, byTime)
-	slices.SortStableFunc(tl.other, byTime)
-	st := Story{ID: tl.id}
+	slices.SortStableFunc(cl.own, byTime)
+	slices.SortStableFunc(cl.other, byTime)
+	rp := Report{ID: cl.id}
 	var steps []journal.Line
-	for _, ln := range tl.own {
+	for _, ln := range cl.own {
 		steps = append(steps, ln)
 		if ln.Event == "request" {
-			st.Ends = append(st.Ends, tl.end(ln, steps))
+			rp.Ends = append(rp.Ends, cl.end(ln, steps))
 			steps = nil
 		}
 	}
 	if len(steps) > 0 {
 		// The line with its end was dropped or is in a log that was not read.
-		st.Ends = append(st.Ends, tl.end(steps[len(steps)-1], steps))
+		rp.Ends = append(rp.Ends, cl.end(steps[len(steps)-1], steps))
 	}
-	return st, len(st.Ends) > 0
+	return rp, len(rp.Ends) > 0
 }
 
 // end collects what led to an end.
-func (tl *Teller) end(last journal.Line, steps []journal.Line) End {
-	en := End{Line: last, Steps: steps, Meaning: meanings[last.Fields["cause"]]}
+func (cl *Collector) end(last journal.Line, steps []journal.Line) End {
+	en := End{Line: last, Steps: steps, Meaning: descriptions[last.Fields["cause"]]}
 	if en.Meaning == "" {
 		en.Meaning = "its end is not in these logs"
 	}
@@ -148,7 +148,7 @@
 		}
 	}
 	newest := map[string]journal.Line{}
-	for _, ln := range tl.other {
+	for _, ln := range cl.other {
 		switch {
 		case moveEvents[ln.Event]:
 			if keyed && concerns(ln, last.Fields["service"], key) && ln.At.After(began.Add(-movesBefore)) && ln.At.Before(last.At.Add(movesAfter)) {
@@ -157,7 +157,7 @@
 		case ln.At.After(last.At):
 		case ln.Event == "holderSilent":
 			if hosts[ln.Host] && ln.At.After(began) {
-				en.Beliefs = append(en.Beliefs, ln)
+				en.State = append(en.State, ln)
 			}
 		case upstreamEvents[ln.Event]:
 			if upstreams[ln.Fields["upstream"]] && hosts[ln.Host] {
@@ -168,9 +168,9 @@
 		}
 	}
 	for _, ln := range newest {
-		en.Beliefs = append(en.Beliefs, ln)
+		en.State = append(en.State, ln)
 	}
-	slices.SortFunc(en.Beliefs, func(left, right journal.Line) int { return left.At.Compare(right.At) })
+	slices.SortFunc(en.State, func(left, right journal.Line) int { return left.At.Compare(right.At) })
 	return en
 }
 
@@ -192,19 +192,19 @@
 	return ln.Number("from") <= key && key <= ln.Number("to")
 }
 
-// Write prints the story.
-func (st *Story) Write(to io.Writer) error {
+// Write prints the report.
+func (rp *Report) Write(to io.Writer) error {
 	var sb strings.Builder
-	for _, en := range st.Ends {
+	for _, en := range rp.Ends {
 		fields := en.Line.Fields
-		fmt.Fprintf(&sb, "request %s at %s: status %s, cause %s, %s ms\n", st.ID, en.Line.Host, orNone(fields["status"]), orNone(fields["cause"]), orNone(fields["tookMs"]))
+		fmt.Fprintf(&sb, "request %s at %s: status %s, cause %s, %s ms\n", rp.ID, en.Line.Host, orNone(fields["status"]), orNone(fields["cause"]), orNone(fields["tookMs"]))
 		fmt.Fprintf(&sb, "  %s\n", en.Meaning)
 		section(&sb, "what happened", en.Steps)
 		section(&sb, "moves of its key", en.Moves)
-		section(&sb, "what the hosts on its way believed", en.Beliefs)
+		section(&sb, "state of the hosts on its way", en.State)
 	}
 	_, err := io.WriteString(to, sb.String())
-	return eris.Wrap(err, "story")
+	return eris.Wrap(err, "report")
 }
 
 func orNone(text string) string {
--- a/internal/operations/explain/explain_test.go
+++ b/internal/operations/explain/explain_test.go
@@ -25,7 +25,7 @@
 2026-01-01T10:00:06.500Z host=a-1 event=upstream now=draining upstream=i-5
 `
 
-func TestStories(t *testing.T) {
+func TestReports(t *testing.T) {
 	cases := map[string]struct {
 		id       string
 		has, not []string
@@ -40,12 +40,12 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			gm := NewWithT(t)
-			tl := explain.New(tc.id)
-			gm.Expect(tl.Read(strings.NewReader(logs))).To(Succeed())
-			story, found := tl.Story()
+			cl := explain.New(tc.id)
+			gm.Expect(cl.Read(strings.NewReader(logs))).To(Succeed())
+			report, found := cl.Report()
 			gm.Expect(found).To(BeTrue())
 			var text strings.Builder
-			gm.Expect(story.Write(&text)).To(Succeed())
+			gm.Expect(report.Write(&text)).To(Succeed())
 			for _, part := range tc.has {
 				gm.Expect(text.String()).To(ContainSubstring(part))
 			}
@@ -56,9 +56,9 @@
 	}
 }
 
-func TestNoStory(t *testing.T) {
-	tl := explain.New("r9")
-	NewWithT(t).Expect(tl.Read(strings.NewReader(logs))).To(Succeed())
-	_, found := tl.Story()
+func TestNoReport(t *testing.T) {
+	cl := explain.New("r9")
+	NewWithT(t).Expect(cl.Read(strings.NewReader(logs))).To(Succeed())
+	_, found := cl.Report()
 	NewWithT(t).Expect(found).To(BeFalse())
 }
--- a/internal/ownership/duty/signs.go
+++ b/internal/ownership/duty/heartbeat.go
@@ -34,15 +34,15 @@
 	switch {
 	case ms.From == "":
 	case ms.Status.Revision < co.table.Revision:
-		co.do(ViewCmd{To: ms.From, Beat: co.sign(now, ms.From), Table: co.table, Base: co.history.find(ms.Status.Revision)})
+		co.do(ViewCmd{To: ms.From, Beat: co.heartbeat(now, ms.From), Table: co.table, Base: co.history.find(ms.Status.Revision)})
 	default:
-		co.do(BeatCmd{To: ms.From, Beat: co.sign(now, ms.From), RosterAt: ms.Status.RosterAt, RosterDigest: ms.Status.RosterDigest})
+		co.do(BeatCmd{To: ms.From, Beat: co.heartbeat(now, ms.From), RosterAt: ms.Status.RosterAt, RosterDigest: ms.Status.RosterDigest})
 	}
 	co.lead(now, leader.StatusMsg{Status: ms.Status})
 }
 
-// sign is the sign of this host's lead to a member at an address.
-func (co *Core) sign(now clock.Instant, to string) talk.Beat {
+// heartbeat is what this host, as the leader, sends to a member at an address.
+func (co *Core) heartbeat(now clock.Instant, to string) talk.Beat {
 	return talk.Beat{
 		Term: co.election.Term(), Leader: co.self.Host, Revision: co.table.Revision, StoreAge: now.Sub(co.election.Confirmed()),
 		RowAt: uint64(co.election.Expected()), Echo: co.echoes[to],
@@ -91,7 +91,7 @@
 	}
 	for _, mb := range co.table.Members {
 		if mb.Host != co.self.Host {
-			co.do(ViewCmd{To: mb.Address, Beat: co.sign(now, mb.Address), Table: co.table, Base: base})
+			co.do(ViewCmd{To: mb.Address, Beat: co.heartbeat(now, mb.Address), Table: co.table, Base: base})
 		}
 	}
 	co.sendStatus(now)
--- a/internal/ownership/duty/history.go
+++ b/internal/ownership/duty/history.go
@@ -51,7 +51,7 @@
 			best = max(best, mb.Fitness)
 		}
 	}
-	co.election.Among(float64(best) / 100)
+	co.election.SetBestFitness(float64(best) / 100)
 	co.do(TableCmd{Table: tb})
 	co.renewals(now)
 }
--- a/internal/ownership/duty/message.go
+++ b/internal/ownership/duty/message.go
@@ -48,7 +48,7 @@
 	From   string
 }
 
-// BeatMsg is a sign of a leader.
+// BeatMsg is a heartbeat of a leader.
 type BeatMsg struct {
 	Beat talk.Beat
 	From string
@@ -113,7 +113,7 @@
 	Status talk.Status
 }
 
-// BeatCmd tells to send a sign of this host's lead. RosterAt and RosterDigest
+// BeatCmd tells to send a heartbeat of this host as the leader. RosterAt and RosterDigest
 // are of the upstreams' entries that the receiver knows.
 type BeatCmd struct {
 	To                     string
--- a/internal/ownership/election/election.go
+++ b/internal/ownership/election/election.go
@@ -33,7 +33,7 @@
 	// taken over.
 	ActTime = 1200 * time.Millisecond
 	// LeadTime is how long a leader that the store does not answer goes on. With
-	// the time that members renew after its last sign, and that of their grants,
+	// the time that members renew after its last heartbeat, and that of their grants,
 	// keys outlast eleven seconds without the store.
 	LeadTime = 5 * time.Second
 )
@@ -61,7 +61,7 @@
 // ReadFailedMsg says that the store did not answer a read.
 type ReadFailedMsg struct{}
 
-// BeatMsg is a sign of a leader.
+// BeatMsg is a heartbeat of a leader.
 type BeatMsg struct {
 	Term    talk.Term
 	Host    ident.Host
@@ -141,11 +141,11 @@
 // leastFitness keeps shares of fitness above zero.
 const leastFitness = 0.01
 
-// Among says how fit the fittest of all hosts is.
-func (co *Core) Among(best float64) { co.best = max(best, co.fitness) }
+// SetBestFitness says how fit the fittest of all hosts is.
+func (co *Core) SetBestFitness(best float64) { co.best = max(best, co.fitness) }
 
-// patience is how long this host leaves a free row to others.
-func (co *Core) patience() time.Duration {
+// claimDelay is how long this host leaves a free row to others.
+func (co *Core) claimDelay() time.Duration {
 	return time.Duration((1 - co.fitness/co.best) * float64(holdBack))
 }
 
@@ -241,7 +241,7 @@
 		return
 	}
 	co.freeSince = min(co.freeSince, now)
-	co.claimable = now.Sub(co.freeSince) >= co.patience()
+	co.claimable = now.Sub(co.freeSince) >= co.claimDelay()
 }
 
 func (co *Core) beat(now clock.Instant, ms BeatMsg) {
--- a/internal/ownership/election/election_test.go
+++ b/internal/ownership/election/election_test.go
@@ -14,7 +14,7 @@
 // long after the first read it takes the row.
 func claim(gm *WithT, fitness, best float64) time.Duration {
 	co := election.New("a", "10.0.0.1:1", 1, fitness)
-	co.Among(best)
+	co.SetBestFitness(best)
 	now := clock.Instant(time.Hour)
 	var first clock.Instant
 	for range 1000 {
@@ -59,7 +59,7 @@
 	}
 }
 
-// TestALeaderWithoutTheStoreIsPassedOver asks that signs of a leader which the
+// TestALeaderWithoutTheStoreIsPassedOver asks that heartbeats of a leader which the
 // store no longer answers do not keep a host from looking at the row.
 func TestALeaderWithoutTheStoreIsPassedOver(t *testing.T) {
 	for name, tc := range map[string]struct {
--- a/internal/ownership/leader/leader.go
+++ b/internal/ownership/leader/leader.go
@@ -45,7 +45,7 @@
 	// Usable upstreams may own keys; the others have to lose theirs.
 	Usable    bool
 	ColdUntil clock.Instant
-	// ColdRate is how many requests a second it bears while cold.
+	// ColdRate is how many requests a second it can take while cold.
 	ColdRate float64
 }
 
--- a/internal/peer/talk/message.go
+++ b/internal/peer/talk/message.go
@@ -75,8 +75,8 @@
 	// RowAt is the store's version of the leader's row.
 	RowAt uint64
 	// Echo is the SentAt of the receiver's last status that the leader had when
-	// it wrote this; zero where it had none. What the sign says held at that time
-	// or later, however long the sign was on its way.
+	// it wrote this; zero where it had none. What the heartbeat says held at that
+	// time or later, however long it was on its way.
 	Echo clock.Instant
 	News
 }
@@ -136,7 +136,7 @@
 	Part, Parts int
 	// Fallback tells that the holder which hands this part out was passed over.
 	// Several hosts may then do so at a time, and together they would send a
-	// cold upstream more than it bears.
+	// cold upstream more than its limit.
 	Fallback bool
 	// Large answers should not cross domains.
 	Large bool
--- a/internal/serving/permit/permit_test.go
+++ b/internal/serving/permit/permit_test.go
@@ -251,7 +251,7 @@
 	gm.Expect(pl.running["u0"]).To(Equal(2))
 }
 
-// TestColdUpstream asks that a cold upstream gets no more than it bears.
+// TestColdUpstream asks that a cold upstream gets no more than its limit.
 func TestColdUpstream(t *testing.T) {
 	for name, keyed := range map[string]bool{"keyed": true, "any": false} {
 		t.Run(name, func(t *testing.T) {
@@ -312,7 +312,7 @@
 
 // TestManyHoldersSpareColdUpstreams answers a day on which half of the hosts
 // lost the holder of a service at a time and handed out permits by themselves:
-// together they must not send a cold upstream more than it bears.
+// together they must not send a cold upstream more than its limit.
 func TestManyHoldersSpareColdUpstreams(t *testing.T) {
 	for name, keyed := range map[string]bool{"keyed": true, "any": false} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/stand/deployment/explain_test.go
+++ b/internal/stand/deployment/explain_test.go
@@ -27,7 +27,7 @@
 	cases := map[string]struct {
 		play  func(*deployment.Deployment)
 		cause string
-		// says is what the story must name.
+		// says is what the report must name.
 		says []string
 	}{
 		"orders break":         {orders(target.Faults{Reset: 1}), "broken", []string{"may have run", "upstream=i-orders-", "event=desiredState"}},
@@ -56,12 +56,12 @@
 				found = ended.FindStringSubmatch(lg.String())
 				return found
 			}, 2*time.Second, 50*time.Millisecond).ShouldNot(BeEmpty(), lg.String)
-			tl := explain.New(found[1])
-			gm.Expect(tl.Read(strings.NewReader(lg.String()))).To(Succeed())
-			story, known := tl.Story()
+			cl := explain.New(found[1])
+			gm.Expect(cl.Read(strings.NewReader(lg.String()))).To(Succeed())
+			report, known := cl.Report()
 			gm.Expect(known).To(BeTrue())
 			var text strings.Builder
-			gm.Expect(story.Write(&text)).To(Succeed())
+			gm.Expect(report.Write(&text)).To(Succeed())
 			gm.Expect(text.String()).To(ContainSubstring("cause " + tc.cause))
 			for _, part := range tc.says {
 				gm.Expect(text.String()).To(ContainSubstring(part))
--- a/internal/stand/deployment/load.go
+++ b/internal/stand/deployment/load.go
@@ -32,7 +32,7 @@
 	// DoubleOwners are pairs of holdings of one key at one time.
 	DoubleOwners int `json:"doubleOwners"`
 	UnheldRuns   int `json:"unheldRuns"`
-	// ColdViolations are upstreams that got more than they bear while cold.
+	// ColdViolations are upstreams that got more than their limit while cold.
 	ColdViolations int     `json:"coldViolations"`
 	P50Ms          float64 `json:"p50Ms"`
 	P99Ms          float64 `json:"p99Ms"`
--- a/internal/stand/target/target.go
+++ b/internal/stand/target/target.go
@@ -35,7 +35,7 @@
 	// AnswerBytes is the size of an answer's body.
 	AnswerBytes int
 	// ColdFor is how long it is cold after its start, ColdRate how many
-	// requests a second it bears then.
+	// requests a second it can take then.
 	ColdFor  time.Duration
 	ColdRate float64
 	Seed     int64
