Read the kind upload; let one malformed route or service void nothing else

Cause: DecodeDesired gave up on the whole desired state for one word that it did not know. On the growers' site every host refused every request.

Uploads and routes of unknown kind run at most once.

--- a/internal/catalog/desired/desired.go
+++ b/internal/catalog/desired/desired.go
@@ -29,15 +29,17 @@
 	NonIdempotent
 	// Download requests are idempotent and have large responses.
 	Download
+	// Upload requests run at most once and have large bodies.
+	Upload
 )
 
 // String returns the kind's name in logs.
 func (kd Kind) String() string {
-	return [...]string{"idempotent", "nonIdempotent", "download"}[kd]
+	return [...]string{"idempotent", "nonIdempotent", "download", "upload"}[kd]
 }
 
 // Repeatable reports whether a request of this kind may run more than once.
-func (kd Kind) Repeatable() bool { return kd != NonIdempotent }
+func (kd Kind) Repeatable() bool { return kd == Idempotent || kd == Download }
 
 // KeySource is the part of a request that holds its key.
 type KeySource string
@@ -86,6 +88,9 @@
 	// BodyBytes is the maximum size of a request body; 0 means Limits.BodyBytes.
 	BodyBytes    int64
 	Destinations []Destination
+	// Malformed routes could not be read. Their requests are refused: without the
+	// route they would go to the services of a shorter prefix.
+	Malformed bool
 }
 
 // Repeatable reports whether a request with this method may run more than once.
@@ -146,7 +151,8 @@
 	return func(st *State) { st.Hosts = hosts }
 }
 
-// New builds a state. A route without a service or with an unknown one is an error.
+// New builds a state. A route without a service or with an unknown one is an error,
+// unless it is marked as malformed.
 func New(vs Version, lm Limits, services []Service, routes []Route, opts ...Option) (*State, error) {
 	st := &State{Version: vs, Limits: lm, Services: map[ident.Service]Service{}, routes: map[string][]*Route{}}
 	for _, opt := range opts {
@@ -168,6 +174,10 @@
 
 // addRoute validates a route and appends it to its virtual host's routes.
 func (st *State) addRoute(rt Route) error {
+	if rt.Malformed {
+		st.routes[rt.Host] = append(st.routes[rt.Host], &rt)
+		return nil
+	}
 	if len(rt.Destinations) == 0 {
 		return fmt.Errorf("route %q has no service", rt.Name)
 	}
--- a/internal/serving/proxy/proxy.go
+++ b/internal/serving/proxy/proxy.go
@@ -194,6 +194,8 @@
 	}
 	if found {
 		ex.route, ex.end.Route = route, route.Name
+	}
+	if found && !route.Malformed {
 		ex.service = ex.px.splits.choose(route)
 	}
 	var err error
@@ -206,6 +208,8 @@
 		return ex.localResponse(http.StatusServiceUnavailable, "noDesiredState", startRetryAfter)
 	case !found:
 		return ex.localResponse(http.StatusNotFound, "noRoute", 0)
+	case route.Malformed:
+		return ex.localResponse(http.StatusServiceUnavailable, "routeMalformed", startRetryAfter)
 	case ex.keyed() && !ex.info.Keyed:
 		return ex.localResponse(http.StatusBadRequest, "noKey", 0)
 	case ex.bodyTooLarge():
