Let no request go on without its whole body; stream long bodies with an owner

Cause: readRequest returned a request together with the 400, 408 or 413 of its body, and its caller looked at the status only without a request. An order whose body broke off was forwarded empty; bytes behind a malformed chunk were answered as a request of their own.

A request with a bad body is rejected and its connection closed. The part of a body that is sent while it is read has a type of its own (Body): the sender stops it when the upstream answers early, waits for the writing goroutine, and closes the upstream's connection when the caller breaks off, without blaming the upstream. Before, that goroutine and the server read the same body at once.

--- a/internal/serving/httpserver/connection.go
+++ b/internal/serving/httpserver/connection.go
@@ -122,13 +122,18 @@
 		handled := make(chan struct{})
 		go func() {
 			defer close(handled)
-			pr.response <- cn.server.handler(cn.ctx, pr.request)
+			rs := cn.server.handler(cn.ctx, pr.request)
+			if pr.request.Rest != nil && !pr.request.Rest.complete() {
+				// No further request can be found behind a body that was not read.
+				pr.close = true
+			}
+			pr.response <- rs
 		}()
 		if pr.request.Rest != nil {
 			// The next request follows the rest of this body.
 			<-handled
-			if _, err := io.Copy(io.Discard, pr.request.Rest); err != nil {
-				cn.cancel()
+			if !pr.request.Rest.complete() {
+				cn.linger()
 				return
 			}
 		}
@@ -153,9 +158,8 @@
 	return true
 }
 
-// readRequest reads a request. Without a request, it returns the status with which
-// to reject it, or 0 if the connection ended. With a request, the status is that of
-// readBody.
+// readRequest reads a request and its body up to BufferBytes. Without a request, it
+// returns the status with which to reject it, or 0 if the connection ended.
 func (cn *connection) readRequest() (*pendingRequest, int) {
 	lm := cn.server.limits()
 	if cn.reader.Buffered() == 0 {
@@ -191,7 +195,10 @@
 			Chunked: len(hr.TransferEncoding) > 0, Arrived: time.Now(),
 		},
 	}
-	return pr, cn.readBody(pr, hr, lm)
+	if status := cn.readBody(pr, hr, lm); status != 0 {
+		return nil, status
+	}
+	return pr, 0
 }
 
 // headerBytes returns about the size of a request's URI and header. A part of them
@@ -249,31 +256,25 @@
 	count, err := buffered.ReadFrom(io.LimitReader(body, BufferBytes))
 	if err != nil {
 		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
+		var ne net.Error
+		switch {
+		case errors.As(err, &tooLarge):
 			return http.StatusRequestEntityTooLarge
+		case errors.As(err, &ne) && ne.Timeout():
+			return http.StatusRequestTimeout
+		default:
+			return http.StatusBadRequest
 		}
-		return http.StatusBadRequest
 	}
 	pr.request.Body = buffered.Bytes()
 	if count == BufferBytes && hr.ContentLength != BufferBytes {
-		pr.request.Rest = bodyReader{body, cn.raw}
+		pr.request.Rest = &Body{reader: body, raw: cn.raw}
 	} else {
 		pr.request.Length = count
 	}
 	return 0
 }
 
-// bodyReader extends the read deadline before each read of a long body.
-type bodyReader struct {
-	io.Reader
-	raw net.Conn
-}
-
-func (br bodyReader) Read(buf []byte) (int, error) {
-	_ = br.raw.SetReadDeadline(time.Now().Add(bodyReadTimeout))
-	return br.Reader.Read(buf)
-}
-
 // reject queues the response to a request that cannot be read.
 func (cn *connection) reject(status int) {
 	cn.mu.Lock()
--- a/internal/serving/httpserver/httpserver.go
+++ b/internal/serving/httpserver/httpserver.go
@@ -57,7 +57,7 @@
 	Header http.Header
 	Body   []byte
 	// Rest follows Body if the body is larger than BufferBytes.
-	Rest io.Reader
+	Rest *Body
 	// Chunked reports whether the body is sent in chunks.
 	Chunked bool
 	// Length is the length of the whole body in bytes, or -1 if it is unknown.
--- a/internal/serving/httpserver/httpserver_test.go
+++ b/internal/serving/httpserver/httpserver_test.go
@@ -83,6 +83,10 @@
 		"not HTTP":                         {"hello\r\n\r\n", []string{"400 "}, true},
 		"header too large":                 {"GET /a HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 2000) + "\r\n\r\n", []string{"431 "}, true},
 		"body too large":                   {"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2000000\r\n\r\n", []string{"413 "}, true},
+		"body ends before its length":      {"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nabc", []string{"400 "}, true},
+		"chunk without a size":             {"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nx\r\nabc\r\n0\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n", []string{"400 "}, true},
+		"chunk without its end":            {"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabcdGET /b HTTP/1.1\r\nHost: h\r\n\r\n", []string{"400 "}, true},
+		"chunked body over the limit":      {"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n200000\r\n", []string{"400 "}, true},
 		"two lengths":                      {"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", []string{"400 "}, true},
 	}
 	for name, tc := range cases {
@@ -91,6 +95,9 @@
 			_, conn, from := serve(t, echo)
 			_, err := io.WriteString(conn, tc.sent)
 			gm.Expect(err).NotTo(HaveOccurred())
+			if tc.closes {
+				gm.Expect(conn.(*net.TCPConn).CloseWrite()).To(Succeed())
+			}
 			for _, want := range tc.responses {
 				rs, body := readResponse(t, from)
 				gm.Expect(fmt.Sprintf("%d %s", rs.StatusCode, body)).To(Equal(want))
--- a/internal/serving/proxy/proxy.go
+++ b/internal/serving/proxy/proxy.go
@@ -312,11 +312,15 @@
 	hd := endToEndHeader(ex.rq.Header)
 	ex.px.cf.UpstreamHeaders.SetRequest(hd, ex.info, pm.Upstream, time.Until(ex.deadline))
 	began := time.Now()
-	an, err := ex.px.cf.Connections.Send(ctx, transport.Target{ID: pm.Upstream, Address: pm.Address}, &transport.Request{
+	rq := &transport.Request{
 		ID: ex.info.Request, Method: ex.rq.Method, URI: ex.rq.URI, Host: ex.rq.Host, Header: hd,
-		Body: ex.rq.Body, Rest: ex.rq.Rest, Chunked: ex.rq.Chunked, Length: ex.rq.Length,
+		Body: ex.rq.Body, Chunked: ex.rq.Chunked, Length: ex.rq.Length,
 		Repeatable: ex.repeatable(), Deadline: ex.deadline.Add(answerGrace),
-	})
+	}
+	if ex.rq.Rest != nil {
+		rq.Rest = ex.rq.Rest
+	}
+	an, err := ex.px.cf.Connections.Send(ctx, transport.Target{ID: pm.Upstream, Address: pm.Address}, rq)
 	done := protocol.Done{Service: ex.service, Upstream: pm.Upstream, Took: time.Since(began)}
 	outcome := ex.outcome(ctx, an, err)
 	done.Outcome = uint8(outcome)
@@ -332,7 +336,7 @@
 func (ex *exchange) outcome(ctx context.Context, an *transport.Answer, err error) permit.Outcome {
 	var fl *transport.Failure
 	switch {
-	case ctx.Err() != nil && err != nil:
+	case ctx.Err() != nil && err != nil, err != nil && ex.bodyBrokeOff():
 		return permit.Withdrawn
 	case errors.As(err, &fl) && !fl.Sent:
 		return permit.Unreached
@@ -376,7 +380,7 @@
 		return ex.retry(pm, "unreached", true)
 	case permit.Disowned:
 		ex.disownedCount++
-		if ex.disownedCount <= maxDisowned && ex.rq.Rest == nil && ex.px.cf.Budget.Spend(ex.service) {
+		if ex.disownedCount <= maxDisowned && !ex.bodyConsumed() && ex.px.cf.Budget.Spend(ex.service) {
 			return nil, true
 		}
 		return ex.retry(pm, outcome.String(), true)
@@ -393,13 +397,18 @@
 // left. Otherwise it returns the response to the caller.
 func (ex *exchange) retry(pm *Permit, cause string, allowed bool) (*httpserver.Response, bool) {
 	ex.avoid = pm.Upstream
-	bodyConsumed := ex.rq.Rest != nil
-	if allowed && !bodyConsumed && ex.end.Attempts < ex.route.Attempts && time.Until(ex.deadline) > minTimeLeft && ex.px.cf.Budget.Spend(ex.service) {
+	if allowed && !ex.bodyConsumed() && ex.end.Attempts < ex.route.Attempts && time.Until(ex.deadline) > minTimeLeft && ex.px.cf.Budget.Spend(ex.service) {
 		return nil, true
 	}
 	return ex.giveUp(cause), false
 }
 
+// bodyBrokeOff reports whether the caller stopped in the middle of the body.
+func (ex *exchange) bodyBrokeOff() bool { return ex.rq.Rest != nil && ex.rq.Rest.Err() != nil }
+
+// bodyConsumed reports whether a part of the body was sent and not kept.
+func (ex *exchange) bodyConsumed() bool { return ex.rq.Rest != nil && ex.rq.Rest.Consumed() }
+
 // giveUp returns the response to a request that no upstream answered.
 func (ex *exchange) giveUp(cause string) *httpserver.Response {
 	switch {
--- a/internal/serving/transport/transport.go
+++ b/internal/serving/transport/transport.go
@@ -64,8 +64,8 @@
 	Header http.Header
 	Body   []byte
 	// Rest follows Body if the body is too large to be kept in memory. A request
-	// with Rest can be sent only once.
-	Rest io.Reader
+	// can't be sent again once a part of Rest was read.
+	Rest Rest
 	// Chunked reports that the length of the body is unknown.
 	Chunked bool
 	// Length is the length of the whole body in bytes, if it is known.
@@ -76,6 +76,15 @@
 	Deadline time.Time
 }
 
+// Rest is the part of a body that is read from the caller while it is sent.
+type Rest interface {
+	io.Reader
+	// Stop makes the current and all later reads fail.
+	Stop()
+	// Err returns the error with which the caller's body broke off, or nil.
+	Err() error
+}
+
 // Answer is the HTTP response of an upstream. What the router sends to a caller is
 // an httpserver.Response.
 type Answer struct {
@@ -284,26 +293,34 @@
 // exchange writes the request and reads its answer. It also reports whether the
 // connection can be reused.
 func (pl *Pool) exchange(cn *conn, rq *Request) (an *Answer, reusable bool, err error) {
-	written := make(chan error, 1)
-	if len(rq.Body) > readBufferBytes || rq.Rest != nil {
-		// The upstream may answer before it has read the whole of a long body.
-		go func() { written <- rq.write(cn) }()
-	} else {
+	if len(rq.Body) <= readBufferBytes && rq.Rest == nil {
 		if err := rq.write(cn); err != nil {
 			return nil, false, err
 		}
-		written <- nil
+		return pl.readAnswer(cn, rq)
 	}
+	// The upstream may answer before it has read the whole of a long body.
+	written := make(chan error, 1)
+	go func() {
+		err := rq.write(cn)
+		if rq.Rest != nil && rq.Rest.Err() != nil {
+			// The caller's body broke off, so no answer is due any more.
+			_ = cn.SetReadDeadline(time.Unix(1, 0))
+		}
+		written <- err
+	}()
 	an, reusable, err = pl.readAnswer(cn, rq)
-	if err != nil {
-		return nil, false, err
+	// The upstream may read the rest of the body later, so only a connection whose
+	// request was sent whole is reused.
+	_ = cn.SetWriteDeadline(time.Unix(1, 0))
+	if rq.Rest != nil {
+		rq.Rest.Stop()
 	}
-	select {
-	case err := <-written:
-		reusable = reusable && err == nil
-	default:
+	if werr := <-written; werr != nil {
 		reusable = false
-		_ = cn.SetWriteDeadline(time.Unix(1, 0))
+	}
+	if err != nil {
+		return nil, false, err
 	}
 	return an, reusable, nil
 }
@@ -311,7 +328,7 @@
 // write writes the request line, the header and the body.
 func (rq *Request) write(to io.Writer) error {
 	var head bytes.Buffer
-	head.Grow(1024 + len(rq.Body))
+	head.Grow(1024 + min(len(rq.Body), readBufferBytes))
 	head.WriteString(rq.Method + " " + rq.URI + " HTTP/1.1\r\nHost: " + rq.Host + "\r\n")
 	switch {
 	case rq.Chunked && rq.Rest != nil:
@@ -325,7 +342,7 @@
 		return err
 	}
 	head.WriteString("\r\n")
-	if rq.Rest == nil {
+	if rq.Rest == nil && len(rq.Body) <= readBufferBytes {
 		head.Write(rq.Body)
 		_, err := to.Write(head.Bytes())
 		return err
@@ -333,6 +350,10 @@
 	if _, err := to.Write(head.Bytes()); err != nil {
 		return err
 	}
+	if rq.Rest == nil {
+		_, err := to.Write(rq.Body)
+		return err
+	}
 	return rq.writeRest(to)
 }
 
