Bound what an upstream or the store can make a host hold

Cause: the head of an answer had no limit, interim answers had none, and up to 1 MB of each body was kept.

What lies beyond ends the connection and counts as a broken answer. Longer answers are passed on while they are read, and their permit is held till the end.

--- a/internal/serving/httpserver/connection.go
+++ b/internal/serving/httpserver/connection.go
@@ -13,6 +13,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"chervilwalk/internal/serving/socket"
 )
 
 // pendingRequest is a request whose response is written after those of the requests
@@ -34,7 +36,7 @@
 	server   *Server
 	raw      net.Conn
 	reader   *bufio.Reader
-	source   *limitedReader
+	source   *socket.LimitedReader
 	ctx      context.Context
 	cancel   context.CancelFunc
 	pipeline chan *pendingRequest
@@ -48,28 +50,8 @@
 	changed *sync.Cond
 }
 
-// limitedReader bounds the bytes that are read for the head of a request.
-type limitedReader struct {
-	raw       net.Conn
-	remaining int
-}
-
-var errHeaderTooLarge = errors.New("header too large")
-
-func (lr *limitedReader) Read(buf []byte) (int, error) {
-	if lr.remaining <= 0 {
-		return 0, errHeaderTooLarge
-	}
-	count, err := lr.raw.Read(buf[:min(len(buf), lr.remaining)])
-	lr.remaining -= count
-	return count, err
-}
-
-// unlimited is the value of limitedReader.remaining outside of a head.
-const unlimited = 1 << 62
-
 func newConnection(sv *Server, raw net.Conn) *connection {
-	cn := &connection{server: sv, raw: raw, source: &limitedReader{raw: raw, remaining: unlimited}, pipeline: make(chan *pendingRequest, maxPipelined)}
+	cn := &connection{server: sv, raw: raw, source: &socket.LimitedReader{Conn: raw, Remaining: socket.Unlimited}, pipeline: make(chan *pendingRequest, maxPipelined)}
 	cn.reader = bufio.NewReaderSize(cn.source, readBufferBytes)
 	cn.ctx, cn.cancel = context.WithCancel(context.Background())
 	cn.changed = sync.NewCond(&cn.mu)
@@ -163,7 +145,7 @@
 func (cn *connection) readRequest() (*pendingRequest, int) {
 	lm := cn.server.limits()
 	if cn.reader.Buffered() == 0 {
-		cn.source.remaining = unlimited
+		cn.source.Remaining = socket.Unlimited
 		_ = cn.raw.SetReadDeadline(time.Now().Add(lm.IdleTimeout))
 		if cn.isClosing() {
 			_ = cn.raw.SetReadDeadline(time.Unix(1, 0))
@@ -173,9 +155,9 @@
 		}
 	}
 	_ = cn.raw.SetReadDeadline(time.Now().Add(lm.HeaderTimeout))
-	cn.source.remaining = max(lm.HeaderBytes-cn.reader.Buffered(), 0)
+	cn.source.Remaining = int64(max(lm.HeaderBytes-cn.reader.Buffered(), 0))
 	hr, err := http.ReadRequest(cn.reader)
-	cn.source.remaining = unlimited
+	cn.source.Remaining = socket.Unlimited
 	if err != nil {
 		return nil, rejectionStatus(err)
 	}
@@ -202,7 +184,7 @@
 }
 
 // headerBytes returns about the size of a request's URI and header. A part of them
-// may have been in the buffer already when limitedReader got its limit.
+// may have been in the buffer already when the source got its limit.
 func headerBytes(hr *http.Request) int {
 	size := len(hr.RequestURI)
 	for name, values := range hr.Header {
@@ -224,7 +206,7 @@
 func rejectionStatus(err error) int {
 	var ne net.Error
 	switch {
-	case errors.Is(err, errHeaderTooLarge):
+	case errors.Is(err, socket.ErrTooLong):
 		return http.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &ne), errors.Is(err, net.ErrClosed):
 		return 0
@@ -301,7 +283,7 @@
 		_ = tc.CloseWrite()
 	}
 	_ = cn.raw.SetReadDeadline(time.Now().Add(lingerTimeout))
-	cn.source.remaining = unlimited
+	cn.source.Remaining = socket.Unlimited
 	_, _ = io.Copy(io.Discard, cn.reader)
 }
 
--- a/internal/serving/proxy/proxy.go
+++ b/internal/serving/proxy/proxy.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"time"
 
@@ -328,10 +329,42 @@
 		rp := ex.px.cf.UpstreamHeaders.DecodeReport(an.Status, an.Header)
 		done.Reported, done.Running, done.Waiting, done.LatencyPercent = rp.Reported, rp.Running, rp.Waiting, rp.LatencyPercent
 	}
+	if an != nil && an.Rest != nil {
+		// The upstream's slot is in use until the whole answer was read.
+		an.Rest = &releasingRest{ReadCloser: an.Rest, release: func(outcome permit.Outcome) {
+			done.Took, done.Outcome = time.Since(began), uint8(outcome)
+			ex.px.cf.Permits.Release(*pm, done)
+		}}
+		return an, err
+	}
 	ex.px.cf.Permits.Release(*pm, done)
 	return an, err
 }
 
+// releasingRest releases a permit when the rest of an answer has been read or given up.
+type releasingRest struct {
+	io.ReadCloser
+	release func(permit.Outcome)
+	broken  bool
+}
+
+// Read implements io.Reader.
+func (rr *releasingRest) Read(buf []byte) (int, error) {
+	count, err := rr.ReadCloser.Read(buf)
+	rr.broken = rr.broken || err != nil && !errors.Is(err, io.EOF)
+	return count, err
+}
+
+// Close closes the rest and releases the permit.
+func (rr *releasingRest) Close() error {
+	outcome := permit.Answered
+	if rr.broken {
+		outcome = permit.Broken
+	}
+	rr.release(outcome)
+	return rr.ReadCloser.Close()
+}
+
 // outcome classifies the result of one attempt.
 func (ex *exchange) outcome(ctx context.Context, an *transport.Answer, err error) permit.Outcome {
 	var fl *transport.Failure
--- a/internal/serving/transport/transport.go
+++ b/internal/serving/transport/transport.go
@@ -39,7 +39,16 @@
 	readBufferBytes = 4096
 	// BufferBytes is the size up to which an answer is read whole before any of it
 	// is passed on, so that the request can be retried if the answer breaks off.
-	BufferBytes = 1 << 20
+	BufferBytes = 160 << 10
+	// firstBufferBytes is the first size of the buffer for an answer that does not
+	// state its length.
+	firstBufferBytes = 10 << 10
+	// maxHeadBytes bounds the status line and header of an answer.
+	maxHeadBytes = 32 << 10
+	// maxInterim bounds the interim answers (1xx) before an answer.
+	maxInterim = 8
+	// maxUnstatedBytes bounds the body of an answer that does not state its length.
+	maxUnstatedBytes = 64 << 20
 	// maxIdleConns bounds the idle connections to one upstream.
 	maxIdleConns = 2
 	// maxSkipped bounds the answers to other requests that are skipped on a
@@ -122,9 +131,14 @@
 // only.
 var errWrongRequest = errors.New("connection returned answers to other requests only")
 
+// errNoFinalAnswer means that the connection returned interim answers only.
+var errNoFinalAnswer = errors.New("connection returned interim answers only")
+
 // conn is one connection to an upstream.
 type conn struct {
 	net.Conn
+	// source limits what reader takes from the connection.
+	source *socket.LimitedReader
 	reader *bufio.Reader
 	// reuseUntil is when the connection stops being reusable.
 	reuseUntil time.Time
@@ -287,7 +301,8 @@
 			return nil, err
 		}
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	source := &socket.LimitedReader{Conn: raw, Remaining: socket.Unlimited}
+	return &conn{Conn: raw, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}, nil
 }
 
 // exchange writes the request and reads its answer. It also reports whether the
@@ -404,15 +419,21 @@
 // readHead reads the status line and header of the next final answer; it skips
 // interim ones (1xx).
 func readHead(cn *conn, rq *Request) (*http.Response, error) {
-	for {
+	cn.source.Remaining = maxHeadBytes
+	for range maxInterim {
 		rs, err := http.ReadResponse(cn.reader, &http.Request{Method: rq.Method})
 		if err != nil {
 			return nil, err
 		}
 		if rs.StatusCode >= http.StatusOK {
+			cn.source.Remaining = maxUnstatedBytes
+			if rs.ContentLength >= 0 {
+				cn.source.Remaining = rs.ContentLength + readBufferBytes
+			}
 			return rs, nil
 		}
 	}
+	return nil, errNoFinalAnswer
 }
 
 // restReader reads the remainder of a large answer from its connection.
@@ -428,19 +449,16 @@
 // connection can be reused.
 func readBody(cn *conn, rs *http.Response) (*Answer, bool, error) {
 	an := &Answer{Status: rs.StatusCode, Header: rs.Header, Length: rs.ContentLength}
-	var body bytes.Buffer
-	if rs.ContentLength > 0 {
-		body.Grow(int(min(rs.ContentLength, BufferBytes)) + bytes.MinRead)
-	}
-	count, err := body.ReadFrom(io.LimitReader(rs.Body, BufferBytes+1))
+	body, whole, err := readUpTo(rs.Body, rs.ContentLength, BufferBytes)
 	if err != nil {
 		return nil, false, err
 	}
-	an.Body = body.Bytes()
-	if count > BufferBytes {
+	an.Body = body
+	if !whole {
 		an.Rest = restReader{Reader: rs.Body, cn: cn}
 		return an, false, nil
 	}
+	count := int64(len(body))
 	if rs.ContentLength >= 0 && count != rs.ContentLength && rs.Request.Method != http.MethodHead {
 		return nil, false, io.ErrUnexpectedEOF
 	}
@@ -448,3 +466,29 @@
 	framed := rs.ContentLength >= 0 || len(rs.TransferEncoding) > 0
 	return an, framed && !rs.Close, nil
 }
+
+// readUpTo reads a body up to limit bytes and reports whether that was all of it.
+// Its length is -1 if it is not stated; the buffer then grows with the body.
+func readUpTo(from io.Reader, length int64, limit int) (body []byte, whole bool, err error) {
+	size := int64(firstBufferBytes)
+	if length >= 0 {
+		size = length
+	}
+	body = make([]byte, 0, min(size, int64(limit))+1)
+	for {
+		count, err := from.Read(body[len(body):cap(body)])
+		body = body[:len(body)+count]
+		switch {
+		case errors.Is(err, io.EOF):
+			return body, true, nil
+		case err != nil:
+			return nil, false, err
+		case len(body) > limit:
+			return body, false, nil
+		case len(body) == cap(body):
+			grown := make([]byte, len(body), min(2*cap(body), limit+1))
+			copy(grown, body)
+			body = grown
+		}
+	}
+}
