--- a/internal/catalog/assignment/assignment.go
+++ b/internal/catalog/assignment/assignment.go
@@ -73,7 +73,8 @@
 	}
 }
 
-// TakeEpoch allocates an epoch that was never used.
+// TakeEpoch allocates an epoch that was never used. The leader of an era of the store
+// first raises LastEpoch above all epochs of earlier eras.
 func (tb *Table) TakeEpoch() keyspace.Epoch {
 	tb.LastEpoch++
 	return tb.LastEpoch
--- a/internal/catalog/roster/roster.go
+++ b/internal/catalog/roster/roster.go
@@ -58,6 +58,9 @@
 	LeavingAt clock.Instant
 	// Gone reports that the upstream no longer has an entry.
 	Gone bool
+	// announced reports that the upstream itself has said that it is leaving. It then
+	// leaves whatever its entry says.
+	announced bool
 	// missingSince is when the entry was first missing, or clock.Never.
 	missingSince clock.Instant
 }
@@ -68,7 +71,7 @@
 // Change is one change of an upstream's state, for logs.
 type Change struct {
 	Upstream ident.Upstream
-	// Kind is "joined", "restarted", "draining" or "gone".
+	// Kind is "joined", "restarted", "draining", "announcedLeaving" or "gone".
 	Kind string
 	// MissingFor is how long the entry of a gone upstream has been missing.
 	MissingFor time.Duration
@@ -162,6 +165,10 @@
 	if known && (en.Incarnation < up.Incarnation || en.Incarnation == up.Incarnation && en.Sequence < up.Sequence) {
 		return Change{}, false
 	}
+	if known && up.Gone && en.Incarnation == up.Incarnation && en.Sequence == up.Sequence {
+		// The store came back from a copy that still has the entry.
+		return Change{}, false
+	}
 	if known && !up.Gone && en.Incarnation == up.Incarnation && en.Sequence == up.Sequence && en.Draining == up.Draining {
 		return Change{}, false
 	}
@@ -180,12 +187,38 @@
 		up.LeavingAt = now
 		ch.Kind = "draining"
 	}
-	if !en.Draining {
+	if !en.Draining && !up.announced {
 		up.LeavingAt = clock.Never
 	}
 	return ch, ch.Kind != ""
 }
 
+// Announce records that an upstream has said in an answer that it is leaving. It
+// returns false if that was known.
+func (rs *Roster) Announce(now clock.Instant, id ident.Upstream) (Change, bool) {
+	up, known := rs.upstreams[id]
+	if !known || up.announced {
+		return Change{}, false
+	}
+	up.announced = true
+	if up.Leaving() {
+		return Change{}, false
+	}
+	up.LeavingAt = now
+	return Change{Upstream: id, Kind: "announcedLeaving"}, true
+}
+
+// MarkLeaving marks those entries as draining whose upstream is known to leave
+// although the entry does not say so.
+func (rs *Roster) MarkLeaving(entries []Entry) {
+	for ix := range entries {
+		up, known := rs.upstreams[entries[ix].ID]
+		if known && up.Leaving() && up.Incarnation == entries[ix].Incarnation {
+			entries[ix].Draining = true
+		}
+	}
+}
+
 // Get returns the upstream with the given id.
 func (rs *Roster) Get(id ident.Upstream) (*Upstream, bool) {
 	up, ok := rs.upstreams[id]
--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"chervilwalk/internal/operations/acceptance"
 	"chervilwalk/internal/operations/eventlog"
 	"chervilwalk/internal/ownership/agent"
+	"chervilwalk/internal/ownership/leader"
 	"chervilwalk/internal/serving/httpserver"
 	"chervilwalk/internal/serving/permit"
 	"chervilwalk/internal/serving/proxy"
@@ -116,6 +117,7 @@
 	nextRefusal       clock.Instant
 	roster            *roster.Roster
 	operatorState     platform.OperatorState
+	evacuations       evacuations
 	restoredColdUntil map[ident.Domain]clock.Instant
 	// evacuatedAt holds when each evacuated domain was evacuated.
 	evacuatedAt map[ident.Domain]clock.Instant
@@ -127,9 +129,12 @@
 	permits         *permit.Core
 	permitClient    permitClient
 	assignmentParts assignmentParts
-	lastEncoded     encodedTable
-	lastDiff        tableDiff
-	cache           rosterCache
+	// reportParts are the parts of an assignment that a member remembers.
+	reportParts assignmentParts
+	wishes      wishes
+	lastEncoded encodedTable
+	lastDiff    tableDiff
+	cache       rosterCache
 }
 
 // Start opens the sockets of a gateway and starts its goroutines.
@@ -144,11 +149,16 @@
 		self:   assignment.Member{Host: st.Host, Domain: st.Domain, Address: st.PeerAddress, Incarnation: uint64(time.Now().UnixMicro()), Fitness: max(int(100*fitness(st)), 1), Alive: true},
 		events: make(chan any, eventBuffer), done: make(chan struct{}), rereadOperators: make(chan struct{}, 1), roster: roster.New(),
 		restoredColdUntil: map[ident.Domain]clock.Instant{}, evacuatedAt: map[ident.Domain]clock.Instant{}, permits: permit.New(),
-		grantClients: grantClients{clients: map[ident.Upstream]*grantClient{}},
+		grantClients: grantClients{clients: map[ident.Upstream]*grantClient{}}, wishes: newWishes(),
 	}
+	gw.grantClients.onLeaving = gw.onLeaving
 	gw.loads = newLoadCounter()
 	gw.permitClient = newPermitClient(gw)
-	gw.agent = agent.New(gw.self, fitness(st))
+	var opts []leader.Option
+	if st.FirstStart {
+		opts = append(opts, leader.FirstStart())
+	}
+	gw.agent = agent.New(gw.self, fitness(st), opts...)
 	gw.store = platform.NewStore(st.StoreAddress, gw.observeStoreCall)
 	gw.source = operatorRows{}
 	callers := proxy.CallerHeaders(platformCallerHeaders{})
@@ -166,6 +176,7 @@
 		State: gw.desiredState.Load, Permits: &gw.permitClient, Connections: gw.connPool, CallerHeaders: callers, UpstreamHeaders: platformUpstreamHeaders{}, Domain: st.Domain,
 		Budget: proxy.NewBudget(st.Bounds.RetryRatio, gw.retryAllowance),
 		OnEnd:  gw.observeRequest, OnKeyedRequest: gw.loads.countArrival,
+		OnLeaving: gw.onLeaving, OnPause: gw.onPause,
 	})
 	gw.callerServer = httpserver.New(gw.proxy.Serve, gw.limits)
 	gw.readyServer = httpserver.New(gw.serveReady, gw.limits)
--- a/internal/fleet/gateway/grantclient.go
+++ b/internal/fleet/gateway/grantclient.go
@@ -27,6 +27,8 @@
 type grantClients struct {
 	mu      sync.Mutex
 	clients map[ident.Upstream]*grantClient
+	// onLeaving is called when an upstream says that it is leaving.
+	onLeaving func(ident.Upstream)
 }
 
 // get returns the client of an upstream at an address. It replaces the client
@@ -39,7 +41,7 @@
 		if known {
 			gc.Close()
 		}
-		gc = &grantClient{platform.NewGrantClient(id, address), address}
+		gc = &grantClient{platform.NewGrantClient(id, address, gcs.onLeaving), address}
 		gcs.clients[id] = gc
 	}
 	return gc
--- a/internal/fleet/gateway/loop.go
+++ b/internal/fleet/gateway/loop.go
@@ -62,6 +62,11 @@
 	switch ev := ev.(type) {
 	case operatorStateEvent:
 		gw.applyOperatorState(ev)
+	case evacuationsDueEvent:
+		last := gw.evacuations.last
+		// It was logged when the rows were read.
+		last.err = nil
+		gw.applyOperatorState(last)
 	case rosterEvent:
 		gw.applyRosterRead(ev)
 	case rosterTickEvent:
@@ -74,6 +79,10 @@
 		gw.permitClient.withdraw(ev)
 	case releaseEvent:
 		gw.permitClient.release(ev)
+	case leavingEvent:
+		gw.handleLeaving(ev.upstream)
+	case pauseEvent:
+		gw.handlePause(ev)
 	case dumpEvent:
 		ev.reply <- gw.dump()
 	case settingsEvent:
@@ -110,6 +119,11 @@
 		gw.config.Log.ErrorEvent("desiredStateMalformed", ev.err, eventlog.Fields{"kept": gw.desiredVersion()})
 	}
 	now := gw.clock.Now()
+	ev.state.Evacuated = gw.evacuations.resolve(now, ev)
+	if left := gw.evacuations.unsureUntil.Sub(now); left > 0 {
+		// Then the store's word counts.
+		time.AfterFunc(left, func() { gw.send(evacuationsDueEvent{}) })
+	}
 	for dm := range gw.operatorState.Evacuated {
 		if !ev.state.Evacuated[dm] {
 			gw.restoredColdUntil[dm] = now.Add(restoredColdTTL)
@@ -165,12 +179,17 @@
 	for _, me := range ev.malformed {
 		gw.config.Log.ErrorEvent("entryMalformed", me.Err, eventlog.Fields{"key": me.Key, "version": me.Version})
 	}
+	if known := platform.Version(gw.cache.version); known != 0 && known.Era() != ev.version.Era() {
+		gw.config.Log.Event("storeEra", eventlog.Fields{"era": ev.version.Era(), "before": known.Era(), "entries": len(ev.entries)})
+		ev.away = true
+	}
 	if ev.away {
 		gw.roster.StoreRecovered(now)
 	}
 	if uint64(ev.version) < gw.cache.version {
 		return
 	}
+	gw.roster.MarkLeaving(ev.entries)
 	before := gw.cache.digest
 	digest := roster.Digest(ev.entries)
 	if digest != before {
@@ -302,6 +321,8 @@
 			gw.sendHeartbeat(cmd)
 		case agent.AssignmentCmd:
 			gw.sendAssignment(cmd)
+		case agent.ReportCmd:
+			gw.sendReport(cmd)
 		case agent.TableCmd:
 			gw.table.Store(cmd.Table)
 			gw.updatePermits(permit.TableMsg{Table: cmd.Table})
@@ -321,6 +342,7 @@
 		return
 	}
 	gw.sendMessage(cmd.To, st)
+	gw.reportLeaving()
 }
 
 // updatePermits passes a message to the permit core and sends the replies that
--- a/internal/fleet/gateway/peers.go
+++ b/internal/fleet/gateway/peers.go
@@ -91,6 +91,12 @@
 	case protocol.AssignmentDelta:
 		gw.updateFreshness(now, ms.Heartbeat)
 		gw.updateAgent(agent.DeltaMsg{Heartbeat: ms.Heartbeat, Delta: ms.Delta, From: ev.from.String()})
+	case protocol.Leaving:
+		gw.handlePeerLeaving(ms)
+	case protocol.Pause:
+		gw.updatePermits(permit.PauseMsg{Host: ms.Host, Upstream: ms.Upstream, Until: now.Add(ms.Left)})
+	case protocol.Report:
+		gw.handleReportPart(ms)
 	case protocol.Ask:
 		gw.permitClient.rememberAddress(ms.Host, ev.from)
 		gw.updatePermits(permit.AskMsg{Ask: ms})
@@ -122,13 +128,53 @@
 		}
 		gw.lastEncoded = encodedTable{cmd.Table, string(body)}
 	}
-	body, hb := gw.lastEncoded.body, cmd.Heartbeat
+	hb := cmd.Heartbeat
 	hb.Freshness = gw.cache.freshness(gw.clock.Now())
-	parts := (len(body) + assignmentPartBytes - 1) / assignmentPartBytes
-	for part := range parts {
-		chunk := body[part*assignmentPartBytes : min((part+1)*assignmentPartBytes, len(body))]
-		gw.sendMessage(cmd.To, protocol.Assignment{Heartbeat: hb, Part: part, Parts: parts, Body: chunk})
+	for part, chunk := range assignmentChunks(gw.lastEncoded.body) {
+		gw.sendMessage(cmd.To, protocol.Assignment{Heartbeat: hb, Part: part, Parts: chunkCount(gw.lastEncoded.body), Body: chunk})
+	}
+}
+
+// assignmentChunks returns the parts of an encoded assignment, each for a datagram.
+func assignmentChunks(body string) []string {
+	var chunks []string
+	for part := range chunkCount(body) {
+		chunks = append(chunks, body[part*assignmentPartBytes:min((part+1)*assignmentPartBytes, len(body))])
+	}
+	return chunks
+}
+
+func chunkCount(body string) int { return (len(body) + assignmentPartBytes - 1) / assignmentPartBytes }
+
+// sendReport sends the assignment that this host remembers to a recovering leader.
+func (gw *Gateway) sendReport(cmd agent.ReportCmd) {
+	body, err := assignment.Encode(cmd.Table)
+	if err != nil {
+		gw.config.Log.ErrorEvent("assignmentNotEncoded", err, eventlog.Fields{"revision": cmd.Table.Revision})
+		return
+	}
+	gw.config.Log.Event("assignmentReported", eventlog.Fields{"leader": cmd.To, "revision": cmd.Table.Revision})
+	for part, chunk := range assignmentChunks(string(body)) {
+		gw.sendMessage(cmd.To, protocol.Report{Host: gw.self.Host, Revision: cmd.Table.Revision, Part: part, Parts: chunkCount(string(body)), Body: chunk})
+	}
+}
+
+// handleReportPart handles a part of the assignment that a member remembers. The parts
+// of several members may arrive mixed: equal revisions have equal parts.
+func (gw *Gateway) handleReportPart(ms protocol.Report) {
+	if ms.Revision <= gw.table.Load().Revision {
+		return
+	}
+	body, complete := gw.reportParts.add(protocol.Assignment{Heartbeat: protocol.Heartbeat{Revision: ms.Revision}, Part: ms.Part, Parts: ms.Parts, Body: ms.Body})
+	if !complete {
+		return
+	}
+	tb, err := assignment.Decode([]byte(body))
+	if err != nil {
+		gw.config.Log.ErrorEvent("assignmentMalformed", err, eventlog.Fields{"from": ms.Host, "revision": ms.Revision})
+		return
 	}
+	gw.updateAgent(agent.ReportMsg{Table: tb})
 }
 
 // sendAssignmentDelta sends the delta of an assignment. It returns false if the
--- a/internal/fleet/gateway/permitclient.go
+++ b/internal/fleet/gateway/permitclient.go
@@ -150,6 +150,9 @@
 	now := pc.gw.clock.Now()
 	pa := &pendingAcquire{ask: ev.ask, reply: ev.reply, startedAt: now, deadline: now.Add(ev.ask.TimeLeft), objectiveAt: now.Add(ev.ask.ObjectiveLeft)}
 	pc.pending[ev.ask.Ticket] = pa
+	if ev.ask.Keyed && pc.refusePaused(now, pa, pc.owner(pa)) {
+		return
+	}
 	pc.tryNextHolder(now, pa)
 }
 
@@ -186,12 +189,27 @@
 		pa.ask.Pool = int(pa.ask.Ticket) % max(pa.ask.Pools, 1)
 		return
 	}
+	pa.ask.Pool = ident.PoolOf(ident.Hash(pc.owner(pa)), pa.ask.Pools)
+}
+
+// owner returns the upstream that owns an ask's key or will own it after a move.
+func (pc *permitClient) owner(pa *pendingAcquire) ident.Upstream {
 	sh, _ := pc.gw.table.Load().ShareOf(pa.ask.Service, pa.ask.Key)
-	owner := sh.Owner.Upstream
 	if sh.Moving() {
-		owner = sh.Next.Upstream
+		return sh.Next.Upstream
 	}
-	pa.ask.Pool = ident.PoolOf(ident.Hash(owner), pa.ask.Pools)
+	return sh.Owner.Upstream
+}
+
+// refusePaused refuses an ask whose only upstream wants no request from this host. It
+// returns false if the upstream wants requests.
+func (pc *permitClient) refusePaused(now clock.Instant, pa *pendingAcquire, id ident.Upstream) bool {
+	left := pc.gw.wishes.pauseLeft(now, id)
+	if left == 0 {
+		return false
+	}
+	pc.finish(pa, acquireResult{refusal: &protocol.Refusal{Reason: "upstreamPaused", RetryAfter: left}})
+	return true
 }
 
 // holderWeight is a member's weight in the choice of holders. It grows faster
@@ -302,7 +320,7 @@
 // deliver passes a permit to the waiting request if its upstream is usable.
 func (pc *permitClient) deliver(now clock.Instant, pa *pendingAcquire, pm protocol.Permit) {
 	ep, known := (*pc.gw.endpoints.Load())[pm.Upstream]
-	if !known || now >= ep.refuseAt {
+	if !known || now >= ep.refuseAt || pc.gw.wishes.pauseLeft(now, pm.Upstream) > 0 {
 		pc.releaseAndRetry(now, pa, pm)
 		return
 	}
@@ -316,6 +334,9 @@
 		permit: proxy.Permit{Permit: pm, Holder: pa.holder, Address: pa.address},
 		done:   protocol.Done{Service: pa.ask.Service, Upstream: pm.Upstream, Outcome: uint8(permit.Withdrawn)},
 	})
+	if pa.ask.Keyed && pc.refusePaused(now, pa, pm.Upstream) {
+		return
+	}
 	pa.ask.Ticket = protocol.Ticket(pc.lastTicket.Add(1))
 	pa.ask.Avoid = pm.Upstream
 	pa.tries, pa.nextAt = 0, now.Add(unusableRetryDelay)
--- a/internal/fleet/gateway/store.go
+++ b/internal/fleet/gateway/store.go
@@ -2,10 +2,14 @@
 
 import (
 	"errors"
+	"maps"
+	"strconv"
 	"sync"
 	"time"
 
 	"chervilwalk/internal/base/clock"
+	"chervilwalk/internal/base/era"
+	"chervilwalk/internal/base/ident"
 	"chervilwalk/internal/catalog/assignment"
 	"chervilwalk/internal/catalog/roster"
 	"chervilwalk/internal/operations/eventlog"
@@ -64,6 +68,10 @@
 // operatorStateEvent carries the decoded operator rows.
 type operatorStateEvent struct {
 	state platform.OperatorState
+	// era is that of the store; rewritten holds the domains whose rows were written in
+	// it, and not before.
+	era       era.Era
+	rewritten map[ident.Domain]bool
 	// changedVersion is the newest version among the changed rows.
 	changedVersion uint64
 	// err names what is malformed or not validly signed; state has the rest.
@@ -107,7 +115,7 @@
 // watches. A value on rereadOperators forces an immediate read, since the
 // connection of a watch may have silently failed.
 func (gw *Gateway) followOperatorRows() {
-	rows := map[string]platform.Row{}
+	rows, rewritten := map[string]platform.Row{}, map[ident.Domain]bool{}
 	var version platform.Version
 	known, lost := false, false
 	retry := minRetryDelay
@@ -144,11 +152,19 @@
 		if lost {
 			gw.config.Log.Event("desiredStateSourceRegained", eventlog.Fields{"version": rr.version})
 		}
+		switch {
+		case rr.version.Era() != version.Era():
+			// These rows may be older than what this host knows.
+			rewritten = map[ident.Domain]bool{}
+		default:
+			rewritten = maps.Clone(rewritten)
+			noteRewritten(rewritten, rows, rr.rows, known)
+		}
 		if !known {
 			clear(rows)
 		}
 		if len(rr.rows) > 0 || !known {
-			rr.err = gw.applyOperatorRows(rows, rr)
+			rr.err = gw.applyOperatorRows(rows, rr, rewritten)
 		}
 		if rr.err != nil {
 			gw.config.Log.ErrorEvent("desiredStateNotFetched", rr.err, eventlog.Fields{"version": rr.version})
@@ -166,6 +182,23 @@
 	}
 }
 
+// noteRewritten notes the domains whose rows have changed since the last answer: those
+// of a watch, or the difference between two reads.
+func noteRewritten(rewritten map[ident.Domain]bool, before map[string]platform.Row, rows []platform.Row, watched bool) {
+	listed := map[string]bool{}
+	for _, rw := range rows {
+		listed[rw.Key] = true
+		if dm, ok := platform.EvacuatedDomain(rw.Key); ok && (watched || before[rw.Key].Version != rw.Version) {
+			rewritten[dm] = true
+		}
+	}
+	for key := range before {
+		if dm, ok := platform.EvacuatedDomain(key); ok && !watched && !listed[key] {
+			rewritten[dm] = true
+		}
+	}
+}
+
 func (gw *Gateway) readOperatorRows(answer chan<- readResult) {
 	rows, version, err := gw.store.Read(gw.source.table(), "", time.Now().Add(readTimeout))
 	answer <- readResult{rows, version, err}
@@ -192,7 +225,7 @@
 
 // applyOperatorRows applies changed operator rows and sends the resulting state
 // to the loop. An error means that they must be read again.
-func (gw *Gateway) applyOperatorRows(rows map[string]platform.Row, rr readResult) error {
+func (gw *Gateway) applyOperatorRows(rows map[string]platform.Row, rr readResult, rewritten map[ident.Domain]bool) error {
 	changedVersion := uint64(0)
 	for _, rw := range rr.rows {
 		changedVersion = max(changedVersion, uint64(rw.Version))
@@ -208,7 +241,7 @@
 	}
 	state, decodeErr, err := gw.source.decode(all)
 	if err == nil {
-		gw.send(operatorStateEvent{state, changedVersion, decodeErr})
+		gw.send(operatorStateEvent{state: state, era: rr.version.Era(), rewritten: rewritten, changedVersion: changedVersion, err: decodeErr})
 	}
 	return err
 }
@@ -277,15 +310,23 @@
 	return added
 }
 
+// eraKey is the key of the row that marks an era of the store. Every write expects it:
+// one from an earlier era that arrives late could otherwise find the versions that it
+// expects given out again.
+func eraKey(er era.Era) string { return "era/" + strconv.FormatUint(uint64(er), 10) }
+
 // readOwnRows reads the leader's row and the assignment.
 func (gw *Gateway) readOwnRows() {
 	ms := agent.RowsMsg{StartedAt: gw.clock.Now(), Table: &assignment.Table{}}
-	rows, _, err := gw.store.Read(ownTable, "", time.Now().Add(readTimeout))
+	rows, version, err := gw.store.Read(ownTable, "", time.Now().Add(readTimeout))
+	ms.Era = version.Era()
 	for _, rw := range rows {
 		if err != nil {
 			break
 		}
 		switch rw.Key {
+		case eraKey(ms.Era):
+			ms.EraRowVersion = election.Version(rw.Version)
 		case leaderKey:
 			ms.RowVersion = election.Version(rw.Version)
 			ms.Row, err = election.Decode(rw.Value)
@@ -318,13 +359,21 @@
 		gw.send(ms)
 		return
 	}
-	outcome, version, err := gw.store.Commit(platform.Transaction{
+	tx := platform.Transaction{
 		Expect: []platform.Expected{
 			{Table: ownTable, Key: leaderKey, Version: platform.Version(cmd.RowVersion)},
 			{Table: ownTable, Key: assignmentKey, Version: platform.Version(cmd.TableVersion)},
+			{Table: ownTable, Key: eraKey(cmd.Era), Version: platform.Version(cmd.EraRowVersion)},
 		},
 		Puts: []platform.Row{row},
-	}, time.Now().Add(writeTimeout))
+	}
+	if cmd.EraRowVersion == 0 {
+		tx.Puts = append(tx.Puts, platform.Row{Table: ownTable, Key: eraKey(cmd.Era), Value: []byte(gw.self.Host)})
+		if cmd.Era > 0 {
+			tx.Drops = append(tx.Drops, platform.Row{Table: ownTable, Key: eraKey(cmd.Era - 1)})
+		}
+	}
+	outcome, version, err := gw.store.Commit(tx, time.Now().Add(writeTimeout))
 	if err != nil {
 		gw.config.Log.ErrorEvent("ownRowNotWritten", err, eventlog.Fields{"row": row.Key, "outcome": outcome})
 	}
--- a/internal/ownership/agent/agent.go
+++ b/internal/ownership/agent/agent.go
@@ -35,6 +35,8 @@
 	upstreams    UpstreamsMsg
 	table        *assignment.Table
 	tableVersion election.Version
+	// eraRowVersion is the version of the row that marks the store's era, or 0.
+	eraRowVersion election.Version
 	// confirmedAt is the last time at which table was known to be the newest.
 	confirmedAt  clock.Instant
 	statusSentAt clock.Instant
@@ -47,6 +49,11 @@
 	// echoes is empty unless this host leads.
 	echoes echoes
 
+	// frozenUntil is the end of the freeze of this host's last leadership.
+	frozenUntil clock.Instant
+	// options are those of the leader's core.
+	options []leader.Option
+
 	writes  pendingWrites
 	history history
 	// takeoverRevision is the table's revision when this host became the leader.
@@ -56,10 +63,10 @@
 }
 
 // New returns the core of a host. The fitness, from 0 to 1, says how well the
-// host can lead.
-func New(self assignment.Member, fitness float64) *Core {
+// host can lead. The options apply whenever it leads.
+func New(self assignment.Member, fitness float64, opts ...leader.Option) *Core {
 	return &Core{
-		self: self, election: election.New(self.Host, self.Address, self.Incarnation, fitness), renewal: renewal.New(self.Host),
+		options: opts, self: self, election: election.New(self.Host, self.Address, self.Incarnation, fitness), renewal: renewal.New(self.Host),
 		table: &assignment.Table{}, echoes: echoes{},
 	}
 }
@@ -70,6 +77,9 @@
 // Leading reports whether this host is the leader.
 func (co *Core) Leading() bool { return co.leader != nil }
 
+// Leader returns the address of the newest known leader, empty if there is none.
+func (co *Core) Leader() string { return co.election.Leader().Address }
+
 // Term returns the newest known term.
 func (co *Core) Term() protocol.Term { return co.election.Term() }
 
@@ -99,6 +109,9 @@
 		co.handleAssignment(now, ms)
 	case DeltaMsg:
 		co.handleDelta(now, ms)
+	case ReportMsg:
+		co.adopt(now, ms.Table)
+		co.updateLeader(now, leader.ReportMsg(ms))
 	case UpstreamsMsg:
 		co.upstreams = ms
 		co.updateLeader(now, ms.ForLeader)
@@ -155,11 +168,16 @@
 	switch {
 	case leading && co.leader == nil:
 		co.logEvent("leading", map[string]any{"now": true, "term": co.election.Term(), "revision": co.table.Revision})
-		co.leader, co.takeoverRevision = leader.New(now, co.table, before), co.table.Revision
+		co.leader, co.takeoverRevision = leader.New(now, co.table, before, co.election.Era(), co.options...), co.table.Revision
+		co.leader.Freeze(co.frozenUntil)
+		if co.election.Uncontested() {
+			co.leader.TrustTable()
+		}
 		co.updateLeader(now, co.upstreams.ForLeader)
 		co.broadcast(now)
 	case !leading && co.leader != nil:
 		co.logEvent("leading", map[string]any{"now": false, "term": co.election.Term(), "revision": co.table.Revision})
+		co.frozenUntil = now.Add(co.leader.FrozenFor(now))
 		co.leader, co.writes.draft, co.writes.awaitingRead = nil, nil, false
 		clear(co.echoes)
 		if co.stopping {
@@ -181,7 +199,7 @@
 	if co.leader == nil {
 		return
 	}
-	defer func() { co.election.Settle(co.leader.Settled(now)) }()
+	defer func() { co.election.Settle(co.leader.Settled(now), co.leader.FrozenFor(now)) }()
 	for _, cmd := range co.leader.Update(now, msg) {
 		switch cmd := cmd.(type) {
 		case leader.CommitCmd:
--- a/internal/ownership/agent/agent_test.go
+++ b/internal/ownership/agent/agent_test.go
@@ -118,6 +118,37 @@
 			sim.kill(ho)
 			sim.after(300*time.Millisecond, func() { sim.start(ho) })
 		}, 9 * time.Second},
+		"store returns from a copy":                         {func(sim *simulation) { sim.returnFromCopy(4 * time.Second) }, 2 * time.Second},
+		"store returns from a copy of before its first use": {func(sim *simulation) { sim.returnFromCopy(time.Minute) }, 2 * time.Second},
+		"store returns from a copy twice": {func(sim *simulation) {
+			sim.returnFromCopy(3 * time.Second)
+			sim.after(400*time.Millisecond, func() { sim.returnFromCopy(2 * time.Second) })
+		}, 3 * time.Second},
+		"store returns from a copy just after keys have moved": {func(sim *simulation) {
+			sim.upstreams[0].draining = true
+			sim.run(time.Second)
+			sim.returnFromCopy(3 * time.Second)
+		}, 2 * time.Second},
+		"store returns from a copy as its leader crashes": {func(sim *simulation) {
+			sim.upstreams[0].draining = true
+			sim.run(time.Second)
+			sim.kill(leaderOf(sim))
+			sim.returnFromCopy(3 * time.Second)
+		}, 15 * time.Second},
+		"store returns from a copy as an upstream crashes": {func(sim *simulation) {
+			sim.upstreams[1].up, sim.upstreams[1].downAt = false, sim.now
+			sim.run(500 * time.Millisecond)
+			sim.returnFromCopy(5 * time.Second)
+		}, 9 * time.Second},
+		"all hosts crash and the store returns from a copy": {func(sim *simulation) {
+			sim.upstreams[0].draining = true
+			sim.run(time.Second)
+			for _, ho := range sim.hosts {
+				sim.kill(ho)
+				sim.after(1200*time.Millisecond, func() { sim.start(ho) })
+			}
+			sim.returnFromCopy(3 * time.Second)
+		}, 15 * time.Second},
 		"grants take effect late": {func(sim *simulation) { sim.lateGrantRate = 0.3 }, 9 * time.Second},
 	}
 	for name, tc := range cases {
@@ -192,7 +223,7 @@
 	up := sim.upstreams[rapid.IntRange(0, len(sim.upstreams)-1).Draw(rt, "upstream")]
 	span := time.Duration(rapid.IntRange(200, 9000).Draw(rt, "spanMs")) * time.Millisecond
 	kind := rapid.SampledFrom([]string{
-		"kill", "pause", "storeUnreachable", "storeDown", "lostAnswers", "lateWrites", "lateGrants", "partition", "isolate", "crash", "restart", "drain", "slowRelease", "slowDatagrams", "killAll", "hotKey",
+		"kill", "pause", "storeUnreachable", "storeDown", "lostAnswers", "lateWrites", "lateGrants", "partition", "isolate", "crash", "restart", "drain", "slowRelease", "slowDatagrams", "killAll", "hotKey", "storeReturns",
 	}).Draw(rt, "kind")
 	sim.logf("DISTURBANCE %s host=%s upstream=%s span=%s", kind, ho.member.Host, up.id, span)
 	restart := func(ho *host) {
@@ -242,6 +273,13 @@
 	case "slowDatagrams":
 		sim.slowDatagramRate = 0.4
 		sim.after(span, func() { sim.slowDatagramRate = 0 })
+	case "storeReturns":
+		sim.storeDown = true
+		age := time.Duration(rapid.IntRange(0, 8000).Draw(rt, "ageMs")) * time.Millisecond
+		sim.after(span/4, func() {
+			sim.storeDown = false
+			sim.returnFromCopy(age)
+		})
 	case "hotKey":
 		sim.hotSample = rapid.IntRange(0, samples-1).Draw(rt, "hotKey")
 	}
--- a/internal/ownership/agent/heartbeat.go
+++ b/internal/ownership/agent/heartbeat.go
@@ -36,12 +36,16 @@
 	co.echoes[ms.From] = ms.Status.SentAt
 	switch {
 	case ms.From == "":
+	case co.leader.Recovering():
+		hb := co.heartbeat(now, ms.From)
+		hb.Recovering = true
+		co.emit(HeartbeatCmd{To: ms.From, Heartbeat: hb, RosterVersion: ms.Status.RosterVersion, RosterDigest: ms.Status.RosterDigest})
 	case ms.Status.Revision < co.table.Revision:
 		co.emit(AssignmentCmd{To: ms.From, Heartbeat: co.heartbeat(now, ms.From), Table: co.table, Base: co.history.find(ms.Status.Revision)})
 	default:
 		co.emit(HeartbeatCmd{To: ms.From, Heartbeat: co.heartbeat(now, ms.From), RosterVersion: ms.Status.RosterVersion, RosterDigest: ms.Status.RosterDigest})
 	}
-	co.updateLeader(now, leader.StatusMsg{Status: ms.Status})
+	co.updateLeader(now, leader.StatusMsg{Status: ms.Status, Follows: ms.From == "" || ms.Status.Term == co.election.Term()})
 }
 
 // heartbeat returns the heartbeat that this host, as the leader, sends to a member.
@@ -64,6 +68,12 @@
 		co.logEvent("leader", map[string]any{"leader": ms.Heartbeat.Leader, "term": ms.Heartbeat.Term, "address": ms.From, "storeAgeMs": ms.Heartbeat.StoreAge.Milliseconds()})
 	}
 	co.updateElection(now, election.HeartbeatMsg{Term: ms.Heartbeat.Term, Host: ms.Heartbeat.Leader, Address: ms.From, RowVersion: election.Version(ms.Heartbeat.RowVersion), StoreAge: ms.Heartbeat.StoreAge})
+	if ms.Heartbeat.Recovering {
+		if co.table.Revision > ms.Heartbeat.Revision {
+			co.emit(ReportCmd{To: ms.From, Table: co.table})
+		}
+		return
+	}
 	if at := ms.Heartbeat.Echo; ms.Heartbeat.Revision == co.table.Revision && ms.Heartbeat.Leader != "" && co.startedAt <= at && at <= now {
 		co.confirm(now, at)
 	}
@@ -90,8 +100,20 @@
 	co.handleAssignment(now, AssignmentMsg{Heartbeat: ms.Heartbeat, Table: tb, From: ms.From})
 }
 
-// broadcast sends the assignment in force to every member.
+// broadcast sends the assignment in force to every member. While this host recovers
+// the assignment of an earlier era, it only says so.
 func (co *Core) broadcast(now clock.Instant) {
+	if co.leader.Recovering() {
+		for _, mb := range co.table.Members {
+			if mb.Host != co.self.Host {
+				hb := co.heartbeat(now, mb.Address)
+				hb.Recovering = true
+				co.emit(HeartbeatCmd{To: mb.Address, Heartbeat: hb})
+			}
+		}
+		co.sendStatus(now)
+		return
+	}
 	// Members usually know the previous table; right after a change of leader
 	// they know the current one.
 	base := co.table
--- a/internal/ownership/agent/message.go
+++ b/internal/ownership/agent/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"chervilwalk/internal/base/clock"
+	"chervilwalk/internal/base/era"
 	"chervilwalk/internal/base/ident"
 	"chervilwalk/internal/catalog/assignment"
 	"chervilwalk/internal/ownership/election"
@@ -27,12 +28,17 @@
 // RowsMsg is the result of a read of the leader's row and the assignment that
 // started at StartedAt. After a failed read only StartedAt and Failed are set.
 type RowsMsg struct {
-	StartedAt    clock.Instant
-	Failed       bool
-	Row          election.Row
-	RowVersion   election.Version
-	Table        *assignment.Table
-	TableVersion election.Version
+	StartedAt clock.Instant
+	Failed    bool
+	// Era is the era of the store that was read.
+	Era era.Era
+	// EraRowVersion is the version of the row that marks this era, or 0 if no host
+	// has led in it.
+	EraRowVersion election.Version
+	Row           election.Row
+	RowVersion    election.Version
+	Table         *assignment.Table
+	TableVersion  election.Version
 }
 
 // WrittenMsg is the result of a write that started at StartedAt. Version is the new
@@ -64,6 +70,10 @@
 	From      string
 }
 
+// ReportMsg is the assignment that a member remembers from an earlier era. The leader
+// asked for it with a recovering heartbeat.
+type ReportMsg struct{ Table *assignment.Table }
+
 // DeltaMsg is a heartbeat with a change of the assignment from the leader.
 type DeltaMsg struct {
 	Heartbeat protocol.Heartbeat
@@ -94,13 +104,16 @@
 type ReadCmd struct{}
 
 // WriteCmd writes the leader's row or the assignment if both rows still have the
-// versions RowVersion and TableVersion. One of Row and Table is nil. WrittenMsg is
-// the result.
+// versions RowVersion and TableVersion and the row that marks the era still has
+// EraRowVersion; if that is 0, the row is written too. One of Row and Table is nil.
+// WrittenMsg is the result.
 type WriteCmd struct {
-	Row          *election.Row
-	Table        *assignment.Table
-	RowVersion   election.Version
-	TableVersion election.Version
+	Era           era.Era
+	EraRowVersion election.Version
+	Row           *election.Row
+	Table         *assignment.Table
+	RowVersion    election.Version
+	TableVersion  election.Version
 }
 
 // CallCmd calls an upstream for a move of keys; StepMsg is the result.
@@ -136,6 +149,12 @@
 	Table, Base *assignment.Table
 }
 
+// ReportCmd sends the assignment that this host remembers to a recovering leader.
+type ReportCmd struct {
+	To    string
+	Table *assignment.Table
+}
+
 // TableCmd publishes a newer assignment that is now in force.
 type TableCmd struct{ Table *assignment.Table }
 
--- a/internal/ownership/agent/simulation_test.go
+++ b/internal/ownership/agent/simulation_test.go
@@ -3,10 +3,12 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand"
 	"time"
 
 	"chervilwalk/internal/base/clock"
+	"chervilwalk/internal/base/era"
 	"chervilwalk/internal/base/ident"
 	"chervilwalk/internal/base/keyspace"
 	"chervilwalk/internal/catalog/assignment"
@@ -78,6 +80,18 @@
 	heldUntil   [samples]clock.Instant
 }
 
+// storeState is the content of the store. Its versions do not contain the era.
+type storeState struct {
+	at           clock.Instant
+	version      election.Version
+	row          election.Row
+	rowVersion   election.Version
+	table        *assignment.Table
+	tableVersion election.Version
+	// eraRows holds the versions of the rows that mark eras.
+	eraRows map[era.Era]election.Version
+}
+
 // simulation is the state of the model; rates are probabilities from 0 to 1.
 type simulation struct {
 	now       clock.Instant
@@ -86,12 +100,10 @@
 	rng       *rand.Rand
 	hosts     []*host
 	upstreams []*upstream
-	// The version, rows and faults of the store.
-	version        election.Version
-	row            election.Row
-	rowVersion     election.Version
-	table          *assignment.Table
-	tableVersion   election.Version
+	// The rows and faults of the store, and its earlier states, the oldest first.
+	storeState
+	era            era.Era
+	snapshots      []storeState
 	storeDown      bool
 	lostAnswerRate float64
 	lateWriteRate  float64
@@ -113,7 +125,7 @@
 
 // newSimulation starts hosts and upstreams spread over three failure domains.
 func newSimulation(seed int64, hosts, upstreams int) *simulation {
-	sim := &simulation{now: clock.Instant(time.Hour), rng: rand.New(rand.NewSource(seed)), table: &assignment.Table{}}
+	sim := &simulation{now: clock.Instant(time.Hour), rng: rand.New(rand.NewSource(seed)), storeState: storeState{table: &assignment.Table{}, eraRows: map[era.Era]election.Version{}}}
 	domains := []ident.Domain{"a", "b", "c"}
 	for ix := range hosts {
 		sim.hosts = append(sim.hosts, &host{member: assignment.Member{
@@ -241,6 +253,8 @@
 			return
 		}
 		sim.send(ho, cmd.To, agent.AssignmentMsg{Heartbeat: cmd.Heartbeat, Table: cmd.Table, From: ho.member.Address})
+	case agent.ReportCmd:
+		sim.send(ho, cmd.To, agent.ReportMsg{Table: cmd.Table})
 	case agent.EventCmd:
 		sim.logf("%s %s %v", ho.member.Host, cmd.Name, cmd.Fields)
 	}
@@ -284,7 +298,10 @@
 		return
 	}
 	sim.after(sim.delay(), func() {
-		ms := agent.RowsMsg{StartedAt: startedAt, Row: sim.row, RowVersion: sim.rowVersion, Table: sim.table, TableVersion: sim.tableVersion}
+		ms := agent.RowsMsg{
+			StartedAt: startedAt, Era: sim.era, EraRowVersion: sim.position(sim.eraRows[sim.era]), Row: sim.row,
+			RowVersion: sim.position(sim.rowVersion), Table: sim.table, TableVersion: sim.position(sim.tableVersion),
+		}
 		sim.after(sim.delay(), func() { sim.deliver(ho, core, ms) })
 	})
 }
@@ -315,18 +332,55 @@
 	}
 }
 
-// commit writes a row if both rows have the expected versions.
+// position returns the position of a row's version in the current era.
+func (sim *simulation) position(version election.Version) election.Version {
+	if version == 0 {
+		return 0
+	}
+	return era.Position(sim.era, version)
+}
+
+// commit writes a row if all rows have the expected versions. Like the store, it
+// compares the numbers and knows nothing of the era in which they were read.
 func (sim *simulation) commit(cmd agent.WriteCmd) (agent.Outcome, election.Version) {
-	if cmd.RowVersion != sim.rowVersion || cmd.TableVersion != sim.tableVersion {
+	_, rowVersion := era.Split(cmd.RowVersion)
+	_, tableVersion := era.Split(cmd.TableVersion)
+	_, eraRowVersion := era.Split(cmd.EraRowVersion)
+	if rowVersion != sim.rowVersion || tableVersion != sim.tableVersion || eraRowVersion != sim.eraRows[cmd.Era] {
 		return agent.Conflict, 0
 	}
 	sim.version++
+	sim.eraRows = maps.Clone(sim.eraRows)
+	if cmd.EraRowVersion == 0 {
+		sim.eraRows[cmd.Era] = sim.version
+		delete(sim.eraRows, cmd.Era-1)
+	}
 	if cmd.Row != nil {
 		sim.row, sim.rowVersion = *cmd.Row, sim.version
 	} else {
 		sim.table, sim.tableVersion = cmd.Table, sim.version
 	}
-	return agent.Done, sim.version
+	sim.at = sim.now
+	sim.snapshots = append(sim.snapshots, sim.storeState)
+	if cmd.Era != sim.era {
+		return agent.Unknown, 0
+	}
+	return agent.Done, sim.position(sim.version)
+}
+
+// returnFromCopy makes the store come back as it was some time ago, in a new era.
+func (sim *simulation) returnFromCopy(age time.Duration) {
+	state := storeState{table: &assignment.Table{}, eraRows: map[era.Era]election.Version{}}
+	for ix, snapshot := range sim.snapshots {
+		if snapshot.at > sim.now.Add(-age) {
+			sim.snapshots = sim.snapshots[:ix]
+			break
+		}
+		state = snapshot
+	}
+	sim.era++
+	sim.logf("store returns in era %d with revision %d instead of %d", sim.era, state.table.Revision, sim.table.Revision)
+	sim.storeState = state
 }
 
 // findUpstream returns the upstream with an ID, or nil.
--- a/internal/ownership/agent/writes.go
+++ b/internal/ownership/agent/writes.go
@@ -2,6 +2,7 @@
 
 import (
 	"chervilwalk/internal/base/clock"
+	"chervilwalk/internal/base/era"
 	"chervilwalk/internal/catalog/assignment"
 	"chervilwalk/internal/ownership/election"
 	"chervilwalk/internal/ownership/leader"
@@ -22,22 +23,27 @@
 
 // handleRows handles the result of reading the leader's row and the assignment.
 func (co *Core) handleRows(now clock.Instant, ms RowsMsg) {
+	if !ms.Failed && ms.Era > co.election.Era() {
+		co.enterEra(now, ms.Era)
+	}
 	// A read that was overtaken by a write has older versions than this host knows.
-	overtaken := ms.TableVersion < co.tableVersion || ms.RowVersion < co.election.RowVersion()
+	overtaken := ms.Era < co.election.Era() || ms.TableVersion < co.tableVersion || ms.RowVersion < co.election.RowVersion()
 	if ms.Failed || overtaken {
 		co.updateElection(now, election.ReadFailedMsg{})
 		return
 	}
 	co.adopt(now, ms.Table)
-	if ms.Table.Revision == co.table.Revision {
+	// A table of an earlier era says what was true once: the store may have lost later
+	// ones, so only a leader of this era can confirm it.
+	if ms.Table.Revision == co.table.Revision && era.Of(ms.Table.Revision) == ms.Era {
 		co.confirm(now, ms.StartedAt)
 	}
 	otherTable := false
 	if !co.writes.inFlight {
 		otherTable = ms.TableVersion != co.tableVersion
-		co.tableVersion = ms.TableVersion
+		co.tableVersion, co.eraRowVersion = ms.TableVersion, ms.EraRowVersion
 	}
-	co.updateElection(now, election.RowMsg{Row: ms.Row, Version: ms.RowVersion, StartedAt: ms.StartedAt})
+	co.updateElection(now, election.RowMsg{Era: ms.Era, Row: ms.Row, Version: ms.RowVersion, StartedAt: ms.StartedAt})
 	if co.writes.awaitingRead || otherTable {
 		// The next write expects the table that was read, so its revision must
 		// follow that of this table.
@@ -46,6 +52,14 @@
 	}
 }
 
+// enterEra drops all positions in the store after it came back from an older copy.
+func (co *Core) enterEra(now clock.Instant, er era.Era) {
+	co.logEvent("storeEra", map[string]any{"era": er, "before": co.election.Era(), "revision": co.table.Revision, "leading": co.Leading()})
+	co.tableVersion, co.eraRowVersion = 0, 0
+	co.updateElection(now, election.EraMsg{Era: er})
+	co.writes.rowDue, co.writes.draft, co.writes.awaitingRead = false, nil, false
+}
+
 // startWrite starts the next pending write, the leader's row first. It does
 // nothing while a write is in flight or a read has to come first.
 func (co *Core) startWrite() {
@@ -56,7 +70,7 @@
 	// A claim of the row also expects the version of the assignment that was read
 	// with it. Otherwise this host could become the leader without a change that an
 	// earlier leader made after that read.
-	cmd := WriteCmd{RowVersion: rowVersion, TableVersion: co.tableVersion}
+	cmd := WriteCmd{Era: co.election.Era(), EraRowVersion: co.eraRowVersion, RowVersion: rowVersion, TableVersion: co.tableVersion}
 	if co.writes.rowDue {
 		co.writes.rowDue, cmd.Row = false, &row
 	} else {
@@ -70,6 +84,13 @@
 // outcome the rows are read again.
 func (co *Core) handleWritten(now clock.Instant, ms WrittenMsg) {
 	co.writes.inFlight = false
+	if ms.Outcome == Done && ms.Write.Era != co.election.Era() {
+		// The store has lost what it confirmed.
+		ms.Outcome = Conflict
+	}
+	if ms.Outcome == Done && ms.Write.EraRowVersion == 0 {
+		co.eraRowVersion = ms.Version
+	}
 	if ms.Outcome != Done {
 		co.logEvent("writeFailed", map[string]any{"outcome": ms.Outcome, "leading": co.Leading(), "row": ms.Write.Row != nil, "expectedRow": ms.Write.RowVersion, "expectedTable": ms.Write.TableVersion})
 	}
--- a/internal/ownership/election/election.go
+++ b/internal/ownership/election/election.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"chervilwalk/internal/base/clock"
+	"chervilwalk/internal/base/era"
 	"chervilwalk/internal/base/ident"
 	"chervilwalk/internal/peer/protocol"
 )
@@ -51,6 +52,9 @@
 	Incarnation uint64
 	// Settled reports that no earlier leader can still be active.
 	Settled bool
+	// Frozen is for how long after writing the row no key may move, because the store
+	// may have lost an assignment whose grants are still valid.
+	Frozen time.Duration
 }
 
 // Version is the version of the row in the store, 0 if there is no row.
@@ -58,11 +62,15 @@
 
 // RowMsg is the result of a read of the row that started at StartedAt.
 type RowMsg struct {
+	Era       era.Era
 	Row       Row
 	Version   Version
 	StartedAt clock.Instant
 }
 
+// EraMsg reports that the store came back from an older copy.
+type EraMsg struct{ Era era.Era }
+
 // ReadFailedMsg reports that the store did not answer a read.
 type ReadFailedMsg struct{}
 
@@ -120,6 +128,12 @@
 	// it is held.
 	freeSince clock.Instant
 	leading   bool
+	// era is the store's era. ledLast is set if this host led when it began: what it
+	// remembers is as new as anything, so it need not wait for the row to be stale.
+	era     era.Era
+	ledLast bool
+	// uncontested is set if besides no other host can have taken the row over before.
+	uncontested bool
 	// inFlight is true while a read or write has not returned.
 	inFlight       bool
 	row            Row
@@ -134,8 +148,10 @@
 	// version, and again after a conflict or after StepDownTimeout without the
 	// store.
 	rowKnown bool
-	// settled is the value of Row.Settled to write while this host leads.
+	// settled and frozen are the values of Row.Settled and Row.Frozen to write while
+	// this host leads.
 	settled bool
+	frozen  time.Duration
 	// resigning hosts free the row and never claim it again.
 	resigning bool
 	// claimable is true after a read that found the row free and the claim delay over.
@@ -165,6 +181,13 @@
 // Leading reports whether this host leads.
 func (co *Core) Leading() bool { return co.leading }
 
+// Era returns the newest known era of the store.
+func (co *Core) Era() era.Era { return co.era }
+
+// Uncontested reports whether this host led when the era began and no other host can
+// have led after it.
+func (co *Core) Uncontested() bool { return co.ledLast && co.uncontested }
+
 // Term returns the newest known term.
 func (co *Core) Term() protocol.Term { return co.row.Term }
 
@@ -178,20 +201,24 @@
 // and that started at now.
 func (co *Core) Confirm(now clock.Instant) { co.confirmedAt = max(co.confirmedAt, now) }
 
-// Settle sets whether no earlier leader can still be active.
-func (co *Core) Settle(settled bool) { co.settled = settled }
+// Settle sets whether no earlier leader can still be active and for how long no key
+// may move.
+func (co *Core) Settle(settled bool, frozen time.Duration) { co.settled, co.frozen = settled, frozen }
 
 // Proposal returns the row to write and the version that it replaces.
 func (co *Core) Proposal() (Row, Version) {
 	rw := co.self
 	rw.Term = co.row.Term
 	if !co.leading {
-		rw.Term++
+		rw.Term = max(rw.Term, era.First[protocol.Term](co.era)) + 1
+	}
+	rw.Settled, rw.Frozen = co.leading && co.settled, co.frozen
+	if !co.leading {
+		rw.Frozen = co.row.Frozen
 	}
-	rw.Settled = co.leading && co.settled
 	if co.resigning {
 		// A row without a host is free to take.
-		rw = Row{Term: rw.Term, Settled: rw.Settled}
+		rw = Row{Term: rw.Term, Settled: rw.Settled, Frozen: rw.Frozen}
 	}
 	return rw, co.version
 }
@@ -212,6 +239,8 @@
 		co.inFlight = false
 	case HeartbeatMsg:
 		co.handleHeartbeat(now, ms)
+	case EraMsg:
+		co.enterEra(now, ms.Era)
 	case ResignMsg:
 		co.resigning = true
 	case WrittenMsg:
@@ -238,10 +267,11 @@
 		co.rowChangedAt = now
 	}
 	changed := ms.Row != co.row
+	co.version = ms.Version
 	if ms.Row.Term >= co.row.Term {
-		co.row, co.version = ms.Row, ms.Version
+		co.row = ms.Row
 	}
-	ours := ms.Row.Host == co.self.Host && ms.Row.Incarnation == co.self.Incarnation
+	ours := ms.Row.Host == co.self.Host && ms.Row.Incarnation == co.self.Incarnation && era.Of(ms.Row.Term) == co.era
 	if ours {
 		// A write of this host took effect although its answer was lost.
 		co.leading, co.confirmedAt = true, max(co.confirmedAt, ms.StartedAt)
@@ -253,7 +283,7 @@
 	// The row was written by an earlier process on this host, which has ended.
 	previousProcess := ms.Row.Host == co.self.Host
 	free := ms.Version == 0 || ms.Row.Host == ""
-	if !free && !previousProcess && (now.Sub(co.rowChangedAt) < staleTimeout || now.Sub(co.leaderHeardAt) < heartbeatTimeout) {
+	if !free && !previousProcess && !co.ledLast && (now.Sub(co.rowChangedAt) < staleTimeout || now.Sub(co.leaderHeardAt) < heartbeatTimeout) {
 		co.freeSince, co.claimable = clock.Never, false
 		return
 	}
@@ -261,12 +291,24 @@
 	co.claimable = now.Sub(co.freeSince) >= co.claimDelay()
 }
 
+// enterEra forgets what this host knew of the store's row: the store may have lost it.
+func (co *Core) enterEra(now clock.Instant, er era.Era) {
+	co.uncontested = co.leading && now.Sub(co.confirmedAt) < staleTimeout || co.ledLast && co.uncontested
+	co.ledLast = co.leading || co.ledLast
+	co.era, co.leading, co.settled = er, false, false
+	co.version, co.rowKnown, co.rowChangedAt = 0, false, now
+	co.freeSince, co.claimable = clock.Never, false
+}
+
 func (co *Core) handleHeartbeat(now clock.Instant, ms HeartbeatMsg) {
 	if ms.Term < co.row.Term {
 		return
 	}
+	if er, _ := era.Split(ms.RowVersion); er > co.era {
+		co.enterEra(now, er)
+	}
 	if ms.Term > co.row.Term {
-		co.leading = false
+		co.leading, co.ledLast, co.uncontested = false, false, false
 		co.row = Row{Term: ms.Term, Host: ms.Host, Address: ms.Address}
 	}
 	if co.leading {
--- a/internal/ownership/leader/leader.go
+++ b/internal/ownership/leader/leader.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"chervilwalk/internal/base/clock"
+	"chervilwalk/internal/base/era"
 	"chervilwalk/internal/base/ident"
 	"chervilwalk/internal/base/keyspace"
 	"chervilwalk/internal/catalog/assignment"
@@ -27,7 +28,14 @@
 )
 
 // StatusMsg carries the periodic status of a member.
-type StatusMsg struct{ Status protocol.Status }
+type StatusMsg struct {
+	Status protocol.Status
+	// Follows reports whether the member has heard of this leader's term.
+	Follows bool
+}
+
+// ReportMsg is the assignment that a member remembers from an earlier era.
+type ReportMsg struct{ Table *assignment.Table }
 
 // UpstreamsMsg lists the keyed services and all their upstreams.
 type UpstreamsMsg struct {
@@ -208,21 +216,56 @@
 	events             []Cmd
 	// resumedMoves holds the moves that an earlier leader started.
 	resumedMoves map[MoveID]bool
+	// era is the store's era, recovery the state after it began.
+	era      era.Era
+	recovery recovery
 }
 
-// New returns the core of a host that starts to lead with the given table. The
-// row previous is that of the leader before it. It has no host if there was none or
-// that leader resigned.
-func New(now clock.Instant, tb *assignment.Table, previous election.Row) *Core {
+// Option configures a Core.
+type Option func(*Core)
+
+// FirstStart says that the whole system starts for the first time, so that an empty
+// store has lost nothing.
+func FirstStart() Option { return func(co *Core) { co.recovery.firstStart = true } }
+
+// New returns the core of a host that starts to lead with the given table in an era
+// of the store. The row previous is that of the leader before it. It has no host if
+// there was none or that leader resigned. With a table of an earlier era the core
+// first recovers the newest one.
+func New(now clock.Instant, tb *assignment.Table, previous election.Row, er era.Era, opts ...Option) *Core {
 	co := &Core{
-		startedAt: now, previous: previous, previousGone: previous.Host == "", table: tb, draft: tb.Clone(), members: map[ident.Host]*member{}, upstreams: map[ident.Upstream]*upstream{},
-		loads: map[ident.Service]*balance.Load{}, moves: map[MoveID]*move{}, upstreamsChangedAt: now, resumedMoves: map[MoveID]bool{},
+		startedAt: now, previous: previous, previousGone: previous.Host == "", members: map[ident.Host]*member{}, upstreams: map[ident.Upstream]*upstream{},
+		loads: map[ident.Service]*balance.Load{}, moves: map[MoveID]*move{}, upstreamsChangedAt: now, era: er,
+	}
+	for _, opt := range opts {
+		opt(co)
 	}
+	switch {
+	case tb.Revision > 0 && era.Of(tb.Revision) < er:
+		co.startRecovery(now)
+	case tb.Revision == 0 && er > 0 && !co.recovery.firstStart:
+		// The store may have lost even the first assignment.
+		co.Freeze(now.Add(lostGrantTTL))
+	}
+	if previous.Frozen > 0 {
+		co.Freeze(now.Add(previous.Frozen))
+	}
+	co.resume(now, tb)
+	return co
+}
+
+// resume makes a table of an earlier leader the one to continue with.
+func (co *Core) resume(now clock.Instant, tb *assignment.Table) {
+	co.table, co.draft, co.resumedMoves = tb, tb.Clone(), map[MoveID]bool{}
+	co.draft.LastEpoch = max(co.draft.LastEpoch, era.First[keyspace.Epoch](co.era))
 	for _, mb := range tb.Members {
+		if _, known := co.members[mb.Host]; known {
+			continue
+		}
 		// Members get the full timeout to send a status before they count as dead.
 		// The previous leader has been silent already.
 		co.members[mb.Host] = &member{heardAt: now, latest: mb}
-		if mb.Host == previous.Host {
+		if mb.Host == co.previous.Host {
 			co.members[mb.Host].heardAt = now.Add(-memberTimeout)
 		}
 	}
@@ -232,13 +275,15 @@
 		}
 	}
 	co.syncMoves(now)
-	return co
 }
 
 // Settled reports whether no earlier leader can still reach any member: there was
 // none, or the previous one was settled itself and is known to lead no longer, or
 // enough time has passed for every earlier leader to have stepped down.
 func (co *Core) Settled(now clock.Instant) bool {
+	if co.frozen(now) {
+		return false
+	}
 	noPrevious := co.previous.Term == 0
 	return now.Sub(co.startedAt) >= election.StepDownTimeout || co.previousGone && (noPrevious || co.previous.Settled)
 }
@@ -251,7 +296,7 @@
 	var cmds []Cmd
 	switch ms := msg.(type) {
 	case StatusMsg:
-		co.handleStatus(now, ms.Status)
+		co.handleStatus(now, ms)
 	case UpstreamsMsg:
 		co.handleUpstreams(now, ms)
 	case CommittedMsg:
@@ -262,6 +307,11 @@
 		co.handleTableRead(now, ms.Table)
 	case StepMsg:
 		co.handleStep(now, ms)
+	case ReportMsg:
+		co.handleReport(now, ms.Table)
+	}
+	if co.recovery.active && !co.finishRecovery(now) {
+		return co.takeEvents(nil)
 	}
 	if co.settledAt == 0 && co.Settled(now) {
 		co.settledAt = now
@@ -270,11 +320,11 @@
 		co.membersCheckedAt = now
 		co.updateMembers(now)
 	}
-	if now.Sub(co.plannedAt) >= planInterval {
+	if now.Sub(co.plannedAt) >= planInterval && !co.frozen(now) {
 		co.plannedAt = now
 		co.plan(now)
 	}
-	if _, isStatus := msg.(StatusMsg); !isStatus {
+	if _, isStatus := msg.(StatusMsg); !isStatus && !co.frozen(now) {
 		// Hundreds of statuses arrive per second. The moves that depend on them can
 		// wait for the next tick.
 		cmds = append(cmds, co.startDueCalls(now)...)
@@ -282,6 +332,11 @@
 	if co.dirty && !co.commitInFlight && now >= co.commitAt {
 		cmds = append(cmds, co.commit())
 	}
+	return co.takeEvents(cmds)
+}
+
+// takeEvents appends the pending log events to cmds.
+func (co *Core) takeEvents(cmds []Cmd) []Cmd {
 	cmds = append(cmds, co.events...)
 	co.events = nil
 	return cmds
@@ -300,7 +355,7 @@
 }
 
 func (co *Core) commit() Cmd {
-	co.draft.Revision = co.table.Revision + 1
+	co.draft.Revision = max(co.table.Revision, era.First[assignment.Revision](co.era)) + 1
 	co.commitInFlight, co.dirty = true, false
 	return CommitCmd{Table: co.draft.Clone()}
 }
@@ -318,13 +373,16 @@
 }
 
 // handleTableRead handles a table read from the store. A commit whose answer was lost
-// may have taken effect. The table in the store is used in both cases, and the draft
-// still contains the changes of the commit.
+// may have taken effect. The table in the store is used in both cases, unless the
+// store has lost a newer one. The draft still contains the changes of the commit.
 func (co *Core) handleTableRead(now clock.Instant, tb *assignment.Table) {
-	if !co.commitInFlight && tb.Revision == co.table.Revision {
+	if !co.commitInFlight && tb.Revision <= co.table.Revision {
 		return
 	}
 	co.retryCommit(now)
+	if tb.Revision < co.table.Revision {
+		return
+	}
 	co.table = tb
 	co.draft.LastEpoch = max(co.draft.LastEpoch, tb.LastEpoch)
 	co.syncMoves(now)
@@ -332,7 +390,8 @@
 
 // handleStatus updates the member that sent a status, the load per key and the
 // upstreams that the status reports on.
-func (co *Core) handleStatus(now clock.Instant, st protocol.Status) {
+func (co *Core) handleStatus(now clock.Instant, ms StatusMsg) {
+	st := ms.Status
 	mb, known := co.members[st.Member.Host]
 	if !known || mb.latest.Incarnation != st.Member.Incarnation {
 		if known && st.Member.Incarnation < mb.latest.Incarnation {
@@ -345,6 +404,7 @@
 	mb.heardAt, mb.latest, mb.stopping = now, st.Member, st.Stopping
 	co.previousGone = co.previousGone || st.Member.Host == co.previous.Host
 	mb.ack(now, st.Revision)
+	co.noteRevision(now, ms)
 	for _, kl := range st.Keys {
 		ld, known := co.loads[kl.Service]
 		if !known {
@@ -378,7 +438,7 @@
 		co.plannedAt = 0
 		co.logEvent("upstreamUnreached", map[string]any{"upstream": ul.Upstream, "forMs": ul.UnreachedFor.Milliseconds()})
 	}
-	if ul.Superseded {
+	if ul.Superseded && !co.frozen(now) {
 		co.raiseEpochs(ul.Upstream)
 	}
 }
--- a/internal/ownership/leader/leader_test.go
+++ b/internal/ownership/leader/leader_test.go
@@ -21,7 +21,7 @@
 	const hosts, upstreams, service, statusInterval = 142, 321, "lookup", 400 * time.Millisecond
 	now := clock.Instant(time.Hour)
 	rng := rand.New(rand.NewSource(1))
-	co := leader.New(now, &assignment.Table{}, election.Row{})
+	co := leader.New(now, &assignment.Table{}, election.Row{}, 0)
 	ms := leader.UpstreamsMsg{Keyed: map[ident.Service]bool{service: true}}
 	for ix := range upstreams {
 		ms.Upstreams = append(ms.Upstreams, leader.Upstream{
--- a/internal/peer/protocol/message.go
+++ b/internal/peer/protocol/message.go
@@ -79,6 +79,19 @@
 	// time or later, however long its delivery took.
 	Echo clock.Instant
 	Freshness
+	// Recovering asks for the members' assignments: the store came back from an older
+	// copy and this leader does not know yet whether its own is the newest. It
+	// confirms nothing. Heartbeats with an assignment never have it.
+	Recovering bool
+}
+
+// Report carries one part of the encoded assignment that a member remembers, as the
+// reply to a recovering heartbeat.
+type Report struct {
+	Host        ident.Host
+	Revision    assignment.Revision
+	Part, Parts int
+	Body        string
 }
 
 // Freshness states how recent the leader's data from the store is. Members whose
@@ -173,6 +186,20 @@
 	Reason     string
 }
 
+// Leaving tells the leader that an upstream has said in an answer that it is leaving.
+type Leaving struct {
+	Upstream    ident.Upstream
+	Incarnation roster.Incarnation
+}
+
+// Pause tells the holder of a pool that an upstream wants no request from a host for
+// the time left.
+type Pause struct {
+	Host     ident.Host
+	Upstream ident.Upstream
+	Left     time.Duration
+}
+
 // Queued confirms that an ask was received and waits.
 type Queued struct{ Ticket Ticket }
 
@@ -211,10 +238,13 @@
 	rosterNumber
 	rosterDeltaNumber
 	assignmentDeltaNumber
+	reportNumber
+	recoveringNumber
+	leavingNumber
+	pauseNumber
 )
 
 func (Status) number() uint8          { return statusNumber }
-func (Heartbeat) number() uint8       { return heartbeatNumber }
 func (Assignment) number() uint8      { return assignmentNumber }
 func (Ask) number() uint8             { return askNumber }
 func (Permit) number() uint8          { return permitNumber }
@@ -225,6 +255,18 @@
 func (DoneAck) number() uint8         { return doneAckNumber }
 func (AssignmentDelta) number() uint8 { return assignmentDeltaNumber }
 
+// number of a recovering heartbeat is another one, so that builds that do not know it
+// take it for no confirmation.
+func (ms Heartbeat) number() uint8 {
+	if ms.Recovering {
+		return recoveringNumber
+	}
+	return heartbeatNumber
+}
+
+func (Leaving) number() uint8     { return leavingNumber }
+func (Pause) number() uint8       { return pauseNumber }
+func (Report) number() uint8      { return reportNumber }
 func (RosterDelta) number() uint8 { return rosterDeltaNumber }
 
 func codeMember(cd *codec, mb *assignment.Member) {
@@ -271,6 +313,25 @@
 	varint(cd, &ms.OperatorVersion)
 }
 
+func (ms *Leaving) code(cd *codec) {
+	text(cd, &ms.Upstream)
+	varint(cd, &ms.Incarnation)
+}
+
+func (ms *Pause) code(cd *codec) {
+	text(cd, &ms.Host)
+	text(cd, &ms.Upstream)
+	duration(cd, &ms.Left)
+}
+
+func (ms *Report) code(cd *codec) {
+	text(cd, &ms.Host)
+	varint(cd, &ms.Revision)
+	varint(cd, &ms.Part)
+	varint(cd, &ms.Parts)
+	text(cd, &ms.Body)
+}
+
 func (ms *Assignment) code(cd *codec) {
 	ms.Heartbeat.code(cd)
 	varint(cd, &ms.Part)
@@ -389,6 +450,12 @@
 		ms.code(cd)
 	case Heartbeat:
 		ms.code(cd)
+	case Report:
+		ms.code(cd)
+	case Leaving:
+		ms.code(cd)
+	case Pause:
+		ms.code(cd)
 	case Assignment:
 		ms.code(cd)
 	case Ask:
@@ -426,6 +493,17 @@
 		msg = decode(cd, func(ms *Status) { ms.code(cd) })
 	case heartbeatNumber:
 		msg = decode(cd, func(ms *Heartbeat) { ms.code(cd) })
+	case recoveringNumber:
+		msg = decode(cd, func(ms *Heartbeat) {
+			ms.code(cd)
+			ms.Recovering = true
+		})
+	case leavingNumber:
+		msg = decode(cd, func(ms *Leaving) { ms.code(cd) })
+	case pauseNumber:
+		msg = decode(cd, func(ms *Pause) { ms.code(cd) })
+	case reportNumber:
+		msg = decode(cd, func(ms *Report) { ms.code(cd) })
 	case assignmentNumber:
 		msg = decode(cd, func(ms *Assignment) { ms.code(cd) })
 	case askNumber:
--- a/internal/peer/protocol/protocol_test.go
+++ b/internal/peer/protocol/protocol_test.go
@@ -23,7 +23,11 @@
 			Keys:      []protocol.KeyLoad{{Service: "lookup", Key: 65535, Count: 3}},
 			Upstreams: []protocol.UpstreamLoad{{Upstream: "u", Answers: 2, WorkTime: 300 * time.Millisecond, Failures: 1, UnreachedFor: time.Second, Superseded: true}},
 		},
-		"heartbeat": heartbeat,
+		"heartbeat":           heartbeat,
+		"recoveringHeartbeat": protocol.Heartbeat{Term: 1 << 33, Leader: "a", Revision: 9, RowVersion: 1 << 44, Recovering: true},
+		"leaving":             protocol.Leaving{Upstream: "u", Incarnation: 9},
+		"pause":               protocol.Pause{Host: "a", Upstream: "u", Left: 3 * time.Second},
+		"report":              protocol.Report{Host: "a", Revision: 1<<32 + 9, Part: 1, Parts: 2, Body: "{}"},
 		"assignmentDelta": protocol.AssignmentDelta{Heartbeat: heartbeat, Delta: assignment.Delta{
 			Base: 8, Revision: 9, LastEpoch: 40, Members: []assignment.Member{{Host: "a", Domain: "d", Address: "10.0.0.1:7540", Incarnation: 7, Alive: true}},
 			Dropped: []assignment.ShareStart{{Service: "lookup", From: 16}},
--- a/internal/serving/permit/permit.go
+++ b/internal/serving/permit/permit.go
@@ -11,6 +11,7 @@
 package permit
 
 import (
+	"strconv"
 	"time"
 
 	"chervilwalk/internal/base/clock"
@@ -46,7 +47,11 @@
 
 // String returns the outcome's name in logs.
 func (oc Outcome) String() string {
-	return [...]string{"answered", "failed", "refused", "disowned", "unreached", "broken", "timedOut", "withdrawn"}[oc]
+	names := [...]string{"answered", "failed", "refused", "disowned", "unreached", "broken", "timedOut", "withdrawn"}
+	if int(oc) >= len(names) {
+		return "outcome " + strconv.Itoa(int(oc))
+	}
+	return names[oc]
 }
 
 // AskMsg is a request for a permit.
@@ -55,6 +60,13 @@
 // DoneMsg releases a permit or withdraws an ask.
 type DoneMsg struct{ Done protocol.Done }
 
+// PauseMsg reports that an upstream wants no request from a host until a time.
+type PauseMsg struct {
+	Host     ident.Host
+	Upstream ident.Upstream
+	Until    clock.Instant
+}
+
 // UpstreamsMsg replaces the upstreams that may get requests, the services and the
 // owners of keys.
 type UpstreamsMsg struct {
@@ -183,6 +195,10 @@
 	case DoneMsg:
 		co.finish(now, ms.Done)
 		return co.dispatch(now, ms.Done.Service)
+	case PauseMsg:
+		if us, known := co.upstreams[ms.Upstream]; known {
+			us.pausedUntil[ms.Host] = max(us.pausedUntil[ms.Host], ms.Until)
+		}
 	case UpstreamsMsg:
 		co.setUpstreams(now, ms)
 	case TableMsg:
--- a/internal/serving/permit/queue.go
+++ b/internal/serving/permit/queue.go
@@ -61,6 +61,9 @@
 	if !known {
 		return []Cmd{ak.refuse(now, noUpstreamRetryAfter, "noUpstream", es)}
 	}
+	if us := co.upstreams[es.Upstream]; us != nil && us.paused(now, msg.Host) {
+		return []Cmd{ak.refuse(now, us.pausedUntil[msg.Host].Sub(now), "upstreamPaused", es)}
+	}
 	ak.refuseAt = ak.deadline.Add(-es.Latency)
 	if es.Wait+time.Duration(latencyMargin*float64(es.Latency)) > msg.ObjectiveLeft {
 		ak.late = true
@@ -112,7 +115,7 @@
 			continue
 		}
 		known = true
-		if now.Before(us.backoffUntil) || us.cold(now) {
+		if now.Before(us.backoffUntil) || us.cold(now) || us.paused(now, ak.Host) {
 			continue
 		}
 		rate += float64(us.Slots) / us.latency.Seconds()
@@ -275,6 +278,7 @@
 // objective, and refuses those whose refuseAt has passed.
 func (co *Core) refuseOverdue(now clock.Instant, sv ident.Service) []Cmd {
 	var cmds []Cmd
+	var overdue []*ask
 	kept := co.waiting[sv][:0]
 	for _, ak := range co.waiting[sv] {
 		if !ak.late && ak.objective.Before(now.Add(time.Duration(minLatencyFraction*float64(co.expectedLatencyFor(ak))))) {
@@ -286,10 +290,14 @@
 			continue
 		}
 		delete(co.asks, ak.id)
+		overdue = append(overdue, ak)
+	}
+	co.waiting[sv] = kept
+	// Only now, as estimates count the asks that wait.
+	for _, ak := range overdue {
 		es, _ := co.estimate(now, ak)
 		cmds = append(cmds, ak.refuse(now, minRetryAfter, "waitedTooLong", es))
 	}
-	co.waiting[sv] = kept
 	return cmds
 }
 
@@ -298,7 +306,7 @@
 func (co *Core) choose(now clock.Instant, ak *ask, coldRate float64, available []*upstream) *upstream {
 	if ak.Keyed {
 		us, moving := co.owner(ak)
-		if us == nil || moving || co.isDisowned(now, ak) || !us.available(now, coldRate) || ak.Fallback && us.cold(now) {
+		if us == nil || moving || us.paused(now, ak.Host) || co.isDisowned(now, ak) || !us.available(now, coldRate) || ak.Fallback && us.cold(now) {
 			return nil
 		}
 		return us
@@ -306,7 +314,7 @@
 	var best *upstream
 	var bestCost time.Duration
 	for _, us := range available {
-		if !ak.inPool(us) || us.ID == ak.Avoid || !us.available(now, coldRate) || ak.Fallback && us.cold(now) {
+		if !ak.inPool(us) || us.ID == ak.Avoid || us.paused(now, ak.Host) || !us.available(now, coldRate) || ak.Fallback && us.cold(now) {
 			continue
 		}
 		cost, ok := ak.cost(now, us)
--- a/internal/serving/permit/upstream.go
+++ b/internal/serving/permit/upstream.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"chervilwalk/internal/base/clock"
+	"chervilwalk/internal/base/ident"
 	"chervilwalk/internal/peer/protocol"
 )
 
@@ -53,10 +54,12 @@
 	// coldTokens is the token bucket, of size 1, for requests to a cold upstream.
 	coldTokens     float64
 	coldRefilledAt clock.Instant
+	// pausedUntil is until when the upstream wants no request from a host.
+	pausedUntil map[ident.Host]clock.Instant
 }
 
 func newUpstream(now clock.Instant, up Upstream, latency time.Duration) *upstream {
-	return &upstream{Upstream: up, running: map[askID]*ask{}, latency: latency, coldTokens: 1, coldRefilledAt: now}
+	return &upstream{Upstream: up, running: map[askID]*ask{}, pausedUntil: map[ident.Host]clock.Instant{}, latency: latency, coldTokens: 1, coldRefilledAt: now}
 }
 
 // cold reports whether the upstream is limited to the service's cold rate.
@@ -64,6 +67,11 @@
 	return now.Before(us.ColdUntil) || now.Before(us.slowStartUntil)
 }
 
+// paused reports whether the upstream wants no request from a host now.
+func (us *upstream) paused(now clock.Instant, host ident.Host) bool {
+	return now < us.pausedUntil[host]
+}
+
 // busy counts the slots in use.
 func (us *upstream) busy(now clock.Instant) int {
 	if now.Before(us.otherRequestsUntil) {
--- a/internal/serving/proxy/proxy.go
+++ b/internal/serving/proxy/proxy.go
@@ -53,6 +53,10 @@
 	HasSignature bool
 	// NotRun reports whether the upstream states that it did not run the request.
 	NotRun bool
+	// Leaving reports whether the upstream is about to stop. Pause is how long it wants
+	// no further request from this host, or 0.
+	Leaving bool
+	Pause   time.Duration
 	// Reported reports whether the upstream stated its load.
 	Reported bool
 	// Running and Waiting count the upstream's requests; LatencyPercent is its
@@ -137,6 +141,10 @@
 	// a key before its permit is acquired.
 	OnEnd          func(End)
 	OnKeyedRequest func(sv ident.Service, ky keyspace.Key)
+	// OnLeaving is called when an answer says that its upstream is leaving, OnPause when
+	// it says that this host must pause. Both are called before the permit is released.
+	OnLeaving func(id ident.Upstream)
+	OnPause   func(pm Permit, pause time.Duration)
 	// Domain is the failure domain of this host.
 	Domain ident.Domain
 }
@@ -328,6 +336,11 @@
 	if an != nil {
 		rp := ex.px.cf.UpstreamHeaders.DecodeReport(an.Status, an.Header)
 		done.Reported, done.Running, done.Waiting, done.LatencyPercent = rp.Reported, rp.Running, rp.Waiting, rp.LatencyPercent
+		// Another upstream may answer at the address: then what it says is not about
+		// the one that the permit is for.
+		if outcome != permit.Disowned {
+			ex.noteWishes(pm, rp)
+		}
 	}
 	if an != nil && an.Rest != nil {
 		// The upstream's slot is in use until the whole answer was read.
@@ -341,6 +354,16 @@
 	return an, err
 }
 
+// noteWishes passes on what an upstream says about further requests.
+func (ex *exchange) noteWishes(pm *Permit, rp Report) {
+	if rp.Leaving {
+		ex.px.cf.OnLeaving(pm.Upstream)
+	}
+	if rp.Pause > 0 {
+		ex.px.cf.OnPause(*pm, rp.Pause)
+	}
+}
+
 // releasingRest releases a permit when the rest of an answer has been read or given up.
 type releasingRest struct {
 	io.ReadCloser
--- a/internal/serving/proxy/proxy_test.go
+++ b/internal/serving/proxy/proxy_test.go
@@ -222,6 +222,7 @@
 				State: func() *desired.State { return st }, Permits: pm, Connections: pl, CallerHeaders: testHeaders{}, UpstreamHeaders: testHeaders{},
 				Budget: proxy.NewBudget(1, func() float64 { return 10 }),
 				OnEnd:  func(en proxy.End) { end = en }, OnKeyedRequest: func(ident.Service, keyspace.Key) {},
+				OnLeaving: func(ident.Upstream) {}, OnPause: func(proxy.Permit, time.Duration) {},
 			})
 			rq := &httpserver.Request{Method: http.MethodPost, URI: tc.path, Header: http.Header{"Id": {"r1"}}, Arrived: time.Now()}
 			if tc.path == "/method-large" {
@@ -264,6 +265,7 @@
 		State: func() *desired.State { return st }, Permits: pm, Connections: pl, CallerHeaders: testHeaders{}, UpstreamHeaders: testHeaders{},
 		Budget: proxy.NewBudget(0, func() float64 { return allowance }),
 		OnEnd:  func(proxy.End) {}, OnKeyedRequest: func(ident.Service, keyspace.Key) {},
+		OnLeaving: func(ident.Upstream) {}, OnPause: func(proxy.Permit, time.Duration) {},
 	})
 	for range requests {
 		px.Serve(t.Context(), &httpserver.Request{Method: http.MethodGet, URI: "/lookup", Header: http.Header{"Id": {"r"}}, Arrived: time.Now()})
--- a/internal/stand/deployment/deployment.go
+++ b/internal/stand/deployment/deployment.go
@@ -107,8 +107,9 @@
 	address    string
 	done       chan struct{}
 	background sync.WaitGroup
-	// version is that of the operators' desired state.
+	// version is that of the operators' desired state, config its text.
 	version int
+	config  []byte
 	// mu guards upstreams, retired and upstreamsStarted.
 	mu        sync.Mutex
 	Hosts     []*Host
@@ -116,6 +117,8 @@
 	// retired are the upstreams that were replaced by one with the same ID.
 	retired          []*fakeupstream.Upstream
 	upstreamsStarted int
+	// loads counts the calls of Load, so that each request has its own ID.
+	loads atomic.Int32
 	// operator is nil if the desired state comes from the platform's operators.
 	operator *operator
 }
@@ -194,7 +197,21 @@
 	if change != nil {
 		text = change(text)
 	}
-	dp.Store.Put("op", "config", []byte(text))
+	dp.config = []byte(text)
+	dp.Store.Put("op", "config", dp.config)
+}
+
+// ReturnStore makes the store come back from a copy of some age after it was away for
+// a moment. The operators write their rows again later; upstreams always do.
+func (dp *Deployment) ReturnStore(age, away, rewriteDelay time.Duration) {
+	dp.Store.SetFaults(metastore.Faults{Down: true})
+	time.Sleep(away)
+	dp.Store.Return(age)
+	dp.Store.SetFaults(metastore.Faults{})
+	time.Sleep(rewriteDelay)
+	if dp.config != nil {
+		dp.Store.Put("op", "config", dp.config)
+	}
 }
 
 // AddUpstream starts an upstream. It replaces an earlier one with the same ID but
--- a/internal/stand/deployment/load.go
+++ b/internal/stand/deployment/load.go
@@ -73,6 +73,7 @@
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, DisableCompression: true}, Timeout: 4 * time.Second}
 	defer client.CloseIdleConnections()
 	random := rand.New(rand.NewSource(dp.cf.Seed))
+	load := dp.loads.Add(1)
 	tick := time.NewTicker(time.Second / time.Duration(perSecond))
 	defer tick.Stop()
 	end := time.Now().Add(span)
@@ -83,7 +84,7 @@
 			continue
 		}
 		// Kinds 0 to 5 are lookups, 6 to 8 orders and 9 is a file.
-		kind, key, id := random.Intn(10), random.Intn(1<<16), fmt.Sprintf("r-%d-%d", dp.cf.Seed, number)
+		kind, key, id := random.Intn(10), random.Intn(1<<16), fmt.Sprintf("r-%d-%d-%d", dp.cf.Seed, load, number)
 		group.Add(1)
 		go func() {
 			defer group.Done()
--- a/internal/stand/fakeupstream/control.go
+++ b/internal/stand/fakeupstream/control.go
@@ -21,6 +21,8 @@
 	Shed         float64 `json:"shed"`
 	Stray        float64 `json:"stray"`
 	LateGrants   float64 `json:"lateGrants"`
+	Leaving      bool    `json:"leaving"`
+	PauseMs      int     `json:"pauseMs"`
 	Unresponsive bool    `json:"deaf"`
 }
 
--- a/internal/stand/fakeupstream/fakeupstream.go
+++ b/internal/stand/fakeupstream/fakeupstream.go
@@ -59,6 +59,11 @@
 	// LateGrants is the share of grants (0 to 1) that take effect after two
 	// seconds and are never answered.
 	LateGrants float64
+	// Leaving upstreams say so in all their answers.
+	Leaving bool
+	// PauseMs is what refusals by Shed ask of their host, in milliseconds: to send no
+	// request for so long.
+	PauseMs int
 	// Unresponsive upstreams accept connections but answer neither requests nor
 	// grants.
 	Unresponsive bool
@@ -101,8 +106,22 @@
 	heldUntil    [1 << 16]time.Time
 	slotFreed    *sync.Cond
 	grantChanges []GrantChange
+	// pauses holds the newest pause of each host, by IP address.
+	pauses map[string]*pause
+	// mostInPause is the largest number of requests from one host in a pause.
+	mostInPause int
 }
 
+// pause is a pause that the upstream has asked a host for. Requests count from
+// pauseSlack after its start.
+type pause struct {
+	from, until time.Time
+	requests    int
+}
+
+// pauseSlack is how long after the start of a pause requests may still arrive.
+const pauseSlack = 500 * time.Millisecond
+
 // GrantChange records a grant or, if Released, a release of the keys from From
 // to To, both inclusive.
 type GrantChange struct {
@@ -121,7 +140,7 @@
 	if err != nil {
 		return nil, err
 	}
-	up := &Upstream{cf: cf, listener: ln, startedAt: time.Now(), random: rand.New(rand.NewSource(cf.Seed + 1)), faults: Faults{Slow: 1}}
+	up := &Upstream{cf: cf, listener: ln, startedAt: time.Now(), random: rand.New(rand.NewSource(cf.Seed + 1)), faults: Faults{Slow: 1}, pauses: map[string]*pause{}}
 	up.slotFreed = sync.NewCond(&up.mu)
 	up.server = &http.Server{Handler: up, ReadHeaderTimeout: 5 * time.Second}
 	go func() {
@@ -180,6 +199,38 @@
 	return most
 }
 
+// MostInPause returns the largest number of requests that one host sent in a pause
+// that the upstream had asked it for.
+func (up *Upstream) MostInPause() int {
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	return up.mostInPause
+}
+
+// notePause counts a request that arrives in a pause.
+func (up *Upstream) notePause(rq *http.Request) {
+	host, _, _ := net.SplitHostPort(rq.RemoteAddr)
+	now := time.Now()
+	if ps, found := up.pauses[host]; found && now.After(ps.from) && now.Before(ps.until) {
+		ps.requests++
+		up.mostInPause = max(up.mostInPause, ps.requests)
+	}
+}
+
+// shed refuses a request and asks for a pause if the faults say so.
+func (up *Upstream) shed(rw http.ResponseWriter, rq *http.Request) {
+	rw.Header().Set("Not-Executed", "1")
+	if up.faults.PauseMs > 0 {
+		host, _, _ := net.SplitHostPort(rq.RemoteAddr)
+		span := time.Duration(up.faults.PauseMs) * time.Millisecond
+		if ps, found := up.pauses[host]; !found || time.Now().After(ps.until) {
+			up.pauses[host] = &pause{from: time.Now().Add(pauseSlack), until: time.Now().Add(span)}
+		}
+		rw.Header().Set("Retry-After", strconv.FormatFloat(span.Seconds(), 'f', 3, 64))
+	}
+	rw.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // Entry returns the upstream's entry in the store, as JSON.
 func (up *Upstream) Entry(sequence int, state string) []byte {
 	left := max(up.cf.ColdTime-time.Since(up.startedAt), 0).Seconds()
@@ -201,6 +252,11 @@
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	up.mu.Lock()
+	if up.faults.Leaving {
+		rw.Header().Set("Server-Leaving", "1")
+	}
+	up.mu.Unlock()
 	switch rq.URL.Path {
 	case "/api/grant":
 		up.handleGrant(rw, rq)
@@ -340,9 +396,9 @@
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return false
 	}
+	up.notePause(rq)
 	if up.random.Float64() < up.faults.Shed {
-		rw.Header().Set("Not-Executed", "1")
-		rw.WriteHeader(http.StatusServiceUnavailable)
+		up.shed(rw, rq)
 		return false
 	}
 	if up.running >= up.cf.Slots && up.queued >= up.cf.Queue {
--- a/internal/stand/metastore/control.go
+++ b/internal/stand/metastore/control.go
@@ -14,6 +14,9 @@
 	// rowsPath is followed by TABLE/KEY. DELETE removes the row; any other method
 	// writes the body to it.
 	rowsPath = "/_stand/rows/"
+	// returnPath makes the store come back from a copy; the body is the copy's age,
+	// such as "3s".
+	returnPath = "/_stand/return"
 )
 
 // faultsJSON is the JSON form of Faults.
@@ -32,6 +35,15 @@
 		db.handleFaults(rw, body)
 		return true
 	}
+	if rq.URL.Path == returnPath {
+		age, err := time.ParseDuration(string(body))
+		if err != nil {
+			http.Error(rw, err.Error(), http.StatusBadRequest)
+			return true
+		}
+		db.Return(age)
+		return true
+	}
 	path, found := strings.CutPrefix(rq.URL.Path, rowsPath)
 	if !found {
 		return false
--- a/internal/stand/metastore/metastore.go
+++ b/internal/stand/metastore/metastore.go
@@ -12,6 +12,7 @@
 	"encoding/base64"
 	"encoding/json"
 	"io"
+	"maps"
 	"math/rand"
 	"net"
 	"net/http"
@@ -71,6 +72,10 @@
 	// oldest is the lowest version that history covers.
 	oldest  uint64
 	version uint64
+	// era counts how often the store came back from an older copy; copies holds its
+	// earlier states, the oldest first.
+	era    uint64
+	copies []storeCopy
 	// changed is closed and replaced at every change.
 	changed   chan struct{}
 	faults    Faults
@@ -150,8 +155,40 @@
 	}
 }
 
-// notifyFeeds wakes up the feeds that wait for a change.
+// storeCopy is the content of the store at a time.
+type storeCopy struct {
+	at      time.Time
+	rows    map[rowKey]row
+	version uint64
+}
+
+// maxCopies is how many earlier states are kept.
+const maxCopies = 500
+
+// Return makes the store come back as it was some time ago, in a new era. Objects
+// stay. Operators and upstreams have to write their rows again.
+func (db *Store) Return(age time.Duration) {
+	db.mu.Lock()
+	defer db.mu.Unlock()
+	found := storeCopy{rows: map[rowKey]row{}}
+	for ix, cp := range db.copies {
+		if time.Since(cp.at) < age {
+			db.copies = db.copies[:ix]
+			break
+		}
+		found = cp
+	}
+	db.rows, db.version = maps.Clone(found.rows), found.version
+	db.history, db.oldest = nil, db.version+1
+	db.era++
+	db.notifyFeeds()
+}
+
+// notifyFeeds keeps a copy of the changed state and wakes up the feeds that wait for
+// a change.
 func (db *Store) notifyFeeds() {
+	db.copies = append(db.copies, storeCopy{time.Now(), maps.Clone(db.rows), db.version})
+	db.copies = db.copies[max(len(db.copies)-maxCopies, 0):]
 	close(db.changed)
 	db.changed = make(chan struct{})
 }
@@ -161,6 +198,7 @@
 	db.mu.Lock()
 	db.calls++
 	fl := db.faults
+	rw.Header().Set("Store-Era", strconv.FormatUint(db.era, 10))
 	db.mu.Unlock()
 	host, _, _ := net.SplitHostPort(rq.RemoteAddr)
 	// net/http cancels the request's context on a disconnect only after the body
@@ -233,6 +271,7 @@
 func (db *Store) handleGet(to http.ResponseWriter, rq *http.Request) {
 	query := rq.URL.Query()
 	db.mu.Lock()
+	to.Header().Set("Store-Era", strconv.FormatUint(db.era, 10))
 	an := answer{Rows: []row{}, Version: db.version}
 	for rk, rw := range db.rows {
 		if rk.table == query.Get("table") && rk.part == query.Get("part") && rk.key >= query.Get("from") {
@@ -256,7 +295,8 @@
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		db.mu.Lock()
-		if after+1 < db.oldest {
+		to.Header().Set("Store-Era", strconv.FormatUint(db.era, 10))
+		if after+1 < db.oldest || after > db.version {
 			db.mu.Unlock()
 			to.WriteHeader(http.StatusGone)
 			return
@@ -300,6 +340,7 @@
 		return
 	}
 	db.mu.Lock()
+	to.Header().Set("Store-Era", strconv.FormatUint(db.era, 10))
 	status, an := db.apply(tx)
 	lost := db.random.Float64() < fl.LoseAnswers
 	db.mu.Unlock()
