--- a/internal/catalog/roster/roster_test.go
+++ b/internal/catalog/roster/roster_test.go
@@ -30,6 +30,7 @@
 		"older entry arrives late":        {[][]roster.Entry{{draining}, {entry(4, 1)}}, "", true},
 		"entry is missing":                {[][]roster.Entry{{entry(1, 1)}, {}}, "gone", true},
 		"comes back":                      {[][]roster.Entry{{entry(1, 1)}, {}, {entry(2, 1)}}, "joined", false},
+		"copy of the store has it again":  {[][]roster.Entry{{entry(1, 1)}, {}, {entry(1, 1)}}, "", true},
 		"restarts":                        {[][]roster.Entry{{draining}, {entry(1, 2)}}, "restarted", false},
 		"entry of an earlier incarnation": {[][]roster.Entry{{entry(1, 2)}, {entry(9, 1)}}, "", false},
 	}
@@ -82,3 +83,28 @@
 	gm.Expect(roster.Digest([]roster.Entry{first})).NotTo(Equal(roster.Digest([]roster.Entry{second})))
 	gm.Expect(roster.Digest(nil)).NotTo(Equal(roster.Digest([]roster.Entry{first})))
 }
+
+// TestAnnounce checks that an upstream that has said in an answer that it leaves stays
+// so, whatever its entry says, until it restarts.
+func TestAnnounce(t *testing.T) {
+	gm := NewWithT(t)
+	rs, now := roster.New(), clock.Instant(time.Hour)
+	rs.Update(now, []roster.Entry{entry(1, 1)})
+	ch, changed := rs.Announce(now, "i-1")
+	gm.Expect(changed).To(BeTrue())
+	gm.Expect(ch.Kind).To(Equal("announcedLeaving"))
+	_, changed = rs.Announce(now, "i-1")
+	gm.Expect(changed).To(BeFalse())
+	entries := []roster.Entry{entry(2, 1)}
+	rs.MarkLeaving(entries)
+	gm.Expect(entries[0].Draining).To(BeTrue(), "for other hosts")
+	rs.Update(now, []roster.Entry{entry(2, 1)})
+	up, _ := rs.Get("i-1")
+	gm.Expect(up.LeavingAt).To(Equal(now))
+	entries = []roster.Entry{entry(1, 2)}
+	rs.MarkLeaving(entries)
+	gm.Expect(entries[0].Draining).To(BeFalse())
+	rs.Update(now, entries)
+	up, _ = rs.Get("i-1")
+	gm.Expect(up.Leaving()).To(BeFalse())
+}
--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -92,9 +92,77 @@
 		[]string{"./internal/catalog/bundle"},
 	},
 	"an unanswered write counts as not done": {
-		"platform/store.go", "		return Unknown, 0, err\n	}\n	switch status {", "		return NotDone, 0, err\n	}\n	switch status {",
+		"platform/store.go", "		return Unknown, 0, err\n	}\n	if er != current", "		return NotDone, 0, err\n	}\n	if er != current",
 		[]string{"./platform"},
 	},
+	"keys of a resumed move are granted while an old grant may take effect": {
+		"internal/ownership/leader/move.go", "now < co.resumedGiveAt(now, mv)", "now < co.startedAt.Add(maxGrantTime(fenceTTL))",
+		[]string{"-run=TestDisturbances", "./internal/ownership/agent"},
+	},
+	"a table that a late write left in the store is not taken over": {
+		"internal/ownership/agent/writes.go", "if co.writes.awaitingRead || otherTable {", "if co.writes.awaitingRead || otherTable && false {",
+		[]string{"-run=TestLateWrite", "./internal/ownership/agent"},
+	},
+	"a read that a write has overtaken is used": {
+		"internal/ownership/agent/writes.go", "overtaken := ms.Era < co.election.Era() || ms.TableVersion < co.tableVersion || ms.RowVersion < co.election.RowVersion()", "overtaken := false",
+		[]string{"-run=TestOvertakenRead", "./internal/ownership/agent"},
+	},
+	"epochs of an earlier era are given out again": {
+		"internal/ownership/leader/leader.go", "	co.draft.LastEpoch = max(co.draft.LastEpoch, era.First[keyspace.Epoch](co.era))\n", "",
+		[]string{"-run=TestDisturbances", "./internal/ownership/agent"},
+	},
+	"keys move while a lost assignment may be in use": {
+		"internal/ownership/leader/recovery.go", "		co.Freeze(rc.startedAt.Add(lostGrantTTL))\n", "",
+		[]string{"-run=TestDisturbances", "./internal/ownership/agent"},
+	},
+	"a leader of a new era trusts its own assignment": {
+		"internal/ownership/leader/recovery.go", "	if silent > 0 && waited < memberTimeout || len(rc.newer) > 0 && waited < reportTimeout {\n		return false\n	}\n", "",
+		[]string{"-run=TestDisturbances", "./internal/ownership/agent"},
+	},
+	"a version of an earlier era is sent to the store": {
+		"platform/store.go", "if ex.Version != 0 && ex.Version.Era() != current {", "if false {",
+		[]string{"-run=TestStoreEra", "./platform"},
+	},
+	"a write that another era has confirmed counts as done": {
+		"platform/store.go", "if er != current && status == http.StatusOK {", "if false {",
+		[]string{"-run=TestStoreEra", "./platform"},
+	},
+	"a watch goes on in another era": {
+		"platform/store.go", "if status == http.StatusGone || er != after.Era() {", "if status == http.StatusGone {",
+		[]string{"-run=TestStoreEra", "./platform"},
+	},
+	"an evacuation that the store has lost ends": {
+		"internal/fleet/gateway/evacuations.go", "		es.unsureUntil = now.Add(rewriteTimeout)\n", "",
+		[]string{"-run=TestEvacuations", "./internal/fleet/gateway"},
+	},
+	"an entry from a copy of the store brings an upstream back": {
+		"internal/catalog/roster/roster.go", "if known && up.Gone && en.Incarnation == up.Incarnation && en.Sequence == up.Sequence {", "if false {",
+		[]string{"./internal/catalog/roster"},
+	},
+	"an upstream that says that it leaves gets requests": {
+		"internal/serving/proxy/proxy.go", "	if rp.Leaving {", "	if false {",
+		[]string{"-run=TestLeavingInAnswers", "./internal/stand/deployment"},
+	},
+	"an upstream that asks for a pause gets requests": {
+		"internal/serving/proxy/proxy.go", "	if rp.Pause > 0 {", "	if false {",
+		[]string{"-run=TestPauseInRefusals", "./internal/stand/deployment"},
+	},
+	"a request goes on without its whole body": {
+		"internal/serving/httpserver/connection.go", "if status := cn.readBody(pr, hr, lm); status != 0 {", "if status := cn.readBody(pr, hr, lm); false && status != 0 {",
+		[]string{"./internal/serving/httpserver"},
+	},
+	"the head of an answer has no limit": {
+		"internal/serving/transport/transport.go", "cn.source.Remaining = maxHeadBytes", "cn.source.Remaining = socket.Unlimited",
+		[]string{"-run=TestBytesWithoutEnd", "./internal/serving/transport"},
+	},
+	"a route of unknown kind may be repeated": {
+		"platform/desired.go", "rt.Kind = desired.NonIdempotent", "rt.Kind = desired.Idempotent",
+		[]string{"-run=TestKinds", "./platform"},
+	},
+	"requests of a malformed route go to a shorter prefix": {
+		"platform/desired.go", "			if rt.Prefix != \"\" {", "			if !rt.Malformed {",
+		[]string{"-run=TestPartlyMalformed", "./platform"},
+	},
 	"a draining upstream gets requests": {
 		"internal/fleet/gateway/loop.go", "refuseAt := up.LeavingAt", "refuseAt := clock.Never",
 		[]string{"-run=TestDrainWhileStoreRefusesLeader", "./internal/stand/deployment"},
--- a/internal/ownership/agent/agent_test.go
+++ b/internal/ownership/agent/agent_test.go
@@ -135,6 +135,14 @@
 			sim.kill(leaderOf(sim))
 			sim.returnFromCopy(3 * time.Second)
 		}, 15 * time.Second},
+		"store returns from a copy as its leader restarts": {func(sim *simulation) {
+			sim.upstreams[0].draining = true
+			sim.run(time.Second)
+			ho := leaderOf(sim)
+			sim.kill(ho)
+			sim.returnFromCopy(3 * time.Second)
+			sim.after(150*time.Millisecond, func() { sim.start(ho) })
+		}, 4 * time.Second},
 		"store returns from a copy as an upstream crashes": {func(sim *simulation) {
 			sim.upstreams[1].up, sim.upstreams[1].downAt = false, sim.now
 			sim.run(500 * time.Millisecond)
--- a/internal/serving/proxy/proxy_test.go
+++ b/internal/serving/proxy/proxy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -42,7 +43,9 @@
 }
 
 func (testHeaders) DecodeReport(_ int, hd http.Header) proxy.Report {
-	return proxy.Report{HasSignature: hd.Get("Seal") != "", NotRun: hd.Get("Not-Run") != ""}
+	rp := proxy.Report{HasSignature: hd.Get("Seal") != "", NotRun: hd.Get("Not-Run") != "", Leaving: hd.Get("Leaving") != ""}
+	rp.Pause, _ = time.ParseDuration(hd.Get("Pause"))
+	return rp
 }
 
 // behavior is how an upstream treats one request.
@@ -123,6 +126,8 @@
 	addresses []string
 	issued    int
 	released  int
+	// onRelease may be nil.
+	onRelease func()
 }
 
 func (pm *permits) Acquire(_ context.Context, ask protocol.Ask) (proxy.Permit, *protocol.Refusal, error) {
@@ -140,6 +145,9 @@
 	pm.mu.Lock()
 	defer pm.mu.Unlock()
 	pm.released++
+	if pm.onRelease != nil {
+		pm.onRelease()
+	}
 }
 
 const timeout = 400 * time.Millisecond
@@ -152,8 +160,10 @@
 	byMethod.Methods, byMethod.BodyBytes = []string{http.MethodGet}, 8
 	keyed := route("keyed", desired.Idempotent)
 	keyed.Destinations[0].Service = "k"
-	st, err := desired.New(1, desired.Limits{}, []desired.Service{{Name: "s"}, {Name: "k", Keyed: true}},
-		[]desired.Route{route("lookup", desired.Idempotent), route("order", desired.NonIdempotent), byMethod, keyed})
+	st, err := desired.New(1, desired.Limits{}, []desired.Service{{Name: "s"}, {Name: "k", Keyed: true}}, []desired.Route{
+		route("lookup", desired.Idempotent), route("order", desired.NonIdempotent), route("upload", desired.Upload), byMethod, keyed,
+		{Prefix: "/lookup/malformed", Malformed: true},
+	})
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	return st
 }
@@ -195,6 +205,8 @@
 		"order is retried when the first upstream is unreachable": {"/order", nil, []behavior{answers}, 200, "", 1},
 		"no upstream is reachable for a lookup":                   {"/lookup", nil, nil, 503, notRun, 0},
 		"method that may not be repeated":                         {"/method", []behavior{breaks}, []behavior{answers}, 502, mayHaveRun, 1},
+		"upload is not retried after a broken connection":         {"/upload", []behavior{breaks}, []behavior{answers}, 502, mayHaveRun, 1},
+		"malformed route":                                         {"/lookup/malformed/1", []behavior{answers}, nil, 503, notRun, 0},
 		"no route":                                                {"/other", []behavior{answers}, nil, 404, notRun, 0},
 		"no key":                                                  {"/keyed", []behavior{answers}, nil, 400, notRun, 0},
 		"body exceeds the route's limit":                          {"/method-large", []behavior{answers}, nil, 413, notRun, 0},
@@ -273,3 +285,43 @@
 	gm.Expect(up.ran() - requests).To(BeNumerically("<=", allowance))
 	gm.Expect(up.ran()).To(BeNumerically(">", requests))
 }
+
+// TestWishes checks that what an upstream says about further requests is passed on
+// before its permit is released, but not what another one at its address says.
+func TestWishes(t *testing.T) {
+	cases := map[string]struct {
+		status int
+		header http.Header
+		want   []string
+	}{
+		"leaving":                    {200, http.Header{"Seal": {"s"}, "Leaving": {"1"}}, []string{"leaving", "released"}},
+		"pause":                      {503, http.Header{"Not-Run": {"1"}, "Pause": {"2s"}}, []string{"pause 2s", "released"}},
+		"both":                       {503, http.Header{"Not-Run": {"1"}, "Pause": {"2s"}, "Leaving": {"1"}}, []string{"leaving", "pause 2s", "released"}},
+		"neither":                    {200, http.Header{"Seal": {"s"}}, []string{"released"}},
+		"another upstream's address": {421, http.Header{"Not-Run": {"1"}, "Leaving": {"1"}}, []string{"released"}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			gm := NewWithT(t)
+			server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) {
+				maps.Copy(rw.Header(), tc.header)
+				rw.WriteHeader(tc.status)
+			}))
+			t.Cleanup(server.Close)
+			var seen []string
+			pm := &permits{addresses: []string{server.Listener.Addr().String()}, onRelease: func() { seen = append(seen, "released") }}
+			pl := transport.New(func(http.Header) ident.Request { return "" })
+			t.Cleanup(pl.Close)
+			st := state(t)
+			px := proxy.New(proxy.Config{
+				State: func() *desired.State { return st }, Permits: pm, Connections: pl, CallerHeaders: testHeaders{}, UpstreamHeaders: testHeaders{},
+				Budget: proxy.NewBudget(0, func() float64 { return 0 }),
+				OnEnd:  func(proxy.End) {}, OnKeyedRequest: func(ident.Service, keyspace.Key) {},
+				OnLeaving: func(ident.Upstream) { seen = append(seen, "leaving") },
+				OnPause:   func(_ proxy.Permit, pause time.Duration) { seen = append(seen, "pause "+pause.String()) },
+			})
+			px.Serve(t.Context(), &httpserver.Request{Method: http.MethodGet, URI: "/lookup", Header: http.Header{"Id": {"r"}}, Arrived: time.Now()})
+			gm.Expect(seen).To(Equal(tc.want))
+		})
+	}
+}
--- a/internal/stand/deployment/wishes_test.go
+++ b/internal/stand/deployment/wishes_test.go
@@ -84,6 +84,10 @@
 			gm.Expect(after.Broken()).To(BeFalse(), "%+v\n%s", after, lg.String())
 			gm.Expect(after.Answered).To(Equal(after.Requests), "%+v\n%s", after, lg.String())
 			gm.Expect(strings.Count(lg.String(), "event=assignmentRecovered")).To(Equal(1), lg.String())
+			_, found := dp.Store.Get("chervilwalk", "era/0")
+			gm.Expect(found).To(BeFalse(), "a write of the earlier era must find its era's row gone")
+			_, found = dp.Store.Get("chervilwalk", "era/1")
+			gm.Expect(found).To(BeTrue())
 		})
 	}
 }
