End a request at once when its own host's holder refuses it; close what is open

Each refusal was dropped and the ask repeated until the deadline, when the caller got noAnswerFromHolder.

TestRefusalByOwnHolder fails on the code before.

--- a/internal/catalog/assignment/codec.go
+++ b/internal/catalog/assignment/codec.go
@@ -96,7 +96,7 @@
 	}
 	body, err := compress(text)
 	if err == nil && len(body) > MaxBytes {
-		err = fmt.Errorf("%w: %d bytes, %d shares, %d members", ErrTooLarge, len(body), len(tb.Shares), len(tb.Members))
+		return nil, fmt.Errorf("%w: %d bytes, %d shares, %d members", ErrTooLarge, len(body), len(tb.Shares), len(tb.Members))
 	}
 	return body, err
 }
--- a/internal/catalog/assignment/delta.go
+++ b/internal/catalog/assignment/delta.go
@@ -19,7 +19,8 @@
 type Delta struct {
 	Base, Revision Revision
 	LastEpoch      keyspace.Epoch
-	// Members holds all members if any of them changed; otherwise it is empty.
+	// Members holds all members if any of them changed; otherwise it is empty. A table
+	// whose members have all left has no delta.
 	Members []Member
 	// Dropped shares are removed before Added shares are inserted.
 	Dropped []ShareStart
--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -109,6 +109,8 @@
 	events          chan any
 	done            chan struct{}
 	tasks           sync.WaitGroup
+	// bounds holds those of the newest settings.
+	bounds atomic.Pointer[platform.Bounds]
 
 	// The fields below are owned by the event loop.
 
@@ -152,6 +154,7 @@
 		grantClients: grantClients{clients: map[ident.Upstream]*grantClient{}}, wishes: newWishes(),
 	}
 	gw.grantClients.onLeaving = gw.onLeaving
+	gw.bounds.Store(&st.Bounds)
 	gw.loads = newLoadCounter()
 	gw.permitClient = newPermitClient(gw)
 	var opts []leader.Option
@@ -180,7 +183,11 @@
 	})
 	gw.callerServer = httpserver.New(gw.proxy.Serve, gw.limits)
 	gw.readyServer = httpserver.New(gw.serveReady, gw.limits)
-	return gw, gw.listen()
+	if err := gw.listen(); err != nil {
+		_ = gw.socket.Close()
+		return nil, err
+	}
+	return gw, nil
 }
 
 // fullFitnessLink is the link speed in Mbit/s above which a host is no better as
@@ -205,6 +212,7 @@
 	}
 	ready, err := net.Listen("tcp", gw.config.Settings.ReadyAddress)
 	if err != nil {
+		_ = callers.Close()
 		return eris.Wrap(err, "listen for readiness probes")
 	}
 	gw.serveMetrics()
@@ -242,7 +250,7 @@
 	gw.isReady.Store(false)
 	gw.callerServer.Drain()
 	gw.send(agent.StopMsg{})
-	end := began.Add(gw.config.Settings.Bounds.Grace - stopMargin)
+	end := began.Add(gw.bounds.Load().Grace - stopMargin)
 	for time.Now().Before(end) {
 		if time.Since(began) > stopAcceptTimeout {
 			gw.callerServer.CloseIdle()
@@ -256,7 +264,8 @@
 	gw.Close()
 }
 
-// Close stops the process at once, without draining.
+// Close stops the process at once, without draining, and waits for its tasks. Calls to
+// the store and to upstreams that are in flight end on their own.
 func (gw *Gateway) Close() {
 	gw.callerServer.Close()
 	gw.readyServer.Close()
@@ -267,6 +276,8 @@
 	_ = gw.socket.Close()
 	gw.connPool.Close()
 	gw.grantClients.closeAll()
+	gw.tasks.Wait()
+	gw.store.Close()
 }
 
 // Reload applies those new settings that can change in a running process.
@@ -292,7 +303,7 @@
 			alive++
 		}
 	}
-	return gw.config.Settings.Bounds.RetryAllowance / float64(max(alive, defaultHosts))
+	return gw.bounds.Load().RetryAllowance / float64(max(alive, defaultHosts))
 }
 
 // defaultHosts is the number of hosts assumed until the members are known.
--- a/internal/fleet/gateway/loadcounter.go
+++ b/internal/fleet/gateway/loadcounter.go
@@ -35,8 +35,9 @@
 func (lc *loadCounter) countArrival(sv ident.Service, ky keyspace.Key) {
 	lc.mu.Lock()
 	defer lc.mu.Unlock()
-	if len(lc.keys) < maxCountedKeys {
-		lc.keys[serviceKey{sv, ky}]++
+	counted := serviceKey{sv, ky}
+	if _, known := lc.keys[counted]; known || len(lc.keys) < maxCountedKeys {
+		lc.keys[counted]++
 	}
 }
 
--- a/internal/fleet/gateway/loop.go
+++ b/internal/fleet/gateway/loop.go
@@ -86,7 +86,7 @@
 	case dumpEvent:
 		ev.reply <- gw.dump()
 	case settingsEvent:
-		gw.config.Settings.Bounds = ev.settings.Bounds
+		gw.bounds.Store(&ev.settings.Bounds)
 	default:
 		gw.updateAgent(ev)
 	}
--- a/internal/fleet/gateway/peers.go
+++ b/internal/fleet/gateway/peers.go
@@ -181,7 +181,8 @@
 // delta does not fit into a datagram or the address is malformed.
 func (gw *Gateway) sendAssignmentDelta(cmd agent.AssignmentCmd) bool {
 	to, err := netip.ParseAddrPort(cmd.To)
-	if err != nil {
+	if err != nil || len(cmd.Table.Members) == 0 {
+		// A delta cannot say that all members have left.
 		return false
 	}
 	if gw.lastDiff.base != cmd.Base || gw.lastDiff.table != cmd.Table {
--- a/internal/fleet/gateway/permitclient.go
+++ b/internal/fleet/gateway/permitclient.go
@@ -165,6 +165,10 @@
 	if len(pa.skipped) < maxHolders {
 		pa.holder, pa.address, pa.ask.Fallback = pc.chooseHolder(now, pa)
 	}
+	if pa.holder == pc.gw.self.Host {
+		// Replies of this host's own core have no address.
+		pa.address = ""
+	}
 	pc.sendAsk(now, pa)
 }
 
--- a/internal/fleet/gateway/store.go
+++ b/internal/fleet/gateway/store.go
@@ -263,7 +263,18 @@
 			}
 			continue
 		}
-		rows, version, err := gw.store.Read(platform.UpstreamTable, "", time.Now().Add(readTimeout))
+		answer := make(chan readResult, 1)
+		go func() {
+			rows, version, err := gw.store.Read(platform.UpstreamTable, "", time.Now().Add(readTimeout))
+			answer <- readResult{rows, version, err}
+		}()
+		var rr readResult
+		select {
+		case <-gw.done:
+			return
+		case rr = <-answer:
+		}
+		rows, version, err := rr.rows, rr.version, rr.err
 		wait := pollInterval
 		if gw.leading.Load() {
 			wait = leaderPollInterval
@@ -289,15 +300,15 @@
 	}
 }
 
-// newlyMalformed returns the malformed entries that were not malformed before, so
-// that each is logged once. The map known holds the versions of those that were, by
+// newlyMalformed returns the malformed entries that are new or have changed, so that
+// each is logged once. The map known holds the versions of those that were, by
 // key; it is updated.
 func newlyMalformed(malformed []platform.MalformedEntry, known map[string]platform.Version) []platform.MalformedEntry {
 	var added []platform.MalformedEntry
 	seen := map[string]bool{}
 	for _, me := range malformed {
 		seen[me.Key] = true
-		if _, before := known[me.Key]; !before {
+		if version, before := known[me.Key]; !before || version != me.Version {
 			added = append(added, me)
 		}
 		known[me.Key] = me.Version
--- a/internal/operations/acceptance/acceptance.go
+++ b/internal/operations/acceptance/acceptance.go
@@ -24,6 +24,9 @@
 // or whose outcome is unknown.
 const retryDelay = 100 * time.Millisecond
 
+// maxAcceptTime is how long Accept tries at most.
+const maxAcceptTime = time.Minute
+
 var (
 	// ErrNoBundle means that no bundle was accepted yet.
 	ErrNoBundle = eris.New("no bundle was accepted yet")
@@ -133,9 +136,11 @@
 // Accept makes a sealed bundle the accepted one. Accepting the accepted bundle
 // again succeeds and only stores its body again. If another bundle was accepted
 // first, the error is a *ConflictError; if a version is skipped, a *GapError. It
-// repeats a write that had no effect or whose outcome is unknown until ctx ends, and
-// then returns ErrOutcomeUnknown.
+// repeats a write that had no effect or whose outcome is unknown until ctx ends, or
+// for maxAcceptTime, and then returns ErrOutcomeUnknown.
 func (rp Repository) Accept(ctx context.Context, sl bundle.Seal) (Accepted, error) {
+	ctx, cancel := context.WithTimeout(ctx, maxAcceptTime)
+	defer cancel()
 	rowVersion, pt, err := rp.readPointer(ctx)
 	if err != nil {
 		return Accepted{}, err
--- a/internal/operations/explain/explain.go
+++ b/internal/operations/explain/explain.go
@@ -11,6 +11,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -47,23 +48,31 @@
 	"noUpstream":         "no upstream could run it: none is listed, or its key had no owner; it did not run",
 	"noAnswerFromHolder": "no holder answered the request for a permit; it did not run",
 	"unreached":          "no connection to the upstream could be opened; it did not run",
-	"refused":            "the upstream refused it and reported that it did not run it",
+	"refused":            "the upstream refused it and reported so; it did not run",
 	"disowned":           "the upstream did not hold the key; it did not run",
 	"broken":             "it was sent, but the connection broke or the answer was not valid; it may have run",
 	"timedOut":           "it was sent, but no answer came in time; it may have run",
 	"unsignedAnswer":     "the answer lacked the upstream's signature; it may have run",
+	"upstreamPaused":     "the only upstream that could run it wanted no request from this host; it did not run",
+	"routeMalformed":     "its route in the desired state could not be read; nothing was sent",
 	"outOfTime":          "its deadline passed before it could be sent again",
 }
 
+// notRunCauses are the causes that say of the last attempt that it did not run.
+var notRunCauses = map[string]bool{
+	"noRoomInTime": true, "waitedTooLong": true, "noUpstream": true, "noAnswerFromHolder": true, "unreached": true, "refused": true, "disowned": true,
+	"upstreamPaused": true, "outOfTime": true,
+}
+
 // stateEvents report a change of a host's state or of what it knows.
 var stateEvents = map[string]bool{
 	"start": true, "stopping": true, "stop": true, "desiredState": true, "desiredStateMalformed": true, "bundleOpened": true, "leader": true,
-	"leading": true, "storeLost": true, "storeRegained": true, "desiredStateSourceLost": true, "desiredStateSourceRegained": true,
+	"leading": true, "storeLost": true, "storeRegained": true, "storeEra": true, "assignmentRecovered": true, "desiredStateSourceLost": true, "desiredStateSourceRegained": true,
 	"domainEvacuated": true, "domainTakenBack": true, "memberLost": true, "linesDropped": true,
 }
 
 // upstreamEvents report the state of an upstream.
-var upstreamEvents = map[string]bool{"upstream": true, "upstreamUnreached": true, "renewalFailed": true}
+var upstreamEvents = map[string]bool{"upstream": true, "upstreamUnreached": true, "renewalFailed": true, "upstreamPaused": true}
 
 // moveEvents report how moves of keys proceed.
 var moveEvents = map[string]bool{"movePlanned": true, "moved": true, "grantLapsed": true, "stepFailed": true}
@@ -147,6 +156,10 @@
 	if oc.Description == "" {
 		oc.Description = "these logs do not show how it ended"
 	}
+	if status := last.Int("status"); notRunCauses[last.Fields["cause"]] && (status == http.StatusBadGateway || status == http.StatusGatewayTimeout) {
+		// Only an attempt that may have run makes these statuses of such a cause.
+		oc.Description = "an earlier attempt may have run; then " + strings.Replace(oc.Description, "it did not run", "it was not run again", 1)
+	}
 	began := last.At.Add(-time.Duration(last.Int("tookMs")) * time.Millisecond)
 	hosts, upstreams := map[string]bool{}, map[string]bool{}
 	key, keyed := 0, false
--- a/internal/operations/explain/explain_test.go
+++ b/internal/operations/explain/explain_test.go
@@ -22,6 +22,7 @@
 5.1 b-1 2026-01-01T10:00:05.105Z host=a-1 event=request cause=noUpstream holder=b-1 key=150 request=r1 service=lookup status=503 tookMs=7
 2026-01-01T10:00:06.000Z host=a-1 event=desiredState routes=3 services=3 version=8
 2026-01-01T10:00:07.000Z host=a-1 event=request cause=broken error="unexpected EOF" holder=b-1 request=r2 service=orders status=502 tookMs=40 upstream=i-5
+2026-01-01T10:00:07.500Z host=a-1 event=request attempts=2 cause=refused holder=b-1 request=r3 service=lookup status=502 tookMs=40 upstream=i-6
 2026-01-01T10:00:06.500Z host=a-1 event=upstream now=draining upstream=i-5
 `
 
@@ -35,7 +36,8 @@
 			[]string{"status 503, cause noUpstream, 7 ms", "its key had no owner", "b-1 event=refused", "from=100", "version=7", "event=storeLost"},
 			[]string{"from=200", "version=4", "version=8", "c-9", "r2"},
 		},
-		"a broken connection": {"r2", []string{"status 502, cause broken", "may have run", "now=draining", "version=8", "unexpected EOF"}, []string{"movePlanned"}},
+		"a refusal after an attempt that may have run": {"r3", []string{"status 502, cause refused", "an earlier attempt may have run"}, []string{"it did not run it"}},
+		"a broken connection":                          {"r2", []string{"status 502, cause broken", "may have run", "now=draining", "version=8", "unexpected EOF"}, []string{"movePlanned"}},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/ownership/balance/balance.go
+++ b/internal/ownership/balance/balance.go
@@ -185,10 +185,10 @@
 }
 
 // split halves a range by load until each piece is one key or its rate is at most
-// maxPieceFraction of the capacity or minPieceRate, whichever is higher.
+// maxPieceFraction of a target's mean capacity or minPieceRate, whichever is higher.
 func (pl *plan) split(rg keyspace.Range) []keyspace.Range {
 	rate := pl.load.Rate(rg)
-	limit := max(maxPieceFraction*pl.targets[0].Capacity, minPieceRate)
+	limit := max(maxPieceFraction*pl.totalCapacity/float64(len(pl.targets)), minPieceRate)
 	if rate <= limit || rg.From == rg.To || pl.wholeShares {
 		return []keyspace.Range{rg}
 	}
--- a/internal/peer/protocol/codec.go
+++ b/internal/peer/protocol/codec.go
@@ -11,7 +11,8 @@
 var errMalformed = errors.New("protocol: datagram is truncated or has another version")
 
 // codec encodes or decodes a message's fields in one fixed order, so that both
-// directions share one mapping. After an error the remaining fields stay zero.
+// directions share one mapping. Encoding leaves the fields alone: other goroutines may
+// read them. After an error the remaining fields stay zero.
 type codec struct {
 	// buf is the datagram so far when writing, the unread rest when reading.
 	buf     []byte
@@ -54,7 +55,9 @@
 		number = 1
 	}
 	varint(cd, &number)
-	*value = number != 0
+	if cd.reading {
+		*value = number != 0
+	}
 }
 
 // duration codes a duration in microseconds, a negative one as 0. Hosts send
@@ -62,7 +65,9 @@
 func duration(cd *codec, value *time.Duration) {
 	micros := max(value.Microseconds(), 0)
 	varint(cd, &micros)
-	*value = time.Duration(micros) * time.Microsecond
+	if cd.reading {
+		*value = time.Duration(micros) * time.Microsecond
+	}
 }
 
 // list codes the number of values, then each value with element.
--- a/internal/stand/deployment/wishes_test.go
+++ b/internal/stand/deployment/wishes_test.go
@@ -91,3 +91,18 @@
 		})
 	}
 }
+
+// TestRefusalByOwnHolder covers a host that holds the permits of its own callers'
+// requests. A refusal must end the request at once, as one from another host does.
+func TestRefusalByOwnHolder(t *testing.T) {
+	t.Parallel()
+	gm := NewWithT(t)
+	dp, lg := startDeployment(t, 64, 9, func(cf *deployment.Config) { cf.Hosts = 1 })
+	for _, id := range []string{"i-orders-0", "i-orders-1", "i-orders-2", "i-lookup-0"} {
+		dp.Upstream(id).SetFaults(fakeupstream.Faults{Slow: 15})
+	}
+	counts := dp.Load(t.Context(), 100, 3*time.Second)
+	gm.Expect(counts.Broken()).To(BeFalse(), "%+v", counts)
+	gm.Expect(lg.String()).To(ContainSubstring("cause=noRoomInTime"))
+	gm.Expect(lg.String()).NotTo(ContainSubstring("cause=noAnswerFromHolder"))
+}
--- a/internal/stand/fakeupstream/fakeupstream.go
+++ b/internal/stand/fakeupstream/fakeupstream.go
@@ -351,7 +351,7 @@
 	}
 	rw.Header().Set("Request-Id", id)
 	key, keyErr := strconv.Atoi(rq.Header.Get("Shard-Key"))
-	if !up.admit(rw, rq, key, keyErr == nil) {
+	if !up.admit(rw, rq, key, keyErr == nil && key >= 0 && key < 1<<16) {
 		return
 	}
 	up.mu.Lock()
