Renew no grant on a new connection before the assignment is confirmed

Cause: an upstream that restarts under its id knows nothing of before. A host that had not heard of a move renewed what the upstream had owned, and it took the keys while their next owner held them: 'granted key 0 with epoch 1 to u0 while u3 holds it with epoch 10' in the simulation, with the renewers' datagrams held up for 1.5 s and a restart within 20 ms.

A restarted upstream answers on new connections only. Renewals have clients of their own, whose new connections are not used until the leader or the store has confirmed the assignment since they were opened; the host asks for that at once. Ruled out: waiting for every member's acknowledgement before keys are given, which delays all moves by two seconds while a dead host is listed.

A handler that panics ends its caller's connection, is logged, and no longer ends the process.

--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -151,9 +152,9 @@
 		self:   assignment.Member{Host: st.Host, Domain: st.Domain, Address: st.PeerAddress, Incarnation: uint64(time.Now().UnixMicro()), Fitness: max(int(100*fitness(st)), 1), Alive: true},
 		events: make(chan any, eventBuffer), done: make(chan struct{}), rereadOperators: make(chan struct{}, 1), roster: roster.New(),
 		restoredColdUntil: map[ident.Domain]clock.Instant{}, evacuatedAt: map[ident.Domain]clock.Instant{}, permits: permit.New(),
-		grantClients: grantClients{clients: map[ident.Upstream]*grantClient{}}, wishes: newWishes(),
+		grantClients: grantClients{clients: map[grantClientID]*grantClient{}}, wishes: newWishes(),
 	}
-	gw.grantClients.onLeaving = gw.onLeaving
+	gw.grantClients.onLeaving, gw.grantClients.mayRenewOn = gw.onLeaving, gw.mayRenewOn
 	gw.bounds.Store(&st.Bounds)
 	gw.loads = newLoadCounter()
 	gw.permitClient = newPermitClient(gw)
@@ -181,7 +182,7 @@
 		OnEnd:  gw.observeRequest, OnKeyedRequest: gw.loads.countArrival,
 		OnLeaving: gw.onLeaving, OnPause: gw.onPause,
 	})
-	gw.callerServer = httpserver.New(gw.proxy.Serve, gw.limits)
+	gw.callerServer = httpserver.New(gw.proxy.Serve, gw.limits, httpserver.OnPanic(gw.logPanic))
 	gw.readyServer = httpserver.New(gw.serveReady, gw.limits)
 	if err := gw.listen(); err != nil {
 		_ = gw.socket.Close()
@@ -234,6 +235,12 @@
 	return nil
 }
 
+// logPanic logs a panic while a request was handled. Its permit expires with the
+// request's deadline.
+func (gw *Gateway) logPanic(value any) {
+	gw.config.Log.ErrorEvent("requestPanicked", eris.Errorf("%v", value), eventlog.Fields{"stack": string(debug.Stack())})
+}
+
 func (gw *Gateway) serve(sv *httpserver.Server, ln net.Listener) {
 	if err := sv.Serve(ln); err != nil {
 		gw.config.Log.ErrorEvent("listenerFailed", err, eventlog.Fields{"address": ln.Addr().String()})
--- a/internal/fleet/gateway/grantclient.go
+++ b/internal/fleet/gateway/grantclient.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"sync"
 	"time"
 
@@ -23,17 +24,27 @@
 	address string
 }
 
-// grantClients keeps one client per upstream.
+// grantClientID identifies a client. Renewals have a client of their own, whose
+// connections wait for a confirmation of the assignment.
+type grantClientID struct {
+	upstream ident.Upstream
+	renewals bool
+}
+
+// grantClients keeps the clients of each upstream.
 type grantClients struct {
 	mu      sync.Mutex
-	clients map[ident.Upstream]*grantClient
+	clients map[grantClientID]*grantClient
+	// mayRenewOn decides whether a connection that was opened at a time may renew
+	// grants.
+	mayRenewOn func(openedAt time.Time) bool
 	// onLeaving is called when an upstream says that it is leaving.
 	onLeaving func(ident.Upstream)
 }
 
-// get returns the client of an upstream at an address. It replaces the client
-// if the address has changed.
-func (gcs *grantClients) get(id ident.Upstream, address string) *grantClient {
+// get returns a client of an upstream at an address. It replaces the client if the
+// address has changed.
+func (gcs *grantClients) get(id grantClientID, address string) *grantClient {
 	gcs.mu.Lock()
 	defer gcs.mu.Unlock()
 	gc, known := gcs.clients[id]
@@ -41,7 +52,11 @@
 		if known {
 			gc.Close()
 		}
-		gc = &grantClient{platform.NewGrantClient(id, address, gcs.onLeaving), address}
+		var opts []platform.GrantOption
+		if id.renewals {
+			opts = append(opts, platform.WaitForConfirmation(gcs.mayRenewOn))
+		}
+		gc = &grantClient{platform.NewGrantClient(id.upstream, address, gcs.onLeaving, opts...), address}
 		gcs.clients[id] = gc
 	}
 	return gc
@@ -52,7 +67,7 @@
 	gcs.mu.Lock()
 	defer gcs.mu.Unlock()
 	for id, gc := range gcs.clients {
-		if _, listed := rs.Get(id); !listed {
+		if _, listed := rs.Get(id.upstream); !listed {
 			gc.Close()
 			delete(gcs.clients, id)
 		}
@@ -77,10 +92,14 @@
 				break
 			}
 			gt := platform.Grant{Range: sh.Range, Epoch: sh.Owner.Epoch, TTL: renewal.GrantTTL}
-			outcome, err := gw.grantClients.get(cmd.Upstream, ep.address).Grant(gt, time.Now().Add(renewal.CallTimeout))
+			outcome, err := gw.grantClients.get(grantClientID{cmd.Upstream, true}, ep.address).Grant(gt, time.Now().Add(renewal.CallTimeout))
 			if outcome == platform.GrantTaken {
 				continue
 			}
+			if errors.Is(err, platform.ErrNewConnection) {
+				result.Unconfirmed = true
+				break
+			}
 			gw.logRenewalFailure(sh, outcome, err)
 			result.Reached = outcome == platform.GrantSuperseded || outcome == platform.GrantRefused
 			result.Superseded = outcome == platform.GrantSuperseded
@@ -100,6 +119,13 @@
 	gw.config.Log.Event("renewalFailed", fields)
 }
 
+// mayRenewOn reports whether the assignment was confirmed after a connection was opened.
+// An upstream that restarts under its id forgets that it had to give keys up. It answers
+// on new connections only, and a confirmation since then covers every move before.
+func (gw *Gateway) mayRenewOn(openedAt time.Time) bool {
+	return gw.clock.Now().Add(-time.Since(openedAt)) <= clock.Instant(gw.tableConfirmedAt.Load())
+}
+
 // mayRenew reports whether the newest table still assigns a share to its owner
 // and was confirmed recently.
 func (gw *Gateway) mayRenew(sh assignment.Share) bool {
@@ -120,7 +146,7 @@
 		sinceConfirmed := gw.clock.Now().Sub(clock.Instant(gw.leadershipConfirmedAt.Load()))
 		// Without a valid lease another host may lead soon, so no call is made.
 		if known && sinceConfirmed < election.LeaseTTL {
-			gc := gw.grantClients.get(cmd.Upstream, ep.address)
+			gc := gw.grantClients.get(grantClientID{cmd.Upstream, false}, ep.address)
 			deadline := time.Now().Add(cmd.Timeout)
 			if cmd.Step == leader.Release {
 				var handover keyspace.Handover
--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -107,6 +107,10 @@
 		"internal/ownership/agent/writes.go", "overtaken := ms.Era < co.election.Era() || ms.TableVersion < co.tableVersion || ms.RowVersion < co.election.RowVersion()", "overtaken := false",
 		[]string{"-run=TestOvertakenRead", "./internal/ownership/agent"},
 	},
+	"a renewal reaches an upstream that may have restarted": {
+		"platform/grant.go", "if !gc.mayUse(oc.at) && time.Since(oc.at) < grantIdleTimeout {", "if false {",
+		[]string{"-run=TestNewConnection", "./platform"},
+	},
 	"epochs of an earlier era are given out again": {
 		"internal/ownership/leader/leader.go", "	co.draft.LastEpoch = max(co.draft.LastEpoch, era.First[keyspace.Epoch](co.era))\n", "",
 		[]string{"-run=TestDisturbances", "./internal/ownership/agent"},
--- a/internal/ownership/agent/agent.go
+++ b/internal/ownership/agent/agent.go
@@ -22,6 +22,8 @@
 const (
 	// statusInterval is the time between two statuses to the leader.
 	statusInterval = 400 * time.Millisecond
+	// minStatusInterval is the shortest time between two statuses.
+	minStatusInterval = 40 * time.Millisecond
 	// electionInterval is the longest time between two ticks of the election.
 	electionInterval = 150 * time.Millisecond
 )
@@ -120,6 +122,10 @@
 		co.updateLeader(now, leader.StepMsg(ms))
 	case RenewedMsg:
 		co.updateRenewal(now, renewal.ResultMsg(ms))
+		if ms.Unconfirmed && now.Sub(co.statusSentAt) >= minStatusInterval {
+			// The reply confirms the table.
+			co.sendStatus(now)
+		}
 	case StopMsg:
 		co.stopping = true
 		co.updateElection(now, election.ResignMsg{})
--- a/internal/ownership/agent/agent_test.go
+++ b/internal/ownership/agent/agent_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"chervilwalk/internal/base/ident"
+	"chervilwalk/internal/base/keyspace"
 )
 
 // logTail returns the last 400 log lines of the simulation for a failure text,
@@ -157,6 +158,23 @@
 			}
 			sim.returnFromCopy(3 * time.Second)
 		}, 15 * time.Second},
+		"an upstream restarts at once after its keys have moved, before its renewer hears of it": {func(sim *simulation) {
+			up := sim.upstreams[0]
+			for _, ho := range sim.hosts {
+				if ho.member.Domain == up.domain && ho != leaderOf(sim) {
+					// Datagrams to the hosts that renew its grants are held up.
+					ho.deafUntil = sim.now.Add(1500 * time.Millisecond)
+				}
+			}
+			up.draining = true
+			for range 3000 {
+				if up.epochs != [samples]keyspace.Epoch{} && sim.moved(up) {
+					break
+				}
+				sim.run(time.Millisecond)
+			}
+			sim.crash(up, 20*time.Millisecond)
+		}, 15 * time.Second},
 		"grants take effect late": {func(sim *simulation) { sim.lateGrantRate = 0.3 }, 9 * time.Second},
 	}
 	for name, tc := range cases {
@@ -303,6 +321,16 @@
 	return false
 }
 
+// moved reports whether no stored share names an upstream as its owner any more.
+func (sim *simulation) moved(up *upstream) bool {
+	for _, sh := range sim.table.Shares {
+		if sh.Owner.Upstream == up.id {
+			return false
+		}
+	}
+	return len(sim.table.Shares) > 0
+}
+
 // isolate partitions a domain from the others and its hosts from the store.
 func (sim *simulation) isolate(domain ident.Domain, span time.Duration) {
 	sim.partitionedDomain = domain
--- a/internal/ownership/agent/simulation_test.go
+++ b/internal/ownership/agent/simulation_test.go
@@ -57,16 +57,26 @@
 
 // host is a chervilwalk process; its core is nil while it is down.
 type host struct {
-	member           assignment.Member
-	core             *agent.Core
-	up               bool
-	pausedUntil      clock.Instant
-	resumedAt        clock.Instant
-	wake             clock.Instant
+	member      assignment.Member
+	core        *agent.Core
+	up          bool
+	pausedUntil clock.Instant
+	resumedAt   clock.Instant
+	wake        clock.Instant
+	// connections are those over which it renews grants.
+	connections map[ident.Upstream]connection
+	// Datagrams to the host are lost until deafUntil.
+	deafUntil        clock.Instant
 	storeUnreachable bool
 	storeDown        bool
 }
 
+// connection is a connection to an incarnation of an upstream.
+type connection struct {
+	incarnation roster.Incarnation
+	openedAt    clock.Instant
+}
+
 // upstream is a server with, per sampled key, the epoch of its newest grant and
 // the time at which that grant expires.
 type upstream struct {
@@ -167,6 +177,7 @@
 func (sim *simulation) start(ho *host) {
 	ho.member.Incarnation = uint64(sim.now)
 	ho.core, ho.up, ho.pausedUntil = agent.New(ho.member, 0.2), true, 0
+	ho.connections = map[ident.Upstream]connection{}
 	core := ho.core
 	sim.after(time.Duration(sim.rng.Intn(200))*time.Millisecond, func() { sim.pollEntries(ho, core) })
 	sim.tick(ho, core)
@@ -277,7 +288,7 @@
 // send delivers a datagram with some latency; one in 50 is lost.
 func (sim *simulation) send(from *host, address string, msg any) {
 	for _, to := range sim.hosts {
-		if to.member.Address != address || !to.up || sim.partitioned(from.member.Domain, to.member.Domain) || sim.rng.Intn(50) == 0 {
+		if to.member.Address != address || !to.up || sim.now < to.deafUntil || sim.partitioned(from.member.Domain, to.member.Domain) || sim.rng.Intn(50) == 0 {
 			continue
 		}
 		core, delay := to.core, sim.delay()
@@ -515,6 +526,15 @@
 	done := func(reached, superseded bool) {
 		sim.deliver(ho, core, agent.RenewedMsg{Upstream: cmd.Upstream, Reached: reached, Superseded: superseded})
 	}
+	if up := sim.findUpstream(cmd.Upstream); ix == 0 && up.up {
+		if cn, known := ho.connections[up.id]; !known || cn.incarnation != up.incarnation {
+			ho.connections[up.id] = connection{up.incarnation, sim.now}
+		}
+		if core.TableConfirmed() < ho.connections[up.id].openedAt {
+			sim.deliver(ho, core, agent.RenewedMsg{Upstream: cmd.Upstream, Unconfirmed: true})
+			return
+		}
+	}
 	if ix == len(cmd.Shares) {
 		done(true, false)
 		return
--- a/internal/ownership/renewal/renewal.go
+++ b/internal/ownership/renewal/renewal.go
@@ -53,6 +53,9 @@
 	Upstream   ident.Upstream
 	Reached    bool
 	Superseded bool
+	// Unconfirmed means that the table has to be confirmed again before the upstream,
+	// which may have restarted, gets a call.
+	Unconfirmed bool
 }
 
 // TickMsg reports that time has passed.
@@ -73,6 +76,8 @@
 	// failingSince is when renewals began to fail, clock.Never while they succeed.
 	failingSince clock.Instant
 	superseded   bool
+	// unconfirmed renewals start again with the next confirmation.
+	unconfirmed bool
 }
 
 // Core schedules the renewals of one host. It is not safe for concurrent use.
@@ -96,6 +101,11 @@
 		co.handleTable(now, ms)
 	case ConfirmMsg:
 		co.confirmedAt, co.everConfirmed = max(co.confirmedAt, ms.At), true
+		for _, st := range co.states {
+			if st.unconfirmed {
+				st.unconfirmed, st.due = false, min(st.due, now)
+			}
+		}
 	case ResultMsg:
 		co.handleResult(now, ms)
 	}
@@ -177,6 +187,10 @@
 		return
 	}
 	st.inFlight, st.superseded = false, ms.Superseded
+	if ms.Unconfirmed {
+		st.unconfirmed, st.due = true, min(st.due, now.Add(retryDelay))
+		return
+	}
 	if ms.Reached {
 		st.failingSince = clock.Never
 		return
--- a/internal/serving/httpserver/connection.go
+++ b/internal/serving/httpserver/connection.go
@@ -104,7 +104,7 @@
 		handled := make(chan struct{})
 		go func() {
 			defer close(handled)
-			rs := cn.server.handler(cn.ctx, pr.request)
+			rs := cn.server.handle(cn.ctx, pr.request)
 			if pr.request.Rest != nil && !pr.request.Rest.complete() {
 				// No further request can be found behind a body that was not read.
 				pr.close = true
--- a/internal/serving/httpserver/httpserver.go
+++ b/internal/serving/httpserver/httpserver.go
@@ -85,6 +85,7 @@
 type Server struct {
 	handler  Handler
 	limits   func() Limits
+	onPanic  func(value any)
 	draining atomic.Bool
 
 	mu       sync.Mutex
@@ -93,9 +94,35 @@
 	group    sync.WaitGroup
 }
 
+// Option configures a Server.
+type Option func(*Server)
+
+// OnPanic makes the server survive a handler that panics: it calls report with the
+// value and closes the caller's connection. Without it the process ends.
+func OnPanic(report func(value any)) Option {
+	return func(sv *Server) { sv.onPanic = report }
+}
+
 // New makes a server. It calls limits for each request.
-func New(handler Handler, limits func() Limits) *Server {
-	return &Server{handler: handler, limits: limits, conns: map[*connection]struct{}{}}
+func New(handler Handler, limits func() Limits, opts ...Option) *Server {
+	sv := &Server{handler: handler, limits: limits, conns: map[*connection]struct{}{}}
+	for _, opt := range opts {
+		opt(sv)
+	}
+	return sv
+}
+
+// handle calls the handler.
+func (sv *Server) handle(ctx context.Context, rq *Request) (rs *Response) {
+	if sv.onPanic != nil {
+		defer func() {
+			if value := recover(); value != nil {
+				sv.onPanic(value)
+				rs = nil
+			}
+		}()
+	}
+	return sv.handler(ctx, rq)
 }
 
 // Serve accepts and serves connections until the listener is closed.
--- a/internal/serving/httpserver/httpserver_test.go
+++ b/internal/serving/httpserver/httpserver_test.go
@@ -168,6 +168,31 @@
 	}
 }
 
+// TestPanicEndsOneConnection checks that a handler that panics ends its caller's
+// connection and no other.
+func TestPanicEndsOneConnection(t *testing.T) {
+	gm := NewWithT(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	gm.Expect(err).NotTo(HaveOccurred())
+	reported := make(chan any, 1)
+	sv := httpserver.New(func(ctx context.Context, rq *httpserver.Request) *httpserver.Response {
+		if rq.URI == "/panics" {
+			panic("index out of range")
+		}
+		return echo(ctx, rq)
+	}, limits, httpserver.OnPanic(func(value any) { reported <- value }))
+	go func() { _ = sv.Serve(ln) }()
+	t.Cleanup(sv.Close)
+	ask := func(uri string) (*http.Response, error) { return http.Get("http://" + ln.Addr().String() + uri) }
+	_, err = ask("/panics")
+	gm.Expect(err).To(HaveOccurred())
+	gm.Expect(reported).To(Receive(Equal("index out of range")))
+	rs, err := ask("/a")
+	gm.Expect(err).NotTo(HaveOccurred())
+	gm.Expect(rs.Body.Close()).To(Succeed())
+	gm.Expect(rs.StatusCode).To(Equal(http.StatusOK))
+}
+
 // failingReader is a body that breaks off.
 type failingReader struct{}
 
