--- a/internal/fleet/gateway/wishes.go
+++ b/internal/fleet/gateway/announcements.go
@@ -23,8 +23,8 @@
 	until    clock.Instant
 }
 
-// wishes holds what upstreams have said in their answers to this host.
-type wishes struct {
+// announcements holds what upstreams have said in their answers to this host.
+type announcements struct {
 	// leaving holds the upstreams of which the leader is told with each status, until
 	// their entries say so too.
 	leaving map[ident.Upstream]roster.Incarnation
@@ -32,13 +32,13 @@
 	pausedUntil map[ident.Upstream]clock.Instant
 }
 
-func newWishes() wishes {
-	return wishes{leaving: map[ident.Upstream]roster.Incarnation{}, pausedUntil: map[ident.Upstream]clock.Instant{}}
+func newAnnouncements() announcements {
+	return announcements{leaving: map[ident.Upstream]roster.Incarnation{}, pausedUntil: map[ident.Upstream]clock.Instant{}}
 }
 
 // pauseLeft returns how long an upstream still wants no request from this host.
-func (ws *wishes) pauseLeft(now clock.Instant, id ident.Upstream) time.Duration {
-	return max(ws.pausedUntil[id].Sub(now), 0)
+func (an *announcements) pauseLeft(now clock.Instant, id ident.Upstream) time.Duration {
+	return max(an.pausedUntil[id].Sub(now), 0)
 }
 
 // onLeaving and onPause are called by the goroutines that send requests.
@@ -54,7 +54,7 @@
 	ch, changed := gw.roster.Announce(now, id)
 	up, known := gw.roster.Get(id)
 	if known && !up.Draining {
-		gw.wishes.leaving[id] = up.Incarnation
+		gw.announcements.leaving[id] = up.Incarnation
 	}
 	if !changed {
 		return
@@ -67,10 +67,10 @@
 // reportLeaving tells the leader which upstreams have said that they are leaving.
 func (gw *Gateway) reportLeaving() {
 	leader := gw.agent.Leader()
-	for id, incarnation := range gw.wishes.leaving {
+	for id, incarnation := range gw.announcements.leaving {
 		up, known := gw.roster.Get(id)
 		if !known || up.Draining || up.Gone || up.Incarnation != incarnation {
-			delete(gw.wishes.leaving, id)
+			delete(gw.announcements.leaving, id)
 			continue
 		}
 		if leader != "" && !gw.agent.Leading() {
@@ -91,12 +91,12 @@
 // permit for the upstream.
 func (gw *Gateway) handlePause(ev pauseEvent) {
 	now := gw.clock.Now()
-	for id, until := range gw.wishes.pausedUntil {
+	for id, until := range gw.announcements.pausedUntil {
 		if until < now {
-			delete(gw.wishes.pausedUntil, id)
+			delete(gw.announcements.pausedUntil, id)
 		}
 	}
-	gw.wishes.pausedUntil[ev.upstream] = max(gw.wishes.pausedUntil[ev.upstream], ev.until)
+	gw.announcements.pausedUntil[ev.upstream] = max(gw.announcements.pausedUntil[ev.upstream], ev.until)
 	left := ev.until.Sub(now)
 	gw.config.Log.Event("upstreamPaused", eventlog.Fields{"upstream": ev.upstream, "holder": ev.holder, "forMs": left.Milliseconds()})
 	if ev.holder == gw.self.Host {
--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -133,11 +133,11 @@
 	permitClient    permitClient
 	assignmentParts assignmentParts
 	// reportParts are the parts of an assignment that a member remembers.
-	reportParts assignmentParts
-	wishes      wishes
-	lastEncoded encodedTable
-	lastDiff    tableDiff
-	cache       rosterCache
+	reportParts   assignmentParts
+	announcements announcements
+	lastEncoded   encodedTable
+	lastDiff      tableDiff
+	cache         rosterCache
 }
 
 // Start opens the sockets of a gateway and starts its goroutines.
@@ -152,7 +152,7 @@
 		self:   assignment.Member{Host: st.Host, Domain: st.Domain, Address: st.PeerAddress, Incarnation: uint64(time.Now().UnixMicro()), Fitness: max(int(100*fitness(st)), 1), Alive: true},
 		events: make(chan any, eventBuffer), done: make(chan struct{}), rereadOperators: make(chan struct{}, 1), roster: roster.New(),
 		restoredColdUntil: map[ident.Domain]clock.Instant{}, evacuatedAt: map[ident.Domain]clock.Instant{}, permits: permit.New(),
-		grantClients: grantClients{clients: map[grantClientID]*grantClient{}}, wishes: newWishes(),
+		grantClients: grantClients{clients: map[grantClientID]*grantClient{}}, announcements: newAnnouncements(),
 	}
 	gw.grantClients.onLeaving, gw.grantClients.mayRenewOn = gw.onLeaving, gw.mayRenewOn
 	gw.bounds.Store(&st.Bounds)
--- a/internal/fleet/gateway/permitclient.go
+++ b/internal/fleet/gateway/permitclient.go
@@ -208,7 +208,7 @@
 // refusePaused refuses an ask whose only upstream wants no request from this host. It
 // returns false if the upstream wants requests.
 func (pc *permitClient) refusePaused(now clock.Instant, pa *pendingAcquire, id ident.Upstream) bool {
-	left := pc.gw.wishes.pauseLeft(now, id)
+	left := pc.gw.announcements.pauseLeft(now, id)
 	if left == 0 {
 		return false
 	}
@@ -324,7 +324,7 @@
 // deliver passes a permit to the waiting request if its upstream is usable.
 func (pc *permitClient) deliver(now clock.Instant, pa *pendingAcquire, pm protocol.Permit) {
 	ep, known := (*pc.gw.endpoints.Load())[pm.Upstream]
-	if !known || now >= ep.refuseAt || pc.gw.wishes.pauseLeft(now, pm.Upstream) > 0 {
+	if !known || now >= ep.refuseAt || pc.gw.announcements.pauseLeft(now, pm.Upstream) > 0 {
 		pc.releaseAndRetry(now, pa, pm)
 		return
 	}
--- a/internal/serving/proxy/proxy.go
+++ b/internal/serving/proxy/proxy.go
@@ -339,7 +339,7 @@
 		// Another upstream may answer at the address: then what it says is not about
 		// the one that the permit is for.
 		if outcome != permit.Disowned {
-			ex.noteWishes(pm, rp)
+			ex.noteAnnouncements(pm, rp)
 		}
 	}
 	if an != nil && an.Rest != nil {
@@ -354,8 +354,8 @@
 	return an, err
 }
 
-// noteWishes passes on what an upstream says about further requests.
-func (ex *exchange) noteWishes(pm *Permit, rp Report) {
+// noteAnnouncements passes on what an upstream says about further requests.
+func (ex *exchange) noteAnnouncements(pm *Permit, rp Report) {
 	if rp.Leaving {
 		ex.px.cf.OnLeaving(pm.Upstream)
 	}
--- a/internal/serving/proxy/proxy_test.go
+++ b/internal/serving/proxy/proxy_test.go
@@ -286,9 +286,9 @@
 	gm.Expect(up.ran()).To(BeNumerically(">", requests))
 }
 
-// TestWishes checks that what an upstream says about further requests is passed on
+// TestAnnouncements checks that what an upstream says about further requests is passed on
 // before its permit is released, but not what another one at its address says.
-func TestWishes(t *testing.T) {
+func TestAnnouncements(t *testing.T) {
 	cases := map[string]struct {
 		status int
 		header http.Header
