Add a soak with real processes

chervilstand soak starts the hosts as processes of their own, kills, stops, freezes and reloads them by signals, puts a proxy before the store (for each host) and before each upstream that delays, silences, cuts one way or resets, makes store and upstreams faulty, lets the store return from a copy, and checks what callers got and upstreams ran. Deployment can run hosts as processes.

--- a/cmd/chervilstand/main.go
+++ b/cmd/chervilstand/main.go
@@ -37,6 +37,7 @@
 	}{
 		{"store", "Run a stand-in for the platform's store", &storeCommand{}},
 		{"upstream", "Run a stand-in for an upstream", &upstreamCommand{}},
+		{"soak", "Disturb a deployment of real processes at random and check its guarantees", &soakCommand{}},
 	} {
 		if _, err := pr.AddCommand(cm.name, cm.description, "", cm.command); err != nil {
 			panic(err)
--- a/internal/stand/deployment/deployment.go
+++ b/internal/stand/deployment/deployment.go
@@ -10,12 +10,15 @@
 package deployment
 
 import (
+	"bytes"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,6 +29,7 @@
 	"chervilwalk/internal/fleet/gateway"
 	"chervilwalk/internal/operations/eventlog"
 	"chervilwalk/internal/stand/fakeupstream"
+	"chervilwalk/internal/stand/faultproxy"
 	"chervilwalk/internal/stand/metastore"
 	"chervilwalk/platform"
 )
@@ -49,6 +53,11 @@
 	Subnet int
 	// Log receives the hosts' log lines; nil writes them to files in Dir.
 	Log io.Writer
+	// Program is the path of chervilwalk's binary. If it is set, each host is a process
+	// of its own.
+	Program string
+	// Proxies puts a proxy before the store, for each host, and before each upstream.
+	Proxies bool
 }
 
 // The names of the services, and the properties of requests and upstreams.
@@ -91,13 +100,29 @@
 	// file is the path of the settings file.
 	file string
 	// gateway is nil while the host is stopped.
-	gateway *gateway.Gateway
+	gateway hostProcess
+	// mu guards gateway where hosts are started and stopped by several goroutines.
+	mu      sync.Mutex
 	log     *eventlog.Log
 	logFile io.WriteCloser
 	// outOfRotation means that callers no longer choose this host.
 	outOfRotation atomic.Bool
 }
 
+// hostProcess is a running gateway, in this process or in one of its own.
+type hostProcess interface {
+	// Stop stops it gracefully, Close at once.
+	Stop()
+	Close()
+}
+
+// Proxy is a proxy before the store or an upstream.
+type Proxy struct {
+	*faultproxy.Proxy
+	// Name is that of the host or upstream.
+	Name string
+}
+
 // Deployment is a running deployment.
 type Deployment struct {
 	cf Config
@@ -110,13 +135,14 @@
 	// version is that of the operators' desired state, config its text.
 	version int
 	config  []byte
-	// mu guards upstreams, retired and upstreamsStarted.
+	// mu guards upstreams, retired, upstreamsStarted and proxies.
 	mu        sync.Mutex
 	Hosts     []*Host
 	upstreams map[string]*upstream
 	// retired are the upstreams that were replaced by one with the same ID.
 	retired          []*fakeupstream.Upstream
 	upstreamsStarted int
+	proxies          []*Proxy
 	// loads counts the calls of Load, so that each request has its own ID.
 	loads atomic.Int32
 	// operator is nil if the desired state comes from the platform's operators.
@@ -130,6 +156,8 @@
 	state    string
 	// listed upstreams have an entry.
 	listed bool
+	// proxyAddress is the address in the entry; empty for the upstream's own.
+	proxyAddress string
 }
 
 // Start starts the store, the upstreams and the hosts. It does not wait until the
@@ -237,10 +265,42 @@
 	if old, known := dp.upstreams[id]; known {
 		dp.retired = append(dp.retired, old.Upstream)
 	}
-	dp.upstreams[id] = &upstream{Upstream: up, state: "ready", listed: true}
+	us := &upstream{Upstream: up, state: "ready", listed: true}
+	if dp.cf.Proxies {
+		px, err := dp.addProxy(id, up.Config().Address)
+		if err != nil {
+			return err
+		}
+		us.proxyAddress = px.Address()
+	}
+	dp.upstreams[id] = us
 	return nil
 }
 
+// addProxy starts a proxy. dp.mu must be held.
+func (dp *Deployment) addProxy(name, target string) (*Proxy, error) {
+	px, err := faultproxy.Start(dp.ip(0)+":0", target)
+	if err != nil {
+		return nil, eris.Wrapf(err, "proxy of %s", name)
+	}
+	dp.proxies = append(dp.proxies, &Proxy{px, name})
+	return dp.proxies[len(dp.proxies)-1], nil
+}
+
+// Proxies returns all proxies, in the order of their start.
+func (dp *Deployment) Proxies() []*Proxy {
+	dp.mu.Lock()
+	defer dp.mu.Unlock()
+	return slices.Clone(dp.proxies)
+}
+
+// UpstreamIDs returns the IDs of the upstreams in order.
+func (dp *Deployment) UpstreamIDs() []string {
+	dp.mu.Lock()
+	defer dp.mu.Unlock()
+	return slices.Sorted(maps.Keys(dp.upstreams))
+}
+
 // Upstream returns the upstream with an ID, which must exist.
 func (dp *Deployment) Upstream(id string) *fakeupstream.Upstream {
 	dp.mu.Lock()
@@ -295,7 +355,11 @@
 	for id, up := range dp.upstreams {
 		if up.listed {
 			up.sequence++
-			dp.Store.Put("servers", id, up.Entry(up.sequence, up.state))
+			entry := up.Entry(up.sequence, up.state)
+			if up.proxyAddress != "" {
+				entry = bytes.Replace(entry, []byte(up.Config().Address), []byte(up.proxyAddress), 1)
+			}
+			dp.Store.Put("servers", id, entry)
 		}
 	}
 }
@@ -313,8 +377,18 @@
 	host := dp.hostAt(ix)
 	host.Address = host.IP + ":8080"
 	host.file = filepath.Join(dp.cf.Dir, host.Name+".yaml")
+	store := dp.address
+	if dp.cf.Proxies {
+		dp.mu.Lock()
+		px, err := dp.addProxy(host.Name, dp.address)
+		dp.mu.Unlock()
+		if err != nil {
+			return nil, err
+		}
+		store = px.Address()
+	}
 	text := fmt.Sprintf("node: %s\nzone: %s\nip: %s\nlisten:\n  front: %s:8080\n  ready: %s:8081\nport-range: [7540, 7550]\nbounds:\n  - \"drain-s=2\"\n  - \"grace-s=6\"\nplatform:\n  address: %s\n",
-		host.Name, host.Zone, host.IP, host.IP, host.IP, dp.address)
+		host.Name, host.Zone, host.IP, host.IP, host.IP, store)
 	return host, eris.Wrap(os.WriteFile(host.file, []byte(text), 0o600), "write settings file")
 }
 
@@ -325,6 +399,11 @@
 
 // StartHost starts or restarts a host's gateway.
 func (dp *Deployment) StartHost(host *Host) error {
+	host.mu.Lock()
+	defer host.mu.Unlock()
+	if host.gateway != nil {
+		return nil
+	}
 	st, err := platform.LoadSettings(host.file)
 	if err != nil {
 		return err
@@ -338,38 +417,53 @@
 		}
 		host.logFile = file
 	}
+	if dp.cf.Program != "" {
+		if host.gateway, err = startProcess(dp.cf.Program, host.file, host.logFile); err != nil {
+			host.gateway = nil
+		}
+		return err
+	}
 	host.log = eventlog.New(host.logFile, host.Name)
 	gc := gateway.Config{Settings: st, Log: host.log, Metrics: gateway.NewMetrics()}
 	if dp.operator != nil {
 		gc.Trusted = []bundle.TrustedKey{dp.operator.key.Trusted()}
 	}
-	host.gateway, err = gateway.Start(gc)
-	return err
+	gw, err := gateway.Start(gc)
+	if err != nil {
+		return err
+	}
+	host.gateway = gw
+	return nil
 }
 
 // KillHost stops a host's gateway at once, like a crash. It does nothing if the
 // host is stopped.
 func (dp *Deployment) KillHost(host *Host) {
-	if host.gateway != nil {
-		host.outOfRotation.Store(true)
-		host.gateway.Close()
-		dp.hostStopped(host)
-	}
+	host.outOfRotation.Store(true)
+	dp.endHost(host, hostProcess.Close)
 }
 
 // StopHost shuts down a host's gateway gracefully. Callers stop using the host
 // after balancerDelay.
 func (dp *Deployment) StopHost(host *Host) {
-	gw := host.gateway
-	time.AfterFunc(balancerDelay, func() { host.outOfRotation.Store(true) })
-	gw.Stop()
-	dp.hostStopped(host)
+	tm := time.AfterFunc(balancerDelay, func() { host.outOfRotation.Store(true) })
+	defer tm.Stop()
+	dp.endHost(host, hostProcess.Stop)
+	host.outOfRotation.Store(true)
 }
 
-// hostStopped closes the log of a host that was stopped.
-func (dp *Deployment) hostStopped(host *Host) {
+// endHost ends a host's gateway and closes its log.
+func (dp *Deployment) endHost(host *Host, end func(hostProcess)) {
+	host.mu.Lock()
+	defer host.mu.Unlock()
+	if host.gateway == nil {
+		return
+	}
+	end(host.gateway)
 	host.gateway = nil
-	host.log.Close()
+	if host.log != nil {
+		host.log.Close()
+	}
 	_ = host.logFile.Close()
 }
 
@@ -390,6 +484,9 @@
 	for _, host := range dp.Hosts {
 		dp.KillHost(host)
 	}
+	for _, px := range dp.Proxies() {
+		px.Close()
+	}
 	for _, up := range dp.allUpstreams() {
 		up.Close()
 	}
--- a/internal/stand/deployment/load.go
+++ b/internal/stand/deployment/load.go
@@ -232,6 +232,10 @@
 	changesByOwner := make([][]fakeupstream.GrantChange, len(upstreams))
 	for owner, up := range upstreams {
 		changesByOwner[owner] = up.GrantChanges()
+		if ended := up.EndedAt(); !ended.IsZero() {
+			// A crash ends all that it held.
+			changesByOwner[owner] = append(changesByOwner[owner], fakeupstream.GrantChange{At: ended, To: 1<<16 - 1, Released: true})
+		}
 	}
 	for key := 0; key < 1<<16; key += keyStride {
 		var intervals []holdInterval
--- a/internal/stand/fakeupstream/fakeupstream.go
+++ b/internal/stand/fakeupstream/fakeupstream.go
@@ -94,6 +94,7 @@
 	startedAt time.Time
 
 	mu      sync.Mutex
+	endedAt time.Time
 	faults  Faults
 	random  *rand.Rand
 	running int
@@ -158,7 +159,21 @@
 }
 
 // Close stops the upstream at once and closes its connections, like a crash.
-func (up *Upstream) Close() { _ = up.server.Close() }
+func (up *Upstream) Close() {
+	_ = up.server.Close()
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	if up.endedAt.IsZero() {
+		up.endedAt = time.Now()
+	}
+}
+
+// EndedAt returns when the upstream was closed, zero while it runs.
+func (up *Upstream) EndedAt() time.Time {
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	return up.endedAt
+}
 
 // SetFaults replaces the faults that are injected from now on.
 func (up *Upstream) SetFaults(fl Faults) {
--- /dev/null
+++ b/internal/stand/faultproxy/faultproxy.go
@@ -0,0 +1,162 @@
+// Package faultproxy forwards TCP connections on loopback and disturbs them: it
+// delays, silences, cuts one way or resets them.
+//
+//	px, err := faultproxy.Start("127.0.0.1:0", target)
+//	px.SetFaults(faultproxy.Faults{Delay: 50 * time.Millisecond})
+//	px.Reset()
+package faultproxy
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"time"
+)
+
+// Faults are what the proxy does to the bytes that it forwards.
+type Faults struct {
+	// Delay is the time that each block of bytes waits.
+	Delay time.Duration
+	// DropRequests and DropAnswers lose the bytes of one direction; with both, the
+	// connections are silent.
+	DropRequests, DropAnswers bool
+}
+
+// bufferBytes is the size of the blocks that are forwarded.
+const bufferBytes = 16 << 10
+
+// Proxy is a running proxy. It is safe for concurrent use.
+type Proxy struct {
+	listener net.Listener
+	target   string
+	group    sync.WaitGroup
+
+	mu     sync.Mutex
+	faults Faults
+	conns  map[net.Conn]struct{}
+	closed bool
+}
+
+// Start listens on an address and forwards to the target, both IP:PORT.
+func Start(address, target string) (*Proxy, error) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	px := &Proxy{listener: ln, target: target, conns: map[net.Conn]struct{}{}}
+	px.group.Add(1)
+	go px.accept()
+	return px, nil
+}
+
+// Address returns the IP:PORT that the proxy listens on.
+func (px *Proxy) Address() string { return px.listener.Addr().String() }
+
+// SetFaults replaces the faults, also for open connections.
+func (px *Proxy) SetFaults(fl Faults) {
+	px.mu.Lock()
+	defer px.mu.Unlock()
+	px.faults = fl
+}
+
+// Reset resets all open connections.
+func (px *Proxy) Reset() {
+	px.mu.Lock()
+	defer px.mu.Unlock()
+	for conn := range px.conns {
+		if tc, ok := conn.(*net.TCPConn); ok {
+			// If this fails, the connection is closed without a reset.
+			_ = tc.SetLinger(0)
+		}
+		_ = conn.Close()
+	}
+}
+
+// Close closes the listener and all connections and waits for them to end.
+func (px *Proxy) Close() {
+	px.mu.Lock()
+	px.closed = true
+	px.mu.Unlock()
+	_ = px.listener.Close()
+	px.Reset()
+	px.group.Wait()
+}
+
+func (px *Proxy) accept() {
+	defer px.group.Done()
+	for {
+		conn, err := px.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		px.group.Add(1)
+		go px.forward(conn)
+	}
+}
+
+// forward connects a caller's connection with the target until one of them ends.
+func (px *Proxy) forward(caller net.Conn) {
+	defer px.group.Done()
+	target, err := net.DialTimeout("tcp", px.target, time.Second)
+	if err != nil {
+		_ = caller.Close()
+		return
+	}
+	if !px.add(caller, target) {
+		return
+	}
+	defer px.remove(caller, target)
+	ended := make(chan struct{}, 2)
+	px.group.Add(2)
+	go px.copy(target, caller, func(fl Faults) bool { return fl.DropRequests }, ended)
+	go px.copy(caller, target, func(fl Faults) bool { return fl.DropAnswers }, ended)
+	<-ended
+}
+
+// add registers the connections, or closes them if the proxy is closed.
+func (px *Proxy) add(conns ...net.Conn) bool {
+	px.mu.Lock()
+	defer px.mu.Unlock()
+	for _, conn := range conns {
+		if px.closed {
+			_ = conn.Close()
+			continue
+		}
+		px.conns[conn] = struct{}{}
+	}
+	return !px.closed
+}
+
+func (px *Proxy) remove(conns ...net.Conn) {
+	px.mu.Lock()
+	defer px.mu.Unlock()
+	for _, conn := range conns {
+		delete(px.conns, conn)
+		_ = conn.Close()
+	}
+}
+
+// copy forwards one direction until a connection ends.
+func (px *Proxy) copy(to, from net.Conn, drops func(Faults) bool, ended chan<- struct{}) {
+	defer px.group.Done()
+	defer func() { ended <- struct{}{} }()
+	buf := make([]byte, bufferBytes)
+	for {
+		count, err := from.Read(buf)
+		px.mu.Lock()
+		fl := px.faults
+		px.mu.Unlock()
+		time.Sleep(fl.Delay)
+		if count > 0 && !drops(fl) {
+			if _, err := to.Write(buf[:count]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
