Check old grants of moves at intervals, not with every message

With 300 moves taken over from an earlier leader and 144 members one message cost 1.77 ms, more than a host has: statuses were read late, 593 members were taken for lost within 18 s (each after 1,300 to 1,355 ms of silence), leaders lost the row every few seconds, the next one took over still more moves, and keys stayed without owners. This is what breaks between 95 and 144 hosts.

A move is checked each 50 ms; without one that is due, a message looks at none.

Ruled out: the store (two writes refused in five seconds, both by conflict).

--- a/internal/ownership/leader/leader.go
+++ b/internal/ownership/leader/leader.go
@@ -211,9 +211,11 @@
 	upstreamsChangedAt clock.Instant
 	loads              map[ident.Service]*balance.Load
 	moves              map[MoveID]*move
-	plannedAt          clock.Instant
-	membersCheckedAt   clock.Instant
-	events             []Cmd
+	// movesDueAt is when startDueCalls has to look at the moves again.
+	movesDueAt       clock.Instant
+	plannedAt        clock.Instant
+	membersCheckedAt clock.Instant
+	events           []Cmd
 	// resumedMoves holds the moves that an earlier leader started.
 	resumedMoves map[MoveID]bool
 	// era is the store's era, recovery the state after it began.
--- a/internal/ownership/leader/leader_test.go
+++ b/internal/ownership/leader/leader_test.go
@@ -65,3 +65,31 @@
 		simulateSecond()
 	}
 }
+
+// BenchmarkManyMoves measures one message to a leader that has taken over hundreds of
+// moves of an earlier one while 144 members, half of them silent, have not answered.
+func BenchmarkManyMoves(b *testing.B) {
+	const hosts, moves, service = 144, 300, "lookup"
+	now := clock.Instant(time.Hour)
+	tb := &assignment.Table{Revision: 100, LastEpoch: 5 * moves}
+	for ix := range hosts {
+		tb.Members = append(tb.Members, assignment.Member{Host: ident.Host(fmt.Sprint("h", ix)), Incarnation: 1, Alive: true})
+	}
+	for ix := range moves {
+		from := keyspace.Key(ix * 200)
+		tb.Shares = append(tb.Shares, assignment.Share{
+			Service: service, Range: keyspace.Range{From: from, To: from + 199}, Owner: assignment.Claim{Upstream: "u1", Epoch: keyspace.Epoch(ix + 1)},
+			Next: assignment.Claim{Upstream: "u2", Epoch: keyspace.Epoch(moves + 4*ix + 4)}, Fence: keyspace.Epoch(moves + 4*ix + 1),
+		})
+	}
+	co := leader.New(now, tb, election.Row{Term: 4, Host: "h0"}, 0)
+	for ix := range hosts / 2 {
+		for revision := range assignment.Revision(100) {
+			co.Update(now, leader.StatusMsg{Status: protocol.Status{Member: tb.Members[2*ix], Revision: revision}})
+		}
+	}
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		co.Update(now, leader.StepMsg{})
+	}
+}
--- a/internal/ownership/leader/move.go
+++ b/internal/ownership/leader/move.go
@@ -53,6 +53,9 @@
 	fenceTTL = 2 * time.Second
 	// releaseTimeout is the timeout of a release, which waits for running requests.
 	releaseTimeout = 2 * time.Second
+	// moveCheckInterval is the time between two checks of whether old grants have
+	// expired.
+	moveCheckInterval = 50 * time.Millisecond
 	// retryDelay is the time between the end of a call and the next attempt.
 	retryDelay = 250 * time.Millisecond
 	// maxFenceTries is how often a move tries to fence the old owner. Each attempt
@@ -77,6 +80,10 @@
 	// nextCallAt is when the next call of the step starts.
 	nextCallAt clock.Instant
 	tries      int
+	// blocked moves wait for old grants, as of the last check; checkAt is when the next
+	// one is due.
+	blocked bool
+	checkAt clock.Instant
 	// revision is that of the first table with the move, seen at storedAt.
 	revision assignment.Revision
 	storedAt clock.Instant
@@ -94,6 +101,7 @@
 
 // syncMoves adds and removes moves to match the table in the store.
 func (co *Core) syncMoves(now clock.Instant) {
+	co.movesDueAt = now
 	current := map[MoveID]bool{}
 	for _, sh := range co.table.Shares {
 		if !sh.Moving() {
@@ -120,32 +128,45 @@
 // startDueCalls returns the next call of each move that is due. Moves whose old
 // grant has expired continue with Give.
 func (co *Core) startDueCalls(now clock.Instant) []Cmd {
+	if now < co.movesDueAt {
+		return nil
+	}
 	var cmds []Cmd
+	co.movesDueAt = now.Add(moveCheckInterval)
 	for _, mv := range slices.SortedFunc(maps.Values(co.moves), compareMoves) {
-		if mv.step < Give && now >= co.grantExpiresAt(now, mv) {
-			co.logEvent("grantLapsed", map[string]any{"upstream": mv.share.Owner.Upstream, "from": mv.share.From, "to": mv.share.To, "waitedMs": now.Sub(mv.storedAt).Milliseconds()})
-			mv.enterStep(now, Give)
+		if now >= mv.checkAt && mv.step != Finished {
+			co.checkMove(now, mv)
+		}
+		if !mv.inFlight && !mv.blocked && now < mv.nextCallAt {
+			co.movesDueAt = min(co.movesDueAt, mv.nextCallAt)
 		}
-		if mv.inFlight || now < mv.nextCallAt || mv.step == Finished {
+		if mv.inFlight || mv.blocked || now < mv.nextCallAt || mv.step == Finished {
 			continue
 		}
 		if mv.step == Fence && mv.tries == maxFenceTries {
 			// Wait until the old grant has expired.
 			continue
 		}
-		if mv.resumed && mv.step == Give && now < co.resumedGiveAt(now, mv) {
-			continue
-		}
-		if mv.resumed && mv.step == Release && now < co.renewalsEndAt(now, mv) {
-			continue
-		}
 		cmds = append(cmds, mv.startCall(now))
 	}
 	return cmds
 }
 
+// checkMove finds out whether a move still has to wait for old grants. It looks at
+// every member, so it is not repeated with each of the many messages that arrive while
+// hundreds of keys move.
+func (co *Core) checkMove(now clock.Instant, mv *move) {
+	if mv.step < Give && now >= co.grantExpiresAt(now, mv) {
+		co.logEvent("grantLapsed", map[string]any{"upstream": mv.share.Owner.Upstream, "from": mv.share.From, "to": mv.share.To, "waitedMs": now.Sub(mv.storedAt).Milliseconds()})
+		mv.enterStep(now, Give)
+	}
+	mv.checkAt = now.Add(moveCheckInterval)
+	mv.blocked = mv.resumed && (mv.step == Give && now < co.resumedGiveAt(now, mv) || mv.step == Release && now < co.renewalsEndAt(now, mv))
+}
+
 func (mv *move) enterStep(now clock.Instant, step Step) {
 	mv.step, mv.tries, mv.nextCallAt, mv.inFlight = step, 0, now, false
+	mv.checkAt = now
 }
 
 // startCall returns the call of the move's current step.
@@ -189,6 +210,7 @@
 		return
 	}
 	mv.inFlight, mv.nextCallAt = false, now.Add(retryDelay)
+	co.movesDueAt = now
 	if ms.Result == Misdirected && mv.step < Give {
 		// Another upstream answers at the address, so the old owner has ended.
 		mv.enterStep(now, Give)
