--- a/cmd/chervilwalk/front.go
+++ b/cmd/chervilwalk/front.go
@@ -30,6 +30,9 @@
 
 // Execute implements flags.Commander.
 func (fc *frontCommand) Execute([]string) error {
+	// First of all: a SIGHUP that is not handled ends the process.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	debug.SetGCPercent(gcPercent)
 	debug.SetMaxThreads(maxThreads)
 	st, err := platform.LoadSettings(fc.Settings)
@@ -46,8 +49,6 @@
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	for sg := range signals {
 		if sg != syscall.SIGHUP {
 			gw.Stop()
--- a/internal/stand/deployment/process.go
+++ b/internal/stand/deployment/process.go
@@ -15,13 +15,18 @@
 	"chervilwalk/platform"
 )
 
+// signalDelay is how old a process must be to get a SIGHUP: before its runtime handles
+// signals, that would end it.
+const signalDelay = 200 * time.Millisecond
+
 // stopTimeout is how long a process may take to stop, more than its grace period.
 const stopTimeout = 8 * time.Second
 
 // process is a gateway that runs as a process of its own.
 type process struct {
-	command *exec.Cmd
-	ended   chan struct{}
+	command   *exec.Cmd
+	startedAt time.Time
+	ended     chan struct{}
 }
 
 // startProcess starts chervilwalk with a settings file. Its output goes to log.
@@ -32,7 +37,7 @@
 	if err := cm.Start(); err != nil {
 		return nil, eris.Wrap(err, program)
 	}
-	pr := &process{command: cm, ended: make(chan struct{})}
+	pr := &process{command: cm, startedAt: time.Now(), ended: make(chan struct{})}
 	go func() {
 		defer close(pr.ended)
 		// The caller knows why the process ends.
@@ -76,7 +81,12 @@
 func (host *Host) Thaw() { host.withProcess(func(pr *process) { pr.signal(syscall.SIGCONT) }) }
 
 // Reload makes a host's process read its settings file again.
-func (host *Host) Reload() { host.withProcess(func(pr *process) { pr.signal(syscall.SIGHUP) }) }
+func (host *Host) Reload() {
+	host.withProcess(func(pr *process) {
+		time.Sleep(time.Until(pr.startedAt.Add(signalDelay)))
+		pr.signal(syscall.SIGHUP)
+	})
+}
 
 // PeakKB returns the peak memory of a host's process in KB, 0 if it has none.
 func (host *Host) PeakKB() int {
