Test the wait for members that did not acknowledge a move by itself

TestKeysOfUnreachableOwner plays the case on the leader's core alone, with the exact bound of the stated times; the mutant fails it.

--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -29,7 +29,7 @@
 var mutants = map[string]mutant{
 	"a leader does not wait for members that did not acknowledge a move": {
 		"internal/ownership/leader/move.go", "unackedEnd := mv.storedAt.Add(renewal.ConfirmTTL)", "unackedEnd := mv.storedAt",
-		[]string{"-run=TestDisturbances", "./internal/ownership/agent"},
+		[]string{"-run=TestKeysOfUnreachableOwner", "./internal/ownership/leader"},
 	},
 	"the next owner gets keys before the last grant has expired": {
 		"internal/ownership/leader/move.go", "return max(co.renewalsEndAt(now, mv).Add(maxGrantTime(renewal.GrantTTL)), mv.heldUntil)", "return now",
