Reword a comment of election

Cause: the comment on uncontested read "if besides no other host", which a reader has to guess. Change: "if, besides, no other host can have led in between". Ruled out: another name for the field; Uncontested is what leader asks for.

--- a/internal/ownership/election/election.go
+++ b/internal/ownership/election/election.go
@@ -132,7 +132,7 @@
 	// remembers is as new as anything, so it need not wait for the row to be stale.
 	era     era.Era
 	ledLast bool
-	// uncontested is set if besides no other host can have taken the row over before.
+	// uncontested is set if, besides, no other host can have led in between.
 	uncontested bool
 	// inFlight is true while a read or write has not returned.
 	inFlight       bool
