Split the leader's core and the messages by concept

Change: leader has message.go, upstream.go and keeps the core; the constants of planning and of members stand beside their code. protocol has status.go, roster.go, assignment.go and permit.go; message.go keeps numbers, Encode and Decode. Ruled out: a change of behaviour. Tests of ownership and peer pass.

--- a/internal/ownership/leader/leader.go
+++ b/internal/ownership/leader/leader.go
@@ -13,7 +13,6 @@
 package leader
 
 import (
-	"math"
 	"time"
 
 	"chervilwalk/internal/base/clock"
@@ -21,107 +20,10 @@
 	"chervilwalk/internal/base/ident"
 	"chervilwalk/internal/base/keyspace"
 	"chervilwalk/internal/catalog/assignment"
-	"chervilwalk/internal/catalog/roster"
 	"chervilwalk/internal/ownership/balance"
 	"chervilwalk/internal/ownership/election"
-	"chervilwalk/internal/peer/protocol"
 )
 
-// StatusMsg carries the periodic status of a member.
-type StatusMsg struct {
-	Status protocol.Status
-	// Follows reports whether the member has heard of this leader's term.
-	Follows bool
-}
-
-// ReportMsg is the assignment that a member remembers from an earlier era.
-type ReportMsg struct{ Table *assignment.Table }
-
-// UpstreamsMsg lists the keyed services and all their upstreams.
-type UpstreamsMsg struct {
-	Keyed     map[ident.Service]bool
-	Upstreams []Upstream
-}
-
-// Upstream describes one upstream to the leader.
-type Upstream struct {
-	ID          ident.Upstream
-	Service     ident.Service
-	Domain      ident.Domain
-	Slots       int
-	Incarnation roster.Incarnation
-	// Usable upstreams may own keys; the keys of others are moved away.
-	Usable bool
-	// ColdUntil is when its warm-up ends.
-	ColdUntil clock.Instant
-	// ColdRate is how many requests per second it can take during warm-up.
-	ColdRate float64
-}
-
-// CommittedMsg reports that a commit took effect, with the table now in the store.
-type CommittedMsg struct{ Table *assignment.Table }
-
-// CommitFailedMsg reports that the last commit did not take effect.
-type CommitFailedMsg struct{}
-
-// TableReadMsg carries a table read from the store: after a commit with an unknown
-// outcome, or one that such a commit has left there later.
-type TableReadMsg struct{ Table *assignment.Table }
-
-// StepMsg is the result of a CallCmd.
-type StepMsg struct {
-	Move     MoveID
-	Step     Step
-	Result   Result
-	Handover keyspace.Handover
-}
-
-// Result is the outcome of a call to an upstream.
-type Result int
-
-const (
-	// Unknown means that the call may have taken effect or may still do so.
-	Unknown Result = iota
-	// Taken means that the call took effect.
-	Taken
-	// Superseded means that the upstream has seen a higher epoch.
-	Superseded
-	// Refused means that the call had no effect.
-	Refused
-	// Misdirected means that the address now belongs to another upstream.
-	Misdirected
-)
-
-// TickMsg reports that time has passed.
-type TickMsg struct{}
-
-// CommitCmd requests a write of the table to the store.
-type CommitCmd struct{ Table *assignment.Table }
-
-// CallCmd requests a call to an upstream for one step of a move.
-type CallCmd struct {
-	Move     MoveID
-	Step     Step
-	Service  ident.Service
-	Upstream ident.Upstream
-	Range    keyspace.Range
-	Epoch    keyspace.Epoch
-	// TTL is the lifetime of the grant, 0 for a release.
-	TTL time.Duration
-	// Handover is what the old owner returned on release, for the next owner.
-	Handover keyspace.Handover
-	Timeout  time.Duration
-}
-
-// EventCmd requests a log event.
-type EventCmd struct {
-	Name   string
-	Fields map[string]any
-}
-
-// Cmd is a CommitCmd, CallCmd or EventCmd.
-type Cmd any
-
 const (
 	// tickInterval is the longest time between two calls of Update.
 	tickInterval = 100 * time.Millisecond
@@ -139,54 +41,8 @@
 	memberCheckInterval = 50 * time.Millisecond
 	// planInterval is the time between two checks of the load.
 	planInterval = 250 * time.Millisecond
-	// initialAssignDelay is how long the list of upstreams must be unchanged before
-	// the keys of a service are assigned for the first time.
-	initialAssignDelay = 1800 * time.Millisecond
-	// unreachedTimeout is how long renewals of an upstream must fail before its keys
-	// are moved away.
-	unreachedTimeout = 700 * time.Millisecond
-	// avoidBackoff is how long an unreachable upstream gets no keys. It doubles each
-	// time, up to maxAvoidBackoff.
-	avoidBackoff    = 3 * time.Second
-	maxAvoidBackoff = 24 * time.Second
-	// movesPerTarget limits the concurrent moves for load, per upstream that may own
-	// keys, because requests wait while their keys move. minMoves are always allowed.
-	movesPerTarget = 0.2
-	minMoves       = 3
-	// sharesPerTarget limits into how many shares the keys of a service are split,
-	// per upstream that may own keys.
-	sharesPerTarget = 12
-	// coldCapacityRatio is the fraction of a cold upstream's ColdRate that planning uses.
-	coldCapacityRatio = 0.6
-	// defaultWorkTime is the expected time per answer before any was measured.
-	defaultWorkTime = 200 * time.Millisecond
-	// workWeight is the weight of one answer in an upstream's mean time per answer.
-	// maxWorkStep limits how far the logarithm of one status can be from the mean's.
-	workWeight  = 0.06
-	maxWorkStep = 1.5
-	// maxAcks limits the acknowledgements kept per member. The oldest one that is
-	// kept also covers all earlier revisions.
-	maxAcks = 256
-	// meanOverMedian is the ratio of the mean time per answer to the median. A few
-	// answers take very long, and the average of logarithms is close to the median.
-	meanOverMedian = 1.6
-	// successWeight is the weight of one answer or failure in an upstream's success
-	// ratio.
-	successWeight = 0.3
 )
 
-// upstream is the leader's state of one upstream.
-type upstream struct {
-	Upstream
-	// workTime is the average time per answer, computed from logarithms.
-	workTime     time.Duration
-	successRatio float64
-	// avoidUntil is when an upstream that was unreachable may own keys again.
-	avoidUntil clock.Instant
-	// avoidCount is how often it was unreachable, at most 3.
-	avoidCount int
-}
-
 // Core assigns keys to upstreams while its host leads. It is not safe for
 // concurrent use.
 type Core struct {
@@ -419,90 +275,3 @@
 		co.handleLoad(now, ul)
 	}
 }
-
-// handleLoad updates an upstream from a member's report of answers, failures and
-// failed renewals.
-func (co *Core) handleLoad(now clock.Instant, ul protocol.UpstreamLoad) {
-	up, known := co.upstreams[ul.Upstream]
-	if !known {
-		return
-	}
-	if ul.Answers > 0 {
-		up.updateWorkTime(ul)
-	}
-	if total := ul.Answers + ul.Failures; total > 0 {
-		weight := min(successWeight*float64(total), 0.8)
-		up.successRatio += weight * (float64(ul.Answers)/float64(total) - up.successRatio)
-	}
-	if ul.UnreachedFor >= unreachedTimeout && up.avoidUntil <= now {
-		up.avoidUntil = now.Add(min(avoidBackoff<<up.avoidCount, maxAvoidBackoff))
-		up.avoidCount = min(up.avoidCount+1, 3)
-		co.plannedAt = 0
-		co.logEvent("upstreamUnreached", map[string]any{"upstream": ul.Upstream, "forMs": ul.UnreachedFor.Milliseconds()})
-	}
-	if ul.Superseded && !co.frozen(now) {
-		co.raiseEpochs(ul.Upstream)
-	}
-}
-
-// updateWorkTime updates the average time per answer. Single answers differ far more
-// than upstreams do, so it averages logarithms, each with a small weight.
-func (up *upstream) updateWorkTime(ul protocol.UpstreamLoad) {
-	mean := ul.WorkTime / time.Duration(ul.Answers)
-	step := math.Log(float64(mean) / float64(up.workTime))
-	step = max(min(step, maxWorkStep), -maxWorkStep)
-	weight := 1 - math.Pow(1-workWeight, float64(ul.Answers))
-	up.workTime = time.Duration(float64(up.workTime) * math.Exp(weight*step))
-}
-
-// raiseEpochs gives the keys of an upstream higher epochs after it refused the
-// current one, because it had seen a grant of a table that was never in force.
-func (co *Core) raiseEpochs(id ident.Upstream) {
-	for ix := range co.draft.Shares {
-		sh := &co.draft.Shares[ix]
-		if sh.Owner.Upstream == id && !sh.Moving() && co.draft.LastEpoch > sh.Owner.Epoch {
-			sh.Owner.Epoch = co.draft.TakeEpoch()
-			co.dirty = true
-		}
-	}
-}
-
-// handleUpstreams replaces the list of upstreams. A changed list triggers a new
-// plan.
-func (co *Core) handleUpstreams(now clock.Instant, ms UpstreamsMsg) {
-	co.keyed = ms.Keyed
-	listed := map[ident.Upstream]bool{}
-	for _, up := range ms.Upstreams {
-		listed[up.ID] = true
-		us, known := co.upstreams[up.ID]
-		if !known || us.Incarnation != up.Incarnation {
-			us = &upstream{workTime: co.meanWorkTime(up.Service), successRatio: 1}
-			co.upstreams[up.ID] = us
-			co.upstreamsChangedAt, co.plannedAt = now, 0
-		}
-		if us.Usable != up.Usable {
-			co.plannedAt = 0
-		}
-		us.Upstream = up
-	}
-	for id := range co.upstreams {
-		if !listed[id] {
-			delete(co.upstreams, id)
-			co.upstreamsChangedAt, co.plannedAt = now, 0
-		}
-	}
-}
-
-// meanWorkTime returns the mean time per answer over all upstreams of a service.
-func (co *Core) meanWorkTime(sv ident.Service) time.Duration {
-	sum, count := time.Duration(0), 0
-	for _, up := range co.upstreams {
-		if up.Service == sv {
-			sum, count = sum+up.workTime, count+1
-		}
-	}
-	if count == 0 {
-		return defaultWorkTime
-	}
-	return sum / time.Duration(count)
-}
--- a/internal/ownership/leader/member.go
+++ b/internal/ownership/leader/member.go
@@ -10,6 +10,12 @@
 	"chervilwalk/internal/catalog/assignment"
 )
 
+const (
+	// maxAcks limits the acknowledgements kept per member. The oldest one that is
+	// kept also covers all earlier revisions.
+	maxAcks = 256
+)
+
 // ack is the first acknowledgement of a table revision by a member.
 type ack struct {
 	revision assignment.Revision
--- a/internal/ownership/leader/plan.go
+++ b/internal/ownership/leader/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"chervilwalk/internal/base/clock"
 	"chervilwalk/internal/base/ident"
@@ -10,6 +11,19 @@
 	"chervilwalk/internal/ownership/balance"
 )
 
+const (
+	// initialAssignDelay is how long the list of upstreams must be unchanged before
+	// the keys of a service are assigned for the first time.
+	initialAssignDelay = 1800 * time.Millisecond
+	// movesPerTarget limits the concurrent moves for load, per upstream that may own
+	// keys, because requests wait while their keys move. minMoves are always allowed.
+	movesPerTarget = 0.2
+	minMoves       = 3
+	// sharesPerTarget limits into how many shares the keys of a service are split,
+	// per upstream that may own keys.
+	sharesPerTarget = 12
+)
+
 // plan adds new moves of all services to the draft.
 func (co *Core) plan(now clock.Instant) {
 	services := make([]ident.Service, 0, len(co.keyed))
@@ -69,15 +83,6 @@
 	return up.Usable && now >= up.avoidUntil
 }
 
-// capacity returns how many requests per second an upstream can answer.
-func (up *upstream) capacity(now clock.Instant) float64 {
-	capacity := float64(up.Slots) / (meanOverMedian * up.workTime.Seconds()) * up.successRatio * up.successRatio
-	if now < up.ColdUntil {
-		return min(capacity, coldCapacityRatio*up.ColdRate)
-	}
-	return capacity
-}
-
 // balanceShares returns the shares of a service as input for balance.Plan, and how
 // many of them are moving and not stalled.
 func (co *Core) balanceShares(now clock.Instant, sv ident.Service) (shares []balance.Share, moving int) {
--- /dev/null
+++ b/internal/peer/protocol/status.go
@@ -0,0 +1,137 @@
+package protocol
+
+import (
+	"time"
+
+	"chervilwalk/internal/base/clock"
+	"chervilwalk/internal/base/ident"
+	"chervilwalk/internal/base/keyspace"
+	"chervilwalk/internal/catalog/assignment"
+	"chervilwalk/internal/catalog/roster"
+)
+
+// Term is the number of a leader's term.
+type Term uint64
+
+// KeyLoad is the number of requests for a key since the host's last status.
+type KeyLoad struct {
+	Service ident.Service
+	Key     keyspace.Key
+	Count   int
+}
+
+// UpstreamLoad is what a host measured of an upstream since its last status.
+type UpstreamLoad struct {
+	Upstream ident.Upstream
+	Answers  int
+	// WorkTime is the sum of the times that the answers took.
+	WorkTime time.Duration
+	Failures int
+	// UnreachedFor is how long the renewals of the upstream's grants have failed.
+	UnreachedFor time.Duration
+	// Superseded means that the upstream saw a higher epoch than the renewed one.
+	Superseded bool
+}
+
+// Status reports to the leader that a member is alive and what it measured.
+type Status struct {
+	Member   assignment.Member
+	Term     Term
+	Revision assignment.Revision
+	// Stopping members issue no permits and renew no grants.
+	Stopping bool
+	// SentAt is the time of sending, by the member's own clock.
+	SentAt clock.Instant
+	// RosterVersion is the store's version of the upstream entries that the member
+	// knows, RosterDigest their digest.
+	RosterVersion, RosterDigest uint64
+
+	Keys      []KeyLoad
+	Upstreams []UpstreamLoad
+}
+
+// Heartbeat is the leader's heartbeat, the reply to a status.
+type Heartbeat struct {
+	Term     Term
+	Leader   ident.Host
+	Revision assignment.Revision
+	// StoreAge is the time since the store last confirmed the leader.
+	StoreAge time.Duration
+	// RowVersion is the store's version of the leader's row.
+	RowVersion uint64
+	// Echo is the SentAt of the last status that the leader received from this
+	// member; zero if there is none. The heartbeat's content was valid at that
+	// time or later, however long its delivery took.
+	Echo clock.Instant
+	Freshness
+	// Recovering asks for the members' assignments: the store came back from an older
+	// copy and this leader does not know yet whether its own is the newest. It
+	// confirms nothing. Heartbeats with an assignment never have it.
+	Recovering bool
+}
+
+// Freshness states how recent the leader's data from the store is. Members whose
+// data is as recent need not read the store.
+type Freshness struct {
+	// RosterVersion is the store's version of the last change of the upstream entries,
+	// RosterAge the time since the leader read them.
+	RosterVersion uint64
+	RosterAge     time.Duration
+	// OperatorVersion is the store's version of the last change of the operator rows.
+	OperatorVersion uint64
+}
+
+// Leaving tells the leader that an upstream has said in an answer that it is leaving.
+type Leaving struct {
+	Upstream    ident.Upstream
+	Incarnation roster.Incarnation
+}
+
+func codeMember(cd *codec, mb *assignment.Member) {
+	text(cd, &mb.Host)
+	text(cd, &mb.Domain)
+	text(cd, &mb.Address)
+	varint(cd, &mb.Incarnation)
+	varint(cd, &mb.Fitness)
+	boolean(cd, &mb.Alive)
+}
+
+func (ms *Status) code(cd *codec) {
+	codeMember(cd, &ms.Member)
+	varint(cd, &ms.Term)
+	varint(cd, &ms.Revision)
+	boolean(cd, &ms.Stopping)
+	varint(cd, &ms.RosterVersion)
+	varint(cd, &ms.RosterDigest)
+	varint(cd, &ms.SentAt)
+	list(cd, &ms.Keys, func(kl *KeyLoad) {
+		text(cd, &kl.Service)
+		varint(cd, &kl.Key)
+		varint(cd, &kl.Count)
+	})
+	list(cd, &ms.Upstreams, func(ul *UpstreamLoad) {
+		text(cd, &ul.Upstream)
+		varint(cd, &ul.Answers)
+		duration(cd, &ul.WorkTime)
+		varint(cd, &ul.Failures)
+		duration(cd, &ul.UnreachedFor)
+		boolean(cd, &ul.Superseded)
+	})
+}
+
+func (ms *Heartbeat) code(cd *codec) {
+	varint(cd, &ms.Term)
+	text(cd, &ms.Leader)
+	varint(cd, &ms.Revision)
+	duration(cd, &ms.StoreAge)
+	varint(cd, &ms.RowVersion)
+	varint(cd, &ms.Echo)
+	varint(cd, &ms.RosterVersion)
+	duration(cd, &ms.RosterAge)
+	varint(cd, &ms.OperatorVersion)
+}
+
+func (ms *Leaving) code(cd *codec) {
+	text(cd, &ms.Upstream)
+	varint(cd, &ms.Incarnation)
+}
