Hold a process under 40 MB while upstreams pour; say which bounds cannot be kept

Change: the stand-in upstream pours heads, bodies and chunks, in the soak too; TestMemoryUnderBytesWithoutEnd runs the real program against six that do.

--- a/internal/fleet/gateway/evacuations.go
+++ b/internal/fleet/gateway/evacuations.go
@@ -50,6 +50,9 @@
 			delete(domains, dm)
 		}
 	}
+	if domains == nil {
+		domains = map[ident.Domain]bool{}
+	}
 	for dm := range es.remembered {
 		if !es.last.rewritten[dm] {
 			domains[dm] = true
--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"chervilwalk/internal/operations/eventlog"
 	"chervilwalk/internal/ownership/agent"
 	"chervilwalk/internal/ownership/leader"
+	"chervilwalk/internal/ownership/renewal"
 	"chervilwalk/internal/serving/httpserver"
 	"chervilwalk/internal/serving/permit"
 	"chervilwalk/internal/serving/proxy"
@@ -220,6 +221,7 @@
 	gw.config.Log.Event("start", eventlog.Fields{
 		"domain": gw.self.Domain, "incarnation": gw.self.Incarnation, "callers": gw.config.Settings.CallerAddress, "store": gw.config.Settings.StoreAddress,
 	})
+	gw.checkBounds(*gw.bounds.Load())
 	tasks := []func(){
 		gw.run, gw.receiveDatagrams, gw.followOperatorRows, gw.pollEntries,
 		func() { gw.serve(gw.callerServer, callers) },
@@ -290,9 +292,23 @@
 // Reload applies those new settings that can change in a running process.
 func (gw *Gateway) Reload(st platform.Settings) {
 	gw.config.Log.Event("reload", eventlog.Fields{"drainMs": st.Bounds.Drain.Milliseconds(), "graceMs": st.Bounds.Grace.Milliseconds(), "store": st.StoreAddress})
+	gw.checkBounds(st.Bounds)
 	gw.send(settingsEvent{st})
 }
 
+// checkBounds logs the bounds that this build cannot keep. The host runs all the same:
+// what does not depend on them is served.
+func (gw *Gateway) checkBounds(bd platform.Bounds) {
+	for name, check := range map[string]struct{ bound, needed time.Duration }{
+		"max-hold-s": {bd.MaxGrantTTL, renewal.GrantTTL},
+		"drain-s":    {bd.Drain, maxEntriesAge + keyedDrainTimeout},
+	} {
+		if check.bound < check.needed {
+			gw.config.Log.ErrorEvent("boundTooLow", eris.Errorf("%s is %s, this build needs %s", name, check.bound, check.needed), eventlog.Fields{"bound": name})
+		}
+	}
+}
+
 // limits returns the limits for callers' requests.
 func (gw *Gateway) limits() httpserver.Limits {
 	st := gw.desiredState.Load()
--- a/internal/stand/fakeupstream/control.go
+++ b/internal/stand/fakeupstream/control.go
@@ -23,6 +23,7 @@
 	LateGrants   float64 `json:"lateGrants"`
 	Leaving      bool    `json:"leaving"`
 	PauseMs      int     `json:"pauseMs"`
+	Pour         float64 `json:"pour"`
 	Unresponsive bool    `json:"deaf"`
 }
 
--- a/internal/stand/fakeupstream/fakeupstream.go
+++ b/internal/stand/fakeupstream/fakeupstream.go
@@ -16,6 +16,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -64,6 +65,9 @@
 	// PauseMs is what refusals by Shed ask of their host, in milliseconds: to send no
 	// request for so long.
 	PauseMs int
+	// Pour is the share of requests (0 to 1) that are answered with bytes without end,
+	// in the head or the body, until the client closes the connection.
+	Pour float64
 	// Unresponsive upstreams accept connections but answer neither requests nor
 	// grants.
 	Unresponsive bool
@@ -466,6 +470,8 @@
 		panic(http.ErrAbortHandler)
 	case draw < fl.Reset+fl.Truncate+fl.Stray:
 		up.writeStrayAnswer(rw, id, status, load, reply)
+	case draw < fl.Reset+fl.Truncate+fl.Stray+fl.Pour:
+		pour(rw, id, draw)
 	default:
 		rw.WriteHeader(status)
 		// An error means that the client has disconnected.
@@ -473,6 +479,28 @@
 	}
 }
 
+// pour answers with bytes without end: a head that does not end, a body without a
+// length, or chunks, whichever draw selects.
+func pour(rw http.ResponseWriter, id string, draw float64) {
+	hj, ok := rw.(http.Hijacker)
+	if !ok {
+		return
+	}
+	conn, _, err := hj.Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	head := "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\n"
+	kinds := [][2]string{{head, "X-A: b\r\n"}, {head + "\r\n", "x"}, {head + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"}}
+	kind := kinds[int(draw*1e6)%len(kinds)]
+	block := []byte(strings.Repeat(kind[1], 4096))
+	_, err = io.WriteString(conn, kind[0])
+	for err == nil {
+		_, err = conn.Write(block)
+	}
+}
+
 // writeStrayAnswer writes an answer to another request before the right one.
 func (up *Upstream) writeStrayAnswer(rw http.ResponseWriter, id string, status int, load string, reply []byte) {
 	hj, ok := rw.(http.Hijacker)
--- a/internal/stand/soak/soak.go
+++ b/internal/stand/soak/soak.go
@@ -214,6 +214,7 @@
 		{id + " breaks answers", func() {
 			rn.upstreamFaults(id, fakeupstream.Faults{Truncate: 0.2, Reset: 0.1, Stray: 0.3})
 		}},
+		{id + " pours", func() { rn.upstreamFaults(id, fakeupstream.Faults{Pour: 0.3}) }},
 		{id + " refuses", func() { rn.upstreamFaults(id, fakeupstream.Faults{Shed: 0.5, PauseMs: 800}) }},
 		{id + " takes grants late", func() { rn.upstreamFaults(id, fakeupstream.Faults{LateGrants: 0.4}) }},
 		{id + " is silent", func() { rn.upstreamFaults(id, fakeupstream.Faults{Unresponsive: true}) }},
--- a/internal/stand/soak/soak_test.go
+++ b/internal/stand/soak/soak_test.go
@@ -1,25 +1,59 @@
 package soak_test
 
 import (
+	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"chervilwalk/internal/stand/deployment"
+	"chervilwalk/internal/stand/fakeupstream"
 	"chervilwalk/internal/stand/soak"
 )
 
+// build builds chervilwalk and returns its path.
+func build(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "chervilwalk")
+	output, err := exec.Command("go", "build", "-o", program, "../../../cmd/chervilwalk").CombinedOutput()
+	NewWithT(t).Expect(err).NotTo(HaveOccurred(), string(output))
+	return program
+}
+
+// TestMemoryUnderBytesWithoutEnd checks the memory of a host's process while several
+// upstreams answer with bytes without end, and that the others' answers go on.
+func TestMemoryUnderBytesWithoutEnd(t *testing.T) {
+	t.Parallel()
+	const maxPeakKB = 40 << 10
+	gm := NewWithT(t)
+	dir := t.TempDir()
+	dp, err := deployment.Start(deployment.Config{Dir: dir, Hosts: 1, Keyed: 4, Orders: 4, Files: 4, Seed: 3, Subnet: 71, Program: build(t)})
+	gm.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(dp.Close)
+	time.Sleep(4 * time.Second)
+	for _, id := range []string{"i-lookup-0", "i-lookup-1", "i-orders-0", "i-orders-1", "i-files-0", "i-files-1"} {
+		dp.Upstream(id).SetFaults(fakeupstream.Faults{Pour: 1})
+	}
+	counts := dp.Load(t.Context(), 100, 8*time.Second)
+	gm.Expect(counts.Broken()).To(BeFalse(), "%+v", counts)
+	gm.Expect(counts.Answered).To(BeNumerically(">", counts.Requests/3), "%+v", counts)
+	gm.Expect(dp.Hosts[0].PeakKB()).To(And(BeNumerically(">", 0), BeNumerically("<", maxPeakKB)))
+	logs, err := os.ReadFile(filepath.Join(dir, dp.Hosts[0].Name+".log"))
+	gm.Expect(err).NotTo(HaveOccurred())
+	gm.Expect(strings.Count(string(logs), "cause=broken")).To(BeNumerically(">", 5))
+	t.Logf("peak %d KB, %+v", dp.Hosts[0].PeakKB(), counts)
+}
+
 // TestSoak plays one seed with real processes. Longer runs and other seeds are played
 // by hand: chervilstand soak.
 func TestSoak(t *testing.T) {
 	t.Parallel()
 	gm := NewWithT(t)
-	program := filepath.Join(t.TempDir(), "chervilwalk")
-	output, err := exec.Command("go", "build", "-o", program, "../../../cmd/chervilwalk").CombinedOutput()
-	gm.Expect(err).NotTo(HaveOccurred(), string(output))
-	rs, err := soak.Run(t.Context(), soak.Config{Program: program, Dir: t.TempDir(), Seed: 105, Hosts: 4, PerSecond: 40, Span: 12 * time.Second, Subnet: 70})
+	rs, err := soak.Run(t.Context(), soak.Config{Program: build(t), Dir: t.TempDir(), Seed: 105, Hosts: 4, PerSecond: 40, Span: 12 * time.Second, Subnet: 70})
 	gm.Expect(err).NotTo(HaveOccurred())
 	gm.Expect(rs.Broken()).To(BeFalse(), rs.String)
 	gm.Expect(len(rs.Steps)).To(BeNumerically(">", 5), rs.String)
