Count the answers without end that the memory test met

Which cause an answer without end gets depends on its kind: a body without a length lacks the signature first. Change: the stand-in counts its own, and the test wants ten, below which it would say nothing. The bounds of the promise (40 MB, a third answered, no guarantee broken) stay. Ruled out: a longer test; backing off keeps such answers rare.

--- a/internal/stand/fakeupstream/fakeupstream.go
+++ b/internal/stand/fakeupstream/fakeupstream.go
@@ -113,6 +113,8 @@
 	grantChanges []GrantChange
 	// pauses holds the newest pause of each host, by IP address.
 	pauses map[string]*pause
+	// pours is the number of answers without end.
+	pours int
 	// mostInPause is the largest number of requests from one host in a pause.
 	mostInPause int
 }
@@ -226,6 +228,13 @@
 	return up.mostInPause
 }
 
+// Pours returns the number of answers without end so far.
+func (up *Upstream) Pours() int {
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	return up.pours
+}
+
 // notePause counts a request that arrives in a pause.
 func (up *Upstream) notePause(rq *http.Request) {
 	host, _, _ := net.SplitHostPort(rq.RemoteAddr)
@@ -471,6 +480,9 @@
 	case draw < fl.Reset+fl.Truncate+fl.Stray:
 		up.writeStrayAnswer(rw, id, status, load, reply)
 	case draw < fl.Reset+fl.Truncate+fl.Stray+fl.Pour:
+		up.mu.Lock()
+		up.pours++
+		up.mu.Unlock()
 		pour(rw, id, draw)
 	default:
 		rw.WriteHeader(status)
--- a/internal/stand/soak/soak_test.go
+++ b/internal/stand/soak/soak_test.go
@@ -1,10 +1,8 @@
 package soak_test
 
 import (
-	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"testing"
 	"time"
 
@@ -28,24 +26,30 @@
 // upstreams answer with bytes without end, and that the others' answers go on.
 func TestMemoryUnderBytesWithoutEnd(t *testing.T) {
 	t.Parallel()
-	const maxPeakKB = 40 << 10
+	const (
+		maxPeakKB = 40 << 10
+		// minPours is what a test of this length must have met to say anything.
+		minPours = 10
+	)
 	gm := NewWithT(t)
-	dir := t.TempDir()
-	dp, err := deployment.Start(deployment.Config{Dir: dir, Hosts: 1, Keyed: 4, Orders: 4, Files: 4, Seed: 3, Subnet: 71, Program: build(t)})
+	dp, err := deployment.Start(deployment.Config{Dir: t.TempDir(), Hosts: 1, Keyed: 4, Orders: 4, Files: 4, Seed: 3, Subnet: 71, Program: build(t)})
 	gm.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(dp.Close)
 	time.Sleep(4 * time.Second)
-	for _, id := range []string{"i-lookup-0", "i-lookup-1", "i-orders-0", "i-orders-1", "i-files-0", "i-files-1"} {
+	pouring := []string{"i-lookup-0", "i-lookup-1", "i-orders-0", "i-orders-1", "i-files-0", "i-files-1"}
+	for _, id := range pouring {
 		dp.Upstream(id).SetFaults(fakeupstream.Faults{Pour: 1})
 	}
 	counts := dp.Load(t.Context(), 100, 8*time.Second)
 	gm.Expect(counts.Broken()).To(BeFalse(), "%+v", counts)
 	gm.Expect(counts.Answered).To(BeNumerically(">", counts.Requests/3), "%+v", counts)
 	gm.Expect(dp.Hosts[0].PeakKB()).To(And(BeNumerically(">", 0), BeNumerically("<", maxPeakKB)))
-	logs, err := os.ReadFile(filepath.Join(dir, dp.Hosts[0].Name+".log"))
-	gm.Expect(err).NotTo(HaveOccurred())
-	gm.Expect(strings.Count(string(logs), "cause=broken")).To(BeNumerically(">", 5))
-	t.Logf("peak %d KB, %+v", dp.Hosts[0].PeakKB(), counts)
+	pours := 0
+	for _, id := range pouring {
+		pours += dp.Upstream(id).Pours()
+	}
+	gm.Expect(pours).To(BeNumerically(">=", minPours))
+	t.Logf("peak %d KB after %d answers without end, %+v", dp.Hosts[0].PeakKB(), pours, counts)
 }
 
 // TestSoak plays one seed with real processes. Longer runs and other seeds are played
