Close the rest of an answer that nobody reads

And a caller that left while nothing of the rest came was noticed at the deadline only. Change: such a rest is closed at once and its permit released with the outcome; the server closes the rest of a response when the caller leaves. Parts of assignments that several members remember are collected for each member; mixed, they could spoil each other for four seconds. Ruled out: ending Send with an error for long unsigned answers, since transport does not know signatures. TestLongAnswers (unsigned, refused) and TestCallerLeavesLongResponse fail on the code before.

--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -133,8 +133,8 @@
 	permits         *permit.Core
 	permitClient    permitClient
 	assignmentParts assignmentParts
-	// reportParts are the parts of an assignment that a member remembers.
-	reportParts   assignmentParts
+	// reportParts holds the parts of the assignment that each member remembers.
+	reportParts   map[ident.Host]*assignmentParts
 	announcements announcements
 	lastEncoded   encodedTable
 	lastDiff      tableDiff
@@ -153,7 +153,7 @@
 		self:   assignment.Member{Host: st.Host, Domain: st.Domain, Address: st.PeerAddress, Incarnation: uint64(time.Now().UnixMicro()), Fitness: max(int(100*fitness(st)), 1), Alive: true},
 		events: make(chan any, eventBuffer), done: make(chan struct{}), rereadOperators: make(chan struct{}, 1), roster: roster.New(),
 		restoredColdUntil: map[ident.Domain]clock.Instant{}, evacuatedAt: map[ident.Domain]clock.Instant{}, permits: permit.New(),
-		grantClients: grantClients{clients: map[grantClientID]*grantClient{}}, announcements: newAnnouncements(),
+		grantClients: grantClients{clients: map[grantClientID]*grantClient{}}, announcements: newAnnouncements(), reportParts: map[ident.Host]*assignmentParts{},
 	}
 	gw.grantClients.onLeaving, gw.grantClients.mayRenewOn = gw.onLeaving, gw.mayRenewOn
 	gw.bounds.Store(&st.Bounds)
--- a/internal/fleet/gateway/peers.go
+++ b/internal/fleet/gateway/peers.go
@@ -159,16 +159,22 @@
 	}
 }
 
-// handleReportPart handles a part of the assignment that a member remembers. The parts
-// of several members may arrive mixed: equal revisions have equal parts.
+// handleReportPart handles a part of the assignment that a member remembers. Members may
+// remember different ones, and their parts arrive mixed.
 func (gw *Gateway) handleReportPart(ms protocol.Report) {
 	if ms.Revision <= gw.table.Load().Revision {
 		return
 	}
-	body, complete := gw.reportParts.add(protocol.Assignment{Heartbeat: protocol.Heartbeat{Revision: ms.Revision}, Part: ms.Part, Parts: ms.Parts, Body: ms.Body})
+	parts, known := gw.reportParts[ms.Host]
+	if !known {
+		parts = &assignmentParts{}
+		gw.reportParts[ms.Host] = parts
+	}
+	body, complete := parts.add(protocol.Assignment{Heartbeat: protocol.Heartbeat{Revision: ms.Revision}, Part: ms.Part, Parts: ms.Parts, Body: ms.Body})
 	if !complete {
 		return
 	}
+	delete(gw.reportParts, ms.Host)
 	tb, err := assignment.Decode([]byte(body))
 	if err != nil {
 		gw.config.Log.ErrorEvent("assignmentMalformed", err, eventlog.Fields{"from": ms.Host, "revision": ms.Revision})
--- a/internal/serving/httpserver/connection.go
+++ b/internal/serving/httpserver/connection.go
@@ -382,6 +382,9 @@
 
 // writeRest streams the rest of a large body.
 func (cn *connection) writeRest(rs *Response, chunked bool) error {
+	// A caller that leaves ends the read of a rest that does not come.
+	stop := context.AfterFunc(cn.ctx, func() { _ = rs.Rest.Close() })
+	defer stop()
 	body := io.MultiReader(bytes.NewReader(rs.Body), rs.Rest)
 	if !chunked {
 		body = rs.Rest
--- a/internal/serving/httpserver/httpserver.go
+++ b/internal/serving/httpserver/httpserver.go
@@ -71,7 +71,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
-	// Rest follows Body; the server closes it after writing the response.
+	// Rest follows Body. The server closes it after writing the response, and already
+	// during a read if the caller leaves.
 	Rest io.ReadCloser
 	// Length is the length of the whole body in bytes, or -1 if it is unknown. It
 	// only matters with Rest.
--- a/internal/serving/httpserver/httpserver_test.go
+++ b/internal/serving/httpserver/httpserver_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -193,6 +194,40 @@
 	gm.Expect(rs.StatusCode).To(Equal(http.StatusOK))
 }
 
+// silentReader is a body of which nothing comes until it is closed.
+type silentReader struct {
+	once   sync.Once
+	closed chan struct{}
+}
+
+func (sr *silentReader) Read([]byte) (int, error) {
+	<-sr.closed
+	return 0, net.ErrClosed
+}
+
+func (sr *silentReader) Close() error {
+	sr.once.Do(func() { close(sr.closed) })
+	return nil
+}
+
+// TestCallerLeavesLongResponse checks that the rest of a response is closed soon after
+// its caller leaves, also while nothing of it comes.
+func TestCallerLeavesLongResponse(t *testing.T) {
+	gm := NewWithT(t)
+	rest := &silentReader{closed: make(chan struct{})}
+	_, conn, from := serve(t, func(context.Context, *httpserver.Request) *httpserver.Response {
+		return &httpserver.Response{Status: 200, Header: http.Header{}, Body: []byte("begin"), Length: 100, Rest: rest}
+	})
+	_, err := io.WriteString(conn, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+	gm.Expect(err).NotTo(HaveOccurred())
+	_, err = http.ReadResponse(from, nil)
+	gm.Expect(err).NotTo(HaveOccurred())
+	// Before the server closes, which waits for the response.
+	t.Cleanup(func() { _ = rest.Close() })
+	gm.Expect(conn.Close()).To(Succeed())
+	gm.Eventually(rest.closed, 400*time.Millisecond).Should(BeClosed())
+}
+
 // failingReader is a body that breaks off.
 type failingReader struct{}
 
--- a/internal/serving/proxy/proxy.go
+++ b/internal/serving/proxy/proxy.go
@@ -11,6 +11,8 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"chervilwalk/internal/base/ident"
@@ -342,18 +344,32 @@
 			ex.noteAnnouncements(pm, rp)
 		}
 	}
-	if an != nil && an.Rest != nil {
+	switch {
+	case an == nil || an.Rest == nil:
+	case passedOn(outcome, an, ex.px.cf.UpstreamHeaders):
 		// The upstream's slot is in use until the whole answer was read.
-		an.Rest = &releasingRest{ReadCloser: an.Rest, release: func(outcome permit.Outcome) {
-			done.Took, done.Outcome = time.Since(began), uint8(outcome)
+		an.Rest = &releasingRest{ReadCloser: an.Rest, release: func(broken bool) {
+			done.Took = time.Since(began)
+			if broken {
+				done.Outcome = uint8(permit.Broken)
+			}
 			ex.px.cf.Permits.Release(*pm, done)
 		}}
 		return an, err
+	default:
+		// Nobody reads the rest. An error means that the connection has ended already.
+		_ = an.Rest.Close()
 	}
 	ex.px.cf.Permits.Release(*pm, done)
 	return an, err
 }
 
+// passedOn reports whether an answer with this outcome becomes the response to the
+// caller.
+func passedOn(outcome permit.Outcome, an *transport.Answer, uh UpstreamHeaders) bool {
+	return outcome == permit.Answered || outcome == permit.Failed && uh.DecodeReport(an.Status, an.Header).HasSignature
+}
+
 // noteAnnouncements passes on what an upstream says about further requests.
 func (ex *exchange) noteAnnouncements(pm *Permit, rp Report) {
 	if rp.Leaving {
@@ -364,27 +380,27 @@
 	}
 }
 
-// releasingRest releases a permit when the rest of an answer has been read or given up.
+// releasingRest releases a permit once the rest of an answer has been read or given up.
+// Close may be called beside Read.
 type releasingRest struct {
 	io.ReadCloser
-	release func(permit.Outcome)
-	broken  bool
+	release func(broken bool)
+	once    sync.Once
+	broken  atomic.Bool
 }
 
 // Read implements io.Reader.
 func (rr *releasingRest) Read(buf []byte) (int, error) {
 	count, err := rr.ReadCloser.Read(buf)
-	rr.broken = rr.broken || err != nil && !errors.Is(err, io.EOF)
+	if err != nil && !errors.Is(err, io.EOF) {
+		rr.broken.Store(true)
+	}
 	return count, err
 }
 
 // Close closes the rest and releases the permit.
 func (rr *releasingRest) Close() error {
-	outcome := permit.Answered
-	if rr.broken {
-		outcome = permit.Broken
-	}
-	rr.release(outcome)
+	rr.once.Do(func() { rr.release(rr.broken.Load()) })
 	return rr.ReadCloser.Close()
 }
 
@@ -422,7 +438,7 @@
 		ex.end.Cause = "answered"
 		return ex.upstreamResponse(an), false
 	case permit.Failed:
-		if rp := ex.px.cf.UpstreamHeaders.DecodeReport(an.Status, an.Header); rp.HasSignature {
+		if passedOn(outcome, an, ex.px.cf.UpstreamHeaders) {
 			ex.end.Cause = "upstreamFailed"
 			return ex.upstreamResponse(an), false
 		}
--- a/internal/serving/proxy/proxy_test.go
+++ b/internal/serving/proxy/proxy_test.go
@@ -325,3 +325,56 @@
 		})
 	}
 }
+
+// TestLongAnswers checks when the permit of an answer that is passed on while it is read
+// is released, and that one that is not passed on is not read either: its upstream may
+// send bytes until the connection is closed.
+func TestLongAnswers(t *testing.T) {
+	cases := map[string]struct {
+		header http.Header
+		status int
+		// passedOn reports whether the caller gets the answer.
+		passedOn bool
+	}{
+		"signed":   {http.Header{"Seal": {"s"}}, 200, true},
+		"failed":   {http.Header{"Seal": {"s"}}, 500, true},
+		"unsigned": {http.Header{}, 200, false},
+		"refused":  {http.Header{"Not-Run": {"1"}}, 503, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			gm := NewWithT(t)
+			closed := make(chan struct{})
+			server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) {
+				defer close(closed)
+				maps.Copy(rw.Header(), tc.header)
+				rw.WriteHeader(tc.status)
+				for {
+					if _, err := rw.Write(make([]byte, 16<<10)); err != nil {
+						return
+					}
+				}
+			}))
+			t.Cleanup(server.Close)
+			pm := &permits{addresses: []string{server.Listener.Addr().String()}}
+			pl := transport.New(func(http.Header) ident.Request { return "" })
+			t.Cleanup(pl.Close)
+			st := state(t)
+			px := proxy.New(proxy.Config{
+				State: func() *desired.State { return st }, Permits: pm, Connections: pl, CallerHeaders: testHeaders{}, UpstreamHeaders: testHeaders{},
+				Budget: proxy.NewBudget(0, func() float64 { return 0 }),
+				OnEnd:  func(proxy.End) {}, OnKeyedRequest: func(ident.Service, keyspace.Key) {},
+				OnLeaving: func(ident.Upstream) {}, OnPause: func(proxy.Permit, time.Duration) {},
+			})
+			rs := px.Serve(t.Context(), &httpserver.Request{Method: http.MethodGet, URI: "/lookup", Header: http.Header{"Id": {"r"}}, Arrived: time.Now()})
+			gm.Expect(rs).NotTo(BeNil())
+			gm.Expect(rs.Rest != nil).To(Equal(tc.passedOn))
+			if tc.passedOn {
+				gm.Expect(pm.released).To(BeZero(), "while the answer is read")
+				gm.Expect(rs.Rest.Close()).To(Succeed())
+			}
+			gm.Expect(pm.released).To(Equal(1))
+			gm.Eventually(closed, time.Second).Should(BeClosed())
+		})
+	}
+}
--- a/internal/stand/deployment/process.go
+++ b/internal/stand/deployment/process.go
@@ -6,7 +6,6 @@
 	"os/exec"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -90,7 +89,7 @@
 
 // PeakKB returns the peak memory of a host's process in KB, 0 if it has none.
 func (host *Host) PeakKB() int {
-	peak := atomic.Int64{}
+	peak := 0
 	host.withProcess(func(pr *process) {
 		status, err := os.ReadFile("/proc/" + strconv.Itoa(pr.command.Process.Pid) + "/status")
 		if err != nil {
@@ -99,10 +98,10 @@
 		for line := range strings.Lines(string(status)) {
 			if fields := strings.Fields(line); len(fields) > 1 && fields[0] == "VmHWM:" {
 				if size, err := strconv.Atoi(fields[1]); err == nil {
-					peak.Store(int64(size))
+					peak = size
 				}
 			}
 		}
 	})
-	return int(peak.Load())
+	return peak
 }
