Keep the mutant of the eras' first epoch compiling

Change: the mutant still calls era.First and drops the result.

Ruled out: accepting a failed build as a verdict; a mutant that does not compile shows nothing.

--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -112,7 +112,7 @@
 		[]string{"-run=TestNewConnection", "./platform"},
 	},
 	"epochs of an earlier era are given out again": {
-		"internal/ownership/leader/leader.go", "	co.draft.LastEpoch = max(co.draft.LastEpoch, era.First[keyspace.Epoch](co.era))\n", "",
+		"internal/ownership/leader/leader.go", "	co.draft.LastEpoch = max(co.draft.LastEpoch, era.First[keyspace.Epoch](co.era))\n", "	_ = era.First[keyspace.Epoch](co.era)\n",
 		[]string{"-run=TestDisturbances", "./internal/ownership/agent"},
 	},
 	"keys move while a lost assignment may be in use": {
