Take up a settings file that changes without a signal

Cause: the settings file may change without a SIGHUP, and a process that had started kept the old bounds and addresses until its next signal or end.

Change: the process looks at the file's size and time of change once a second.

Ruled out: inotify, which the platform does not have; reading the whole file each second.

--- a/cmd/chervilwalk/front.go
+++ b/cmd/chervilwalk/front.go
@@ -5,11 +5,11 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"chervilwalk/internal/catalog/bundle"
 	"chervilwalk/internal/fleet/gateway"
 	"chervilwalk/internal/operations/eventlog"
-	"chervilwalk/platform"
 )
 
 const (
@@ -21,8 +21,8 @@
 	maxThreads = 64
 )
 
-// frontCommand runs the gateway of an entry host. SIGHUP reloads the settings
-// file; SIGTERM and SIGINT stop the gateway.
+// frontCommand runs the gateway of an entry host. It reads the settings file again on
+// SIGHUP and when the file has changed; SIGTERM and SIGINT stop the gateway.
 type frontCommand struct {
 	Settings string   `long:"settings" env:"CHERVILWALK_NODE_FILE" required:"true" description:"Path of the platform's settings file"`
 	Trusted  []string `long:"trusted-key" env:"CHERVILWALK_TRUSTED_KEYS" env-delim:"," description:"NAME=BASE64 of a public key trusted to sign bundles, as bundle keygen prints it; without any, the platform's operators set the desired state"`
@@ -35,7 +35,8 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	debug.SetGCPercent(gcPercent)
 	debug.SetMaxThreads(maxThreads)
-	st, err := platform.LoadSettings(fc.Settings)
+	sf := settingsFile{path: fc.Settings}
+	st, err := sf.load()
 	if err != nil {
 		return err
 	}
@@ -49,17 +50,25 @@
 	if err != nil {
 		return err
 	}
-	for sg := range signals {
-		if sg != syscall.SIGHUP {
-			gw.Stop()
-			return nil
+	ticker := time.NewTicker(settingsCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case sg := <-signals:
+			if sg != syscall.SIGHUP {
+				gw.Stop()
+				return nil
+			}
+		case <-ticker.C:
+			if !sf.changed() {
+				continue
+			}
 		}
-		changed, err := platform.LoadSettings(fc.Settings)
+		changed, err := sf.load()
 		if err != nil {
 			lg.ErrorEvent("settingsMalformed", err, nil)
 			continue
 		}
 		gw.Reload(changed)
 	}
-	return nil
 }
