Wait no longer for grants because a member was cut off

Cause: a move from an unreachable owner waits until no member renews its grant.

Change: a member counts as having stopped at its acknowledgement or when its table could be confirmed no more, whichever is earlier.

Ruled out: more attempts to fence the old owner, since each that is not answered prolongs the wait by the lifetime of its grant.

Result: a new case of TestDisturbances, which failed before (keys unowned 9.5 s after a cut of 5 s); no violation in the others.

--- a/internal/ownership/agent/agent_test.go
+++ b/internal/ownership/agent/agent_test.go
@@ -98,6 +98,16 @@
 			}
 			sim.isolate(up.domain, isolation)
 		}, isolation + recovery},
+		"a domain is partitioned for less than its grants last": {func(sim *simulation) {
+			up := sim.upstreams[0]
+			for _, other := range sim.upstreams {
+				if other.domain != leaderOf(sim).member.Domain {
+					up = other
+				}
+			}
+			sim.isolate(up.domain, 5*time.Second)
+			up.draining = true
+		}, 9500 * time.Millisecond},
 		"all hosts crash": {func(sim *simulation) {
 			for _, ho := range sim.hosts {
 				sim.kill(ho)
--- a/internal/ownership/leader/move.go
+++ b/internal/ownership/leader/move.go
@@ -277,7 +277,8 @@
 		if !acked {
 			at = unackedEnd
 		}
-		end = max(end, at)
+		// A member that was cut off acknowledges late, but stopped before.
+		end = max(end, min(at, unackedEnd))
 	}
 	return end.Add(renewal.CallTimeout)
 }
