Block an upstream only for a moment when it refuses a request

Change: a refusal blocks for 10 ms; from the ninth in a row on the time doubles, up to 2 s.

Ruled out: no block at all, since one that refuses everything would take each request of a service without keys.

--- a/internal/serving/permit/permit_test.go
+++ b/internal/serving/permit/permit_test.go
@@ -37,7 +37,10 @@
 	// keyed sends each ask to the owner of its key, instead of any upstream.
 	keyed bool
 	// latency is the mean time of each upstream to answer.
-	latency   map[ident.Upstream]time.Duration
+	latency map[ident.Upstream]time.Duration
+	// refusing is the fraction of requests that each upstream refuses at once, though it
+	// has room.
+	refusing  float64
 	startedAt map[protocol.Ticket]clock.Instant
 	running   map[ident.Upstream]int
 	// maxRunning is the highest number of concurrent requests at each upstream.
@@ -46,6 +49,8 @@
 	sentPerSecond map[ident.Upstream]map[int64]int
 
 	asked, inTime, late, refused, failed int
+	// refusedByUpstream counts those of failed that an upstream refused.
+	refusedByUpstream int
 	// longestRefusedWait is the longest wait that ended with a refusal.
 	longestRefusedWait time.Duration
 }
@@ -169,10 +174,16 @@
 		// An upstream stops work when the request's time has run out.
 		took, outcome = timeLeft, permit.TimedOut
 	}
+	if sm.rng.Float64() < sm.refusing {
+		took, outcome = 2*time.Millisecond, permit.Refused
+	}
 	sm.schedule(took, func() {
 		sm.running[id]--
 		latency := sm.now.Sub(sm.startedAt[cmd.Permit.Ticket])
 		switch {
+		case outcome == permit.Refused:
+			sm.failed++
+			sm.refusedByUpstream++
 		case outcome == permit.TimedOut:
 			sm.failed++
 		case latency <= objective:
@@ -221,23 +232,28 @@
 		latencies   []time.Duration
 		perSecond   float64
 		hotKeyShare float64
-		// minInTime is the minimum fraction of requests that meet their objective.
+		refusing    float64
+		// minInTime is the minimum fraction of requests that meet their objective, of those
+		// that no upstream refuses.
 		minInTime float64
 	}{
-		"half of the capacity":                   {false, repeat(10, latency), 50, 0, 0.95},
-		"85 percent of the capacity":             {false, repeat(10, latency), 85, 0, 0.85},
-		"twice the capacity":                     {false, repeat(10, latency), 200, 0, 0.35},
-		"two upstreams ten times slower":         {false, append(repeat(8, latency), 10*latency, 10*latency), 40, 0, 0.9},
-		"keyed, a third of the capacity":         {true, repeat(10, latency), 33, 0, 0.9},
-		"keyed, one owner at 2.5 times capacity": {true, repeat(10, latency), 40, 0.6, 0.45},
+		"half of the capacity":                   {false, repeat(10, latency), 50, 0, 0, 0.95},
+		"85 percent of the capacity":             {false, repeat(10, latency), 85, 0, 0, 0.85},
+		"twice the capacity":                     {false, repeat(10, latency), 200, 0, 0, 0.35},
+		"two upstreams ten times slower":         {false, append(repeat(8, latency), 10*latency, 10*latency), 40, 0, 0, 0.9},
+		"keyed, a third of the capacity":         {true, repeat(10, latency), 33, 0, 0, 0.9},
+		"keyed, one owner at 2.5 times capacity": {true, repeat(10, latency), 40, 0.6, 0, 0.45},
+		"upstreams refuse half":                  {false, repeat(10, latency), 50, 0, 0.5, 0.95},
+		"keyed, upstreams refuse half":           {true, repeat(10, latency), 33, 0, 0.5, 0.9},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			gm := NewWithT(t)
 			sm := newSimulation(1, tc.keyed, tc.latencies...)
+			sm.refusing = tc.refusing
 			sm.runLoad(tc.perSecond, 30*time.Second, tc.hotKeyShare)
 			t.Logf("%d asked, %d in time, %d late, %d refused", sm.asked, sm.inTime, sm.late, sm.refused)
-			gm.Expect(float64(sm.inTime)).To(BeNumerically(">=", tc.minInTime*float64(sm.asked)), "%d asked, %d in time, %d late, %d refused, %d failed", sm.asked, sm.inTime, sm.late, sm.refused, sm.failed)
+			gm.Expect(float64(sm.inTime)).To(BeNumerically(">=", tc.minInTime*float64(sm.asked-sm.refusedByUpstream)), "%d asked, %d in time, %d late, %d refused, %d failed", sm.asked, sm.inTime, sm.late, sm.refused, sm.failed)
 			for id, most := range sm.maxRunning {
 				gm.Expect(most).To(BeNumerically("<=", 2), "concurrent requests at %s", id)
 			}
--- a/internal/serving/permit/upstream.go
+++ b/internal/serving/permit/upstream.go
@@ -24,6 +24,13 @@
 	// further failure doubles it up to maxBackoff.
 	minBackoff = 150 * time.Millisecond
 	maxBackoff = 2 * time.Second
+	// refusalBackoff is how long an upstream gets no requests after it has refused
+	// one; from maxShortBackoffs refusals in a row on, each further one doubles it up
+	// to maxBackoff.
+	refusalBackoff   = 10 * time.Millisecond
+	maxShortBackoffs = 8
+	// refusalWeight is the weight of the newest request in an upstream's refusal ratio.
+	refusalWeight = 0.2
 	// slowStartTime is how long an upstream counts as cold after connection
 	// failures: it may have restarted, and its entry may not show that yet.
 	slowStartTime = 1500 * time.Millisecond
@@ -47,8 +54,10 @@
 	// upstream's own report.
 	otherRequests      int
 	otherRequestsUntil clock.Instant
-	// failures counts the failures since the last answer.
-	failures       int
+	// failures counts the failures since the last answer, refusals the refused requests.
+	failures, refusals int
+	// refusalRatio is the moving average of the fraction of refused requests.
+	refusalRatio   float64
 	backoffUntil   clock.Instant
 	slowStartUntil clock.Instant
 	// coldTokens is the token bucket, of size 1, for requests to a cold upstream.
@@ -138,14 +147,15 @@
 	}
 	switch Outcome(dn.Outcome) {
 	case Answered:
-		us.failures = 0
+		us.failures, us.refusals = 0, 0
+		us.refusalRatio -= refusalWeight * us.refusalRatio
 		us.latency += time.Duration(upstreamLatencyWeight * float64(dn.Took-us.latency))
 	case Failed, Disowned, Withdrawn:
 	case TimedOut:
 		us.latency += time.Duration(2 * upstreamLatencyWeight * float64(dn.Took-us.latency))
 		us.backOff(now)
 	case Refused:
-		us.backOff(now)
+		us.backOffRefusal(now)
 	case Unreached, Broken:
 		us.backOff(now)
 		if us.failures >= slowStartFailures {
@@ -160,3 +170,13 @@
 	us.failures++
 	us.backoffUntil = max(us.backoffUntil, now.Add(backoff))
 }
+
+// backOffRefusal counts a refused request and blocks the upstream for a moment. One that
+// refuses some requests and runs the others is not left idle; one that refuses all of them
+// is asked less and less often.
+func (us *upstream) backOffRefusal(now clock.Instant) {
+	us.refusalRatio += refusalWeight * (1 - us.refusalRatio)
+	doublings := min(max(us.refusals-maxShortBackoffs, 0), 8)
+	us.refusals++
+	us.backoffUntil = max(us.backoffUntil, now.Add(min(refusalBackoff<<doublings, maxBackoff)))
+}
