Read the upstream entries by their changes, and pace lists of all entries

Hosts that hear no fresh leader read all entries every 0.8 s, in six pages; the leader does so twice a second. While upstreams register, a change rarely fits into one delta, and the leader sent all entries in 25 datagrams to all 299 members each time.

Change: after a whole read an entryReader asks the store for what has changed since. It reads all again when the store has lost its history or is in another era. What a leader sends as whole lists is limited to 4 MB at once and 1 MB a second; members that wait for theirs read the store.

Ruled out: watches that wait for a change, which would answer with each heartbeat of one of thousands of upstreams.

--- a/internal/fleet/gateway/rostercache.go
+++ b/internal/fleet/gateway/rostercache.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"sync"
 	"time"
 
 	"chervilwalk/internal/base/clock"
@@ -10,8 +11,18 @@
 	"chervilwalk/internal/peer/protocol"
 )
 
-// maxPartEntries is the maximum number of entries in one datagram.
-const maxPartEntries = 120
+const (
+	// maxPartEntries is the maximum number of entries in one datagram.
+	maxPartEntries = 120
+	// entryBytes is the approximate size of an entry in a datagram.
+	entryBytes = 90
+	// wholeListBurst and wholeListRate limit what a leader sends to members that need
+	// all entries, in bytes and bytes per second: at hundreds of hosts and thousands
+	// of upstreams such lists would keep heartbeats from its link. Members that wait
+	// for theirs read the store.
+	wholeListBurst = 4 << 20
+	wholeListRate  = 1 << 20
+)
 
 // rosterCache holds what this host knows of the store and how fresh that is. The
 // leader reads the entries for all hosts and sends them the changes; a host
@@ -36,6 +47,25 @@
 	pendingParts []protocol.Roster
 	// history holds earlier lists of entries, the newest last.
 	history []pastEntryList
+	// wholeLists limits the lists of all entries that this host sends as the leader.
+	wholeLists byteBudget
+}
+
+// byteBudget is a token bucket of bytes.
+type byteBudget struct {
+	spent      float64
+	refilledAt clock.Instant
+}
+
+// take takes bytes from the budget. It returns false if too few are left.
+func (bb *byteBudget) take(now clock.Instant, count, burst, perSecond int) bool {
+	bb.spent = max(bb.spent-float64(perSecond)*now.Sub(bb.refilledAt).Seconds(), 0)
+	bb.refilledAt = now
+	if bb.spent > 0 && bb.spent+float64(count) > float64(burst) {
+		return false
+	}
+	bb.spent += float64(count)
+	return true
 }
 
 // pastEntryList is an earlier list of entries.
@@ -79,7 +109,7 @@
 	hb.Freshness = gw.cache.freshness(now)
 	gw.sendMessage(cmd.To, hb)
 	if to, err := netip.ParseAddrPort(cmd.To); err == nil && hb.Leader != "" && cmd.RosterVersion < gw.cache.changedVersion {
-		gw.sendRoster(gw.encodeRoster(now, cmd.RosterDigest), to)
+		gw.sendRoster(now, cmd.RosterDigest, to)
 	}
 }
 
@@ -89,26 +119,58 @@
 	if !gw.agent.Leading() {
 		return
 	}
-	parts := gw.encodeRoster(now, before)
+	delta, small := gw.encodeRosterDelta(now, before)
+	whole := sync.OnceValue(func() [][]byte { return gw.encodeRoster(now) })
 	for _, mb := range gw.table.Load().Members {
-		if to, err := netip.ParseAddrPort(mb.Address); err == nil && mb.Host != gw.self.Host {
-			gw.sendRoster(parts, to)
+		to, err := netip.ParseAddrPort(mb.Address)
+		switch {
+		case err != nil || mb.Host == gw.self.Host:
+		case small:
+			gw.writeDatagram(to, delta)
+		default:
+			gw.sendWholeRoster(now, to, whole)
 		}
 	}
 }
 
-// encodeRoster returns the datagrams with the entries for a host that knows those
-// with the digest known: a delta if possible, otherwise all entries in parts.
-func (gw *Gateway) encodeRoster(now clock.Instant, known uint64) [][]byte {
+// sendRoster sends the entries to a host that knows those with the digest known: a
+// delta if possible, otherwise all entries.
+func (gw *Gateway) sendRoster(now clock.Instant, known uint64, to netip.AddrPort) {
+	if delta, small := gw.encodeRosterDelta(now, known); small {
+		gw.writeDatagram(to, delta)
+		return
+	}
+	gw.sendWholeRoster(now, to, func() [][]byte { return gw.encodeRoster(now) })
+}
+
+// encodeRosterDelta returns the datagram with what has changed since the entries with
+// the digest known. It returns false if these are not known any more or too different.
+func (gw *Gateway) encodeRosterDelta(now clock.Instant, known uint64) ([]byte, bool) {
 	rc := &gw.cache
-	if base, found := rc.entriesWithDigest(known); found {
-		datagram := protocol.Encode(protocol.RosterDelta{
-			Term: gw.agent.Term(), Version: rc.version, GraceLeft: gw.roster.GraceLeft(now), Delta: roster.Diff(base, rc.entries),
-		})
-		if len(datagram) <= maxDeltaBytes {
-			return [][]byte{datagram}
-		}
+	base, found := rc.entriesWithDigest(known)
+	if !found {
+		return nil, false
 	}
+	datagram := protocol.Encode(protocol.RosterDelta{
+		Term: gw.agent.Term(), Version: rc.version, GraceLeft: gw.roster.GraceLeft(now), Delta: roster.Diff(base, rc.entries),
+	})
+	return datagram, len(datagram) <= maxDeltaBytes
+}
+
+// sendWholeRoster sends all entries in parts, or nothing if too much was sent lately; the
+// next heartbeat is the next attempt.
+func (gw *Gateway) sendWholeRoster(now clock.Instant, to netip.AddrPort, encode func() [][]byte) {
+	if !gw.cache.wholeLists.take(now, entryBytes*len(gw.cache.entries), wholeListBurst, wholeListRate) {
+		return
+	}
+	for _, datagram := range encode() {
+		gw.writeDatagram(to, datagram)
+	}
+}
+
+// encodeRoster returns the datagrams with all entries.
+func (gw *Gateway) encodeRoster(now clock.Instant) [][]byte {
+	rc := &gw.cache
 	count := max((len(rc.entries)+maxPartEntries-1)/maxPartEntries, 1)
 	parts := make([][]byte, 0, count)
 	for part := range count {
@@ -120,12 +182,6 @@
 	return parts
 }
 
-func (gw *Gateway) sendRoster(parts [][]byte, to netip.AddrPort) {
-	for _, datagram := range parts {
-		gw.writeDatagram(to, datagram)
-	}
-}
-
 // handleRosterPart handles a part of the entries from a leader.
 func (gw *Gateway) handleRosterPart(now clock.Instant, ms protocol.Roster) {
 	rc := &gw.cache
--- a/internal/fleet/gateway/rostercache_test.go
+++ b/internal/fleet/gateway/rostercache_test.go
@@ -53,3 +53,39 @@
 	gm.Expect(collect(6, 0)).To(BeFalse())
 	gm.Expect(collect(6, 1)).To(BeTrue())
 }
+
+// TestByteBudget sends lists of the sizes that a leader meets: at hundreds of hosts what
+// it sends stays within the rate, and a single large list is sent all the same.
+func TestByteBudget(t *testing.T) {
+	for name, tc := range map[string]struct {
+		listBytes, lists int
+		minSent, maxSent int
+	}{
+		"144 hosts, 261 upstreams":  {261 * entryBytes, 144, 144, 144},
+		"300 hosts, 3000 upstreams": {3000 * entryBytes, 300, 15, 16},
+		"420 hosts, 4200 upstreams": {4200 * entryBytes, 420, 11, 12},
+		"a list above the burst":    {2 * wholeListBurst, 10, 1, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			gm := NewWithT(t)
+			now := clock.Instant(time.Hour)
+			bb := byteBudget{}
+			sent := 0
+			for range tc.lists {
+				if bb.take(now, tc.listBytes, wholeListBurst, wholeListRate) {
+					sent++
+				}
+			}
+			gm.Expect(sent).To(And(BeNumerically(">=", tc.minSent), BeNumerically("<=", tc.maxSent)))
+			later := 0
+			for range 100 {
+				now = now.Add(100 * time.Millisecond)
+				if bb.take(now, tc.listBytes, wholeListBurst, wholeListRate) {
+					later++
+				}
+			}
+			gm.Expect(later * tc.listBytes).To(BeNumerically("<=", wholeListBurst+10*wholeListRate+tc.listBytes))
+			gm.Expect(later).To(BeNumerically(">", 0))
+		})
+	}
+}
--- a/internal/fleet/gateway/store.go
+++ b/internal/fleet/gateway/store.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"maps"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -252,9 +253,11 @@
 	lastOK, lost := time.Now(), false
 	known := map[string]platform.Version{}
 	retry := minRetryDelay
+	er := entryReader{store: gw.store}
 	for {
 		if gw.leaderFresh() && !gw.leading.Load() {
 			// The leader reads for all hosts.
+			er.forget()
 			lastOK, lost = time.Now(), false
 			gw.send(rosterTickEvent{})
 			freshFor := clock.Instant(gw.leaderReadAt.Load()).Add(maxEntriesAge).Sub(gw.clock.Now())
@@ -263,18 +266,14 @@
 			}
 			continue
 		}
-		answer := make(chan readResult, 1)
-		go func() {
-			rows, version, err := gw.store.Read(platform.UpstreamTable, "", time.Now().Add(readTimeout))
-			answer <- readResult{rows, version, err}
-		}()
-		var rr readResult
+		answer := make(chan error, 1)
+		go func() { answer <- er.read() }()
+		var err error
 		select {
 		case <-gw.done:
 			return
-		case rr = <-answer:
+		case err = <-answer:
 		}
-		rows, version, err := rr.rows, rr.version, rr.err
 		wait := pollInterval
 		if gw.leading.Load() {
 			wait = leaderPollInterval
@@ -288,11 +287,11 @@
 		} else {
 			away := time.Since(lastOK) > storeAwayTimeout
 			if lost {
-				gw.config.Log.Event("storeRegained", eventlog.Fields{"awayMs": time.Since(lastOK).Milliseconds(), "version": version})
+				gw.config.Log.Event("storeRegained", eventlog.Fields{"awayMs": time.Since(lastOK).Milliseconds(), "version": er.version})
 			}
 			lost, lastOK, retry = false, time.Now(), minRetryDelay
-			entries, malformed := platform.DecodeEntries(rows)
-			gw.send(rosterEvent{entries: entries, version: version, malformed: newlyMalformed(malformed, known), away: away})
+			// A copy, as the loop marks entries.
+			gw.send(rosterEvent{entries: slices.Clone(er.entries), version: er.version, malformed: newlyMalformed(er.malformed, known), away: away})
 		}
 		if !gw.sleep(wait) {
 			return
