Let late requests wait for an owner that their key has soon

Cause: TestWholePath without faults, beside five busy processes: two requests of the first second were refused while their owner was idle. It had disowned them just before its grant came; such requests are held for 150 ms, but a request that can no longer meet its objective was refused after 120 ms. It is the same while keys move.

Change: such a request waits up to 500 ms, as its owner may have unused slots.

Ruled out: waiting until the deadline; when a move takes seconds, callers are refused late.

Result: TestLateRequestWaitsForOwner, which failed before.

--- a/internal/serving/permit/permit_test.go
+++ b/internal/serving/permit/permit_test.go
@@ -321,6 +321,44 @@
 	gm.Expect(sm.running["u1"]).To(Equal(1))
 }
 
+// TestLateRequestWaitsForOwner sends a request that can no longer meet its objective for
+// a key without an owner at that moment. Its answer is still of use, so it must reach the
+// idle owner that the key has soon.
+func TestLateRequestWaitsForOwner(t *testing.T) {
+	for name, tc := range map[string]struct {
+		// hold keeps the key from its owner, which has it again after a while.
+		hold  func(sm *simulation) (release func())
+		after time.Duration
+	}{
+		"the key moves": {func(sm *simulation) func() {
+			ms := sm.upstreamsMsg(0)
+			ms.Table.Shares[0].Next = assignment.Claim{Upstream: "u1", Epoch: 9}
+			sm.update(ms)
+			return func() {
+				ms.Table.Shares[0].Owner, ms.Table.Shares[0].Next = ms.Table.Shares[0].Next, assignment.Claim{}
+				sm.update(ms)
+			}
+		}, 400 * time.Millisecond},
+		"the owner did not know that it has the key": {func(sm *simulation) func() {
+			sm.ask(7, 0)
+			sm.update(permit.DoneMsg{Done: protocol.Done{Host: "a", Ticket: sm.ticket, Service: service, Upstream: "u0", Outcome: uint8(permit.Disowned)}})
+			return func() {}
+		}, 200 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			gm := NewWithT(t)
+			sm := newSimulation(1, true, 200*time.Millisecond, 200*time.Millisecond)
+			release := tc.hold(sm)
+			sm.ask(7, objective-50*time.Millisecond)
+			sm.advance(tc.after)
+			release()
+			sm.advance(tc.after)
+			gm.Expect(sm.refused).To(BeZero())
+			gm.Expect(sm.sentPerSecond["u0"][3600] + sm.sentPerSecond["u1"][3600]).To(BeNumerically(">=", 1))
+		})
+	}
+}
+
 // TestPermitsOfLostHostExpire checks that permits that are never released free
 // their slots after the request's deadline.
 func TestPermitsOfLostHostExpire(t *testing.T) {
--- a/internal/serving/permit/queue.go
+++ b/internal/serving/permit/queue.go
@@ -26,6 +26,9 @@
 	// maxLateWait limits the wait of a request that can no longer meet its
 	// objective: it gets only unused slots, and a busy upstream has none.
 	maxLateWait = 120 * time.Millisecond
+	// maxHeldWait is the same for a request whose key is on the move or was just
+	// disowned: its next owner may well have unused slots.
+	maxHeldWait = 500 * time.Millisecond
 	// expectedMoveTime is how long keys usually take to move to their next owner.
 	expectedMoveTime = 200 * time.Millisecond
 	// minRetryAfter prevents an immediate retry of a refused request.
@@ -70,7 +73,7 @@
 	ak.refuseAt = ak.deadline.Add(-es.Latency)
 	if es.Wait+time.Duration(latencyMargin*float64(es.Latency)) > msg.ObjectiveLeft {
 		ak.late = true
-		ak.refuseAt = min(ak.refuseAt, now.Add(maxLateWait))
+		ak.refuseAt = min(ak.refuseAt, now.Add(co.lateWait(now, ak)))
 	}
 	if now.Add(es.Wait) > ak.refuseAt {
 		return []Cmd{ak.refuse(now, max(es.Wait-msg.ObjectiveLeft/2, minRetryAfter), "noRoomInTime", es)}
@@ -196,6 +199,14 @@
 	return us, sh.Moving()
 }
 
+// lateWait returns how long an ask that can no longer meet its objective waits.
+func (co *Core) lateWait(now clock.Instant, ak *ask) time.Duration {
+	if _, moving := co.owner(ak); ak.Keyed && (moving || co.isDisowned(now, ak)) {
+		return maxHeldWait
+	}
+	return maxLateWait
+}
+
 // isDisowned reports whether the owner of the ask's key has just disowned it.
 // The owner's grant or the next revision of the table is then on its way.
 func (co *Core) isDisowned(now clock.Instant, ak *ask) bool {
@@ -286,7 +297,7 @@
 	for _, ak := range co.waiting[sv] {
 		if !ak.late && ak.objective.Before(now.Add(time.Duration(minLatencyFraction*float64(co.expectedLatencyFor(ak))))) {
 			ak.late = true
-			ak.refuseAt = min(ak.refuseAt, now.Add(maxLateWait))
+			ak.refuseAt = min(ak.refuseAt, now.Add(co.lateWait(now, ak)))
 		}
 		if now < ak.refuseAt {
 			kept = append(kept, ak)
