Refuse at once what waits for a key that moves for long

The holder of permits expected 200 ms of every move, however long it had lasted.

Change: a move that has lasted longer is expected to last as long again, 3 s at most. What cannot be served in that time is refused at arrival, and Retry-After says so.

Ruled out: asking the leader how long each move will take; it does not know either when the old owner answers its release.

Result: TestKeyOnALongMove, which failed before.

--- a/internal/serving/permit/permit.go
+++ b/internal/serving/permit/permit.go
@@ -168,7 +168,10 @@
 	// freeBuf is the reused buffer of availableUpstreams.
 	freeBuf []*upstream
 	table   *assignment.Table
-	asks    map[askID]*ask
+	// movingSince is when each move in the table was first seen, by the next owner's
+	// epoch.
+	movingSince map[keyspace.Epoch]clock.Instant
+	asks        map[askID]*ask
 	// waiting holds the asks without a permit, by service, in order of arrival.
 	waiting map[ident.Service][]*ask
 	// disownedUntil is until when asks for a disowned share are held back, by the
@@ -202,7 +205,7 @@
 	case UpstreamsMsg:
 		co.setUpstreams(now, ms)
 	case TableMsg:
-		co.table = ms.Table
+		co.setTable(now, ms.Table)
 	}
 	co.expire(now)
 	for sv := range co.waiting {
@@ -234,7 +237,8 @@
 // setUpstreams replaces the services, upstreams and owners of keys. A removed
 // upstream is kept while permits for it are open.
 func (co *Core) setUpstreams(now clock.Instant, ms UpstreamsMsg) {
-	co.services, co.table = ms.Services, ms.Table
+	co.services = ms.Services
+	co.setTable(now, ms.Table)
 	listed := make(map[ident.Upstream]bool, len(ms.Upstreams))
 	for _, up := range ms.Upstreams {
 		listed[up.ID] = true
@@ -260,6 +264,22 @@
 	}
 }
 
+// setTable replaces the owners of keys.
+func (co *Core) setTable(now clock.Instant, tb *assignment.Table) {
+	since := map[keyspace.Epoch]clock.Instant{}
+	for ix := range tb.Shares {
+		sh := &tb.Shares[ix]
+		if !sh.Moving() {
+			continue
+		}
+		since[sh.Next.Epoch] = now
+		if seenAt, known := co.movingSince[sh.Next.Epoch]; known {
+			since[sh.Next.Epoch] = seenAt
+		}
+	}
+	co.table, co.movingSince = tb, since
+}
+
 // expectedLatency returns the average time that a service takes to answer.
 func (co *Core) expectedLatency(sv ident.Service) time.Duration {
 	if latency, known := co.latencies[sv]; known {
--- a/internal/serving/permit/permit_test.go
+++ b/internal/serving/permit/permit_test.go
@@ -359,6 +359,40 @@
 	}
 }
 
+// TestKeyOnALongMove sends requests for a key whose move takes longer than most. As soon
+// as that shows, they are refused at once and told to come back later, rather than wait
+// for nothing.
+func TestKeyOnALongMove(t *testing.T) {
+	for name, tc := range map[string]struct {
+		elapsed       time.Duration
+		refused       bool
+		minRetryAfter time.Duration
+	}{
+		"just begun":                {50 * time.Millisecond, false, 0},
+		"a second ago":              {time.Second, true, 500 * time.Millisecond},
+		"from an unreachable owner": {10 * time.Second, true, 2 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			gm := NewWithT(t)
+			sm := newSimulation(1, true, 200*time.Millisecond, 200*time.Millisecond)
+			ms := sm.upstreamsMsg(0)
+			ms.Table.Shares[0].Next = assignment.Claim{Upstream: "u1", Epoch: 9}
+			sm.update(ms)
+			sm.advance(tc.elapsed / 2)
+			// The table changes elsewhere while the key moves.
+			sm.update(permit.TableMsg{Table: ms.Table})
+			sm.advance(tc.elapsed / 2)
+			cmds := sm.core.Update(sm.now, permit.AskMsg{Ask: protocol.Ask{
+				Host: "a", Ticket: 1, Service: service, Key: 7, Keyed: true, ObjectiveLeft: objective, TimeLeft: limit,
+			}})
+			gm.Expect(cmds).To(HaveLen(1))
+			refusal, refused := cmds[0].(permit.RefuseCmd)
+			gm.Expect(refused).To(Equal(tc.refused))
+			gm.Expect(refusal.Refusal.RetryAfter).To(BeNumerically(">=", tc.minRetryAfter))
+		})
+	}
+}
+
 // TestPermitsOfLostHostExpire checks that permits that are never released free
 // their slots after the request's deadline.
 func TestPermitsOfLostHostExpire(t *testing.T) {
--- a/internal/serving/permit/queue.go
+++ b/internal/serving/permit/queue.go
@@ -29,8 +29,11 @@
 	// maxHeldWait is the same for a request whose key is on the move or was just
 	// disowned: its next owner may well have unused slots.
 	maxHeldWait = 500 * time.Millisecond
-	// expectedMoveTime is how long keys usually take to move to their next owner.
+	// expectedMoveTime is how long keys usually take to move to their next owner. Those
+	// that have been moving for longer probably need as long again: their owner is
+	// unreachable or busy with a long request. maxMoveTime limits that.
 	expectedMoveTime = 200 * time.Millisecond
+	maxMoveTime      = 3 * time.Second
 	// minRetryAfter prevents an immediate retry of a refused request.
 	minRetryAfter = 100 * time.Millisecond
 	// disownedDelay is how long asks for keys that their owner disowned are held
@@ -108,7 +111,7 @@
 	es = Estimate{Upstream: us.ID, Latency: us.latency, Busy: us.busy(now), Ahead: co.ahead(ak, us), Cold: us.cold(now)}
 	es.Wait = us.expectedWait(now, es.Ahead, co.services[ak.Service].ColdRate)
 	if moving {
-		es.Wait += expectedMoveTime
+		es.Wait += co.moveTimeLeft(now, ak)
 	}
 	return es, true
 }
@@ -199,6 +202,13 @@
 	return us, sh.Moving()
 }
 
+// moveTimeLeft returns how long the ask's key will probably be on the move.
+func (co *Core) moveTimeLeft(now clock.Instant, ak *ask) time.Duration {
+	sh, _ := co.table.ShareOf(ak.Service, ak.Key)
+	elapsed := now.Sub(co.movingSince[sh.Next.Epoch])
+	return min(max(elapsed, expectedMoveTime), maxMoveTime)
+}
+
 // lateWait returns how long an ask that can no longer meet its objective waits.
 func (co *Core) lateWait(now clock.Instant, ak *ask) time.Duration {
 	if _, moving := co.owner(ak); ak.Keyed && (moving || co.isDisowned(now, ak)) {
