--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -167,6 +167,30 @@
 		"platform/desired.go", "			if rt.Prefix != \"\" {", "			if !rt.Malformed {",
 		[]string{"-run=TestPartlyMalformed", "./platform"},
 	},
+	"keys stay beside a hot key": {
+		"internal/ownership/balance/balance.go", "	pl.isolateHotKeys()\n", "",
+		[]string{"-run=TestHotKeyStays", "./internal/ownership/balance"},
+	},
+	"keys leave a hot key for upstreams without room": {
+		"internal/ownership/balance/balance.go", "to.utilizationAt(to.rate+pl.load.Rate(piece)) < 1 {", "to != from {",
+		[]string{"-run=TestOverloadMovesFewKeys", "./internal/ownership/balance"},
+	},
+	"a member that acknowledges late prolongs old grants": {
+		"internal/ownership/leader/move.go", "end = max(end, min(at, unackedEnd))", "end = max(end, at)",
+		[]string{"-run=TestDisturbances", "./internal/ownership/agent"},
+	},
+	"entries that were dropped stay": {
+		"internal/fleet/gateway/entryreader.go", "			delete(er.rows, rw.Key)\n", "",
+		[]string{"-run=TestEntryReader", "./internal/fleet/gateway"},
+	},
+	"changes that the store has forgotten are waited for": {
+		"internal/fleet/gateway/entryreader.go", "		if !errors.Is(err, platform.ErrHistoryGone) {", "		if errors.Is(err, platform.ErrHistoryGone) || true {",
+		[]string{"-run=TestEntryReader", "./internal/fleet/gateway"},
+	},
+	"whole lists take all of the leader's link": {
+		"internal/fleet/gateway/rostercache.go", "bb.spent > 0 && bb.spent+float64(count) > float64(burst)", "false",
+		[]string{"-run=TestByteBudget", "./internal/fleet/gateway"},
+	},
 	"a draining upstream gets requests": {
 		"internal/fleet/gateway/loop.go", "refuseAt := up.LeavingAt", "refuseAt := clock.Never",
 		[]string{"-run=TestDrainWhileStoreRefusesLeader", "./internal/stand/deployment"},
