Let keys move at the instant of the random test's last check

The trace shows a routine move, planned 14 ms before the check, of keys that had had an owner for 22 s. Nothing requires that no key moves at a given instant.

Change: keys without an owner at that time must have one a second later. Violations are judged over the longer run.

--- a/internal/ownership/agent/agent_test.go
+++ b/internal/ownership/agent/agent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -226,7 +227,8 @@
 }
 
 // TestRandomDisturbances causes random, overlapping disturbances. No key may ever
-// have two owners, and every key must have one 30 s after endDisturbances.
+// have two owners, and every key must have one 30 s after endDisturbances. One that
+// moves for load at that instant must have one a second later.
 func TestRandomDisturbances(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		sim := newSimulation(rapid.Int64().Draw(rt, "seed"), rapid.IntRange(3, 8).Draw(rt, "hosts"), rapid.IntRange(3, 8).Draw(rt, "upstreams"))
@@ -237,10 +239,16 @@
 		}
 		sim.endDisturbances()
 		sim.run(30 * time.Second)
+		keys := sim.unowned()
+		if len(keys) > 0 {
+			sim.run(time.Second)
+			still := sim.unowned()
+			keys = slices.DeleteFunc(keys, func(ky int) bool { return !slices.Contains(still, ky) })
+		}
 		if len(sim.violations) > 0 {
 			rt.Fatalf("%s\n%s", sim.violations[0], sim.logTail())
 		}
-		if keys := sim.unowned(); len(keys) > 0 {
+		if len(keys) > 0 {
 			rt.Fatalf("keys without an owner 30 s after the disturbances: %v\n%s", keys, sim.logTail())
 		}
 	})
