Check settings files before a start

Cause: what is wrong in a settings file, or which of its bounds this build cannot keep, showed only in the log of a host that had started with it.

Change: chervilwalk check SETTINGS prints both and fails if a host could not keep to the file. The bounds are compared in one place, in a fixed order.

Ruled out: one command for settings and bundles; bundle check has its place beside the other commands for bundles.

--- a/cmd/chervilwalk/main.go
+++ b/cmd/chervilwalk/main.go
@@ -18,6 +18,7 @@
 	addBundleCommands(pr)
 	addHostCommands(pr)
 	addDomainCommands(pr)
+	mustAddCommand(pr, "check", "Check settings files before a start", &checkSettingsCommand{})
 	mustAddCommand(pr, "dump", "Print the state of a host's gateway as JSON", &dumpCommand{})
 	mustAddCommand(pr, "explain", "Explain what happened to a request, from the hosts' logs", &explainCommand{})
 	mustAddCommand(pr, "try", "Run two deployments on loopback under load and failures", &tryCommand{})
--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -299,14 +299,35 @@
 // checkBounds logs the bounds that this build cannot keep. The host runs all the same:
 // what does not depend on them is served.
 func (gw *Gateway) checkBounds(bd platform.Bounds) {
-	for name, check := range map[string]struct{ bound, needed time.Duration }{
-		"max-hold-s": {bd.MaxGrantTTL, renewal.GrantTTL},
-		"drain-s":    {bd.Drain, maxEntriesAge + keyedDrainTimeout},
+	for _, sf := range Shortfalls(bd) {
+		gw.config.Log.ErrorEvent("boundTooLow", sf, eventlog.Fields{"bound": sf.Bound})
+	}
+}
+
+// Shortfall is a bound of the settings that this build cannot keep. It is an error.
+type Shortfall struct {
+	// Bound is the bound's name in the settings file.
+	Bound       string
+	Set, Needed time.Duration
+}
+
+// Error implements error.
+func (sf Shortfall) Error() string {
+	return sf.Bound + " is " + sf.Set.String() + ", this build needs " + sf.Needed.String()
+}
+
+// Shortfalls returns the bounds that this build cannot keep.
+func Shortfalls(bd platform.Bounds) []Shortfall {
+	var low []Shortfall
+	for _, sf := range []Shortfall{
+		{"drain-s", bd.Drain, maxEntriesAge + keyedDrainTimeout},
+		{"max-hold-s", bd.MaxGrantTTL, renewal.GrantTTL},
 	} {
-		if check.bound < check.needed {
-			gw.config.Log.ErrorEvent("boundTooLow", eris.Errorf("%s is %s, this build needs %s", name, check.bound, check.needed), eventlog.Fields{"bound": name})
+		if sf.Set < sf.Needed {
+			low = append(low, sf)
 		}
 	}
+	return low
 }
 
 // limits returns the limits for callers' requests.
