--- a/internal/ownership/balance/balance.go
+++ b/internal/ownership/balance/balance.go
@@ -272,8 +272,8 @@
 }
 
 // isolateHotKeys moves the keys that share their owner with a hot key to targets that
-// can answer them. Their requests would wait in its queue. To move the hot key instead would make its own requests wait
-// and only shift the problem.
+// can answer them. Their requests would wait in its queue. To move the hot key instead
+// would make its own requests wait and only shift the problem.
 func (pl *plan) isolateHotKeys() {
 	if pl.wholeShares || len(pl.targets) < 2 {
 		return
