Take no connections late in a planned stop

A host that was stopping closed its idle connections 2.3 s after SIGTERM and waited for those in use, but went on taking new ones. Under load it was never without one, and what it had taken 4 s after SIGTERM was cut off 5.3 s after it, at the end of its grace.

Change: the listener closes when new connections may no longer be needed, 2.3 s after SIGTERM; callers are refused at connecting and go elsewhere.

Ruled out: answering such requests with 503, which keeps connections coming and the process alive for nothing; a longer wait, as the platform ends the process then.

--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -262,6 +262,8 @@
 	end := began.Add(gw.bounds.Load().Grace - stopMargin)
 	for time.Now().Before(end) {
 		if time.Since(began) > stopAcceptTimeout {
+			// What came now might not be finished in time.
+			gw.callerServer.StopAccepting()
 			gw.callerServer.CloseIdle()
 			if gw.callerServer.Connections() == 0 && gw.permitClient.idle() {
 				break
--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -167,6 +167,10 @@
 		"platform/desired.go", "			if rt.Prefix != \"\" {", "			if !rt.Malformed {",
 		[]string{"-run=TestPartlyMalformed", "./platform"},
 	},
+	"a stopping host takes connections until its end": {
+		"internal/fleet/gateway/gateway.go", "			gw.callerServer.StopAccepting()\n", "",
+		[]string{"-run=TestStopBesideALongRequest", "./internal/stand/deployment"},
+	},
 	"keys stay beside a hot key": {
 		"internal/ownership/balance/balance.go", "	pl.isolateHotKeys()\n", "",
 		[]string{"-run=TestHotKeyStays", "./internal/ownership/balance"},
--- a/internal/serving/httpserver/httpserver.go
+++ b/internal/serving/httpserver/httpserver.go
@@ -179,6 +179,15 @@
 	return len(sv.conns)
 }
 
+// StopAccepting closes the listener. Open connections stay.
+func (sv *Server) StopAccepting() {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	if sv.listener != nil {
+		_ = sv.listener.Close()
+	}
+}
+
 // CloseIdle closes the connections without a request in flight.
 func (sv *Server) CloseIdle() {
 	sv.mu.Lock()
@@ -190,10 +199,8 @@
 
 // Close closes the listener and all connections, and waits for their goroutines.
 func (sv *Server) Close() {
+	sv.StopAccepting()
 	sv.mu.Lock()
-	if sv.listener != nil {
-		_ = sv.listener.Close()
-	}
 	for cn := range sv.conns {
 		_ = cn.raw.Close()
 	}
--- a/internal/stand/deployment/deployment_test.go
+++ b/internal/stand/deployment/deployment_test.go
@@ -1,6 +1,8 @@
 package deployment_test
 
 import (
+	"net"
+	"net/http"
 	"regexp"
 	"strings"
 	"sync"
@@ -154,6 +156,56 @@
 	gm.Expect(counts.Answered).To(Equal(counts.Requests), "%+v\n%s", counts, lg.String())
 }
 
+// TestStopBesideALongRequest stops a host while requests on it take longer than new
+// connections are accepted. Callers that come after that must go elsewhere at once:
+// what is taken late in a stop is cut off at its end.
+func TestStopBesideALongRequest(t *testing.T) {
+	t.Parallel()
+	gm := NewWithT(t)
+	dp, lg := startDeployment(t, 44, 9)
+	for _, id := range []string{"i-orders-0", "i-orders-1", "i-orders-2"} {
+		dp.Upstream(id).SetFaults(fakeupstream.Faults{Slow: 60})
+	}
+	host := dp.Hosts[1]
+	stopped := make(chan time.Time, 1)
+	began := time.Now()
+	go func() {
+		dp.StopHost(host)
+		stopped <- time.Now()
+	}()
+	// Just before no more connections are accepted.
+	time.Sleep(2200 * time.Millisecond)
+	long := make(chan int, 1)
+	go func() {
+		rq, err := http.NewRequest(http.MethodPost, "http://"+host.Address+"/orders/1", strings.NewReader("{}"))
+		if err != nil {
+			long <- 0
+			return
+		}
+		rq.Host = "shop.example"
+		rq.Header.Set("Request-Id", "long")
+		rq.Header.Set("Request-Deadline", "1500")
+		rs, err := http.DefaultTransport.RoundTrip(rq)
+		if err != nil {
+			long <- 0
+			return
+		}
+		_ = rs.Body.Close()
+		long <- rs.StatusCode
+	}()
+	var lastAccepted time.Duration
+	for len(stopped) == 0 {
+		if raw, err := net.DialTimeout("tcp", host.Address, time.Second); err == nil {
+			lastAccepted = time.Since(began)
+			_ = raw.Close()
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	gm.Expect(<-long).NotTo(BeZero(), "a request that was taken must be answered\n%s", lg.String())
+	gm.Expect((<-stopped).Sub(began)).To(BeNumerically(">", 3*time.Second), "the long request must have kept the host: %s", lg.String())
+	gm.Expect(lastAccepted).To(BeNumerically("<", 2700*time.Millisecond), lg.String())
+}
+
 // TestDrainWhileStoreRefusesLeader checks that a draining upstream gets no
 // requests after two seconds even if the store refuses the calls of the leader,
 // which reads the store for all hosts, and of no other host.
