Hold requests for up to a second while their key moves

The end of a move waited 0.7 s for a write whose answer was lost; moves are expected to last as long again as they have, and half a second was the longest wait for such a request.

Result: TestKeyOnALongMove with a move of 0.7 s, which failed before.

--- a/internal/serving/permit/queue.go
+++ b/internal/serving/permit/queue.go
@@ -28,7 +28,7 @@
 	maxLateWait = 120 * time.Millisecond
 	// maxHeldWait is the same for a request whose key is on the move or was just
 	// disowned: its next owner may well have unused slots.
-	maxHeldWait = 500 * time.Millisecond
+	maxHeldWait = time.Second
 	// expectedMoveTime is how long keys usually take to move to their next owner. Those
 	// that have been moving for longer probably need as long again: their owner is
 	// unreachable or busy with a long request. maxMoveTime limits that.
