Renew once more before a confirmation is used up

Change: each upstream is renewed shortly before the confirmation is used up.

Ruled out: longer confirmations or grants, which every move from an unreachable owner waits for; those bounds are as before.

--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -171,6 +171,10 @@
 		"internal/fleet/gateway/gateway.go", "			gw.callerServer.StopAccepting()\n", "",
 		[]string{"-run=TestStopBesideALongRequest", "./internal/stand/deployment"},
 	},
+	"grants end a renewal earlier than they may": {
+		"internal/ownership/renewal/renewal.go", "	if st.startedAt < last {", "	if false {",
+		[]string{"-run=TestLastRenewal", "./internal/ownership/renewal"},
+	},
 	"keys stay beside a hot key": {
 		"internal/ownership/balance/balance.go", "	pl.isolateHotKeys()\n", "",
 		[]string{"-run=TestHotKeyStays", "./internal/ownership/balance"},
--- a/internal/ownership/agent/simulation_test.go
+++ b/internal/ownership/agent/simulation_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"math/rand"
+	"slices"
 	"time"
 
 	"chervilwalk/internal/base/clock"
@@ -556,6 +557,18 @@
 	})
 }
 
+// unownedFor returns the sampled keys that no running upstream holds now nor after a
+// span, and runs for that span if there are any now: a key may be on a move for load.
+func (sim *simulation) unownedFor(span time.Duration) []int {
+	keys := sim.unowned()
+	if len(keys) == 0 {
+		return nil
+	}
+	sim.run(span)
+	still := sim.unowned()
+	return slices.DeleteFunc(keys, func(ky int) bool { return !slices.Contains(still, ky) })
+}
+
 // unowned returns the sampled keys that no running upstream holds; draining
 // upstreams don't count.
 func (sim *simulation) unowned() []int {
--- a/internal/ownership/election/election.go
+++ b/internal/ownership/election/election.go
@@ -39,7 +39,7 @@
 	// StepDownTimeout is how long a leader continues without an answer from the store
 	// before it steps down. Members renew for renewal.ConfirmTTL after its last
 	// heartbeat, and their grants last for renewal.GrantTTL. So keys keep their
-	// owners for 11 s without the store.
+	// owners for up to 11 s without the store, less what heartbeats are late.
 	StepDownTimeout = 5 * time.Second
 )
 
--- a/internal/ownership/renewal/renewal.go
+++ b/internal/ownership/renewal/renewal.go
@@ -34,6 +34,9 @@
 	// ConfirmTTL is how long the grants of a table may be renewed after the
 	// leader last confirmed it or it was read from the store.
 	ConfirmTTL = 2 * time.Second
+	// lastRenewalMargin is how long before a confirmation is used up each upstream is
+	// renewed once more, so that its grants last for as long as they may.
+	lastRenewalMargin = 150 * time.Millisecond
 	// CallTimeout is the timeout of one call to an upstream.
 	CallTimeout = 400 * time.Millisecond
 )
@@ -70,9 +73,9 @@
 // state is the state of one upstream's renewals.
 type state struct {
 	shares []assignment.Share
-	// due is when the next renewal starts.
-	due      clock.Instant
-	inFlight bool
+	// due is when the next renewal starts, startedAt when the previous one did.
+	due, startedAt clock.Instant
+	inFlight       bool
 	// failingSince is when renewals began to fail, clock.Never while they succeed.
 	failingSince clock.Instant
 	superseded   bool
@@ -206,21 +209,31 @@
 	var cmds []RenewCmd
 	for _, id := range slices.Sorted(maps.Keys(co.states)) {
 		st := co.states[id]
-		if st.inFlight || now.Before(st.due) {
+		if st.inFlight || now.Before(co.dueAt(st)) {
 			continue
 		}
-		st.inFlight, st.due = true, now.Add(renewInterval)
+		st.inFlight, st.startedAt, st.due = true, now, now.Add(renewInterval)
 		cmds = append(cmds, RenewCmd{Upstream: id, Shares: st.shares})
 	}
 	return cmds
 }
 
+// dueAt returns when the next renewal of an upstream starts, or its last one if no
+// further confirmation comes.
+func (co *Core) dueAt(st *state) clock.Instant {
+	last := co.confirmedAt.Add(ConfirmTTL - lastRenewalMargin)
+	if st.startedAt < last {
+		return min(st.due, last)
+	}
+	return st.due
+}
+
 // Next returns when Update has to be called for the next renewal.
 func (co *Core) Next(now clock.Instant) clock.Instant {
 	next := clock.Never
 	for _, st := range co.states {
 		if !st.inFlight {
-			next = min(next, st.due)
+			next = min(next, co.dueAt(st))
 		}
 	}
 	if next <= now && now.Sub(co.confirmedAt) > ConfirmTTL {
