Split the proxy, the stand-in upstream, the balancer and the entries by concept

Change: proxy.go keeps the types and Serve; exchange.go a request from arrival to response; attempt.go one attempt and what follows from it. The stand-in's grants, answers and pauses, the balancer's hot keys and seeds and the polling of entries have files of their own. No code changes; the mutants name the new files.

Ruled out: further packages, since all of it works on one type each.

--- a/internal/fleet/gateway/store.go
+++ b/internal/fleet/gateway/store.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"maps"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -12,7 +11,6 @@
 	"chervilwalk/internal/base/era"
 	"chervilwalk/internal/base/ident"
 	"chervilwalk/internal/catalog/assignment"
-	"chervilwalk/internal/catalog/roster"
 	"chervilwalk/internal/operations/eventlog"
 	"chervilwalk/internal/ownership/agent"
 	"chervilwalk/internal/ownership/election"
@@ -79,19 +77,6 @@
 	err error
 }
 
-// rosterEvent carries the upstream entries as this host read them.
-type rosterEvent struct {
-	entries   []roster.Entry
-	malformed []platform.MalformedEntry
-	version   platform.Version
-	// away reports that the store had been unavailable before this read.
-	away bool
-}
-
-// rosterTickEvent makes the loop check the known entries again: missing ones may
-// have to be removed by now.
-type rosterTickEvent struct{}
-
 // sleep waits for a duration and returns true, or returns false as soon as the
 // gateway is closed.
 func (gw *Gateway) sleep(wait time.Duration) bool {
@@ -247,79 +232,6 @@
 	return err
 }
 
-// pollEntries reads the upstream entries periodically unless a leader does it
-// for this host.
-func (gw *Gateway) pollEntries() {
-	lastOK, lost := time.Now(), false
-	known := map[string]platform.Version{}
-	retry := minRetryDelay
-	er := entryReader{store: gw.store}
-	for {
-		if gw.leaderFresh() && !gw.leading.Load() {
-			// The leader reads for all hosts.
-			er.forget()
-			lastOK, lost = time.Now(), false
-			gw.send(rosterTickEvent{})
-			freshFor := clock.Instant(gw.leaderReadAt.Load()).Add(maxEntriesAge).Sub(gw.clock.Now())
-			if !gw.sleep(max(min(freshFor, pollInterval), time.Millisecond)) {
-				return
-			}
-			continue
-		}
-		answer := make(chan error, 1)
-		go func() { answer <- er.read() }()
-		var err error
-		select {
-		case <-gw.done:
-			return
-		case err = <-answer:
-		}
-		wait := pollInterval
-		if gw.leading.Load() {
-			wait = leaderPollInterval
-		}
-		if err != nil {
-			wait, retry = retry, min(2*retry, maxRetryDelay)
-			if !lost {
-				gw.config.Log.ErrorEvent("storeLost", err, eventlog.Fields{"sinceMs": time.Since(lastOK).Milliseconds()})
-			}
-			lost = true
-		} else {
-			away := time.Since(lastOK) > storeAwayTimeout
-			if lost {
-				gw.config.Log.Event("storeRegained", eventlog.Fields{"awayMs": time.Since(lastOK).Milliseconds(), "version": er.version})
-			}
-			lost, lastOK, retry = false, time.Now(), minRetryDelay
-			// A copy, as the loop marks entries.
-			gw.send(rosterEvent{entries: slices.Clone(er.entries), version: er.version, malformed: newlyMalformed(er.malformed, known), away: away})
-		}
-		if !gw.sleep(wait) {
-			return
-		}
-	}
-}
-
-// newlyMalformed returns the malformed entries that are new or have changed, so that
-// each is logged once. The map known holds the versions of those that were, by
-// key; it is updated.
-func newlyMalformed(malformed []platform.MalformedEntry, known map[string]platform.Version) []platform.MalformedEntry {
-	var added []platform.MalformedEntry
-	seen := map[string]bool{}
-	for _, me := range malformed {
-		seen[me.Key] = true
-		if version, before := known[me.Key]; !before || version != me.Version {
-			added = append(added, me)
-		}
-		known[me.Key] = me.Version
-	}
-	for key := range known {
-		if !seen[key] {
-			delete(known, key)
-		}
-	}
-	return added
-}
-
 // eraKey is the key of the row that marks an era of the store. Every write expects it:
 // one from an earlier era that arrives late could otherwise find the versions that it
 // expects given out again.
--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -48,15 +48,15 @@
 		[]string{"./internal/catalog/assignment"},
 	},
 	"a request that is not idempotent is retried although it may have run": {
-		"internal/serving/proxy/proxy.go", "return ex.retry(pm, outcome.String(), ex.repeatable())", "return ex.retry(pm, outcome.String(), true)",
+		"internal/serving/proxy/attempt.go", "return ex.retry(pm, outcome.String(), ex.repeatable())", "return ex.retry(pm, outcome.String(), true)",
 		[]string{"./internal/serving/proxy"},
 	},
 	"an unsigned answer counts as not run": {
-		"internal/serving/proxy/proxy.go", "		ex.mayHaveRun = true\n		return ex.retry(pm, \"unsignedAnswer\"", "		return ex.retry(pm, \"unsignedAnswer\"",
+		"internal/serving/proxy/attempt.go", "		ex.mayHaveRun = true\n		return ex.retry(pm, \"unsignedAnswer\"", "		return ex.retry(pm, \"unsignedAnswer\"",
 		[]string{"./internal/serving/proxy"},
 	},
 	"a broken connection counts as not run": {
-		"internal/serving/proxy/proxy.go", "ex.end.Err, ex.mayHaveRun = err, true", "ex.end.Err = err",
+		"internal/serving/proxy/attempt.go", "ex.end.Err, ex.mayHaveRun = err, true", "ex.end.Err = err",
 		[]string{"./internal/serving/proxy"},
 	},
 	"the retry budget is not enforced": {
@@ -144,11 +144,11 @@
 		[]string{"./internal/catalog/roster"},
 	},
 	"an upstream that says that it leaves gets requests": {
-		"internal/serving/proxy/proxy.go", "	if rp.Leaving {", "	if false {",
+		"internal/serving/proxy/attempt.go", "	if rp.Leaving {", "	if false {",
 		[]string{"-run=TestLeavingInAnswers", "./internal/stand/deployment"},
 	},
 	"an upstream that asks for a pause gets requests": {
-		"internal/serving/proxy/proxy.go", "	if rp.Pause > 0 {", "	if false {",
+		"internal/serving/proxy/attempt.go", "	if rp.Pause > 0 {", "	if false {",
 		[]string{"-run=TestPauseInRefusals", "./internal/stand/deployment"},
 	},
 	"a request goes on without its whole body": {
@@ -180,7 +180,7 @@
 		[]string{"-run=TestHotKeyStays", "./internal/ownership/balance"},
 	},
 	"keys leave a hot key for upstreams without room": {
-		"internal/ownership/balance/balance.go", "to.utilizationAt(to.rate+pl.load.Rate(piece)) < 1 {", "to != from {",
+		"internal/ownership/balance/hotkey.go", "to.utilizationAt(to.rate+pl.load.Rate(piece)) < 1 {", "to != from {",
 		[]string{"-run=TestOverloadMovesFewKeys", "./internal/ownership/balance"},
 	},
 	"a member that acknowledges late prolongs old grants": {
--- /dev/null
+++ b/internal/serving/proxy/attempt.go
@@ -0,0 +1,183 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"chervilwalk/internal/peer/protocol"
+	"chervilwalk/internal/serving/httpserver"
+	"chervilwalk/internal/serving/permit"
+	"chervilwalk/internal/serving/transport"
+)
+
+// send sends the request to the permit's upstream and releases the permit.
+func (ex *exchange) send(ctx context.Context, pm *Permit) (*transport.Answer, error) {
+	if !ex.repeatable() {
+		// A request that may not be repeated is finished even if its caller leaves.
+		ctx = context.WithoutCancel(ctx)
+	}
+	hd := endToEndHeader(ex.rq.Header)
+	ex.px.cf.UpstreamHeaders.SetRequest(hd, ex.info, pm.Upstream, time.Until(ex.deadline))
+	began := time.Now()
+	rq := &transport.Request{
+		ID: ex.info.Request, Method: ex.rq.Method, URI: ex.rq.URI, Host: ex.rq.Host, Header: hd,
+		Body: ex.rq.Body, Chunked: ex.rq.Chunked, Length: ex.rq.Length,
+		Repeatable: ex.repeatable(), Deadline: ex.deadline.Add(answerGrace),
+	}
+	if ex.rq.Rest != nil {
+		rq.Rest = ex.rq.Rest
+	}
+	an, err := ex.px.cf.Connections.Send(ctx, transport.Target{ID: pm.Upstream, Address: pm.Address}, rq)
+	done := protocol.Done{Service: ex.service, Upstream: pm.Upstream, Took: time.Since(began)}
+	outcome := ex.outcome(ctx, an, err)
+	done.Outcome = uint8(outcome)
+	if an != nil {
+		rp := ex.px.cf.UpstreamHeaders.DecodeReport(an.Status, an.Header)
+		done.Reported, done.Running, done.Waiting, done.LatencyPercent = rp.Reported, rp.Running, rp.Waiting, rp.LatencyPercent
+		// Another upstream may answer at the address: then what it says is not about
+		// the one that the permit is for.
+		if outcome != permit.Disowned {
+			ex.noteAnnouncements(pm, rp)
+		}
+	}
+	switch {
+	case an == nil || an.Rest == nil:
+	case passedOn(outcome, an, ex.px.cf.UpstreamHeaders):
+		// The upstream's slot is in use until the whole answer was read.
+		an.Rest = &releasingRest{ReadCloser: an.Rest, release: func(broken bool) {
+			done.Took = time.Since(began)
+			if broken {
+				done.Outcome = uint8(permit.Broken)
+			}
+			ex.px.cf.Permits.Release(*pm, done)
+		}}
+		return an, err
+	default:
+		// Nobody reads the rest. An error means that the connection has ended already.
+		_ = an.Rest.Close()
+	}
+	ex.px.cf.Permits.Release(*pm, done)
+	return an, err
+}
+
+// passedOn reports whether an answer with this outcome becomes the response to the
+// caller.
+func passedOn(outcome permit.Outcome, an *transport.Answer, uh UpstreamHeaders) bool {
+	return outcome == permit.Answered || outcome == permit.Failed && uh.DecodeReport(an.Status, an.Header).HasSignature
+}
+
+// noteAnnouncements passes on what an upstream says about further requests.
+func (ex *exchange) noteAnnouncements(pm *Permit, rp Report) {
+	if rp.Leaving {
+		ex.px.cf.OnLeaving(pm.Upstream)
+	}
+	if rp.Pause > 0 {
+		ex.px.cf.OnPause(*pm, rp.Pause)
+	}
+}
+
+// releasingRest releases a permit once the rest of an answer has been read or given up.
+// Close may be called beside Read.
+type releasingRest struct {
+	io.ReadCloser
+	release func(broken bool)
+	once    sync.Once
+	broken  atomic.Bool
+}
+
+// Read implements io.Reader.
+func (rr *releasingRest) Read(buf []byte) (int, error) {
+	count, err := rr.ReadCloser.Read(buf)
+	if err != nil && !errors.Is(err, io.EOF) {
+		rr.broken.Store(true)
+	}
+	return count, err
+}
+
+// Close closes the rest and releases the permit.
+func (rr *releasingRest) Close() error {
+	rr.once.Do(func() { rr.release(rr.broken.Load()) })
+	return rr.ReadCloser.Close()
+}
+
+// outcome classifies the result of one attempt.
+func (ex *exchange) outcome(ctx context.Context, an *transport.Answer, err error) permit.Outcome {
+	var fl *transport.Failure
+	switch {
+	case ctx.Err() != nil && err != nil, err != nil && ex.bodyBrokeOff():
+		return permit.Withdrawn
+	case errors.As(err, &fl) && !fl.Sent:
+		return permit.Unreached
+	case errors.As(err, &fl) && fl.TimedOut:
+		return permit.TimedOut
+	case err != nil:
+		return permit.Broken
+	}
+	rp := ex.px.cf.UpstreamHeaders.DecodeReport(an.Status, an.Header)
+	switch {
+	case rp.NotRun && an.Status == http.StatusMisdirectedRequest:
+		return permit.Disowned
+	case rp.NotRun:
+		return permit.Refused
+	case !rp.HasSignature, an.Status >= http.StatusInternalServerError:
+		return permit.Failed
+	default:
+		return permit.Answered
+	}
+}
+
+// handleOutcome decides what follows from an attempt: it returns the response to
+// the caller, or true for another attempt.
+func (ex *exchange) handleOutcome(ctx context.Context, pm *Permit, an *transport.Answer, err error) (rs *httpserver.Response, again bool) {
+	switch outcome := ex.outcome(ctx, an, err); outcome {
+	case permit.Answered:
+		ex.end.Cause = "answered"
+		return ex.upstreamResponse(an), false
+	case permit.Failed:
+		if passedOn(outcome, an, ex.px.cf.UpstreamHeaders) {
+			ex.end.Cause = "upstreamFailed"
+			return ex.upstreamResponse(an), false
+		}
+		ex.mayHaveRun = true
+		return ex.retry(pm, "unsignedAnswer", ex.repeatable())
+	case permit.Withdrawn:
+		ex.end.Cause = "callerLeft"
+		return nil, false
+	case permit.Unreached:
+		ex.end.Err = err
+		return ex.retry(pm, "unreached", true)
+	case permit.Disowned:
+		ex.disownedCount++
+		if ex.disownedCount <= maxDisowned && !ex.bodyConsumed() && ex.px.cf.Budget.Spend(ex.service) {
+			return nil, true
+		}
+		return ex.retry(pm, outcome.String(), true)
+	case permit.Refused:
+		return ex.retry(pm, outcome.String(), true)
+	default:
+		ex.end.Err, ex.mayHaveRun = err, true
+		return ex.retry(pm, outcome.String(), ex.repeatable())
+	}
+}
+
+// retry returns true if the request is to be sent to another upstream: it may be
+// sent again, its body was kept whole, and attempts, time and retry budget are
+// left. Otherwise it returns the response to the caller.
+func (ex *exchange) retry(pm *Permit, cause string, allowed bool) (*httpserver.Response, bool) {
+	ex.avoid = pm.Upstream
+	if allowed && !ex.bodyConsumed() && ex.end.Attempts < ex.route.Attempts && time.Until(ex.deadline) > minTimeLeft && ex.px.cf.Budget.Spend(ex.service) {
+		return nil, true
+	}
+	return ex.giveUp(cause), false
+}
+
+// bodyBrokeOff reports whether the caller stopped in the middle of the body.
+func (ex *exchange) bodyBrokeOff() bool { return ex.rq.Rest != nil && ex.rq.Rest.Err() != nil }
+
+// bodyConsumed reports whether a part of the body was sent and not kept.
+func (ex *exchange) bodyConsumed() bool { return ex.rq.Rest != nil && ex.rq.Rest.Consumed() }
--- a/internal/stand/fakeupstream/fakeupstream.go
+++ b/internal/stand/fakeupstream/fakeupstream.go
@@ -7,16 +7,12 @@
 package fakeupstream
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand"
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
@@ -119,27 +115,6 @@
 	mostInPause int
 }
 
-// pause is a pause that the upstream has asked a host for. Requests count from
-// pauseSlack after its start.
-type pause struct {
-	from, until time.Time
-	requests    int
-}
-
-// pauseSlack is how long after the start of a pause requests may still arrive.
-const pauseSlack = 500 * time.Millisecond
-
-// GrantChange records a grant or, if Released, a release of the keys from From
-// to To, both inclusive.
-type GrantChange struct {
-	At time.Time
-	// Until is when the grant expires.
-	Until    time.Time
-	From, To int
-	Epoch    uint64
-	Released bool
-}
-
 // Start starts an upstream, which holds no keys at first. It fails if the address
 // cannot be listened on.
 func Start(cf Config) (*Upstream, error) {
@@ -198,13 +173,6 @@
 	return append([]Run(nil), up.runs...)
 }
 
-// GrantChanges returns the grants and releases so far, the oldest first.
-func (up *Upstream) GrantChanges() []GrantChange {
-	up.mu.Lock()
-	defer up.mu.Unlock()
-	return append([]GrantChange(nil), up.grantChanges...)
-}
-
 // MaxColdRate returns the largest number of requests that arrived within one
 // second while the upstream was cold.
 func (up *Upstream) MaxColdRate() int {
@@ -220,45 +188,6 @@
 	return most
 }
 
-// MostInPause returns the largest number of requests that one host sent in a pause
-// that the upstream had asked it for.
-func (up *Upstream) MostInPause() int {
-	up.mu.Lock()
-	defer up.mu.Unlock()
-	return up.mostInPause
-}
-
-// Pours returns the number of answers without end so far.
-func (up *Upstream) Pours() int {
-	up.mu.Lock()
-	defer up.mu.Unlock()
-	return up.pours
-}
-
-// notePause counts a request that arrives in a pause.
-func (up *Upstream) notePause(rq *http.Request) {
-	host, _, _ := net.SplitHostPort(rq.RemoteAddr)
-	now := time.Now()
-	if ps, found := up.pauses[host]; found && now.After(ps.from) && now.Before(ps.until) {
-		ps.requests++
-		up.mostInPause = max(up.mostInPause, ps.requests)
-	}
-}
-
-// shed refuses a request and asks for a pause if the faults say so.
-func (up *Upstream) shed(rw http.ResponseWriter, rq *http.Request) {
-	rw.Header().Set("Not-Executed", "1")
-	if up.faults.PauseMs > 0 {
-		host, _, _ := net.SplitHostPort(rq.RemoteAddr)
-		span := time.Duration(up.faults.PauseMs) * time.Millisecond
-		if ps, found := up.pauses[host]; !found || time.Now().After(ps.until) {
-			up.pauses[host] = &pause{from: time.Now().Add(pauseSlack), until: time.Now().Add(span)}
-		}
-		rw.Header().Set("Retry-After", strconv.FormatFloat(span.Seconds(), 'f', 3, 64))
-	}
-	rw.WriteHeader(http.StatusServiceUnavailable)
-}
-
 // Entry returns the upstream's entry in the store, as JSON.
 func (up *Upstream) Entry(sequence int, state string) []byte {
 	left := max(up.cf.ColdTime-time.Since(up.startedAt), 0).Seconds()
@@ -266,13 +195,6 @@
 		up.cf.Service, up.listener.Addr(), up.cf.Zone, up.cf.Slots, state, left, sequence, up.startedAt.UnixMilli())
 }
 
-// Sign returns the signature of an answer to a request, which the header
-// Response-Seal carries.
-func Sign(request string, body []byte) string {
-	sum := sha256.Sum256(append([]byte(request+"\x00"), body...))
-	return hex.EncodeToString(sum[:8])
-}
-
 // ServeHTTP implements http.Handler.
 func (up *Upstream) ServeHTTP(rw http.ResponseWriter, rq *http.Request) {
 	if want := rq.Header.Get("Expected-Instance"); want != "" && want != up.cf.ID {
@@ -299,77 +221,6 @@
 	}
 }
 
-// grantBody is the body of a grant or release.
-type grantBody struct {
-	From  int     `json:"from"`
-	To    int     `json:"to"`
-	Fence uint64  `json:"fence"`
-	Hold  float64 `json:"hold-s"`
-}
-
-// handleGrant applies and answers a grant. A late grant is applied after two
-// seconds and never answered.
-func (up *Upstream) handleGrant(rw http.ResponseWriter, rq *http.Request) {
-	var gb grantBody
-	if err := json.NewDecoder(rq.Body).Decode(&gb); err != nil || gb.From < 0 || gb.To >= 1<<16 {
-		rw.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	arrived := time.Now()
-	up.mu.Lock()
-	late := up.random.Float64() < up.faults.LateGrants
-	unresponsive := up.faults.Unresponsive
-	up.mu.Unlock()
-	if unresponsive {
-		<-rq.Context().Done()
-		return
-	}
-	if late {
-		time.AfterFunc(2*time.Second, func() { up.applyGrant(gb, arrived) })
-		<-rq.Context().Done()
-		return
-	}
-	rw.WriteHeader(up.applyGrant(gb, arrived))
-}
-
-// applyGrant grants the keys, unless one of them has a higher epoch, and returns
-// the HTTP status. The hold time counts from the arrival of the grant.
-func (up *Upstream) applyGrant(gb grantBody, arrived time.Time) int {
-	up.mu.Lock()
-	defer up.mu.Unlock()
-	for key := gb.From; key <= gb.To; key++ {
-		if up.epochs[key] > gb.Fence {
-			return http.StatusConflict
-		}
-	}
-	until := arrived.Add(time.Duration(gb.Hold * float64(time.Second)))
-	for key := gb.From; key <= gb.To; key++ {
-		up.epochs[key], up.heldUntil[key] = gb.Fence, until
-	}
-	up.grantChanges = append(up.grantChanges, GrantChange{At: time.Now(), Until: until, From: gb.From, To: gb.To, Epoch: gb.Fence})
-	return http.StatusOK
-}
-
-// handleRelease gives up the keys and answers when no request is running any more.
-func (up *Upstream) handleRelease(rw http.ResponseWriter, rq *http.Request) {
-	var gb grantBody
-	if err := json.NewDecoder(rq.Body).Decode(&gb); err != nil || gb.From < 0 || gb.To >= 1<<16 {
-		rw.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	up.mu.Lock()
-	for key := gb.From; key <= gb.To; key++ {
-		up.heldUntil[key] = time.Time{}
-	}
-	up.grantChanges = append(up.grantChanges, GrantChange{At: time.Now(), From: gb.From, To: gb.To, Epoch: gb.Fence, Released: true})
-	for up.running > 0 {
-		up.slotFreed.Wait()
-	}
-	up.mu.Unlock()
-	rw.Header().Set("Handover", "warm")
-	rw.WriteHeader(http.StatusOK)
-}
-
 // handleRequest runs a request, or refuses it with Not-Executed.
 func (up *Upstream) handleRequest(rw http.ResponseWriter, rq *http.Request) {
 	id := rq.Header.Get("Request-Id")
@@ -441,92 +292,3 @@
 	up.running++
 	return true
 }
-
-// resetConnection closes the connection with a TCP reset.
-func resetConnection(rw http.ResponseWriter) {
-	hj, ok := rw.(http.Hijacker)
-	if !ok {
-		return
-	}
-	conn, _, err := hj.Hijack()
-	if err != nil {
-		return
-	}
-	if tc, ok := conn.(*net.TCPConn); ok {
-		// If this fails, the connection is closed without a reset.
-		_ = tc.SetLinger(0)
-	}
-	_ = conn.Close()
-}
-
-// writeAnswer writes an answer. draw is a random number from 0 to 1 that decides
-// which of the faults applies to it.
-func (up *Upstream) writeAnswer(rw http.ResponseWriter, id string, status int, load string, body []byte, fl Faults, draw float64) {
-	reply := make([]byte, max(up.cf.AnswerBytes, 1))
-	for ix := range reply {
-		reply[ix] = 'a' + byte(ix%26)
-	}
-	reply = append(reply, body...)
-	rw.Header().Set("Server-Load", load)
-	rw.Header().Set("Response-Seal", Sign(id, reply))
-	switch {
-	case draw < fl.Reset:
-		resetConnection(rw)
-	case draw < fl.Reset+fl.Truncate:
-		rw.Header().Set("Content-Length", strconv.Itoa(len(reply)+10))
-		rw.WriteHeader(status)
-		_, _ = rw.Write(reply)
-		panic(http.ErrAbortHandler)
-	case draw < fl.Reset+fl.Truncate+fl.Stray:
-		up.writeStrayAnswer(rw, id, status, load, reply)
-	case draw < fl.Reset+fl.Truncate+fl.Stray+fl.Pour:
-		up.mu.Lock()
-		up.pours++
-		up.mu.Unlock()
-		pour(rw, id, draw)
-	default:
-		rw.WriteHeader(status)
-		// An error means that the client has disconnected.
-		_, _ = rw.Write(reply)
-	}
-}
-
-// pour answers with bytes without end: a head that does not end, a body without a
-// length, or chunks, whichever draw selects.
-func pour(rw http.ResponseWriter, id string, draw float64) {
-	hj, ok := rw.(http.Hijacker)
-	if !ok {
-		return
-	}
-	conn, _, err := hj.Hijack()
-	if err != nil {
-		return
-	}
-	defer func() { _ = conn.Close() }()
-	head := "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\n"
-	kinds := [][2]string{{head, "X-A: b\r\n"}, {head + "\r\n", "x"}, {head + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"}}
-	kind := kinds[int(draw*1e6)%len(kinds)]
-	block := []byte(strings.Repeat(kind[1], 4096))
-	_, err = io.WriteString(conn, kind[0])
-	for err == nil {
-		_, err = conn.Write(block)
-	}
-}
-
-// writeStrayAnswer writes an answer to another request before the right one.
-func (up *Upstream) writeStrayAnswer(rw http.ResponseWriter, id string, status int, load string, reply []byte) {
-	hj, ok := rw.(http.Hijacker)
-	if !ok {
-		return
-	}
-	conn, out, err := hj.Hijack()
-	if err != nil {
-		return
-	}
-	defer func() { _ = conn.Close() }()
-	for _, request := range []string{"stray-" + id, id} {
-		fmt.Fprintf(out, "HTTP/1.1 %d OK\r\nRequest-Id: %s\r\nResponse-Seal: %s\r\nServer-Load: %s\r\nContent-Length: %d\r\n\r\n%s",
-			status, request, Sign(request, reply), load, len(reply), reply)
-	}
-	_ = out.Flush()
-}
