Log which limit an upstream names, and to which host

Server-Limit is decoded with the other fields of an answer. A host logs upstreamLimit when the limit that it was told is named, changes or is lifted, and upstreamLimitMalformed with the value that isn't a number. No decision reads it yet.

--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -134,11 +134,12 @@
 	permitClient    permitClient
 	assignmentParts assignmentParts
 	// reportParts holds the parts of the assignment that each member remembers.
-	reportParts   map[ident.Host]*assignmentParts
-	announcements announcements
-	lastEncoded   encodedTable
-	lastDiff      tableDiff
-	cache         rosterCache
+	reportParts    map[ident.Host]*assignmentParts
+	announcements  announcements
+	upstreamLimits upstreamLimits
+	lastEncoded    encodedTable
+	lastDiff       tableDiff
+	cache          rosterCache
 }
 
 // Start opens the sockets of a gateway and starts its goroutines.
@@ -153,7 +154,7 @@
 		self:   assignment.Member{Host: st.Host, Domain: st.Domain, Address: st.PeerAddress, Incarnation: uint64(time.Now().UnixMicro()), Fitness: max(int(100*fitness(st)), 1), Alive: true},
 		events: make(chan any, eventBuffer), done: make(chan struct{}), rereadOperators: make(chan struct{}, 1), roster: roster.New(),
 		restoredColdUntil: map[ident.Domain]clock.Instant{}, evacuatedAt: map[ident.Domain]clock.Instant{}, permits: permit.New(),
-		grantClients: grantClients{clients: map[grantClientID]*grantClient{}}, announcements: newAnnouncements(), reportParts: map[ident.Host]*assignmentParts{},
+		grantClients: grantClients{clients: map[grantClientID]*grantClient{}}, announcements: newAnnouncements(), upstreamLimits: newUpstreamLimits(), reportParts: map[ident.Host]*assignmentParts{},
 	}
 	gw.grantClients.onLeaving, gw.grantClients.mayRenewOn = gw.onLeaving, gw.mayRenewOn
 	gw.bounds.Store(&st.Bounds)
@@ -181,7 +182,7 @@
 		State: gw.desiredState.Load, Permits: &gw.permitClient, Connections: gw.connPool, CallerHeaders: callers, UpstreamHeaders: platformUpstreamHeaders{}, Domain: st.Domain,
 		Budget: proxy.NewBudget(st.Bounds.RetryRatio, gw.retryAllowance),
 		OnEnd:  gw.observeRequest, OnKeyedRequest: gw.loads.countArrival,
-		OnLeaving: gw.onLeaving, OnPause: gw.onPause,
+		OnLeaving: gw.onLeaving, OnPause: gw.onPause, OnLimit: gw.onLimit,
 	})
 	gw.callerServer = httpserver.New(gw.proxy.Serve, gw.limits, httpserver.OnPanic(gw.logPanic))
 	gw.readyServer = httpserver.New(gw.serveReady, gw.limits)
--- a/internal/fleet/gateway/headers.go
+++ b/internal/fleet/gateway/headers.go
@@ -64,7 +64,7 @@
 // DecodeReport implements proxy.UpstreamHeaders.
 func (platformUpstreamHeaders) DecodeReport(status int, hd http.Header) proxy.Report {
 	rp := platform.DecodeReport(status, hd)
-	report := proxy.Report{HasSignature: rp.HasSignature, NotRun: rp.NotRun, Leaving: rp.Leaving, Pause: rp.Pause}
+	report := proxy.Report{HasSignature: rp.HasSignature, NotRun: rp.NotRun, Leaving: rp.Leaving, Pause: rp.Pause, Limit: rp.Limit, LimitErr: rp.LimitErr}
 	if rp.Load != nil {
 		report.Reported, report.Running, report.Waiting, report.LatencyPercent = true, rp.Load.Running, rp.Load.Waiting, rp.Load.LatencyPercent
 	}
--- a/internal/fleet/gateway/loop.go
+++ b/internal/fleet/gateway/loop.go
@@ -83,6 +83,8 @@
 		gw.handleLeaving(ev.upstream)
 	case pauseEvent:
 		gw.handlePause(ev)
+	case limitEvent:
+		gw.handleLimit(ev)
 	case dumpEvent:
 		ev.reply <- gw.dump()
 	case settingsEvent:
--- a/internal/serving/proxy/attempt.go
+++ b/internal/serving/proxy/attempt.go
@@ -42,7 +42,7 @@
 		// Another upstream may answer at the address: then what it says is not about
 		// the one that the permit is for.
 		if outcome != permit.Disowned {
-			ex.noteAnnouncements(pm, rp)
+			ex.noteAnnouncements(pm, rp, began)
 		}
 	}
 	switch {
@@ -72,13 +72,14 @@
 }
 
 // noteAnnouncements passes on what an upstream says about further requests.
-func (ex *exchange) noteAnnouncements(pm *Permit, rp Report) {
+func (ex *exchange) noteAnnouncements(pm *Permit, rp Report, sentAt time.Time) {
 	if rp.Leaving {
 		ex.px.cf.OnLeaving(pm.Upstream)
 	}
 	if rp.Pause > 0 {
 		ex.px.cf.OnPause(*pm, rp.Pause)
 	}
+	ex.px.cf.OnLimit(*pm, sentAt, rp.Limit, rp.LimitErr)
 }
 
 // releasingRest releases a permit once the rest of an answer has been read or given up.
--- a/internal/serving/proxy/proxy.go
+++ b/internal/serving/proxy/proxy.go
@@ -13,6 +13,7 @@
 
 	"chervilwalk/internal/base/ident"
 	"chervilwalk/internal/base/keyspace"
+	"chervilwalk/internal/base/rate"
 	"chervilwalk/internal/catalog/desired"
 	"chervilwalk/internal/peer/protocol"
 	"chervilwalk/internal/serving/httpserver"
@@ -54,6 +55,10 @@
 	// no further request from this host, or 0.
 	Leaving bool
 	Pause   time.Duration
+	// Limit is how many requests the upstream takes from all hosts together, or
+	// rate.Unlimited. With a LimitErr it was malformed and says nothing.
+	Limit    rate.PerSecond
+	LimitErr error
 	// Reported reports whether the upstream stated its load.
 	Reported bool
 	// Running and Waiting count the upstream's requests; LatencyPercent is its
@@ -142,6 +147,9 @@
 	// it says that this host must pause. Both are called before the permit is released.
 	OnLeaving func(id ident.Upstream)
 	OnPause   func(pm Permit, pause time.Duration)
+	// OnLimit is called for each answer with the limit that it names, or the error if it is
+	// malformed, before the permit is released. sentAt is when the request was sent.
+	OnLimit func(pm Permit, sentAt time.Time, limit rate.PerSecond, err error)
 	// Domain is the failure domain of this host.
 	Domain ident.Domain
 }
--- a/internal/serving/proxy/proxy_test.go
+++ b/internal/serving/proxy/proxy_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -14,6 +16,7 @@
 
 	"chervilwalk/internal/base/ident"
 	"chervilwalk/internal/base/keyspace"
+	"chervilwalk/internal/base/rate"
 	"chervilwalk/internal/catalog/desired"
 	"chervilwalk/internal/peer/protocol"
 	"chervilwalk/internal/serving/httpserver"
@@ -45,6 +48,10 @@
 func (testHeaders) DecodeReport(_ int, hd http.Header) proxy.Report {
 	rp := proxy.Report{HasSignature: hd.Get("Seal") != "", NotRun: hd.Get("Not-Run") != "", Leaving: hd.Get("Leaving") != ""}
 	rp.Pause, _ = time.ParseDuration(hd.Get("Pause"))
+	rp.Limit = rate.Unlimited
+	if number, err := strconv.ParseFloat(hd.Get("Limit"), 64); err == nil {
+		rp.Limit = rate.PerSecond(number)
+	}
 	return rp
 }
 
@@ -234,7 +241,7 @@
 				State: func() *desired.State { return st }, Permits: pm, Connections: pl, CallerHeaders: testHeaders{}, UpstreamHeaders: testHeaders{},
 				Budget: proxy.NewBudget(1, func() float64 { return 10 }),
 				OnEnd:  func(en proxy.End) { end = en }, OnKeyedRequest: func(ident.Service, keyspace.Key) {},
-				OnLeaving: func(ident.Upstream) {}, OnPause: func(proxy.Permit, time.Duration) {},
+				OnLeaving: func(ident.Upstream) {}, OnPause: func(proxy.Permit, time.Duration) {}, OnLimit: func(proxy.Permit, time.Time, rate.PerSecond, error) {},
 			})
 			rq := &httpserver.Request{Method: http.MethodPost, URI: tc.path, Header: http.Header{"Id": {"r1"}}, Arrived: time.Now()}
 			if tc.path == "/method-large" {
@@ -277,7 +284,7 @@
 		State: func() *desired.State { return st }, Permits: pm, Connections: pl, CallerHeaders: testHeaders{}, UpstreamHeaders: testHeaders{},
 		Budget: proxy.NewBudget(0, func() float64 { return allowance }),
 		OnEnd:  func(proxy.End) {}, OnKeyedRequest: func(ident.Service, keyspace.Key) {},
-		OnLeaving: func(ident.Upstream) {}, OnPause: func(proxy.Permit, time.Duration) {},
+		OnLeaving: func(ident.Upstream) {}, OnPause: func(proxy.Permit, time.Duration) {}, OnLimit: func(proxy.Permit, time.Time, rate.PerSecond, error) {},
 	})
 	for range requests {
 		px.Serve(t.Context(), &httpserver.Request{Method: http.MethodGet, URI: "/lookup", Header: http.Header{"Id": {"r"}}, Arrived: time.Now()})
@@ -297,8 +304,9 @@
 		"leaving":                    {200, http.Header{"Seal": {"s"}, "Leaving": {"1"}}, []string{"leaving", "released"}},
 		"pause":                      {503, http.Header{"Not-Run": {"1"}, "Pause": {"2s"}}, []string{"pause 2s", "released"}},
 		"both":                       {503, http.Header{"Not-Run": {"1"}, "Pause": {"2s"}, "Leaving": {"1"}}, []string{"leaving", "pause 2s", "released"}},
+		"limit":                      {200, http.Header{"Seal": {"s"}, "Limit": {"2.5"}}, []string{"limit 2.5", "released"}},
 		"neither":                    {200, http.Header{"Seal": {"s"}}, []string{"released"}},
-		"another upstream's address": {421, http.Header{"Not-Run": {"1"}, "Leaving": {"1"}}, []string{"released"}},
+		"another upstream's address": {421, http.Header{"Not-Run": {"1"}, "Leaving": {"1"}, "Limit": {"1"}}, []string{"released"}},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -319,6 +327,11 @@
 				OnEnd:  func(proxy.End) {}, OnKeyedRequest: func(ident.Service, keyspace.Key) {},
 				OnLeaving: func(ident.Upstream) { seen = append(seen, "leaving") },
 				OnPause:   func(_ proxy.Permit, pause time.Duration) { seen = append(seen, "pause "+pause.String()) },
+				OnLimit: func(_ proxy.Permit, _ time.Time, limit rate.PerSecond, _ error) {
+					if limit != rate.Unlimited {
+						seen = append(seen, fmt.Sprint("limit ", limit))
+					}
+				},
 			})
 			px.Serve(t.Context(), &httpserver.Request{Method: http.MethodGet, URI: "/lookup", Header: http.Header{"Id": {"r"}}, Arrived: time.Now()})
 			gm.Expect(seen).To(Equal(tc.want))
@@ -364,7 +377,7 @@
 				State: func() *desired.State { return st }, Permits: pm, Connections: pl, CallerHeaders: testHeaders{}, UpstreamHeaders: testHeaders{},
 				Budget: proxy.NewBudget(0, func() float64 { return 0 }),
 				OnEnd:  func(proxy.End) {}, OnKeyedRequest: func(ident.Service, keyspace.Key) {},
-				OnLeaving: func(ident.Upstream) {}, OnPause: func(proxy.Permit, time.Duration) {},
+				OnLeaving: func(ident.Upstream) {}, OnPause: func(proxy.Permit, time.Duration) {}, OnLimit: func(proxy.Permit, time.Time, rate.PerSecond, error) {},
 			})
 			rs := px.Serve(t.Context(), &httpserver.Request{Method: http.MethodGet, URI: "/lookup", Header: http.Header{"Id": {"r"}}, Arrived: time.Now()})
 			gm.Expect(rs).NotTo(BeNil())
