--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -45,6 +45,16 @@
 	// Trusted holds the keys whose signed bundles may take effect. When it is
 	// empty, the platform's operator rows provide the desired state.
 	Trusted []bundle.TrustedKey
+	// WrapSocket, if set, replaces the socket for messages between hosts, for example by
+	// one that loses them.
+	WrapSocket func(PeerSocket) PeerSocket
+}
+
+// PeerSocket sends and receives the datagrams between hosts, like a net.UDPConn.
+type PeerSocket interface {
+	ReadFromUDPAddrPort(buf []byte) (count int, from netip.AddrPort, err error)
+	WriteToUDPAddrPort(datagram []byte, to netip.AddrPort) (int, error)
+	Close() error
 }
 
 const (
@@ -82,7 +92,7 @@
 	store            *platform.Store
 	source           stateSource
 	callCounts       storeCallCounts
-	socket           *net.UDPConn
+	socket           PeerSocket
 	connPool         *transport.Pool
 	callerServer     *httpserver.Server
 	readyServer      *httpserver.Server
@@ -175,9 +185,14 @@
 	gw.connPool = transport.New(answeredRequest)
 	gw.endpoints.Store(&map[ident.Upstream]endpoint{})
 	gw.table.Store(&assignment.Table{})
-	if gw.socket, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(peers)); err != nil {
+	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(peers))
+	if err != nil {
 		return nil, eris.Wrap(err, "listen for peers")
 	}
+	gw.socket = socket
+	if cf.WrapSocket != nil {
+		gw.socket = cf.WrapSocket(socket)
+	}
 	gw.proxy = proxy.New(proxy.Config{
 		State: gw.desiredState.Load, Permits: &gw.permitClient, Connections: gw.connPool, CallerHeaders: callers, UpstreamHeaders: platformUpstreamHeaders{}, Domain: st.Domain,
 		Budget: proxy.NewBudget(st.Bounds.RetryRatio, gw.retryAllowance),
--- a/internal/stand/deployment/deployment.go
+++ b/internal/stand/deployment/deployment.go
@@ -107,6 +107,8 @@
 	logFile io.WriteCloser
 	// outOfRotation means that callers no longer choose this host.
 	outOfRotation atomic.Bool
+	// isCutOff means that no datagram reaches other hosts or comes from them.
+	isCutOff atomic.Bool
 }
 
 // hostProcess is a running gateway, in this process or in one of its own.
@@ -424,7 +426,9 @@
 		return err
 	}
 	host.log = eventlog.New(host.logFile, host.Name)
-	gc := gateway.Config{Settings: st, Log: host.log, Metrics: gateway.NewMetrics()}
+	gc := gateway.Config{Settings: st, Log: host.log, Metrics: gateway.NewMetrics(), WrapSocket: func(ps gateway.PeerSocket) gateway.PeerSocket {
+		return &cuttableSocket{ps, host}
+	}}
 	if dp.operator != nil {
 		gc.Trusted = []bundle.TrustedKey{dp.operator.key.Trusted()}
 	}
--- a/internal/stand/fakeupstream/answers.go
+++ b/internal/stand/fakeupstream/answers.go
@@ -51,6 +51,9 @@
 	}
 	reply = append(reply, body...)
 	rw.Header().Set("Server-Load", load)
+	up.mu.Lock()
+	up.setLimitHeader(rw)
+	up.mu.Unlock()
 	rw.Header().Set("Response-Seal", Sign(id, reply))
 	switch {
 	case draw < fl.Reset:
--- a/internal/stand/fakeupstream/control.go
+++ b/internal/stand/fakeupstream/control.go
@@ -22,6 +22,7 @@
 	Stray        float64 `json:"stray"`
 	LateGrants   float64 `json:"lateGrants"`
 	Leaving      bool    `json:"leaving"`
+	Limit        string  `json:"limit"`
 	PauseMs      int     `json:"pauseMs"`
 	Pour         float64 `json:"pour"`
 	Unresponsive bool    `json:"deaf"`
--- a/internal/stand/fakeupstream/fakeupstream.go
+++ b/internal/stand/fakeupstream/fakeupstream.go
@@ -58,6 +58,8 @@
 	LateGrants float64
 	// Leaving upstreams say so in all their answers.
 	Leaving bool
+	// Limit is the limit that all answers name; with an empty one they name none.
+	Limit string
 	// PauseMs is what refusals by Shed ask of their host, in milliseconds: to send no
 	// request for so long.
 	PauseMs int
@@ -111,6 +113,9 @@
 	pauses map[string]*pause
 	// pours is the number of answers without end.
 	pours int
+	// limitChanges and arrivals are what LimitExcess compares.
+	limitChanges []limitChange
+	arrivals     []time.Time
 	// mostInPause is the largest number of requests from one host in a pause.
 	mostInPause int
 }
@@ -164,6 +169,7 @@
 		fl.Slow = 1
 	}
 	up.faults = fl
+	up.noteLimit(fl.Limit)
 }
 
 // Runs returns the requests that ran, in the order of their start.
@@ -206,6 +212,7 @@
 	if up.faults.Leaving {
 		rw.Header().Set("Server-Leaving", "1")
 	}
+	up.setLimitHeader(rw)
 	up.mu.Unlock()
 	switch rq.URL.Path {
 	case "/api/grant":
@@ -276,6 +283,7 @@
 		return false
 	}
 	up.notePause(rq)
+	up.arrivals = append(up.arrivals, time.Now())
 	if up.random.Float64() < up.faults.Shed {
 		up.shed(rw, rq)
 		return false
