Keep the limits that upstreams name for all hosts together

Cause: Server-Limit was passed on with the answer and read by nobody. Class: an upstream says something that holds for all hosts, and it is unread, or known on the host that got the answer only.

Why this works: the holder of a pool already issues every permit for an upstream and kept the rate of cold ones; that bucket now keeps the tighter of both limits, one mechanism. A host tells the holder what an answer says, and the leader, which tells all members, so a new holder or a host that starts later knows it. The newest statement counts; an answer without a limit speaks for the time when its request was sent. A limit that isn't a number changes nothing and is logged; one below 0.5 a second is kept as 0.5, since an upstream that gets nothing cannot say that it takes more. Two holders: an ask that is not for the regular holder by the holder's own newest assignment gets no limited upstream, and a holder that no leader with a recent confirmation by the store has confirmed uses half of a limit, with which it stays within the bound beside another. What has to wait for a limit longer than its objective is refused at once; its Retry-After is when the limit admits it, one caller after the other. The leader plans with limits as with cold rates, so keys move to others.

--- a/internal/catalog/roster/roster.go
+++ b/internal/catalog/roster/roster.go
@@ -15,6 +15,7 @@
 
 	"chervilwalk/internal/base/clock"
 	"chervilwalk/internal/base/ident"
+	"chervilwalk/internal/base/rate"
 )
 
 // storeRecoveryGrace is the time after an outage of the store in which an upstream
@@ -56,6 +57,10 @@
 	ColdUntil clock.Instant
 	// LeavingAt is when the upstream was first seen draining or gone, or clock.Never.
 	LeavingAt clock.Instant
+	// Limit is how many requests the upstream takes from all hosts together, as its
+	// answers say, and LimitAt the time for which they say so.
+	Limit   rate.Limit
+	LimitAt clock.Instant
 	// Gone reports that the upstream no longer has an entry.
 	Gone bool
 	// announced reports that the upstream itself has said that it is leaving. It then
@@ -208,6 +213,25 @@
 	return Change{Upstream: id, Kind: "announcedLeaving"}, true
 }
 
+// minLimit is the smallest limit that is kept: an upstream that gets no request cannot say
+// that it takes more.
+const minLimit = rate.PerSecond(0.5)
+
+// NameLimit records how many requests an upstream takes, as an answer of one of its
+// incarnations says for a time. It returns false if the limit in force stays.
+func (rs *Roster) NameLimit(id ident.Upstream, incarnation Incarnation, at clock.Instant, lm rate.Limit) (changed bool) {
+	up, known := rs.upstreams[id]
+	if !known || up.Incarnation != incarnation || at <= up.LimitAt {
+		return false
+	}
+	if lm.Named {
+		lm.PerSecond = max(lm.PerSecond, minLimit)
+	}
+	changed = up.Limit != lm
+	up.Limit, up.LimitAt = lm, at
+	return changed
+}
+
 // MarkLeaving marks those entries as draining whose upstream is known to leave
 // although the entry does not say so.
 func (rs *Roster) MarkLeaving(entries []Entry) {
--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -147,9 +147,11 @@
 	reportParts    map[ident.Host]*assignmentParts
 	announcements  announcements
 	upstreamLimits upstreamLimits
-	lastEncoded    encodedTable
-	lastDiff       tableDiff
-	cache          rosterCache
+	// leaderConfirmedAt is when the store last confirmed the leader that this host follows.
+	leaderConfirmedAt clock.Instant
+	lastEncoded       encodedTable
+	lastDiff          tableDiff
+	cache             rosterCache
 }
 
 // Start opens the sockets of a gateway and starts its goroutines.
--- a/internal/fleet/gateway/loop.go
+++ b/internal/fleet/gateway/loop.go
@@ -104,6 +104,7 @@
 	}
 	gw.updatePermits(permit.TickMsg{})
 	gw.permitClient.tick(now)
+	gw.broadcastLimits(now)
 	if fields, due := gw.callCounts.takeFields(now); due {
 		gw.config.Log.Event("storeCalls", fields)
 	}
@@ -263,13 +264,14 @@
 		if now < refuseAt {
 			gw.nextRefusal = min(gw.nextRefusal, refuseAt)
 			forPermits.Upstreams = append(forPermits.Upstreams, permit.Upstream{
-				ID: up.ID, Service: up.Service, Domain: up.Domain, Slots: up.Slots, Incarnation: up.Incarnation, ColdUntil: coldUntil,
+				ID: up.ID, Service: up.Service, Domain: up.Domain, Slots: up.Slots, Incarnation: up.Incarnation, ColdUntil: coldUntil, Limit: up.Limit,
 			})
 		}
 		if sv.Keyed {
 			forLeader.Upstreams = append(forLeader.Upstreams, leader.Upstream{
 				ID: up.ID, Service: up.Service, Domain: up.Domain, Slots: up.Slots, Incarnation: up.Incarnation,
 				Usable: !up.Leaving() && !evacuated && !out, ColdUntil: coldUntil, ColdRate: sv.ColdRate,
+				Limit: up.Limit, LimitUntil: up.LimitAt.Add(plannedLimitTTL),
 			})
 		}
 	})
@@ -305,6 +307,7 @@
 	gw.leadershipConfirmedAt.Store(int64(gw.agent.LeadershipConfirmed()))
 	gw.tableConfirmedAt.Store(int64(gw.agent.TableConfirmed()))
 	gw.leading.Store(gw.agent.Leading())
+	gw.confirmHolder()
 	for _, cmd := range cmds {
 		switch cmd := cmd.(type) {
 		case agent.ReadCmd:
@@ -345,6 +348,7 @@
 	}
 	gw.sendMessage(cmd.To, st)
 	gw.reportLeaving()
+	gw.reportLimits()
 }
 
 // updatePermits passes a message to the permit core and sends the replies that
@@ -361,7 +365,7 @@
 				"retryAfterMs": cmd.Refusal.RetryAfter.Milliseconds(), "waitedMs": cmd.Waited.Milliseconds(),
 				"objectiveLeftMs": cmd.Ask.ObjectiveLeft.Milliseconds(), "timeLeftMs": cmd.Ask.TimeLeft.Milliseconds(),
 				"upstream": cmd.Estimate.Upstream, "expectedWaitMs": cmd.Estimate.Wait.Milliseconds(), "expectedWorkMs": cmd.Estimate.Latency.Milliseconds(),
-				"busy": cmd.Estimate.Busy, "ahead": cmd.Estimate.Ahead, "cold": cmd.Estimate.Cold,
+				"busy": cmd.Estimate.Busy, "ahead": cmd.Estimate.Ahead, "cold": cmd.Estimate.Cold, "limitPerS": cmd.Estimate.Limit.PerSecond,
 				"entriesAgeMs": gw.clock.Now().Sub(gw.cache.readAt).Milliseconds(), "revision": gw.table.Load().Revision,
 			})
 		case permit.QueuedCmd:
--- a/internal/fleet/gateway/peers.go
+++ b/internal/fleet/gateway/peers.go
@@ -95,10 +95,13 @@
 		gw.handlePeerLeaving(ms)
 	case protocol.Pause:
 		gw.updatePermits(permit.PauseMsg{Host: ms.Host, Upstream: ms.Upstream, Until: now.Add(ms.Left)})
+	case protocol.Limits:
+		gw.handlePeerLimits(ms, ev.from.String())
 	case protocol.Report:
 		gw.handleReportPart(ms)
 	case protocol.Ask:
 		gw.permitClient.rememberAddress(ms.Host, ev.from)
+		ms.Fallback = ms.Fallback || !gw.permitClient.holdsPool(ms)
 		gw.updatePermits(permit.AskMsg{Ask: ms})
 	case protocol.Done:
 		gw.sendMessageTo(ev.from, protocol.DoneAck{Ticket: ms.Ticket})
--- a/internal/fleet/gateway/permitclient.go
+++ b/internal/fleet/gateway/permitclient.go
@@ -104,8 +104,20 @@
 	suspectUntil map[ident.Host]clock.Instant
 	// addresses holds where each host's asks came from.
 	addresses map[ident.Host]netip.AddrPort
+	// regular holds the regular holders of pools by the assignment regularTable.
+	regular      map[poolID]ident.Host
+	regularTable *assignment.Table
 }
 
+// poolID is a pool of a service's upstreams.
+type poolID struct {
+	service ident.Service
+	pool    int
+}
+
+// name returns the name by which the pool's holder is chosen.
+func (pi poolID) name() string { return "permits/" + string(pi.service) + "/" + strconv.Itoa(pi.pool) }
+
 func newPermitClient(gw *Gateway) permitClient {
 	return permitClient{
 		gw: gw, pending: map[protocol.Ticket]*pendingAcquire{}, releases: map[protocol.Ticket]*pendingRelease{},
@@ -188,7 +200,7 @@
 // choosePool chooses the pool of the service's upstreams that an ask is for: the
 // pool with the key's owner, or each pool in turn for requests without a key.
 func (pc *permitClient) choosePool(pa *pendingAcquire) {
-	pa.ask.Pools = (pc.gw.upstreamCount[pa.ask.Service] + maxPoolUpstreams - 1) / maxPoolUpstreams
+	pa.ask.Pools = pc.poolCount(pa.ask.Service)
 	if !pa.ask.Keyed {
 		pa.ask.Pool = int(pa.ask.Ticket) % max(pa.ask.Pools, 1)
 		return
@@ -196,6 +208,11 @@
 	pa.ask.Pool = ident.PoolOf(ident.Hash(pc.owner(pa)), pa.ask.Pools)
 }
 
+// poolCount returns into how many pools a service's upstreams are divided.
+func (pc *permitClient) poolCount(sv ident.Service) int {
+	return (pc.gw.upstreamCount[sv] + maxPoolUpstreams - 1) / maxPoolUpstreams
+}
+
 // owner returns the upstream that owns an ask's key or will own it after a move.
 func (pc *permitClient) owner(pa *pendingAcquire) ident.Upstream {
 	sh, _ := pc.gw.table.Load().ShareOf(pa.ask.Service, pa.ask.Key)
@@ -229,7 +246,7 @@
 func (pc *permitClient) chooseHolder(now clock.Instant, pa *pendingAcquire) (host ident.Host, address string, fallback bool) {
 	var best, first *assignment.Member
 	var bestScore, firstScore float64
-	pool := "permits/" + string(pa.ask.Service) + "/" + strconv.Itoa(pa.ask.Pool)
+	pool := poolID{pa.ask.Service, pa.ask.Pool}.name()
 	members := pc.gw.table.Load().Members
 	for ix := range members {
 		mb := &members[ix]
@@ -251,6 +268,34 @@
 	return best.Host, best.Address, best != first
 }
 
+// holdsPool reports whether this host is the regular holder of the pool that another host's
+// ask is for. The other host may know an older assignment or other upstreams.
+func (pc *permitClient) holdsPool(ask protocol.Ask) bool {
+	return ask.Pools == pc.poolCount(ask.Service) && pc.regularHolder(ask.Service, ask.Pool) == pc.gw.self.Host
+}
+
+// regularHolder returns the member that issues the permits of a pool by the newest
+// assignment that this host knows.
+func (pc *permitClient) regularHolder(sv ident.Service, pool int) ident.Host {
+	if tb := pc.gw.table.Load(); pc.regularTable != tb {
+		pc.regular, pc.regularTable = map[poolID]ident.Host{}, tb
+	}
+	id := poolID{sv, pool}
+	host, known := pc.regular[id]
+	if known {
+		return host
+	}
+	best, name := 0.0, id.name()
+	for ix := range pc.regularTable.Members {
+		mb := &pc.regularTable.Members[ix]
+		if score := ident.Score(name, string(mb.Host), holderWeight(mb)); mb.Alive && (host == "" || score > best) {
+			host, best = mb.Host, score
+		}
+	}
+	pc.regular[id] = host
+	return host
+}
+
 // tick resends asks and releases that got no reply in time.
 func (pc *permitClient) tick(now clock.Instant) {
 	for _, pa := range pc.pending {
--- a/internal/fleet/gateway/rostercache.go
+++ b/internal/fleet/gateway/rostercache.go
@@ -241,6 +241,7 @@
 // updateFreshness applies the versions and the age from a leader's heartbeat and
 // requests a read of the operator rows if they stay behind the leader's.
 func (gw *Gateway) updateFreshness(now clock.Instant, hb protocol.Heartbeat) {
+	gw.noteStoreConfirmation(now, hb)
 	rc := &gw.cache
 	if hb.Term < gw.agent.Term() || hb.Leader == "" {
 		return
--- a/internal/ownership/leader/message.go
+++ b/internal/ownership/leader/message.go
@@ -6,6 +6,7 @@
 	"chervilwalk/internal/base/clock"
 	"chervilwalk/internal/base/ident"
 	"chervilwalk/internal/base/keyspace"
+	"chervilwalk/internal/base/rate"
 	"chervilwalk/internal/catalog/assignment"
 	"chervilwalk/internal/catalog/roster"
 	"chervilwalk/internal/peer/protocol"
@@ -40,6 +41,9 @@
 	ColdUntil clock.Instant
 	// ColdRate is how many requests per second it can take during warm-up.
 	ColdRate float64
+	// Limit is how many requests it takes from all hosts together, until LimitUntil.
+	Limit      rate.Limit
+	LimitUntil clock.Instant
 }
 
 // CommittedMsg reports that a commit took effect, with the table now in the store.
--- a/internal/ownership/leader/upstream.go
+++ b/internal/ownership/leader/upstream.go
@@ -6,6 +6,7 @@
 
 	"chervilwalk/internal/base/clock"
 	"chervilwalk/internal/base/ident"
+	"chervilwalk/internal/base/rate"
 	"chervilwalk/internal/peer/protocol"
 )
 
@@ -17,8 +18,8 @@
 	// time, up to maxAvoidBackoff.
 	avoidBackoff    = 3 * time.Second
 	maxAvoidBackoff = 24 * time.Second
-	// coldCapacityRatio is the fraction of a cold upstream's ColdRate that planning uses.
-	coldCapacityRatio = 0.6
+	// limitedCapacityRatio is the fraction of a limited upstream's rate that planning uses.
+	limitedCapacityRatio = 0.6
 	// defaultWorkTime is the expected time per answer before any was measured.
 	defaultWorkTime = 200 * time.Millisecond
 	// workWeight is the weight of one answer in an upstream's mean time per answer.
@@ -48,8 +49,15 @@
 // capacity returns how many requests per second an upstream can answer.
 func (up *upstream) capacity(now clock.Instant) float64 {
 	capacity := float64(up.Slots) / (meanOverMedian * up.workTime.Seconds()) * up.successRatio * up.successRatio
+	lm := rate.Limit{}
+	if now < up.LimitUntil {
+		lm = up.Limit
+	}
 	if now < up.ColdUntil {
-		return min(capacity, coldCapacityRatio*up.ColdRate)
+		lm = lm.Tighter(rate.At(rate.PerSecond(up.ColdRate)))
+	}
+	if lm.Named {
+		return min(capacity, limitedCapacityRatio*float64(lm.PerSecond))
 	}
 	return capacity
 }
@@ -114,7 +122,7 @@
 			co.upstreams[up.ID] = us
 			co.upstreamsChangedAt, co.plannedAt = now, 0
 		}
-		if us.Usable != up.Usable {
+		if us.Usable != up.Usable || us.Limit != up.Limit {
 			co.plannedAt = 0
 		}
 		us.Upstream = up
--- a/internal/peer/protocol/message.go
+++ b/internal/peer/protocol/message.go
@@ -31,6 +31,7 @@
 	recoveringNumber
 	leavingNumber
 	pauseNumber
+	limitsNumber
 )
 
 func (Status) number() uint8          { return statusNumber }
@@ -55,6 +56,7 @@
 
 func (Leaving) number() uint8     { return leavingNumber }
 func (Pause) number() uint8       { return pauseNumber }
+func (Limits) number() uint8      { return limitsNumber }
 func (Report) number() uint8      { return reportNumber }
 func (RosterDelta) number() uint8 { return rosterDeltaNumber }
 
@@ -72,6 +74,8 @@
 		ms.code(cd)
 	case Pause:
 		ms.code(cd)
+	case Limits:
+		ms.code(cd)
 	case Assignment:
 		ms.code(cd)
 	case Ask:
@@ -118,6 +122,8 @@
 		msg = decode(cd, func(ms *Leaving) { ms.code(cd) })
 	case pauseNumber:
 		msg = decode(cd, func(ms *Pause) { ms.code(cd) })
+	case limitsNumber:
+		msg = decode(cd, func(ms *Limits) { ms.code(cd) })
 	case reportNumber:
 		msg = decode(cd, func(ms *Report) { ms.code(cd) })
 	case assignmentNumber:
--- a/internal/serving/permit/permit.go
+++ b/internal/serving/permit/permit.go
@@ -17,6 +17,7 @@
 	"chervilwalk/internal/base/clock"
 	"chervilwalk/internal/base/ident"
 	"chervilwalk/internal/base/keyspace"
+	"chervilwalk/internal/base/rate"
 	"chervilwalk/internal/catalog/assignment"
 	"chervilwalk/internal/catalog/desired"
 	"chervilwalk/internal/catalog/roster"
@@ -78,6 +79,10 @@
 // TableMsg replaces the owners of keys.
 type TableMsg struct{ Table *assignment.Table }
 
+// ConfirmedMsg reports until when no other host can have become the holder of the pools that
+// this one holds.
+type ConfirmedMsg struct{ Until clock.Instant }
+
 // TickMsg reports that time has passed. It expires permits and dispatches
 // waiting asks.
 type TickMsg struct{}
@@ -91,6 +96,8 @@
 	Incarnation roster.Incarnation
 	// ColdUntil is the end of the upstream's cold phase.
 	ColdUntil clock.Instant
+	// Limit is how many requests the upstream takes from all hosts together.
+	Limit rate.Limit
 }
 
 // IssueCmd issues a permit to a host.
@@ -121,6 +128,8 @@
 	// Busy counts the slots in use, Ahead the waiting asks that are served first.
 	Busy, Ahead int
 	Cold        bool
+	// Limit is how many requests per second this holder lets the owner have.
+	Limit rate.Limit
 }
 
 // QueuedCmd confirms to a host that its ask is queued.
@@ -177,6 +186,8 @@
 	// disownedUntil is until when asks for a disowned share are held back, by the
 	// epoch that its owner did not know.
 	disownedUntil map[keyspace.Epoch]clock.Instant
+	// confirmedUntil is until when no other host can hold the same pools.
+	confirmedUntil clock.Instant
 	// latencies is the moving average of each service's time to answer.
 	latencies map[ident.Service]time.Duration
 }
@@ -206,6 +217,9 @@
 		co.setUpstreams(now, ms)
 	case TableMsg:
 		co.setTable(now, ms.Table)
+	case ConfirmedMsg:
+		co.confirmedUntil = ms.Until
+		return nil
 	}
 	co.expire(now)
 	for sv := range co.waiting {
--- a/internal/serving/permit/permit_test.go
+++ b/internal/serving/permit/permit_test.go
@@ -89,6 +89,7 @@
 		sm.latency[upstreamName(ix)] = mean
 		sm.sentPerSecond[upstreamName(ix)] = map[int64]int{}
 	}
+	sm.update(permit.ConfirmedMsg{Until: clock.Never})
 	sm.update(sm.upstreamsMsg(0))
 	return sm
 }
--- a/internal/serving/permit/queue.go
+++ b/internal/serving/permit/queue.go
@@ -6,6 +6,7 @@
 
 	"chervilwalk/internal/base/clock"
 	"chervilwalk/internal/base/ident"
+	"chervilwalk/internal/base/rate"
 	"chervilwalk/internal/catalog/assignment"
 	"chervilwalk/internal/peer/protocol"
 )
@@ -42,6 +43,13 @@
 	// noUpstreamRetryAfter is the Retry-After of a request that no upstream can run,
 	// such as one whose key has no owner.
 	noUpstreamRetryAfter = 700 * time.Millisecond
+	// fallbackRetryAfter is the Retry-After of a request that only limited upstreams could
+	// run, while this host cannot reach their holder: until a member that does not answer
+	// is passed over by all hosts.
+	fallbackRetryAfter = time.Second
+	// unconfirmedShare is the fraction of a limit that a holder uses while another may have
+	// taken its place: with the other's it stays within one and a half times the limit.
+	unconfirmedShare = 0.5
 	// crossDomainCost is added to the expected latency of an upstream in another
 	// domain, because traffic between domains is expensive; for large answers it
 	// is largeCrossDomainCost.
@@ -70,8 +78,12 @@
 	if !known {
 		return []Cmd{ak.refuse(now, noUpstreamRetryAfter, "noUpstream", es)}
 	}
-	if us := co.upstreams[es.Upstream]; us != nil && us.paused(now, msg.Host) {
+	us := co.upstreams[es.Upstream]
+	switch {
+	case us != nil && us.paused(now, msg.Host):
 		return []Cmd{ak.refuse(now, us.pausedUntil[msg.Host].Sub(now), "upstreamPaused", es)}
+	case us != nil && es.Limit.Named && msg.Fallback:
+		return []Cmd{ak.refuse(now, fallbackRetryAfter, "limitHeldElsewhere", es)}
 	}
 	ak.refuseAt = ak.deadline.Add(-es.Latency)
 	if es.Wait+time.Duration(latencyMargin*float64(es.Latency)) > msg.ObjectiveLeft {
@@ -79,6 +91,9 @@
 		ak.refuseAt = min(ak.refuseAt, now.Add(co.lateWait(now, ak)))
 	}
 	if now.Add(es.Wait) > ak.refuseAt {
+		if es.Limit.Named {
+			return []Cmd{ak.refuse(now, us.returnAfter(now, max(es.Wait, minRetryAfter), es.Limit), "upstreamLimited", es)}
+		}
 		return []Cmd{ak.refuse(now, max(es.Wait-msg.ObjectiveLeft/2, minRetryAfter), "noRoomInTime", es)}
 	}
 	co.asks[id] = ak
@@ -108,36 +123,64 @@
 	if us == nil {
 		return es, false
 	}
-	es = Estimate{Upstream: us.ID, Latency: us.latency, Busy: us.busy(now), Ahead: co.ahead(ak, us), Cold: us.cold(now)}
-	es.Wait = us.expectedWait(now, es.Ahead, co.services[ak.Service].ColdRate)
+	es = Estimate{Upstream: us.ID, Latency: us.latency, Busy: us.busy(now), Ahead: co.ahead(ak, us), Cold: us.cold(now), Limit: co.limitOf(now, us)}
+	es.Wait = us.expectedWait(now, es.Ahead, es.Limit)
 	if moving {
 		es.Wait += co.moveTimeLeft(now, ak)
 	}
 	return es, true
 }
 
+// limitOf returns how many requests per second this holder lets an upstream have from all
+// hosts together: what the upstream has said that it takes, and less while it is cold.
+func (co *Core) limitOf(now clock.Instant, us *upstream) rate.Limit {
+	lm := us.Limit
+	if us.cold(now) {
+		lm = lm.Tighter(rate.At(rate.PerSecond(co.services[us.Service].ColdRate)))
+	}
+	if now >= co.confirmedUntil {
+		lm.PerSecond *= unconfirmedShare
+	}
+	return lm
+}
+
 // estimatePool is estimate for an ask that any upstream of its pool can serve.
 func (co *Core) estimatePool(now clock.Instant, ak *ask) (es Estimate, known bool) {
-	rate, freeSlots := 0.0, 0
+	perSecond, free, limitedElsewhere := 0.0, 0, false
 	for _, us := range co.upstreamsOf[ak.Service] {
 		if !ak.inPool(us) || !us.usable {
 			continue
 		}
 		known = true
-		if now.Before(us.backoffUntil) || us.cold(now) || us.paused(now, ak.Host) {
+		lm := co.limitOf(now, us)
+		if lm.Named && ak.Fallback {
+			limitedElsewhere = true
+			continue
+		}
+		if now.Before(us.backoffUntil) || us.paused(now, ak.Host) {
 			continue
 		}
-		rate += float64(us.Slots) / us.latency.Seconds()
-		freeSlots += us.Slots - us.busy(now)
 		es.Busy += us.busy(now)
+		slots := float64(us.Slots) / us.latency.Seconds()
+		if !lm.Named {
+			perSecond += slots
+			free += us.Slots - us.busy(now)
+			continue
+		}
+		perSecond += min(slots, float64(lm.PerSecond))
+		if us.available(now, lm) {
+			free++
+		}
 	}
 	es.Latency, es.Ahead = co.expectedLatency(ak.Service), co.ahead(ak, nil)
-	if rate == 0 {
+	switch {
+	case perSecond > 0:
+		es.Wait = rate.PerSecond(perSecond).Interval(max(float64(es.Ahead+1-free), 0))
+	case limitedElsewhere:
+		es.Wait = fallbackRetryAfter
+	default:
 		es.Wait = pollInterval
-		return es, known
 	}
-	excess := es.Ahead + 1 - freeSlots
-	es.Wait = time.Duration(max(float64(excess), 0) / rate * float64(time.Second))
 	return es, known
 }
 
@@ -244,12 +287,11 @@
 	if len(co.waiting[sv]) == 0 {
 		return cmds
 	}
-	coldRate := co.services[sv].ColdRate
-	available := co.availableUpstreams(now, sv, coldRate)
+	available := co.availableUpstreams(now, sv)
 	queue := slices.Clone(co.waiting[sv])
 	slices.SortStableFunc(queue, (*ask).compare)
 	for _, ak := range queue {
-		us := co.choose(now, ak, coldRate, available)
+		us := co.choose(now, ak, available)
 		if us == nil {
 			continue
 		}
@@ -262,13 +304,13 @@
 // availableUpstreams returns the upstreams that can take one more request; none
 // for a keyed service, where only the owner of a key can. The list is valid
 // until the next call.
-func (co *Core) availableUpstreams(now clock.Instant, sv ident.Service, coldRate float64) []*upstream {
+func (co *Core) availableUpstreams(now clock.Instant, sv ident.Service) []*upstream {
 	co.freeBuf = co.freeBuf[:0]
 	if co.services[sv].Keyed {
 		return co.freeBuf
 	}
 	for _, us := range co.upstreamsOf[sv] {
-		if us.available(now, coldRate) {
+		if us.available(now, co.limitOf(now, us)) {
 			co.freeBuf = append(co.freeBuf, us)
 		}
 	}
@@ -277,8 +319,8 @@
 
 // issuePermit assigns a slot of the upstream to the ask.
 func (co *Core) issuePermit(now clock.Instant, ak *ask, us *upstream) Cmd {
-	if us.cold(now) {
-		us.coldTokens--
+	if co.limitOf(now, us).Named {
+		us.bucket.Take()
 	}
 	ak.upstream, ak.permittedAt = us, now
 	us.running[ak.id] = ak
@@ -320,17 +362,21 @@
 	// Only now, as estimates count the asks that wait.
 	for _, ak := range overdue {
 		es, _ := co.estimate(now, ak)
-		cmds = append(cmds, ak.refuse(now, minRetryAfter, "waitedTooLong", es))
+		after := minRetryAfter
+		if us := co.upstreams[es.Upstream]; us != nil && es.Limit.Named {
+			after = us.returnAfter(now, max(es.Wait, minRetryAfter), es.Limit)
+		}
+		cmds = append(cmds, ak.refuse(now, after, "waitedTooLong", es))
 	}
 	return cmds
 }
 
 // choose returns the upstream that may run the ask now, nil if there is none:
 // for a keyed ask the owner of its key, else the available one of least cost.
-func (co *Core) choose(now clock.Instant, ak *ask, coldRate float64, available []*upstream) *upstream {
+func (co *Core) choose(now clock.Instant, ak *ask, available []*upstream) *upstream {
 	if ak.Keyed {
 		us, moving := co.owner(ak)
-		if us == nil || moving || us.paused(now, ak.Host) || co.isDisowned(now, ak) || !us.available(now, coldRate) || ak.Fallback && us.cold(now) {
+		if us == nil || moving || us.paused(now, ak.Host) || co.isDisowned(now, ak) || !co.mayTake(now, ak, us) {
 			return nil
 		}
 		return us
@@ -338,7 +384,7 @@
 	var best *upstream
 	var bestCost time.Duration
 	for _, us := range available {
-		if !ak.inPool(us) || us.ID == ak.Avoid || us.paused(now, ak.Host) || !us.available(now, coldRate) || ak.Fallback && us.cold(now) {
+		if !ak.inPool(us) || us.ID == ak.Avoid || us.paused(now, ak.Host) || !co.mayTake(now, ak, us) {
 			continue
 		}
 		cost, ok := ak.cost(now, us)
@@ -349,6 +395,13 @@
 	return best
 }
 
+// mayTake reports whether an upstream can take an ask now. Only the regular holder of its
+// pool counts the requests to one with a limit.
+func (co *Core) mayTake(now clock.Instant, ak *ask, us *upstream) bool {
+	lm := co.limitOf(now, us)
+	return us.available(now, lm) && !(ak.Fallback && lm.Named)
+}
+
 // inPool reports whether an upstream belongs to the ask's service and pool.
 func (ak *ask) inPool(us *upstream) bool {
 	return us.Service == ak.Service && ident.PoolOf(us.hash, ak.Pools) == ak.Pool
--- a/internal/serving/permit/upstream.go
+++ b/internal/serving/permit/upstream.go
@@ -5,6 +5,7 @@
 
 	"chervilwalk/internal/base/clock"
 	"chervilwalk/internal/base/ident"
+	"chervilwalk/internal/base/rate"
 	"chervilwalk/internal/peer/protocol"
 )
 
@@ -37,6 +38,8 @@
 	// slowStartFailures is the number of consecutive failures from which
 	// slowStartTime applies.
 	slowStartFailures = 2
+	// maxReturnSpread is the longest time over which refused callers are spread.
+	maxReturnSpread = 3 * time.Second
 )
 
 // upstream is the holder's state of an upstream.
@@ -60,15 +63,16 @@
 	refusalRatio   float64
 	backoffUntil   clock.Instant
 	slowStartUntil clock.Instant
-	// coldTokens is the token bucket, of size 1, for requests to a cold upstream.
-	coldTokens     float64
-	coldRefilledAt clock.Instant
+	// bucket keeps the limit while there is one.
+	bucket rate.Bucket
+	// nextReturn is when the next caller that is refused for the limit may return.
+	nextReturn clock.Instant
 	// pausedUntil is until when the upstream wants no request from a host.
 	pausedUntil map[ident.Host]clock.Instant
 }
 
 func newUpstream(now clock.Instant, up Upstream, latency time.Duration) *upstream {
-	return &upstream{Upstream: up, running: map[askID]*ask{}, pausedUntil: map[ident.Host]clock.Instant{}, latency: latency, coldTokens: 1, coldRefilledAt: now}
+	return &upstream{Upstream: up, running: map[askID]*ask{}, pausedUntil: map[ident.Host]clock.Instant{}, latency: latency, bucket: rate.NewBucket(now)}
 }
 
 // cold reports whether the upstream is limited to the service's cold rate.
@@ -90,36 +94,34 @@
 }
 
 // available reports whether the upstream can take one more request now.
-func (us *upstream) available(now clock.Instant, coldRate float64) bool {
+func (us *upstream) available(now clock.Instant, lm rate.Limit) bool {
 	if !us.usable || now.Before(us.backoffUntil) || us.busy(now) >= us.Slots {
 		return false
 	}
-	if !us.cold(now) {
-		return true
-	}
-	us.refillColdTokens(now, coldRate)
-	return us.coldTokens >= 1
-}
-
-// refillColdTokens adds the tokens for the time since the last refill; coldRate
-// is in requests per second.
-func (us *upstream) refillColdTokens(now clock.Instant, coldRate float64) {
-	us.coldTokens = min(1, us.coldTokens+coldRate*now.Sub(us.coldRefilledAt).Seconds())
-	us.coldRefilledAt = now
+	return !lm.Named || us.bucket.Available(now, lm.PerSecond)
 }
 
-// expectedWait estimates how long a request waits for a slot behind ahead others.
-func (us *upstream) expectedWait(now clock.Instant, ahead int, coldRate float64) time.Duration {
+// expectedWait estimates how long a request waits for a slot, and for the limit to admit
+// it, behind ahead others.
+func (us *upstream) expectedWait(now clock.Instant, ahead int, lm rate.Limit) time.Duration {
 	wait := max(us.backoffUntil.Sub(now), 0)
-	if us.cold(now) && coldRate > 0 {
-		us.refillColdTokens(now, coldRate)
-		return wait + time.Duration(max(float64(ahead+1)-us.coldTokens, 0)/coldRate*float64(time.Second))
+	admitted := time.Duration(0)
+	if lm.Named && lm.PerSecond > 0 {
+		admitted = us.bucket.Wait(now, lm.PerSecond, ahead+1)
 	}
 	excess := us.busy(now) + ahead + 1 - us.Slots
 	if excess <= 0 {
-		return wait
+		return wait + admitted
 	}
-	return wait + us.firstFree(now) + time.Duration(excess-1)*us.latency/time.Duration(us.Slots)
+	return wait + max(admitted, us.firstFree(now)+time.Duration(excess-1)*us.latency/time.Duration(us.Slots))
+}
+
+// returnAfter returns when a caller may come back that is refused since the limit admits it
+// only after a wait. Callers return one after the other, as the limit admits them.
+func (us *upstream) returnAfter(now clock.Instant, wait time.Duration, lm rate.Limit) time.Duration {
+	at := max(now.Add(wait), us.nextReturn)
+	us.nextReturn = min(at.Add(lm.PerSecond.Interval(1)), now.Add(maxReturnSpread))
+	return at.Sub(now)
 }
 
 // firstFree estimates how long until the first slot becomes free. Times to
--- a/internal/serving/proxy/proxy.go
+++ b/internal/serving/proxy/proxy.go
@@ -55,9 +55,9 @@
 	// no further request from this host, or 0.
 	Leaving bool
 	Pause   time.Duration
-	// Limit is how many requests the upstream takes from all hosts together, or
-	// rate.Unlimited. With a LimitErr it was malformed and says nothing.
-	Limit    rate.PerSecond
+	// Limit is how many requests the upstream takes from all hosts together. With a
+	// LimitErr it was malformed and says nothing.
+	Limit    rate.Limit
 	LimitErr error
 	// Reported reports whether the upstream stated its load.
 	Reported bool
@@ -149,7 +149,7 @@
 	OnPause   func(pm Permit, pause time.Duration)
 	// OnLimit is called for each answer with the limit that it names, or the error if it is
 	// malformed, before the permit is released. sentAt is when the request was sent.
-	OnLimit func(pm Permit, sentAt time.Time, limit rate.PerSecond, err error)
+	OnLimit func(pm Permit, sentAt time.Time, limit rate.Limit, err error)
 	// Domain is the failure domain of this host.
 	Domain ident.Domain
 }
