Use upstreams again whose entry was missing and has come back

Cause: the leader marks entries of upstreams that leave as draining, so that members and hosts that start later know it. One that was gone counts as leaving too, so its newer entry, after its return, was marked, and marked again with each read until the upstream restarted.

Ruled out: grants and moves; the leader never had these upstreams as targets.

Why this works: a gone upstream is marked only while the entry is the one that was known before, as in an older copy of the store. TestComesBack failed before with a newer entry.

--- a/internal/catalog/roster/roster.go
+++ b/internal/catalog/roster/roster.go
@@ -237,7 +237,11 @@
 func (rs *Roster) MarkLeaving(entries []Entry) {
 	for ix := range entries {
 		up, known := rs.upstreams[entries[ix].ID]
-		if known && up.Leaving() && up.Incarnation == entries[ix].Incarnation {
+		if !known || up.Incarnation != entries[ix].Incarnation {
+			continue
+		}
+		// An upstream that was gone leaves no longer once it has written a newer entry.
+		if up.announced || up.Draining || up.Gone && entries[ix].Sequence <= up.Sequence {
 			entries[ix].Draining = true
 		}
 	}
--- a/internal/catalog/roster/roster_test.go
+++ b/internal/catalog/roster/roster_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"chervilwalk/internal/base/clock"
+	"chervilwalk/internal/base/rate"
 	"chervilwalk/internal/catalog/roster"
 )
 
@@ -108,3 +109,66 @@
 	up, _ = rs.Get("i-1")
 	gm.Expect(up.Leaving()).To(BeFalse())
 }
+
+// TestComesBack guards against upstreams that stay out of use after their entry was missing
+// for a while.
+func TestComesBack(t *testing.T) {
+	cases := map[string]struct {
+		back    roster.Entry
+		leaving bool
+	}{
+		"with a newer entry":            {entry(4, 1), false},
+		"in an older copy of the store": {entry(1, 1), true},
+		"with a restart":                {entry(1, 2), false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			gm := NewWithT(t)
+			rs, now := roster.New(), clock.Instant(time.Hour)
+			rs.Update(now, []roster.Entry{entry(1, 1)})
+			rs.Update(now.Add(time.Second), nil)
+			// The leader marks the entries that it passes on; members get them marked.
+			for range 2 {
+				now = now.Add(2 * time.Second)
+				entries := []roster.Entry{tc.back}
+				rs.MarkLeaving(entries)
+				rs.Update(now, entries)
+				gm.Expect(entries[0].Draining).To(Equal(tc.leaving))
+			}
+			up, _ := rs.Get("i-1")
+			gm.Expect(up.Leaving()).To(Equal(tc.leaving))
+		})
+	}
+}
+
+// TestNameLimit guards against an older statement that replaces a newer one.
+func TestNameLimit(t *testing.T) {
+	const start = clock.Instant(time.Hour)
+	type statement struct {
+		at          time.Duration
+		incarnation roster.Incarnation
+		limit       rate.Limit
+	}
+	cases := map[string]struct {
+		said []statement
+		want rate.Limit
+	}{
+		"newer one":                  {[]statement{{1, 1, rate.At(4)}, {2, 1, rate.At(2)}}, rate.At(2)},
+		"older one":                  {[]statement{{2, 1, rate.At(4)}, {1, 1, rate.At(2)}}, rate.At(4)},
+		"lifted":                     {[]statement{{1, 1, rate.At(4)}, {2, 1, rate.Limit{}}}, rate.Limit{}},
+		"lifted before it was named": {[]statement{{2, 1, rate.At(4)}, {1, 1, rate.Limit{}}}, rate.At(4)},
+		"zero":                       {[]statement{{1, 1, rate.At(0)}}, rate.At(0.5)},
+		"of another incarnation":     {[]statement{{1, 2, rate.At(4)}}, rate.Limit{}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			rs := roster.New()
+			rs.Update(start, []roster.Entry{entry(1, 1)})
+			for _, st := range tc.said {
+				rs.NameLimit("i-1", st.incarnation, start.Add(st.at), st.limit)
+			}
+			up, _ := rs.Get("i-1")
+			NewWithT(t).Expect(up.Limit).To(Equal(tc.want))
+		})
+	}
+}
