Remember what an upstream said of itself while its entry is missing

What could happen: an upstream announces in its answers that it leaves, or names a limit; its entry is missing for a while, since the upstream cannot reach the store, and comes back. Every host then began to send to it as if it had said nothing, until its next answer.

Cause: the roster makes a new record when an entry comes back, also for the same process of the upstream.

TestMissingEntryKeepsStatements failed before for the same process.

--- a/internal/catalog/roster/roster.go
+++ b/internal/catalog/roster/roster.go
@@ -183,8 +183,16 @@
 		if known && en.Incarnation != up.Incarnation {
 			ch.Kind = "restarted"
 		}
+		before := up
 		up = &Upstream{LeavingAt: clock.Never, missingSince: clock.Never}
 		rs.upstreams[en.ID] = up
+		if known && en.Incarnation == before.Incarnation {
+			// What an upstream says of itself holds although its entry was missing.
+			up.announced, up.Limit, up.LimitAt = before.announced, before.Limit, before.LimitAt
+			if up.announced {
+				up.LeavingAt = before.LeavingAt
+			}
+		}
 	}
 	up.Entry = en
 	up.ColdUntil = now.Add(en.ColdLeft)
--- a/internal/catalog/roster/roster_test.go
+++ b/internal/catalog/roster/roster_test.go
@@ -1,14 +1,13 @@
 package roster_test
 
 import (
+	"chervilwalk/internal/base/clock"
+	"chervilwalk/internal/base/rate"
+	"chervilwalk/internal/catalog/roster"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
-
-	"chervilwalk/internal/base/clock"
-	"chervilwalk/internal/base/rate"
-	"chervilwalk/internal/catalog/roster"
 )
 
 func entry(sequence uint64, incarnation roster.Incarnation) roster.Entry {
@@ -141,6 +140,34 @@
 	}
 }
 
+// TestMissingEntryKeepsStatements guards against forgetting what an upstream said of itself
+// while its entry is missing.
+func TestMissingEntryKeepsStatements(t *testing.T) {
+	limit := rate.At(3.5)
+	cases := map[string]struct {
+		back    roster.Entry
+		leaving bool
+		limit   rate.Limit
+	}{
+		"the same process": {entry(4, 1), true, limit},
+		"another process":  {entry(1, 2), false, rate.Limit{}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			gm := NewWithT(t)
+			rs, now := roster.New(), clock.Instant(time.Hour)
+			rs.Update(now, []roster.Entry{entry(1, 1)})
+			gm.Expect(rs.NameLimit("i-1", 1, now, limit)).To(BeTrue())
+			rs.Announce(now, "i-1")
+			rs.Update(now.Add(time.Second), nil)
+			rs.Update(now.Add(3*time.Second), []roster.Entry{tc.back})
+			up, _ := rs.Get("i-1")
+			gm.Expect(up.Leaving()).To(Equal(tc.leaving))
+			gm.Expect(up.Limit).To(Equal(tc.limit))
+		})
+	}
+}
+
 // TestNameLimit guards against an older statement that replaces a newer one.
 func TestNameLimit(t *testing.T) {
 	const start = clock.Instant(time.Hour)
