Issue permits for limited upstreams when their limit admits them

Callers waited for a limited upstream that had room: the core looked at waiting requests every 50 ms only, and a token that is due between two looks is lost, since an upstream's bucket holds one.

Why this works: Next names the time at which a limit admits the next request.

--- a/internal/serving/permit/permit.go
+++ b/internal/serving/permit/permit.go
@@ -79,6 +79,12 @@
 // TableMsg replaces the owners of keys.
 type TableMsg struct{ Table *assignment.Table }
 
+// LimitMsg reports how many requests an upstream takes from all hosts together from now on.
+type LimitMsg struct {
+	Upstream ident.Upstream
+	Limit    rate.Limit
+}
+
 // ConfirmedMsg reports until when no other host can have become the holder of the pools that
 // this one holds.
 type ConfirmedMsg struct{ Until clock.Instant }
@@ -217,6 +223,10 @@
 		co.setUpstreams(now, ms)
 	case TableMsg:
 		co.setTable(now, ms.Table)
+	case LimitMsg:
+		if us, known := co.upstreams[ms.Upstream]; known {
+			us.Limit = ms.Limit
+		}
 	case ConfirmedMsg:
 		co.confirmedUntil = ms.Until
 		return nil
@@ -231,13 +241,19 @@
 // Next returns when the core needs a TickMsg if no other message arrives.
 func (co *Core) Next(now clock.Instant) clock.Instant {
 	next := clock.Never
-	for _, list := range co.waiting {
+	for sv, list := range co.waiting {
+		if len(list) == 0 {
+			continue
+		}
 		for _, ak := range list {
 			next = min(next, ak.refuseAt, ak.deadline)
 		}
-		if len(list) > 0 {
-			// Upstreams in backoff and cold ones become available without a message.
-			next = min(next, now.Add(pollInterval))
+		// Upstreams in backoff and limited ones become available without a message.
+		next = min(next, now.Add(pollInterval))
+		for _, us := range co.upstreamsOf[sv] {
+			if admits := us.admitsAt(now, co.limitOf(now, us), 1); admits > now {
+				next = min(next, admits)
+			}
 		}
 	}
 	for _, ak := range co.asks {
--- a/internal/serving/permit/permit_test.go
+++ b/internal/serving/permit/permit_test.go
@@ -23,6 +23,8 @@
 	service   = ident.Service("lookup")
 	objective = 600 * time.Millisecond
 	limit     = 1200 * time.Millisecond
+	// refusedAtOnce is the longest wait of a request that counts as refused at once.
+	refusedAtOnce = 50 * time.Millisecond
 )
 
 // simulation runs a core under load on a virtual clock and counts how the
@@ -33,6 +35,8 @@
 	core   *permit.Core
 	events events
 	seq    int
+	// tickAt is when the next tick is due.
+	tickAt clock.Instant
 	ticket protocol.Ticket
 	// keyed sends each ask to the owner of its key, instead of any upstream.
 	keyed bool
@@ -53,6 +57,8 @@
 	refusedByUpstream int
 	// longestRefusedWait is the longest wait that ended with a refusal.
 	longestRefusedWait time.Duration
+	// refusedLate counts the refused requests that had waited for more than refusedAtOnce.
+	refusedLate int
 }
 
 // event is a function that runs at a virtual time; seq orders events of one time.
@@ -141,15 +147,22 @@
 		case permit.RefuseCmd:
 			sm.refused++
 			sm.longestRefusedWait = max(sm.longestRefusedWait, cmd.Waited)
+			if cmd.Waited > refusedAtOnce {
+				sm.refusedLate++
+			}
 		}
 	}
-	if next := sm.core.Next(sm.now); next != clock.Never {
-		sm.schedule(max(next.Sub(sm.now), time.Millisecond), func() {
-			if sm.core.Next(sm.now) <= sm.now {
-				sm.update(permit.TickMsg{})
-			}
-		})
+	next := max(sm.core.Next(sm.now), sm.now.Add(time.Millisecond))
+	if next == clock.Never || sm.now < sm.tickAt && sm.tickAt <= next {
+		return
 	}
+	sm.tickAt = next
+	sm.schedule(next.Sub(sm.now), func() {
+		if sm.tickAt == next {
+			sm.tickAt = 0
+			sm.update(permit.TickMsg{})
+		}
+	})
 }
 
 // ask requests a permit for a request that has already waited.
--- a/internal/serving/permit/upstream.go
+++ b/internal/serving/permit/upstream.go
@@ -101,14 +101,19 @@
 	return !lm.Named || us.bucket.Available(now, lm.PerSecond)
 }
 
+// admitsAt returns when the limit admits the last of count requests.
+func (us *upstream) admitsAt(now clock.Instant, lm rate.Limit, count int) clock.Instant {
+	if !lm.Named || lm.PerSecond <= 0 {
+		return now
+	}
+	return now.Add(us.bucket.Wait(now, lm.PerSecond, count))
+}
+
 // expectedWait estimates how long a request waits for a slot, and for the limit to admit
 // it, behind ahead others.
 func (us *upstream) expectedWait(now clock.Instant, ahead int, lm rate.Limit) time.Duration {
 	wait := max(us.backoffUntil.Sub(now), 0)
-	admitted := time.Duration(0)
-	if lm.Named && lm.PerSecond > 0 {
-		admitted = us.bucket.Wait(now, lm.PerSecond, ahead+1)
-	}
+	admitted := us.admitsAt(now, lm, ahead+1).Sub(now)
 	excess := us.busy(now) + ahead + 1 - us.Slots
 	if excess <= 0 {
 		return wait + admitted
