Take what a spoiled answer lacks for no statement

An answer without a signature that doesn't say that its request was not run is spoiled: with it a limit could be lifted that its upstream still has. Limits that such an answer names still count.

A changed limit goes to the permit core alone, as a message of its own: one that changes with each answer made every host pass on all upstreams again.

--- a/internal/fleet/gateway/upstreamlimits.go
+++ b/internal/fleet/gateway/upstreamlimits.go
@@ -98,19 +98,15 @@
 		gw.sendMessage(mb.Address, protocol.Limits{Limits: []protocol.UpstreamLimit{ul}})
 	}
 	if changed {
-		gw.publishUpstreams()
 		gw.reportLimits()
 	}
 }
 
 // handlePeerLimits handles what another host says of limits.
 func (gw *Gateway) handlePeerLimits(ms protocol.Limits, from string) {
-	now, changed := gw.clock.Now(), false
+	now := gw.clock.Now()
 	for _, ul := range ms.Limits {
-		changed = gw.applyLimit(now, ul, ident.Host(from)) || changed
-	}
-	if changed {
-		gw.publishUpstreams()
+		gw.applyLimit(now, ul, ident.Host(from))
 	}
 }
 
@@ -128,6 +124,7 @@
 		return false
 	}
 	gw.upstreamLimits.changed = true
+	gw.updatePermits(permit.LimitMsg{Upstream: ul.Upstream, Limit: up.Limit})
 	state := "lifted"
 	if ul.Limit.Named {
 		state = "named"
--- a/internal/serving/proxy/attempt.go
+++ b/internal/serving/proxy/attempt.go
@@ -79,7 +79,10 @@
 	if rp.Pause > 0 {
 		ex.px.cf.OnPause(*pm, rp.Pause)
 	}
-	ex.px.cf.OnLimit(*pm, sentAt, rp.Limit, rp.LimitErr)
+	// Spoiled answers say nothing by what they lack.
+	if rp.Limit.Named || rp.HasSignature || rp.NotRun {
+		ex.px.cf.OnLimit(*pm, sentAt, rp.Limit, rp.LimitErr)
+	}
 }
 
 // releasingRest releases a permit once the rest of an answer has been read or given up.
--- a/internal/serving/proxy/proxy.go
+++ b/internal/serving/proxy/proxy.go
@@ -147,8 +147,9 @@
 	// it says that this host must pause. Both are called before the permit is released.
 	OnLeaving func(id ident.Upstream)
 	OnPause   func(pm Permit, pause time.Duration)
-	// OnLimit is called for each answer with the limit that it names, or the error if it is
-	// malformed, before the permit is released. sentAt is when the request was sent.
+	// OnLimit is called with the limit that an answer names, the zero Limit if it names none,
+	// or the error if it is malformed, before the permit is released. sentAt is when the
+	// request was sent.
 	OnLimit func(pm Permit, sentAt time.Time, limit rate.Limit, err error)
 	// Domain is the failure domain of this host.
 	Domain ident.Domain
--- a/internal/serving/proxy/proxy_test.go
+++ b/internal/serving/proxy/proxy_test.go
@@ -300,11 +300,14 @@
 		header http.Header
 		want   []string
 	}{
-		"leaving":                    {200, http.Header{"Seal": {"s"}, "Leaving": {"1"}}, []string{"leaving", "released"}},
-		"pause":                      {503, http.Header{"Not-Run": {"1"}, "Pause": {"2s"}}, []string{"pause 2s", "released"}},
-		"both":                       {503, http.Header{"Not-Run": {"1"}, "Pause": {"2s"}, "Leaving": {"1"}}, []string{"leaving", "pause 2s", "released"}},
+		"leaving":                    {200, http.Header{"Seal": {"s"}, "Leaving": {"1"}}, []string{"leaving", "no limit", "released"}},
+		"pause":                      {503, http.Header{"Not-Run": {"1"}, "Pause": {"2s"}}, []string{"pause 2s", "no limit", "released"}},
+		"both":                       {503, http.Header{"Not-Run": {"1"}, "Pause": {"2s"}, "Leaving": {"1"}}, []string{"leaving", "pause 2s", "no limit", "released"}},
 		"limit":                      {200, http.Header{"Seal": {"s"}, "Limit": {"2.5"}}, []string{"limit 2.5", "released"}},
-		"neither":                    {200, http.Header{"Seal": {"s"}}, []string{"released"}},
+		"limit in a refusal":         {503, http.Header{"Not-Run": {"1"}, "Limit": {"2.5"}}, []string{"limit 2.5", "released"}},
+		"limit in a spoiled answer":  {200, http.Header{"Limit": {"2.5"}}, []string{"limit 2.5", "released"}},
+		"spoiled answer":             {200, http.Header{}, []string{"released"}},
+		"nothing":                    {200, http.Header{"Seal": {"s"}}, []string{"no limit", "released"}},
 		"another upstream's address": {421, http.Header{"Not-Run": {"1"}, "Leaving": {"1"}, "Limit": {"1"}}, []string{"released"}},
 	}
 	for name, tc := range cases {
@@ -327,8 +330,9 @@
 				OnLeaving: func(ident.Upstream) { seen = append(seen, "leaving") },
 				OnPause:   func(_ proxy.Permit, pause time.Duration) { seen = append(seen, "pause "+pause.String()) },
 				OnLimit: func(_ proxy.Permit, _ time.Time, limit rate.Limit, _ error) {
+					seen = append(seen, "no limit")
 					if limit.Named {
-						seen = append(seen, fmt.Sprint("limit ", limit.PerSecond))
+						seen[len(seen)-1] = fmt.Sprint("limit ", limit.PerSecond)
 					}
 				},
 			})
