Guard the limits by the soak, by mutants and with a frozen holder

The soak's upstreams name limits, which last until another fault of the upstream or the end; a load counts upstreams that got more than their limits as violations.

TestLimitWhileHolderIsFrozen stops the process of a holder for 4 s: the upstreams must be used by the one that takes its place and get no more when the first one goes on. TestHoldsPool and the case beside full upstreams test by themselves what two holders may count.

Nine new mutants. Two had to name the guards that took the place of theirs: the cold rate is one of the limits now, and so is its check of fallback holders; the tests that must notice are the same, and one more.

--- a/internal/catalog/roster/roster_test.go
+++ b/internal/catalog/roster/roster_test.go
@@ -1,11 +1,12 @@
 package roster_test
 
 import (
+	"testing"
+	"time"
+
 	"chervilwalk/internal/base/clock"
 	"chervilwalk/internal/base/rate"
 	"chervilwalk/internal/catalog/roster"
-	"testing"
-	"time"
 
 	. "github.com/onsi/gomega"
 )
--- a/internal/fleet/gateway/permitclient_test.go
+++ b/internal/fleet/gateway/permitclient_test.go
@@ -67,3 +67,36 @@
 		})
 	}
 }
+
+// TestHoldsPool guards against two holders that both count the requests to a limited upstream,
+// since hosts know different assignments or upstreams.
+func TestHoldsPool(t *testing.T) {
+	const service = ident.Service("files")
+	cases := map[string]struct {
+		// known is how many upstreams the holder knows; the other host knows 40 and so divides
+		// them into two pools.
+		known int
+		// lost means that the holder's assignment says that it is not alive.
+		lost bool
+		want bool
+	}{
+		"both know the same":              {known: 40, want: true},
+		"the holder knows fewer":          {known: 30},
+		"the holder knows that it is not": {known: 40, lost: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			gm := NewWithT(t)
+			members := []assignment.Member{{Host: "self", Fitness: 20, Alive: true}}
+			gw := &Gateway{self: members[0], upstreamCount: map[ident.Service]int{service: tc.known}}
+			gw.permitClient = newPermitClient(gw)
+			gw.table.Store(&assignment.Table{Members: members})
+			ask := protocol.Ask{Service: service, Pool: 1, Pools: 2}
+			gw.permitClient.holdsPool(ask)
+			if tc.lost {
+				gw.table.Store(&assignment.Table{Members: []assignment.Member{{Host: "self", Fitness: 20}, {Host: "other", Fitness: 20, Alive: true}}})
+			}
+			gm.Expect(gw.permitClient.holdsPool(ask)).To(Equal(tc.want))
+		})
+	}
+}
--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -76,13 +76,49 @@
 		[]string{"./internal/serving/permit"},
 	},
 	"the cold rate is not enforced": {
-		"internal/serving/permit/upstream.go", "	if !us.cold(now) {\n		return true\n	}\n	us.refill", "	if true {\n		return true\n	}\n	us.refill",
+		"internal/serving/permit/queue.go", "	if us.cold(now) {\n		lm = lm.Tighter(", "	if false {\n		lm = lm.Tighter(",
 		[]string{"./internal/serving/permit"},
 	},
 	"a fallback holder sends to cold upstreams": {
-		"internal/serving/permit/queue.go", " || ak.Fallback && us.cold(now) {\n			return nil", " {\n			return nil",
+		"internal/serving/permit/queue.go", " && !(ak.Fallback && lm.Named)", "",
 		[]string{"./internal/serving/permit"},
 	},
+	"the limit that an upstream names is not kept": {
+		"internal/serving/permit/queue.go", "	lm := us.Limit\n", "	lm := rate.Limit{}\n",
+		[]string{"-run=Limit", "./internal/serving/permit"},
+	},
+	"a holder that may have been replaced uses the whole limit": {
+		"internal/serving/permit/queue.go", "		lm.PerSecond *= unconfirmedShare\n", "",
+		[]string{"-run=TestLimitUnderLoad", "./internal/serving/permit"},
+	},
+	"refused callers return all at once": {
+		"internal/serving/permit/upstream.go", "max(now.Add(wait), us.nextReturn)", "now.Add(wait)",
+		[]string{"-run=TestCallersReturn", "./internal/serving/permit"},
+	},
+	"a fallback holder makes callers of limited upstreams wait": {
+		"internal/serving/permit/queue.go", "case us != nil && es.Limit.Named && msg.Fallback:", "case false:",
+		[]string{"-run=TestFallbackHolderSendsNothing", "./internal/serving/permit"},
+	},
+	"a holder counts asks of hosts that know other upstreams as its own": {
+		"internal/fleet/gateway/permitclient.go", "return ask.Pools == pc.poolCount(ask.Service) && ", "return ",
+		[]string{"-run=TestHoldsPool", "./internal/fleet/gateway"},
+	},
+	"an older statement of a limit replaces a newer one": {
+		"internal/catalog/roster/roster.go", " || at <= up.LimitAt {", " {",
+		[]string{"-run=TestNameLimit", "./internal/catalog/roster"},
+	},
+	"a spoiled answer lifts a limit": {
+		"internal/serving/proxy/attempt.go", "if rp.Limit.Named || rp.HasSignature || rp.NotRun {", "if true {",
+		[]string{"-run=TestAnnouncements", "./internal/serving/proxy"},
+	},
+	"an upstream that has come back stays out of use": {
+		"internal/catalog/roster/roster.go", "up.Gone && entries[ix].Sequence <= up.Sequence", "up.Gone",
+		[]string{"-run=TestComesBack", "./internal/catalog/roster"},
+	},
+	"what an upstream said is forgotten while its entry is missing": {
+		"internal/catalog/roster/roster.go", "if known && en.Incarnation == before.Incarnation {", "if known && en.Incarnation == before.Incarnation && false {",
+		[]string{"-run=TestMissingEntry", "./internal/catalog/roster"},
+	},
 	"requests go to an owner that is losing the key": {
 		"internal/serving/permit/queue.go", "if us == nil || moving ||", "if us == nil || moving && false ||",
 		[]string{"./internal/serving/permit"},
--- a/internal/serving/permit/limit_test.go
+++ b/internal/serving/permit/limit_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"chervilwalk/internal/base/clock"
+	"chervilwalk/internal/base/ident"
 	"chervilwalk/internal/base/rate"
 	"chervilwalk/internal/peer/protocol"
 	"chervilwalk/internal/serving/permit"
@@ -99,6 +100,21 @@
 	}
 }
 
+// TestFallbackHolderLeavesLimitedBesideFull guards against the same where the upstreams without
+// a limit have no room.
+func TestFallbackHolderLeavesLimitedBesideFull(t *testing.T) {
+	gm := NewWithT(t)
+	sm := newSimulation(5, false, repeat(3, time.Second)...)
+	sm.update(permit.LimitMsg{Upstream: upstreamName(0), Limit: rate.At(50)})
+	for ticket := range protocol.Ticket(8) {
+		sm.update(permit.AskMsg{Ask: protocol.Ask{
+			Host: "b", Ticket: ticket, Service: service, Domain: "d0", Fallback: true, ObjectiveLeft: 5 * time.Second, TimeLeft: 5 * time.Second,
+		}})
+	}
+	sm.advance(500 * time.Millisecond)
+	gm.Expect(sm.maxRunning).To(Equal(map[ident.Upstream]int{upstreamName(1): 2, upstreamName(2): 2}))
+}
+
 // TestCallersReturnAsLimitAdmits guards against refused callers that all come back at once.
 func TestCallersReturnAsLimitAdmits(t *testing.T) {
 	gm := NewWithT(t)
--- a/internal/stand/deployment/load.go
+++ b/internal/stand/deployment/load.go
@@ -43,6 +43,8 @@
 	UnheldRuns int `json:"unheldRuns"`
 	// ColdViolations are upstreams that got more than their limit while cold.
 	ColdViolations int `json:"coldViolations"`
+	// LimitViolations are upstreams that got more than the limits that they named.
+	LimitViolations int `json:"limitViolations"`
 	// P50Ms and P99Ms are percentiles of the latency of answered requests, in
 	// milliseconds.
 	P50Ms float64 `json:"p50Ms"`
@@ -51,7 +53,7 @@
 
 // Broken reports whether a guarantee was violated.
 func (ct *Counts) Broken() bool {
-	return ct.WrongAnswers+ct.DoubleRuns+ct.FalseNotRun+ct.DoubleOwners+ct.UnheldRuns+ct.ColdViolations+ct.Rejected > 0
+	return ct.WrongAnswers+ct.DoubleRuns+ct.FalseNotRun+ct.DoubleOwners+ct.UnheldRuns+ct.ColdViolations+ct.LimitViolations+ct.Rejected > 0
 }
 
 // sentRequest is a caller's request that has ended.
@@ -213,6 +215,9 @@
 		if up.MaxColdRate() > maxColdRequests {
 			counts.ColdViolations++
 		}
+		if up.LimitExcess() > 0 {
+			counts.LimitViolations++
+		}
 	}
 }
 
--- a/internal/stand/soak/soak.go
+++ b/internal/stand/soak/soak.go
@@ -10,6 +10,7 @@
 	"context"
 	"fmt"
 	"math/rand"
+	"strconv"
 	"strings"
 	"time"
 
@@ -216,6 +217,11 @@
 		}},
 		{id + " pours", func() { rn.upstreamFaults(id, fakeupstream.Faults{Pour: 0.3}) }},
 		{id + " refuses", func() { rn.upstreamFaults(id, fakeupstream.Faults{Shed: 0.5, PauseMs: 800}) }},
+		{id + " names a limit", func() {
+			// Limits count from some seconds after they were named, so they last until
+			// another fault of the upstream or the end.
+			rn.dp.Upstream(id).SetFaults(fakeupstream.Faults{Limit: strconv.FormatFloat(0.5+4*rn.random.Float64(), 'f', 1, 64)})
+		}},
 		{id + " takes grants late", func() { rn.upstreamFaults(id, fakeupstream.Faults{LateGrants: 0.4}) }},
 		{id + " is silent", func() { rn.upstreamFaults(id, fakeupstream.Faults{Unresponsive: true}) }},
 		{id + " leaves and starts anew", func() {
--- a/internal/stand/soak/soak_test.go
+++ b/internal/stand/soak/soak_test.go
@@ -1,8 +1,10 @@
 package soak_test
 
 import (
+	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"testing"
 	"time"
 
@@ -52,6 +54,50 @@
 	t.Logf("peak %d KB after %d answers without end, %+v", dp.Hosts[0].PeakKB(), pours, counts)
 }
 
+// TestLimitWhileHolderIsFrozen guards against a holder that continues, once it is thawed, beside
+// the one that has taken its place, and against upstreams without one meanwhile.
+func TestLimitWhileHolderIsFrozen(t *testing.T) {
+	t.Parallel()
+	gm := NewWithT(t)
+	dir := t.TempDir()
+	dp, err := deployment.Start(deployment.Config{Dir: dir, Hosts: 3, Keyed: 4, Orders: 3, Files: 3, Seed: 4, Subnet: 72, Program: build(t)})
+	gm.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(dp.Close)
+	time.Sleep(4 * time.Second)
+	limited := []string{"i-lookup-0", "i-lookup-1", "i-lookup-2", "i-lookup-3"}
+	for _, id := range limited {
+		dp.Upstream(id).SetFaults(fakeupstream.Faults{Limit: "3"})
+	}
+	result := make(chan deployment.Counts)
+	go func() { result <- dp.Load(t.Context(), 100, 14*time.Second) }()
+	time.Sleep(4 * time.Second)
+	holders := map[string]int{}
+	for _, host := range dp.Hosts {
+		log, err := os.ReadFile(filepath.Join(dir, host.Name+".log"))
+		gm.Expect(err).NotTo(HaveOccurred())
+		for _, found := range regexp.MustCompile(`event=request .*holder=(front-\d) .*service=lookup`).FindAllSubmatch(log, -1) {
+			holders[string(found[1])]++
+		}
+	}
+	for _, host := range dp.Hosts {
+		if holders[host.Name] > 0 {
+			host.Freeze()
+			time.AfterFunc(4*time.Second, host.Thaw)
+		}
+	}
+	gm.Expect(holders).To(HaveLen(1))
+	time.Sleep(2500 * time.Millisecond)
+	taken := time.Now()
+	counts := <-result
+	gm.Expect(counts.Broken()).To(BeFalse(), "%+v", counts)
+	used := 0
+	for _, id := range limited {
+		used += dp.Upstream(id).Arrivals(taken)
+	}
+	// Half of what the limits admit, without the frozen host's callers.
+	gm.Expect(used).To(BeNumerically(">=", 7*12/2), "%+v", counts)
+}
+
 // TestSoak plays one seed with real processes. Longer runs and other seeds are played
 // by hand: chervilstand soak.
 func TestSoak(t *testing.T) {
