--- a/internal/fleet/gateway/headers.go
+++ b/internal/fleet/gateway/headers.go
@@ -54,7 +54,10 @@
 
 // platformUpstreamHeaders reads and writes the platform's header fields for
 // upstreams.
-type platformUpstreamHeaders struct{}
+type platformUpstreamHeaders struct {
+	// onUnknown is called for each field of an answer that is not understood.
+	onUnknown func(field string)
+}
 
 // SetRequest implements proxy.UpstreamHeaders.
 func (platformUpstreamHeaders) SetRequest(hd http.Header, ri proxy.RequestInfo, id ident.Upstream, left time.Duration) {
@@ -62,7 +65,10 @@
 }
 
 // DecodeReport implements proxy.UpstreamHeaders.
-func (platformUpstreamHeaders) DecodeReport(status int, hd http.Header) proxy.Report {
+func (ph platformUpstreamHeaders) DecodeReport(status int, hd http.Header) proxy.Report {
+	for _, field := range platform.UnknownFields(hd) {
+		ph.onUnknown(field)
+	}
 	rp := platform.DecodeReport(status, hd)
 	report := proxy.Report{HasSignature: rp.HasSignature, NotRun: rp.NotRun, Leaving: rp.Leaving, Pause: rp.Pause, Limit: rp.Limit, LimitErr: rp.LimitErr}
 	if rp.Load != nil {
--- a/internal/fleet/gateway/upstreamlimits.go
+++ b/internal/fleet/gateway/upstreamlimits.go
@@ -93,7 +93,7 @@
 	}
 	ul := protocol.UpstreamLimit{Upstream: ev.upstream, Incarnation: up.Incarnation, Limit: ev.limit, Age: age}
 	gw.upstreamLimits.saidAt[ev.upstream] = now
-	changed := gw.applyLimit(now, ul, gw.self.Host)
+	changed := gw.applyLimit(now, ul, "answer")
 	if mb, known := gw.table.Load().Member(ev.holder); known && ev.holder != gw.self.Host {
 		gw.sendMessage(mb.Address, protocol.Limits{Limits: []protocol.UpstreamLimit{ul}})
 	}
@@ -106,13 +106,13 @@
 func (gw *Gateway) handlePeerLimits(ms protocol.Limits, from string) {
 	now := gw.clock.Now()
 	for _, ul := range ms.Limits {
-		gw.applyLimit(now, ul, ident.Host(from))
+		gw.applyLimit(now, ul, from)
 	}
 }
 
 // applyLimit records a limit unless a newer one is known, and reports whether it changes
-// the limit in force.
-func (gw *Gateway) applyLimit(now clock.Instant, ul protocol.UpstreamLimit, from ident.Host) bool {
+// the limit in force. from is the address of the host that said so, or "answer".
+func (gw *Gateway) applyLimit(now clock.Instant, ul protocol.UpstreamLimit, from string) bool {
 	changed := gw.roster.NameLimit(ul.Upstream, ul.Incarnation, now.Add(-ul.Age), ul.Limit)
 	up, known := gw.roster.Get(ul.Upstream)
 	if !known || !up.Limit.Named {
--- a/internal/peer/protocol/protocol_test.go
+++ b/internal/peer/protocol/protocol_test.go
@@ -1,6 +1,7 @@
 package protocol_test
 
 import (
+	"math"
 	"reflect"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 
 	"chervilwalk/internal/base/ident"
 	"chervilwalk/internal/base/keyspace"
+	"chervilwalk/internal/base/rate"
 	"chervilwalk/internal/catalog/assignment"
 	"chervilwalk/internal/catalog/roster"
 	"chervilwalk/internal/peer/protocol"
@@ -27,7 +29,10 @@
 		"recoveringHeartbeat": protocol.Heartbeat{Term: 1 << 33, Leader: "a", Revision: 9, RowVersion: 1 << 44, Recovering: true},
 		"leaving":             protocol.Leaving{Upstream: "u", Incarnation: 9},
 		"pause":               protocol.Pause{Host: "a", Upstream: "u", Left: 3 * time.Second},
-		"report":              protocol.Report{Host: "a", Revision: 1<<32 + 9, Part: 1, Parts: 2, Body: "{}"},
+		"limits": protocol.Limits{Limits: []protocol.UpstreamLimit{
+			{Upstream: "u", Incarnation: 7, Limit: rate.At(2.75), Age: 40 * time.Millisecond}, {Upstream: "v", Incarnation: 8},
+		}},
+		"report": protocol.Report{Host: "a", Revision: 1<<32 + 9, Part: 1, Parts: 2, Body: "{}"},
 		"assignmentDelta": protocol.AssignmentDelta{Heartbeat: heartbeat, Delta: assignment.Delta{
 			Base: 8, Revision: 9, LastEpoch: 40, Members: []assignment.Member{{Host: "a", Domain: "d", Address: "10.0.0.1:7540", Incarnation: 7, Alive: true}},
 			Dropped: []assignment.ShareStart{{Service: "lookup", From: 16}},
@@ -85,3 +90,14 @@
 		}
 	})
 }
+
+// TestMalformedLimits guards against a rate that no bucket can be filled by.
+func TestMalformedLimits(t *testing.T) {
+	for name, number := range map[string]float64{"negative": -1, "not a number": math.NaN(), "infinite": math.Inf(1)} {
+		t.Run(name, func(t *testing.T) {
+			datagram := protocol.Encode(protocol.Limits{Limits: []protocol.UpstreamLimit{{Upstream: "u", Limit: rate.At(rate.PerSecond(number))}}})
+			_, err := protocol.Decode(datagram)
+			NewWithT(t).Expect(err).To(HaveOccurred())
+		})
+	}
+}
