Tell callers of cold upstreams to return when these are warm

Since cold rates and limits are one mechanism, refused callers of a cold upstream were spread as its cold rate admits them, up to 3 s, though it takes all of them once it is warm. TestCallersReturnWhenUpstreamIsWarm failed before.

--- a/internal/serving/permit/limit_test.go
+++ b/internal/serving/permit/limit_test.go
@@ -115,11 +115,8 @@
 	gm.Expect(sm.maxRunning).To(Equal(map[ident.Upstream]int{upstreamName(1): 2, upstreamName(2): 2}))
 }
 
-// TestCallersReturnAsLimitAdmits guards against refused callers that all come back at once.
-func TestCallersReturnAsLimitAdmits(t *testing.T) {
-	gm := NewWithT(t)
-	sm := newSimulation(5, true, 100*time.Millisecond)
-	sm.limitUpstreams(rate.At(2))
+// returnsOfRefused sends asks at once and returns when those that are refused may come back.
+func (sm *simulation) returnsOfRefused() []clock.Instant {
 	var returns []clock.Instant
 	for ticket := range protocol.Ticket(6) {
 		for _, cmd := range sm.core.Update(sm.now, permit.AskMsg{Ask: protocol.Ask{
@@ -130,6 +127,31 @@
 			}
 		}
 	}
+	return returns
+}
+
+// TestCallersReturnWhenUpstreamIsWarm guards against callers who are told to stay away from a
+// cold upstream for longer than it is cold.
+func TestCallersReturnWhenUpstreamIsWarm(t *testing.T) {
+	gm := NewWithT(t)
+	sm := newSimulation(5, true, 100*time.Millisecond)
+	ms := sm.upstreamsMsg(1)
+	warmAt := sm.now.Add(900 * time.Millisecond)
+	ms.Upstreams[0].ColdUntil = warmAt
+	sm.update(ms)
+	returns := sm.returnsOfRefused()
+	gm.Expect(len(returns)).To(BeNumerically(">=", 4))
+	for _, at := range returns {
+		gm.Expect(at).To(BeNumerically("<=", warmAt))
+	}
+}
+
+// TestCallersReturnAsLimitAdmits guards against refused callers that all come back at once.
+func TestCallersReturnAsLimitAdmits(t *testing.T) {
+	gm := NewWithT(t)
+	sm := newSimulation(5, true, 100*time.Millisecond)
+	sm.limitUpstreams(rate.At(2))
+	returns := sm.returnsOfRefused()
 	gm.Expect(len(returns)).To(BeNumerically(">=", 4))
 	for ix := range returns[1:] {
 		gm.Expect(returns[ix+1].Sub(returns[ix])).To(BeNumerically("~", 500*time.Millisecond, 10*time.Millisecond), "%v", returns)
--- a/internal/serving/permit/upstream.go
+++ b/internal/serving/permit/upstream.go
@@ -126,6 +126,10 @@
 func (us *upstream) returnAfter(now clock.Instant, wait time.Duration, lm rate.Limit) time.Duration {
 	at := max(now.Add(wait), us.nextReturn)
 	us.nextReturn = min(at.Add(lm.PerSecond.Interval(1)), now.Add(maxReturnSpread))
+	if !us.Limit.Named {
+		// Once it is warm it takes all of them.
+		at = min(at, max(us.ColdUntil, us.slowStartUntil, now.Add(minRetryAfter)))
+	}
 	return at.Sub(now)
 }
 
