Name the action of the limit test by what it does

Ruled out: a change of what is tested. Only the identifier and its comment change, to nameLimit; cases, bounds and checks are untouched.

--- a/internal/stand/deployment/limit_test.go
+++ b/internal/stand/deployment/limit_test.go
@@ -19,8 +19,8 @@
 // limitAction changes a deployment while upstreams name limits.
 type limitAction func(gm *WithT, dp *deployment.Deployment, lg *logBuffer)
 
-// name returns an action that makes the upstreams name another limit.
-func name(limit string) limitAction {
+// nameLimit returns an action that makes the upstreams name another limit.
+func nameLimit(limit string) limitAction {
 	return func(_ *WithT, dp *deployment.Deployment, _ *logBuffer) {
 		for _, id := range limited {
 			dp.Upstream(id).SetFaults(fakeupstream.Faults{Limit: limit})
@@ -70,12 +70,12 @@
 		used float64
 	}{
 		"stays":                   {limit: "2", used: 4},
-		"falls":                   {limit: "8", change: name("1"), used: 2},
-		"rises":                   {limit: "1", change: name("5"), used: 10},
-		"is lifted":               {limit: "2", change: name(""), used: 25},
+		"falls":                   {limit: "8", change: nameLimit("1"), used: 2},
+		"rises":                   {limit: "1", change: nameLimit("5"), used: 10},
+		"is lifted":               {limit: "2", change: nameLimit(""), used: 25},
 		"is a fraction":           {limit: "0.4", used: 0.6},
 		"is zero":                 {limit: "0"},
-		"is no number any more":   {limit: "2", change: name("many"), used: 4},
+		"is no number any more":   {limit: "2", change: nameLimit("many"), used: 4},
 		"is named by one":         {limit: "2", one: true, used: 25},
 		"the leader is killed":    {limit: "2", change: onHost(leaderLine, kill), used: 3},
 		"the holder is killed":    {limit: "2", change: onHost(holderLine, kill), used: 3},
@@ -101,7 +101,7 @@
 					dp.Upstream(id).SetFaults(fakeupstream.Faults{Limit: tc.limit})
 				}
 			} else {
-				name(tc.limit)(gm, dp, lg)
+				nameLimit(tc.limit)(gm, dp, lg)
 			}
 			result := make(chan deployment.Counts)
 			go func() { result <- dp.Load(t.Context(), 100, 10*time.Second) }()
