Keep the choice of holders and the unknown fields each in one place

Ruled out: a change of behaviour. TestFallbackHolderIsReported changed a table in place, which no code does with one in force, and so missed the cache of regular holders; it stores a changed copy now, and its checks are the same.

--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -147,9 +147,6 @@
 	reportParts    map[ident.Host]*assignmentParts
 	announcements  announcements
 	upstreamLimits upstreamLimits
-	// unknownFields holds the fields of answers that were not understood, with their number.
-	unknownFields     sync.Map
-	unknownFieldCount atomic.Int64
 	// leaderConfirmedAt is when the store last confirmed the leader that this host follows.
 	leaderConfirmedAt clock.Instant
 	lastEncoded       encodedTable
@@ -199,7 +196,7 @@
 		gw.socket = cf.WrapSocket(socket)
 	}
 	gw.proxy = proxy.New(proxy.Config{
-		State: gw.desiredState.Load, Permits: &gw.permitClient, Connections: gw.connPool, CallerHeaders: callers, UpstreamHeaders: platformUpstreamHeaders{gw.logUnknownField}, Domain: st.Domain,
+		State: gw.desiredState.Load, Permits: &gw.permitClient, Connections: gw.connPool, CallerHeaders: callers, UpstreamHeaders: platformUpstreamHeaders{&unknownFields{log: cf.Log}}, Domain: st.Domain,
 		Budget: proxy.NewBudget(st.Bounds.RetryRatio, gw.retryAllowance),
 		OnEnd:  gw.observeRequest, OnKeyedRequest: gw.loads.countArrival,
 		OnLeaving: gw.onLeaving, OnPause: gw.onPause, OnLimit: gw.onLimit,
@@ -264,20 +261,6 @@
 	gw.config.Log.ErrorEvent("requestPanicked", eris.Errorf("%v", value), eventlog.Fields{"stack": string(debug.Stack())})
 }
 
-// maxUnknownFields limits how many names of fields are remembered as logged.
-const maxUnknownFields = 32
-
-// logUnknownField logs once that upstreams say something that this build does not understand.
-func (gw *Gateway) logUnknownField(field string) {
-	if gw.unknownFieldCount.Load() >= maxUnknownFields {
-		return
-	}
-	if _, logged := gw.unknownFields.LoadOrStore(field, struct{}{}); !logged {
-		gw.unknownFieldCount.Add(1)
-		gw.config.Log.Event("answerFieldUnknown", eventlog.Fields{"field": field})
-	}
-}
-
 func (gw *Gateway) serve(sv *httpserver.Server, ln net.Listener) {
 	if err := sv.Serve(ln); err != nil {
 		gw.config.Log.ErrorEvent("listenerFailed", err, eventlog.Fields{"address": ln.Addr().String()})
--- a/internal/fleet/gateway/headers.go
+++ b/internal/fleet/gateway/headers.go
@@ -7,6 +7,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,6 +16,7 @@
 	"chervilwalk/internal/base/ident"
 	"chervilwalk/internal/base/keyspace"
 	"chervilwalk/internal/catalog/desired"
+	"chervilwalk/internal/operations/eventlog"
 	"chervilwalk/internal/serving/httpserver"
 	"chervilwalk/internal/serving/proxy"
 	"chervilwalk/internal/serving/verdict"
@@ -54,9 +56,36 @@
 
 // platformUpstreamHeaders reads and writes the platform's header fields for
 // upstreams.
-type platformUpstreamHeaders struct {
-	// onUnknown is called for each field of an answer that is not understood.
-	onUnknown func(field string)
+type platformUpstreamHeaders struct{ unknown *unknownFields }
+
+// maxUnknownFields limits how many names of unknown fields are logged.
+const maxUnknownFields = 32
+
+// unknownFields logs once for each field that upstreams say something of themselves that this
+// build does not read. It is safe for concurrent use.
+type unknownFields struct {
+	log    *eventlog.Log
+	mu     sync.Mutex
+	logged map[string]bool
+}
+
+func (uf *unknownFields) note(hd http.Header) {
+	fields := platform.UnknownFields(hd)
+	if len(fields) == 0 {
+		return
+	}
+	uf.mu.Lock()
+	defer uf.mu.Unlock()
+	for _, field := range fields {
+		if uf.logged[field] || len(uf.logged) == maxUnknownFields {
+			continue
+		}
+		if uf.logged == nil {
+			uf.logged = map[string]bool{}
+		}
+		uf.logged[field] = true
+		uf.log.Event("answerFieldUnknown", eventlog.Fields{"field": field})
+	}
 }
 
 // SetRequest implements proxy.UpstreamHeaders.
@@ -66,9 +95,7 @@
 
 // DecodeReport implements proxy.UpstreamHeaders.
 func (ph platformUpstreamHeaders) DecodeReport(status int, hd http.Header) proxy.Report {
-	for _, field := range platform.UnknownFields(hd) {
-		ph.onUnknown(field)
-	}
+	ph.unknown.note(hd)
 	rp := platform.DecodeReport(status, hd)
 	report := proxy.Report{HasSignature: rp.HasSignature, NotRun: rp.NotRun, Leaving: rp.Leaving, Pause: rp.Pause, Limit: rp.Limit, LimitErr: rp.LimitErr}
 	if rp.Load != nil {
--- a/internal/fleet/gateway/permitclient.go
+++ b/internal/fleet/gateway/permitclient.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/netip"
 	"slices"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -104,20 +103,10 @@
 	suspectUntil map[ident.Host]clock.Instant
 	// addresses holds where each host's asks came from.
 	addresses map[ident.Host]netip.AddrPort
-	// regular holds the regular holders of pools by the assignment regularTable.
-	regular      map[poolID]ident.Host
-	regularTable *assignment.Table
+	// regular holds the regular holders of pools.
+	regular regularHolders
 }
 
-// poolID is a pool of a service's upstreams.
-type poolID struct {
-	service ident.Service
-	pool    int
-}
-
-// name returns the name by which the pool's holder is chosen.
-func (pi poolID) name() string { return "permits/" + string(pi.service) + "/" + strconv.Itoa(pi.pool) }
-
 func newPermitClient(gw *Gateway) permitClient {
 	return permitClient{
 		gw: gw, pending: map[protocol.Ticket]*pendingAcquire{}, releases: map[protocol.Ticket]*pendingRelease{},
@@ -233,67 +222,26 @@
 	return true
 }
 
-// holderWeight is a member's weight in the choice of holders. It grows faster
-// than fitness: a pool of a busy service costs some 1,400 datagrams a second,
-// a tenth of a CPU and more, while a fit host can hold many pools.
-func holderWeight(mb *assignment.Member) float64 { return float64(mb.Fitness * mb.Fitness) }
-
 // chooseHolder returns the member that issues the permits of one pool of a
 // service. All hosts make the same choice, except that each skips the members
 // that recently failed to answer it. Fallback reports that the result is not the
 // common choice: since hosts skip different members, several of them may then
 // issue the same permits.
 func (pc *permitClient) chooseHolder(now clock.Instant, pa *pendingAcquire) (host ident.Host, address string, fallback bool) {
-	var best, first *assignment.Member
-	var bestScore, firstScore float64
-	pool := poolID{pa.ask.Service, pa.ask.Pool}.name()
-	members := pc.gw.table.Load().Members
-	for ix := range members {
-		mb := &members[ix]
-		if !mb.Alive {
-			continue
-		}
-		score := ident.Score(pool, string(mb.Host), holderWeight(mb))
-		if first == nil || score > firstScore {
-			first, firstScore = mb, score
-		}
-		skip := now.Before(pc.suspectUntil[mb.Host]) || slices.Contains(pa.skipped, mb.Host)
-		if !skip && (best == nil || score > bestScore) {
-			best, bestScore = mb, score
-		}
-	}
+	pool := poolID{pa.ask.Service, pa.ask.Pool}
+	best := preferredMember(pc.gw.table.Load(), pool, func(mb *assignment.Member) bool {
+		return now < pc.suspectUntil[mb.Host] || slices.Contains(pa.skipped, mb.Host)
+	})
 	if best == nil {
 		return pc.gw.self.Host, "", true
 	}
-	return best.Host, best.Address, best != first
+	return best.Host, best.Address, best.Host != pc.regularHolder(pool)
 }
 
 // holdsPool reports whether this host is the regular holder of the pool that another host's
 // ask is for. The other host may know an older assignment or other upstreams.
 func (pc *permitClient) holdsPool(ask protocol.Ask) bool {
-	return ask.Pools == pc.poolCount(ask.Service) && pc.regularHolder(ask.Service, ask.Pool) == pc.gw.self.Host
-}
-
-// regularHolder returns the member that issues the permits of a pool by the newest
-// assignment that this host knows.
-func (pc *permitClient) regularHolder(sv ident.Service, pool int) ident.Host {
-	if tb := pc.gw.table.Load(); pc.regularTable != tb {
-		pc.regular, pc.regularTable = map[poolID]ident.Host{}, tb
-	}
-	id := poolID{sv, pool}
-	host, known := pc.regular[id]
-	if known {
-		return host
-	}
-	best, name := 0.0, id.name()
-	for ix := range pc.regularTable.Members {
-		mb := &pc.regularTable.Members[ix]
-		if score := ident.Score(name, string(mb.Host), holderWeight(mb)); mb.Alive && (host == "" || score > best) {
-			host, best = mb.Host, score
-		}
-	}
-	pc.regular[id] = host
-	return host
+	return ask.Pools == pc.poolCount(ask.Service) && pc.regularHolder(poolID{ask.Service, ask.Pool}) == pc.gw.self.Host
 }
 
 // tick resends asks and releases that got no reply in time.
--- a/internal/fleet/gateway/permitclient_test.go
+++ b/internal/fleet/gateway/permitclient_test.go
@@ -56,9 +56,12 @@
 			if tc.skipped {
 				pa.skipped = []ident.Host{first}
 			}
-			for ix := range tb.Members {
-				tb.Members[ix].Alive = !tc.dead || tb.Members[ix].Host != first
+			// A table in force does not change; another takes its place.
+			next := tb.Clone()
+			for ix := range next.Members {
+				next.Members[ix].Alive = !tc.dead || next.Members[ix].Host != first
 			}
+			gw.table.Store(next)
 			host, _, fallback := gw.permitClient.chooseHolder(now, pa)
 			gm.Expect(fallback).To(Equal(tc.fallback))
 			if tc.members > 1 && (tc.suspect || tc.skipped || tc.dead) {
--- a/internal/fleet/gateway/upstreamlimits.go
+++ b/internal/fleet/gateway/upstreamlimits.go
@@ -10,7 +10,6 @@
 	"chervilwalk/internal/base/rate"
 	"chervilwalk/internal/catalog/roster"
 	"chervilwalk/internal/operations/eventlog"
-	"chervilwalk/internal/ownership/election"
 	"chervilwalk/internal/peer/protocol"
 	"chervilwalk/internal/serving/permit"
 	"chervilwalk/internal/serving/proxy"
@@ -31,9 +30,6 @@
 	plannedLimitTTL = 10 * time.Second
 	// maxLimitsPerDatagram keeps a message about limits below maxDatagramBytes.
 	maxLimitsPerDatagram = 150
-	// holderTTL is how long after a host's assignment was confirmed no other host can have
-	// taken its place as a holder: the leader waits longer before it counts a member as lost.
-	holderTTL = 1250 * time.Millisecond
 )
 
 // limitEvent reports how many requests an upstream takes from all hosts together, by its
@@ -190,22 +186,3 @@
 	// The plan of moves follows what upstreams have said lately.
 	gw.publishUpstreams()
 }
-
-// noteStoreConfirmation records when the store last confirmed the leader, by its heartbeat:
-// not before this host sent the status that the heartbeat answers, less the age.
-func (gw *Gateway) noteStoreConfirmation(now clock.Instant, hb protocol.Heartbeat) {
-	if hb.Leader != "" && hb.Term >= gw.agent.Term() && hb.Echo <= now {
-		gw.leaderConfirmedAt = max(gw.leaderConfirmedAt, hb.Echo.Add(-hb.StoreAge))
-	}
-}
-
-// confirmHolder tells the permit core until when no other host can have become the holder
-// of its pools.
-func (gw *Gateway) confirmHolder() {
-	confirmedAt := gw.leaderConfirmedAt
-	if gw.agent.Leading() {
-		confirmedAt = gw.agent.LeadershipConfirmed()
-	}
-	until := min(gw.agent.TableConfirmed().Add(holderTTL), confirmedAt.Add(election.LeaseTTL))
-	gw.permits.Update(gw.clock.Now(), permit.ConfirmedMsg{Until: until})
-}
--- a/internal/stand/fakeupstream/answers.go
+++ b/internal/stand/fakeupstream/answers.go
@@ -52,6 +52,7 @@
 	reply = append(reply, body...)
 	rw.Header().Set("Server-Load", load)
 	up.mu.Lock()
+	// It may have changed while the request ran.
 	up.setLimitHeader(rw)
 	up.mu.Unlock()
 	rw.Header().Set("Response-Seal", Sign(id, reply))
