Log which requests get no whole response, and why their connection ended

What was missing: a request whose caller left, one that the host cut by a timer of its own and one behind an answer that broke off all read "request cause=callerLeft", or "answered" if the answer was ready and never written.

What is there now: requestUnanswered with the request's id, the first cause for which its connection ended, its error, whether a part was written and the request's age; a counter by cause. desiredState lines say the timeouts for callers' connections. No decision changes.

--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -204,7 +204,7 @@
 		OnLeaving: gw.onLeaving, OnPause: gw.onPause, OnLimit: gw.onLimit,
 		OnCrash: gw.onCrash, OnAnswer: gw.onAnswer, OnAbandoned: gw.onAbandoned, Suspect: gw.suspects.suspect,
 	})
-	gw.callerServer = httpserver.New(gw.proxy.Serve, gw.limits, httpserver.OnPanic(gw.logPanic))
+	gw.callerServer = httpserver.New(gw.proxy.Serve, gw.limits, httpserver.OnPanic(gw.logPanic), httpserver.OnUnanswered(gw.observeUnanswered))
 	gw.readyServer = httpserver.New(gw.serveReady, gw.limits)
 	if err := gw.listen(); err != nil {
 		_ = gw.socket.Close()
--- a/internal/fleet/gateway/loop.go
+++ b/internal/fleet/gateway/loop.go
@@ -161,7 +161,10 @@
 	gw.cache.operatorVersion = max(gw.cache.operatorVersion, ev.changedVersion)
 	if st := ev.state.Desired; st != nil && (gw.desiredState.Load() == nil || st.Version > gw.desiredState.Load().Version) {
 		gw.desiredState.Store(st)
-		gw.config.Log.Event("desiredState", eventlog.Fields{"version": st.Version, "routes": st.Routes(), "services": len(st.Services)})
+		gw.config.Log.Event("desiredState", eventlog.Fields{
+			"version": st.Version, "routes": st.Routes(), "services": len(st.Services),
+			"idleTimeoutMs": st.Limits.IdleTimeout.Milliseconds(), "headerTimeoutMs": st.Limits.HeaderTimeout.Milliseconds(),
+		})
 		gw.config.Metrics.setDesiredVersion(st.Version)
 		gw.updateOutSince(now, st.Upstreams)
 		gw.checkHostListed(st.Hosts)
--- a/internal/fleet/gateway/metrics.go
+++ b/internal/fleet/gateway/metrics.go
@@ -10,6 +10,7 @@
 
 	"chervilwalk/internal/catalog/desired"
 	"chervilwalk/internal/operations/eventlog"
+	"chervilwalk/internal/serving/httpserver"
 	"chervilwalk/internal/serving/proxy"
 )
 
@@ -20,6 +21,7 @@
 	registry           *prometheus.Registry
 	requests           *prometheus.CounterVec
 	durations          *prometheus.HistogramVec
+	unanswered         *prometheus.CounterVec
 	permitWaits        *prometheus.HistogramVec
 	storeCalls         *prometheus.CounterVec
 	storeCallDurations prometheus.Histogram
@@ -36,6 +38,7 @@
 		registry:           prometheus.NewRegistry(),
 		requests:           prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "requests_total", Help: "Callers' requests by service, cause and status."}, []string{"service", "cause", "status"}),
 		durations:          prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "request_duration_seconds", Help: "Time from a request's header to its answer.", Buckets: buckets}, []string{"service"}),
+		unanswered:         prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "requests_unanswered_total", Help: "Callers' requests that were read and got no whole response, by why their connection ended."}, []string{"cause"}),
 		permitWaits:        prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "permit_wait_seconds", Help: "Time that a request waited for a permit.", Buckets: buckets}, []string{"service"}),
 		storeCalls:         prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "store_calls_total", Help: "Calls to the platform's store by call and outcome."}, []string{"call", "outcome"}),
 		storeCallDurations: prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Name: "store_call_duration_seconds", Help: "Duration of calls to the platform's store, except watches.", Buckets: buckets}),
@@ -44,7 +47,7 @@
 		crashes:            prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "upstream_connections_ended_total", Help: "Connections that upstreams ended while they ran a request."}),
 		suspects:           prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "suspect_requests", Help: "Requests known here under which upstreams may have crashed, or that were cleared lately."}),
 	}
-	mt.registry.MustRegister(mt.crashes, mt.suspects, mt.requests, mt.durations, mt.permitWaits, mt.storeCalls, mt.storeCallDurations, mt.unsentDatagrams, mt.desiredVersion)
+	mt.registry.MustRegister(mt.crashes, mt.suspects, mt.requests, mt.durations, mt.unanswered, mt.permitWaits, mt.storeCalls, mt.storeCallDurations, mt.unsentDatagrams, mt.desiredVersion)
 	return mt
 }
 
@@ -58,6 +61,12 @@
 	mt.permitWaits.WithLabelValues(service).Observe(en.Waited.Seconds())
 }
 
+func (mt *Metrics) requestUnanswered(un httpserver.Unanswered) {
+	if mt != nil {
+		mt.unanswered.WithLabelValues(string(un.Cause)).Inc()
+	}
+}
+
 func (mt *Metrics) storeCall(call string, took time.Duration, err error) {
 	if mt == nil {
 		return
@@ -139,3 +148,16 @@
 	}
 	gw.config.Log.Event("request", fields)
 }
+
+// observeUnanswered logs and counts a request whose caller got no whole response.
+func (gw *Gateway) observeUnanswered(un httpserver.Unanswered) {
+	gw.config.Metrics.requestUnanswered(un)
+	fields := eventlog.Fields{
+		"request": un.Request.ID, "cause": un.Cause, "begun": un.Begun, "ageMs": time.Since(un.Request.Arrived).Milliseconds(),
+		"version": gw.desiredVersion(),
+	}
+	if un.Err != nil {
+		fields["error"] = un.Err
+	}
+	gw.config.Log.Event("requestUnanswered", fields)
+}
--- a/internal/serving/httpserver/connection.go
+++ b/internal/serving/httpserver/connection.go
@@ -28,6 +28,8 @@
 	// HTTP/1.1 or later.
 	isHead bool
 	http11 bool
+	// begun reports whether a part of the response was written.
+	begun bool
 }
 
 // connection is a connection from a caller. One goroutine reads requests, another
@@ -44,6 +46,10 @@
 	inFlight atomic.Int32
 
 	mu sync.Mutex
+	// end is the first reason for which the connection ends with requests unanswered, endErr its
+	// error.
+	end    EndCause
+	endErr error
 	// closing reports whether no further request is accepted.
 	closing bool
 	// changed wakes goroutines that wait for a change of inFlight or closing.
@@ -92,7 +98,7 @@
 			return
 		}
 		if pr == nil && status == 0 {
-			// The caller left, or was idle or slow for too long.
+			// readRequest has noted why.
 			cn.cancel()
 			return
 		}
@@ -164,6 +170,7 @@
 			if errors.As(err, &ne) && ne.Timeout() && cn.isClosing() {
 				return nil, stoppedReading
 			}
+			cn.noteReadEnd(IdleTimedOut, err)
 			return nil, 0
 		}
 	}
@@ -172,7 +179,11 @@
 	hr, err := http.ReadRequest(cn.reader)
 	cn.source.Remaining = socket.Unlimited
 	if err != nil {
-		return nil, rejectionStatus(err)
+		status := rejectionStatus(err)
+		if status == 0 {
+			cn.noteReadEnd(HeadTimedOut, err)
+		}
+		return nil, status
 	}
 	if headerBytes(hr) > lm.HeaderBytes {
 		return nil, http.StatusRequestHeaderFieldsTooLarge
@@ -310,6 +321,7 @@
 		}
 		if broken {
 			cn.abort()
+			cn.reportUnanswered(pr)
 		}
 		if rs != nil && rs.Rest != nil {
 			_ = rs.Rest.Close()
@@ -339,6 +351,7 @@
 // usable.
 func (cn *connection) writeResponse(pr *pendingRequest, rs *Response) bool {
 	if rs == nil {
+		cn.noteEnd(NoResponse, nil)
 		return false
 	}
 	last := cn.closesAfter(pr, rs)
@@ -358,6 +371,7 @@
 		out.WriteString("Connection: close\r\n")
 	}
 	if err := rs.Header.Write(&out); err != nil {
+		cn.noteEnd(WriteFailed, err)
 		return false
 	}
 	out.WriteString("\r\n")
@@ -365,15 +379,13 @@
 	if !pr.isHead && !chunked {
 		out.Write(rs.Body)
 	}
-	if _, err := cn.raw.Write(out.Bytes()); err != nil {
+	count, err := cn.raw.Write(out.Bytes())
+	pr.begun = count > 0
+	if err != nil {
+		cn.noteEnd(WriteFailed, err)
 		return false
 	}
-	if rs.Rest != nil && !pr.isHead {
-		if err := cn.writeRest(rs, chunked); err != nil {
-			return false
-		}
-	}
-	return true
+	return rs.Rest == nil || pr.isHead || cn.writeRest(rs, chunked)
 }
 
 // closesAfter reports whether the connection closes after this response. Every
@@ -394,8 +406,8 @@
 	return cn.closing && cn.inFlight.Load() == 1
 }
 
-// writeRest streams the rest of a large body.
-func (cn *connection) writeRest(rs *Response, chunked bool) error {
+// writeRest streams the rest of a large body and reports whether all of it was written.
+func (cn *connection) writeRest(rs *Response, chunked bool) bool {
 	// A caller that leaves ends the read of a rest that does not come.
 	stop := context.AfterFunc(cn.ctx, func() { _ = rs.Rest.Close() })
 	defer stop()
@@ -405,7 +417,7 @@
 	}
 	buf := make([]byte, 32<<10)
 	for {
-		count, err := body.Read(buf)
+		count, readErr := body.Read(buf)
 		if count > 0 {
 			_ = cn.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
 			part := buf[:count]
@@ -413,18 +425,23 @@
 				part = append(append([]byte(strconv.FormatInt(int64(count), 16)+"\r\n"), part...), '\r', '\n')
 			}
 			if _, err := cn.raw.Write(part); err != nil {
-				return err
+				cn.noteEnd(WriteFailed, err)
+				return false
 			}
 		}
-		if errors.Is(err, io.EOF) {
-			if chunked {
-				_, err := io.WriteString(cn.raw, "0\r\n\r\n")
-				return err
+		switch {
+		case readErr == nil:
+		case !errors.Is(readErr, io.EOF):
+			cn.noteEnd(ResponseBrokeOff, readErr)
+			return false
+		case chunked:
+			if _, err := io.WriteString(cn.raw, "0\r\n\r\n"); err != nil {
+				cn.noteEnd(WriteFailed, err)
+				return false
 			}
-			return nil
-		}
-		if err != nil {
-			return err
+			return true
+		default:
+			return true
 		}
 	}
 }
--- a/internal/serving/httpserver/httpserver.go
+++ b/internal/serving/httpserver/httpserver.go
@@ -17,6 +17,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"chervilwalk/internal/base/ident"
 )
 
 const (
@@ -64,6 +66,8 @@
 	Length int64
 	// Arrived is the time at which the head of the request had been read.
 	Arrived time.Time
+	// ID names the request in reports. The handler may set it until it returns.
+	ID ident.Request
 }
 
 // Response is a response to a caller. A nil Response closes the connection.
@@ -84,10 +88,12 @@
 
 // Server serves callers' connections. It is safe for concurrent use.
 type Server struct {
-	handler  Handler
-	limits   func() Limits
-	onPanic  func(value any)
-	draining atomic.Bool
+	handler Handler
+	limits  func() Limits
+	onPanic func(value any)
+	// onUnanswered may be nil.
+	onUnanswered func(Unanswered)
+	draining     atomic.Bool
 
 	mu       sync.Mutex
 	listener net.Listener
--- /dev/null
+++ b/internal/serving/httpserver/unanswered.go
@@ -0,0 +1,80 @@
+package httpserver
+
+import (
+	"errors"
+	"io"
+	"net"
+	"syscall"
+)
+
+// EndCause says why a connection ended before its requests were answered.
+type EndCause string
+
+// The causes. A request behind one whose response could not be written has the same cause.
+const (
+	// CallerLeft means that the caller's side ended the connection.
+	CallerLeft EndCause = "callerLeft"
+	// IdleTimedOut means that no further request came for too long, HeadTimedOut that the head of
+	// one did not end.
+	IdleTimedOut EndCause = "idleTimedOut"
+	HeadTimedOut EndCause = "headTimedOut"
+	// NoResponse means that the handler returned none, ResponseBrokeOff that a response's Rest
+	// ended with an error, WriteFailed that the caller did not take a response.
+	NoResponse       EndCause = "noResponse"
+	ResponseBrokeOff EndCause = "responseBrokeOff"
+	WriteFailed      EndCause = "writeFailed"
+	// ServerClosed means that the server was closed.
+	ServerClosed EndCause = "serverClosed"
+)
+
+// Unanswered describes a request that was read whole and whose response the caller did not get
+// whole.
+type Unanswered struct {
+	Request *Request
+	// Begun reports whether a part of the response was written.
+	Begun bool
+	Cause EndCause
+	// Err may be nil.
+	Err error
+}
+
+// OnUnanswered makes the server call report for each request that it leaves without a whole
+// response.
+func OnUnanswered(report func(Unanswered)) Option {
+	return func(sv *Server) { sv.onUnanswered = report }
+}
+
+// noteEnd records why the connection ends, unless that is known.
+func (cn *connection) noteEnd(cause EndCause, err error) {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	if cn.end == "" {
+		cn.end, cn.endErr = cause, err
+	}
+}
+
+// noteReadEnd records that reading has ended, with the cause to record if it was for a timeout.
+func (cn *connection) noteReadEnd(timedOut EndCause, err error) {
+	var ne net.Error
+	switch {
+	case errors.Is(err, net.ErrClosed):
+		cn.noteEnd(ServerClosed, err)
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, syscall.ECONNRESET):
+		cn.noteEnd(CallerLeft, err)
+	case errors.As(err, &ne) && ne.Timeout():
+		cn.noteEnd(timedOut, err)
+	default:
+		cn.noteEnd(CallerLeft, err)
+	}
+}
+
+// reportUnanswered reports a request that gets no whole response.
+func (cn *connection) reportUnanswered(pr *pendingRequest) {
+	if cn.server.onUnanswered == nil || pr.request == nil {
+		return
+	}
+	cn.mu.Lock()
+	un := Unanswered{Request: pr.request, Begun: pr.begun, Cause: cn.end, Err: cn.endErr}
+	cn.mu.Unlock()
+	cn.server.onUnanswered(un)
+}
--- a/internal/serving/proxy/proxy.go
+++ b/internal/serving/proxy/proxy.go
@@ -183,6 +183,7 @@
 func (px *Proxy) Serve(ctx context.Context, rq *httpserver.Request) *httpserver.Response {
 	ex := &exchange{px: px, rq: rq, state: px.cf.State()}
 	rs := ex.serve(ctx)
+	rq.ID = ex.info.Request
 	ex.end.Took = time.Since(rq.Arrived)
 	ex.end.Request, ex.end.Service, ex.end.Key, ex.end.TimeLimit = ex.info.Request, ex.service, ex.info.Key, ex.info.TimeLimit
 	if rs != nil {
