--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -123,6 +123,22 @@
 		"internal/serving/proxy/attempt.go", "	case outcome == permit.Broken && errors.As(err, &fl) && fl.Closed:\n", "	case outcome == permit.Broken && errors.As(err, &fl) && fl.Closed && false:\n",
 		[]string{"-run=TestDeadlyRequest/download", "./internal/stand/deployment"},
 	},
+	"a connection is idle while its requests are served": {
+		"internal/serving/httpserver/connection.go", "	if cn.inFlight.Load() > 0 {\n		return time.Now().Add(max(timeout, minIdleCheck))", "	if false {\n		return time.Now().Add(max(timeout, minIdleCheck))",
+		[]string{"-run=TestConnectionTimeoutsCutNoRequest", "./internal/serving/httpserver"},
+	},
+	"the idle time begins before the answer": {
+		"internal/serving/httpserver/connection.go", "		if cn.inFlight.Add(-1) == 0 {\n			cn.idleSince = time.Now()\n		}", "		cn.inFlight.Add(-1)",
+		[]string{"-run=TestIdleTimeBeginsWithTheAnswer", "./internal/serving/httpserver"},
+	},
+	"a connection keeps an idle timeout that is no longer in force": {
+		"internal/serving/httpserver/connection.go", " || !time.Now().Before(cn.idleUntil()) {", " || cn.inFlight.Load() == 0 {",
+		[]string{"-run=TestLongerIdleTimeoutHoldsAtOnce", "./internal/serving/httpserver"},
+	},
+	"a head that does not end passes for a caller who leaves": {
+		"internal/serving/httpserver/connection.go", "		return http.StatusRequestTimeout\n	case errors.Is(err, io.EOF)", "		return 0\n	case errors.Is(err, io.EOF)",
+		[]string{"-run=TestConnectionTimeoutsCutNoRequest", "./internal/serving/httpserver"},
+	},
 	"a planned stop lets busy connections go on": {
 		"internal/serving/httpserver/connection.go", "unframed || cn.server.draining.Load() || ", "unframed || ",
 		[]string{"-run=TestDrain", "./internal/serving/httpserver"},
--- a/internal/serving/httpserver/timeouts_test.go
+++ b/internal/serving/httpserver/timeouts_test.go
@@ -81,9 +81,9 @@
 // had the whole idle timeout to use them again.
 func TestIdleTimeBeginsWithTheAnswer(t *testing.T) {
 	gm := NewWithT(t)
-	const idle = 600 * time.Millisecond
+	const idle = 1200 * time.Millisecond
 	lm := httpserver.Limits{HeaderBytes: 1024, BodyBytes: 1 << 20, HeaderTimeout: time.Second, IdleTimeout: idle}
-	conn, from := serveWithin(t, takes(500*time.Millisecond), func() httpserver.Limits { return lm })
+	conn, from := serveWithin(t, takes(time.Second), func() httpserver.Limits { return lm })
 	for range 2 {
 		_, err := io.WriteString(conn, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
 		gm.Expect(err).NotTo(HaveOccurred())
@@ -114,6 +114,7 @@
 	}
 	ask()
 	idle.Store(int64(5 * time.Second))
-	time.Sleep(700 * time.Millisecond)
+	// Longer than the wait that began beside the request in flight.
+	time.Sleep(1500 * time.Millisecond)
 	ask()
 }
