Answer requests before their caller leaves

What callers saw: a lookup that took too long, and those that were sent behind it on its connection, ended with neither an answer nor a refusal, although the others' answers were ready: they wait for the first one's turn.

Cause: a request's deadline was its caller's time limit, and an answer was awaited 120 ms longer. What the upstream says at the deadline reaches the caller a few milliseconds after it has closed the connection.

TestAnswerBeforeTheCallerLeaves failed in five of six cases, by 1 to 122 ms.

Why this works: upstreams get a deadline 20 ms before the caller's limit, so that their own answer arrives in time; a silent one is given up 10 ms before it. The rest of an answer that has begun keeps the former time. Where the route's timeout is the shorter one, nothing changes.

Two mutants, both noticed.

--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -123,6 +123,14 @@
 		"internal/serving/proxy/attempt.go", "	case outcome == permit.Broken && errors.As(err, &fl) && fl.Closed:\n", "	case outcome == permit.Broken && errors.As(err, &fl) && fl.Closed && false:\n",
 		[]string{"-run=TestDeadlyRequest/download", "./internal/stand/deployment"},
 	},
+	"upstreams may work until their caller has left": {
+		"internal/serving/proxy/exchange.go", "limit = min(limit, ex.info.TimeLimit-stopMargin)", "limit = min(limit, ex.info.TimeLimit)",
+		[]string{"-run=TestAnswerBeforeTheCallerLeaves", "./internal/serving/proxy"},
+	},
+	"an answer is awaited until its caller has left": {
+		"internal/serving/proxy/exchange.go", "ex.info.TimeLimit-deliveryMargin)", "ex.info.TimeLimit+answerGrace)",
+		[]string{"-run=TestAnswerBeforeTheCallerLeaves", "./internal/serving/proxy"},
+	},
 	"a connection is idle while its requests are served": {
 		"internal/serving/httpserver/connection.go", "	if cn.inFlight.Load() > 0 {\n		return time.Now().Add(max(timeout, minIdleCheck))", "	if false {\n		return time.Now().Add(max(timeout, minIdleCheck))",
 		[]string{"-run=TestConnectionTimeoutsCutNoRequest", "./internal/serving/httpserver"},
--- a/internal/serving/proxy/attempt.go
+++ b/internal/serving/proxy/attempt.go
@@ -31,7 +31,7 @@
 	rq := &transport.Request{
 		ID: ex.info.Request, Method: ex.rq.Method, URI: ex.rq.URI, Host: ex.rq.Host, Header: hd,
 		Body: ex.rq.Body, Chunked: ex.rq.Chunked, Length: ex.rq.Length,
-		Repeatable: ex.repeatable(), Deadline: ex.deadline.Add(answerGrace),
+		Repeatable: ex.repeatable(), Deadline: ex.answerBy, RestDeadline: ex.deadline.Add(answerGrace),
 	}
 	if ex.rq.Rest != nil {
 		rq.Rest = ex.rq.Rest
--- a/internal/serving/proxy/exchange.go
+++ b/internal/serving/proxy/exchange.go
@@ -15,13 +15,15 @@
 
 // exchange is the state of one request from its arrival to its response.
 type exchange struct {
-	px       *Proxy
-	rq       *httpserver.Request
-	info     RequestInfo
-	state    *desired.State
-	route    *desired.Route
-	service  ident.Service
+	px      *Proxy
+	rq      *httpserver.Request
+	info    RequestInfo
+	state   *desired.State
+	route   *desired.Route
+	service ident.Service
+	// deadline is when upstreams stop the work, answerBy when the answer must have begun.
 	deadline time.Time
+	answerBy time.Time
 	// objective is when an answer stops meeting the route's objective. A later one
 	// is still of use until the deadline.
 	objective time.Time
@@ -105,12 +107,13 @@
 	if ex.route.DefaultTimeout > 0 && ex.info.TimeLimit == 0 {
 		limit = ex.route.DefaultTimeout
 	}
-	waited := time.Duration(0)
+	waited, answerLimit := time.Duration(0), limit+answerGrace
 	if ex.info.TimeLimit > 0 {
-		limit = min(limit, ex.info.TimeLimit)
+		limit = min(limit, ex.info.TimeLimit-stopMargin)
+		answerLimit = min(limit+answerGrace, ex.info.TimeLimit-deliveryMargin)
 		waited = ex.px.limits.waited(ex.route.Name, ex.info.TimeLimit)
 	}
-	ex.deadline = ex.rq.Arrived.Add(limit)
+	ex.deadline, ex.answerBy = ex.rq.Arrived.Add(limit), ex.rq.Arrived.Add(answerLimit)
 	ex.objective = ex.rq.Arrived.Add(ex.route.Objective - waited)
 }
 
--- a/internal/serving/proxy/proxy.go
+++ b/internal/serving/proxy/proxy.go
@@ -25,6 +25,12 @@
 	// answerGrace is how long after a request's deadline its answer is awaited:
 	// the upstream ends the work at the deadline and then says so.
 	answerGrace = 120 * time.Millisecond
+	// stopMargin is how long before its caller's limit a request's deadline is, so that what the
+	// upstream says then reaches the caller, also over a slow link. After a limit the caller
+	// closes its connection, with the answers that are ready behind the late one.
+	stopMargin = 20 * time.Millisecond
+	// deliveryMargin is how long before the caller's limit an answer is awaited.
+	deliveryMargin = 10 * time.Millisecond
 	// minTimeLeft is the shortest time left with which a request is still sent.
 	minTimeLeft = 15 * time.Millisecond
 	// startRetryAfter is the Retry-After of a host that has no desired state yet.
--- a/internal/serving/transport/request.go
+++ b/internal/serving/transport/request.go
@@ -29,8 +29,8 @@
 	Length int64
 	// Repeatable reports whether the request may run more than once.
 	Repeatable bool
-	// Deadline is when Send stops waiting.
-	Deadline time.Time
+	// Deadline is when Send stops waiting, RestDeadline when the Rest of an answer breaks off.
+	Deadline, RestDeadline time.Time
 }
 
 // Rest is the part of a body that is read from the caller while it is sent.
--- a/internal/serving/transport/transport.go
+++ b/internal/serving/transport/transport.go
@@ -200,6 +200,8 @@
 	}
 	if an.Rest == nil {
 		pl.keepOrClose(tg, cn, an, reusable)
+	} else if ctx.Err() == nil {
+		_ = cn.SetDeadline(rq.RestDeadline)
 	}
 	return an, nil
 }
--- a/internal/serving/transport/transport_test.go
+++ b/internal/serving/transport/transport_test.go
@@ -78,7 +78,7 @@
 
 // request returns a repeatable request that must be answered within 300 ms.
 func request() *transport.Request {
-	return &transport.Request{ID: "r1", Method: "GET", URI: "/a", Host: "h", Header: http.Header{}, Repeatable: true, Deadline: time.Now().Add(300 * time.Millisecond)}
+	return &transport.Request{ID: "r1", Method: "GET", URI: "/a", Host: "h", Header: http.Header{}, Repeatable: true, Deadline: time.Now().Add(300 * time.Millisecond), RestDeadline: time.Now().Add(300 * time.Millisecond)}
 }
 
 const whole = "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 5\r\n\r\nwhole"
