Withdraw asks whose ticket has changed when their caller leaves

When a permit cannot be used, the host asks again under another ticket. If the caller left then, the withdrawal named the first ticket, and the ask stayed: its permit was issued to nobody and held a slot until the request's deadline.

Evidence: TestCallerLeavesAfterUnusablePermit failed before (the pending asks kept one element) and passes.

Why this works: an ask is found by the channel of its caller, which stays.

--- a/internal/fleet/gateway/permitclient.go
+++ b/internal/fleet/gateway/permitclient.go
@@ -54,10 +54,9 @@
 	reply chan acquireResult
 }
 
-// withdrawEvent cancels an acquire whose caller has left.
+// withdrawEvent cancels the acquire that replies to a channel, as its caller has left.
 type withdrawEvent struct {
-	ticket protocol.Ticket
-	reply  chan acquireResult
+	reply chan acquireResult
 }
 
 // releaseEvent releases a permit.
@@ -129,7 +128,7 @@
 		return rs.permit, rs.refusal, nil
 	case <-ctx.Done():
 		pc.openCount.Add(-1)
-		pc.gw.send(withdrawEvent{ask.Ticket, reply})
+		pc.gw.send(withdrawEvent{reply})
 		return proxy.Permit{}, nil, ctx.Err()
 	case <-pc.gw.done:
 		pc.openCount.Add(-1)
@@ -388,8 +387,8 @@
 
 // withdraw cancels an acquire whose caller has left.
 func (pc *permitClient) withdraw(ev withdrawEvent) {
-	pa, waiting := pc.pending[ev.ticket]
-	if !waiting {
+	pa := pc.pendingFor(ev.reply)
+	if pa == nil {
 		// The result was sent just as the caller left.
 		select {
 		case rs := <-ev.reply:
@@ -400,13 +399,24 @@
 		}
 		return
 	}
-	delete(pc.pending, ev.ticket)
+	delete(pc.pending, pa.ask.Ticket)
 	pc.release(releaseEvent{
-		permit: proxy.Permit{Permit: protocol.Permit{Ticket: ev.ticket}, Holder: pa.holder},
+		permit: proxy.Permit{Permit: protocol.Permit{Ticket: pa.ask.Ticket}, Holder: pa.holder},
 		done:   protocol.Done{Service: pa.ask.Service, Outcome: uint8(permit.Withdrawn)},
 	})
 }
 
+// pendingFor returns the pending acquire that replies to a channel, or nil. Its ticket is another
+// one than at first if a permit could not be used.
+func (pc *permitClient) pendingFor(reply chan acquireResult) *pendingAcquire {
+	for _, pa := range pc.pending {
+		if pa.reply == reply {
+			return pa
+		}
+	}
+	return nil
+}
+
 // release releases a permit at its holder.
 func (pc *permitClient) release(ev releaseEvent) {
 	now := pc.gw.clock.Now()
--- a/internal/fleet/gateway/permitclient_test.go
+++ b/internal/fleet/gateway/permitclient_test.go
@@ -103,3 +103,21 @@
 		})
 	}
 }
+
+// TestCallerLeavesAfterUnusablePermit guards against permits that nobody releases: their caller has
+// left while the host asked again, under another ticket, since the first one could not be used.
+func TestCallerLeavesAfterUnusablePermit(t *testing.T) {
+	gm := NewWithT(t)
+	gw := &Gateway{self: assignment.Member{Host: "self"}}
+	gw.table.Store(&assignment.Table{})
+	gw.permitClient = newPermitClient(gw)
+	pc := &gw.permitClient
+	first := protocol.Ticket(pc.lastTicket.Add(1))
+	pa := &pendingAcquire{ask: protocol.Ask{Ticket: first, Service: "files"}, reply: make(chan acquireResult, 1), holder: "other"}
+	pc.pending[pa.ask.Ticket] = pa
+	pc.releaseAndRetry(clock.Instant(time.Hour), pa, protocol.Permit{Ticket: first, Upstream: "i-leaving"})
+	gm.Expect(pc.pending).To(HaveLen(1))
+	gm.Expect(pc.pending).NotTo(HaveKey(first))
+	pc.withdraw(withdrawEvent{pa.reply})
+	gm.Expect(pc.pending).To(BeEmpty())
+}
