Move keys of working owners only to upstreams that were reached

What callers saw: beside one entry whose address refuses connections, keyed lookups fail for some six seconds, also where its `slots` are ordinary.

Cause: a new entry draws keys at once (seedEmpty, placeOrphans, moves for load). The old owner releases them, and the new one refuses the grant.

Fix: the leader knows which upstreams were reached in this incarnation: a grant, a release or a renewal was answered, or its check. Keys of a working owner move only to these. Keys without one (first assignment, owner crashed or leaving) go to these too, to any if there is none. An upstream whose renewals fail has to be reached again. Owners are reached by their renewals, of which each status tells, so a new leader knows them within about 0.4 s and checks none of them.

The check: a release of one key with epoch 0, below all grants. A release is never refused, an upstream without keys loses nothing by it, and one at a reused address answers 421. It goes only to upstreams that own no keys and get none by a move, and only while the store's confirmation of the leader is fresh, as with steps of a move. It starts with the message that lists the upstream, and keys are planned with its answer; after a failure it is repeated after 2, 4, 8, 16 and then 32 s.

Ruled out: answered requests as proof, as their number includes those that timed out.

Nine mutants are noticed.

--- a/internal/fleet/gateway/grantclient.go
+++ b/internal/fleet/gateway/grantclient.go
@@ -169,6 +169,30 @@
 	}()
 }
 
+// checkUpstream finds out in the background whether an upstream answers at its address. It
+// sends a release of one key with an epoch below all grants: upstreams refuse no release,
+// this one holds no keys, and one at a reused address says that it is another.
+func (gw *Gateway) checkUpstream(cmd leader.CheckCmd) {
+	ep, known := (*gw.endpoints.Load())[cmd.Upstream]
+	go func() {
+		result, err := platform.GrantUnknown, error(nil)
+		// Another leader may have given it keys.
+		if known && gw.clock.Now().Sub(clock.Instant(gw.leadershipConfirmedAt.Load())) < election.LeaseTTL {
+			gc := gw.grantClients.get(grantClientID{cmd.Upstream, false}, ep.address)
+			result, _, err = gc.Release(keyspace.Range{}, 0, time.Now().Add(cmd.Timeout))
+		}
+		reached := result == platform.GrantTaken
+		if !reached {
+			fields := eventlog.Fields{"upstream": cmd.Upstream, "result": result, "listed": known}
+			if err != nil {
+				fields["error"] = err
+			}
+			gw.config.Log.Event("checkFailed", fields)
+		}
+		gw.send(agent.CheckedMsg{Upstream: cmd.Upstream, Incarnation: cmd.Incarnation, Reached: reached})
+	}()
+}
+
 func stepResult(result platform.GrantResult) leader.Result {
 	switch result {
 	case platform.GrantTaken:
--- a/internal/fleet/gateway/loop.go
+++ b/internal/fleet/gateway/loop.go
@@ -340,6 +340,8 @@
 			go gw.writeOwnRow(cmd)
 		case agent.CallCmd:
 			gw.runMoveStep(leader.CallCmd(cmd))
+		case agent.CheckCmd:
+			gw.checkUpstream(leader.CheckCmd(cmd))
 		case agent.RenewCmd:
 			gw.renewUpstream(renewal.RenewCmd(cmd))
 		case agent.EventCmd:
--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -27,6 +27,42 @@
 const mutantTimeout = 3 * time.Minute
 
 var mutants = map[string]mutant{
+	"keys of a working owner move to an upstream that nobody has reached": {
+		"internal/ownership/leader/plan.go", "Unreached: !up.reached", "Unreached: false",
+		[]string{"-run=TestDeadEntries", "./internal/ownership/agent"},
+	},
+	"a new upstream without a known neighbour is seeded unreached": {
+		"internal/ownership/balance/seed.go", " || to.Unreached", "",
+		[]string{"-run=TestUnreachedTargets", "./internal/ownership/balance"},
+	},
+	"the neighbours of a hot key go to an unreached upstream": {
+		"internal/ownership/balance/hotkey.go", " && !tg.Unreached", "",
+		[]string{"-run=TestUnreachedTargets", "./internal/ownership/balance"},
+	},
+	"load moves to an unreached owner": {
+		"internal/ownership/balance/balance.go", "if tg == from || tg.Unreached {", "if tg == from {",
+		[]string{"-run=TestMovesToReachedUpstreams", "./internal/ownership/leader"},
+	},
+	"requests that may have timed out count as reached": {
+		"internal/ownership/leader/upstream.go", "return ul.Answers == 0 && ", "return ",
+		[]string{"-run=TestMovesToReachedUpstreams", "./internal/ownership/leader"},
+	},
+	"a report of an earlier incarnation counts as reached": {
+		"internal/ownership/leader/upstream.go", " && now >= up.reportsFrom", "",
+		[]string{"-run=TestMovesToReachedUpstreams", "./internal/ownership/leader"},
+	},
+	"an upstream whose renewals fail counts as reached": {
+		"internal/ownership/leader/upstream.go", "		up.reached = false\n", "",
+		[]string{"-run=TestMovesToReachedUpstreams", "./internal/ownership/leader"},
+	},
+	"a failed check is repeated at once": {
+		"internal/ownership/leader/reach.go", "up.checkAt = now.Add(min(checkBackoff<<up.checkCount, maxCheckBackoff))", "up.checkAt = now",
+		[]string{"-run=TestChecks", "./internal/ownership/leader"},
+	},
+	"owners are checked too": {
+		"internal/ownership/leader/reach.go", " && !co.owns(up.ID, up.Incarnation)", "",
+		[]string{"-run=TestChecks", "./internal/ownership/leader"},
+	},
 	"an upstream that has not answered gets keys for all slots that it claims": {
 		"internal/ownership/leader/upstream.go", "		count = min(count, unprovenSlots)\n", "",
 		[]string{"-run=TestClaimedSlots", "./internal/ownership/leader"},
--- a/internal/ownership/agent/agent.go
+++ b/internal/ownership/agent/agent.go
@@ -120,6 +120,8 @@
 		co.refreshRenewals(now)
 	case StepMsg:
 		co.updateLeader(now, leader.StepMsg(ms))
+	case CheckedMsg:
+		co.updateLeader(now, leader.CheckedMsg(ms))
 	case RenewedMsg:
 		co.updateRenewal(now, renewal.ResultMsg(ms))
 		if ms.Unconfirmed && now.Sub(co.statusSentAt) >= minStatusInterval {
@@ -212,6 +214,8 @@
 			co.writes.draft = cmd.Table
 		case leader.CallCmd:
 			co.emit(CallCmd(cmd))
+		case leader.CheckCmd:
+			co.emit(CheckCmd(cmd))
 		case leader.EventCmd:
 			co.emit(EventCmd(cmd))
 		}
--- a/internal/ownership/agent/message.go
+++ b/internal/ownership/agent/message.go
@@ -91,6 +91,9 @@
 // StepMsg is the result of a call for a move of keys.
 type StepMsg leader.StepMsg
 
+// CheckedMsg is the result of a check of an upstream.
+type CheckedMsg leader.CheckedMsg
+
 // RenewedMsg is the result of renewing an upstream's grants.
 type RenewedMsg renewal.ResultMsg
 
@@ -119,6 +122,9 @@
 // CallCmd calls an upstream for a move of keys; StepMsg is the result.
 type CallCmd leader.CallCmd
 
+// CheckCmd checks whether an upstream answers; CheckedMsg is the result.
+type CheckCmd leader.CheckCmd
+
 // RenewCmd renews an upstream's grants; RenewedMsg is the result.
 type RenewCmd renewal.RenewCmd
 
--- a/internal/ownership/agent/simulation_test.go
+++ b/internal/ownership/agent/simulation_test.go
@@ -85,10 +85,12 @@
 	domain      ident.Domain
 	incarnation roster.Incarnation
 	up          bool
-	draining    bool
-	downAt      clock.Instant
-	epochs      [samples]keyspace.Epoch
-	heldUntil   [samples]clock.Instant
+	// deadEntry is true for an entry that stays listed although nothing answers at its address.
+	deadEntry bool
+	draining  bool
+	downAt    clock.Instant
+	epochs    [samples]keyspace.Epoch
+	heldUntil [samples]clock.Instant
 }
 
 // storeState is the content of the store. Its versions do not contain the era.
@@ -129,7 +131,9 @@
 	// upstream that got it.
 	highestEpoch [samples]keyspace.Epoch
 	holder       [samples]*upstream
-	log          []string
+	// movedToDead counts the keys of working owners that were moved to dead entries.
+	movedToDead int
+	log         []string
 	// hotSample is the index of the sampled key that gets most of the load.
 	hotSample int
 }
@@ -206,7 +210,7 @@
 	if sim.reachesStore(ho) {
 		ms := agent.UpstreamsMsg{ForLeader: leader.UpstreamsMsg{Keyed: map[ident.Service]bool{service: true}}, Domains: map[ident.Upstream]ident.Domain{}}
 		for _, up := range sim.upstreams {
-			listed := up.up || sim.now.Sub(up.downAt) < entryTTL
+			listed := up.up || up.deadEntry || sim.now.Sub(up.downAt) < entryTTL
 			ms.Domains[up.id] = up.domain
 			if listed {
 				ms.ForLeader.Upstreams = append(ms.ForLeader.Upstreams, leader.Upstream{
@@ -248,6 +252,8 @@
 		sim.write(ho, core, cmd)
 	case agent.CallCmd:
 		sim.call(ho, core, cmd)
+	case agent.CheckCmd:
+		sim.check(ho, core, cmd)
 	case agent.RenewCmd:
 		sim.renew(ho, core, cmd, 0)
 	case agent.StatusCmd:
@@ -344,6 +350,17 @@
 	}
 }
 
+// checkMoves counts the keys of working owners that a table moves to a dead entry.
+func (sim *simulation) checkMoves(tb *assignment.Table) {
+	for _, sh := range tb.Shares {
+		owner, next := sim.findUpstream(sh.Owner.Upstream), sim.findUpstream(sh.Next.Upstream)
+		if next != nil && next.deadEntry && owner.up && !owner.draining && owner.incarnation == sh.Owner.Incarnation {
+			sim.movedToDead += sh.Len()
+			sim.logf("table %d moves %v of %s to the dead entry %s", tb.Revision, sh.Range, owner.id, next.id)
+		}
+	}
+}
+
 // position returns the position of a row's version in the current era.
 func (sim *simulation) position(version election.Version) election.Version {
 	if version == 0 {
@@ -370,6 +387,7 @@
 	if cmd.Row != nil {
 		sim.row, sim.rowVersion = *cmd.Row, sim.version
 	} else {
+		sim.checkMoves(cmd.Table)
 		sim.table, sim.tableVersion = cmd.Table, sim.version
 	}
 	sim.at = sim.now
@@ -440,6 +458,16 @@
 	sim.grant(ho, cmd.Upstream, cmd.Range, cmd.Epoch, cmd.TTL, answer)
 }
 
+// check simulates a check of an upstream.
+func (sim *simulation) check(ho *host, core *agent.Core, cmd agent.CheckCmd) {
+	answer := func(reached bool) {
+		sim.deliver(ho, core, agent.CheckedMsg{Upstream: cmd.Upstream, Incarnation: cmd.Incarnation, Reached: reached})
+	}
+	sim.callUpstream(ho, cmd.Upstream, cmd.Timeout, func(*upstream) {
+		sim.after(sim.delay(), func() { answer(true) })
+	}, func() { answer(false) })
+}
+
 // callUpstream runs onArrival at the upstream if the host can reach it, otherwise
 // onTimeout after the timeout.
 func (sim *simulation) callUpstream(ho *host, id ident.Upstream, timeout time.Duration, onArrival func(*upstream), onTimeout func()) {
--- a/internal/ownership/balance/balance.go
+++ b/internal/ownership/balance/balance.go
@@ -73,6 +73,9 @@
 	ID ident.Upstream
 	// Capacity is the number of requests per second that it can answer.
 	Capacity float64
+	// Unreached targets have not answered yet. They get only orphaned shares, and only if
+	// all targets are unreached.
+	Unreached bool
 }
 
 // Move assigns a range of keys to another upstream.
@@ -108,6 +111,7 @@
 // with a hot key, followed by at most budget moves that even out the load. All shares
 // must be of one service. Without targets there are no moves.
 func Plan(ld *Load, shares []Share, targets []Target, budget int, opts ...Option) []Move {
+	targets = withoutUnreached(shares, targets)
 	if len(targets) == 0 {
 		return nil
 	}
@@ -125,6 +129,19 @@
 	return pl.moves
 }
 
+// withoutUnreached drops the unreached targets that own nothing if others are reached: they
+// can't take any load.
+func withoutUnreached(shares []Share, targets []Target) []Target {
+	if !slices.ContainsFunc(targets, func(tg Target) bool { return !tg.Unreached }) {
+		return targets
+	}
+	owners := map[ident.Upstream]bool{}
+	for _, sh := range shares {
+		owners[sh.Owner] = owners[sh.Owner] || !sh.Orphaned
+	}
+	return slices.DeleteFunc(slices.Clone(targets), func(tg Target) bool { return tg.Unreached && !owners[tg.ID] })
+}
+
 type plan struct {
 	load    *Load
 	targets []*target
@@ -179,9 +196,13 @@
 	slices.SortFunc(pieces, func(left, right keyspace.Range) int {
 		return cmp.Or(cmp.Compare(pl.load.Rate(right), pl.load.Rate(left)), cmp.Compare(left.From, right.From))
 	})
+	candidates := slices.DeleteFunc(slices.Clone(pl.targets), func(tg *target) bool { return tg.Unreached })
+	if len(candidates) == 0 {
+		candidates = pl.targets
+	}
 	for _, rg := range pieces {
 		rate := pl.load.Rate(rg)
-		best := slices.MinFunc(pl.targets, func(left, right *target) int {
+		best := slices.MinFunc(candidates, func(left, right *target) int {
 			return cmp.Or(cmp.Compare(left.utilizationAt(left.rate+rate), right.utilizationAt(right.rate+rate)),
 				cmp.Compare(len(left.shares), len(right.shares)), cmp.Compare(left.ID, right.ID))
 		})
@@ -296,7 +317,7 @@
 func (pl *plan) receivers(from *target) []*target {
 	var others, faster []*target
 	for _, tg := range pl.targets {
-		if tg == from {
+		if tg == from || tg.Unreached {
 			continue
 		}
 		others = append(others, tg)
--- a/internal/ownership/balance/hotkey.go
+++ b/internal/ownership/balance/hotkey.go
@@ -21,7 +21,7 @@
 		}
 		for _, rg := range from.rangesWithout(hot) {
 			for _, piece := range pl.split(rg) {
-				if to := pl.leastUtilized(piece, from); to.utilizationAt(to.rate+pl.load.Rate(piece)) < 1 {
+				if to := pl.leastUtilized(piece, from); to != from && to.utilizationAt(to.rate+pl.load.Rate(piece)) < 1 {
 					pl.move(piece, from, to)
 				}
 			}
@@ -63,12 +63,13 @@
 	return hot, found
 }
 
-// leastUtilized returns the target other than from that is least utilized with a range.
+// leastUtilized returns the reached target other than from that is least utilized with a
+// range, from if there is none.
 func (pl *plan) leastUtilized(rg keyspace.Range, from *target) *target {
 	rate := pl.load.Rate(rg)
 	best := from
 	for _, tg := range pl.targets {
-		if tg != from && (best == from || tg.utilizationAt(tg.rate+rate) < best.utilizationAt(best.rate+rate)) {
+		if tg != from && !tg.Unreached && (best == from || tg.utilizationAt(tg.rate+rate) < best.utilizationAt(best.rate+rate)) {
 			best = tg
 		}
 	}
--- a/internal/ownership/balance/seed.go
+++ b/internal/ownership/balance/seed.go
@@ -10,7 +10,7 @@
 // there is none to plan.
 func (pl *plan) seedEmpty(order []*target) bool {
 	for _, to := range pl.targets {
-		if len(to.shares) > 0 || pl.seeded[to] {
+		if len(to.shares) > 0 || pl.seeded[to] || to.Unreached {
 			continue
 		}
 		pl.seeded[to] = true
--- a/internal/ownership/leader/leader.go
+++ b/internal/ownership/leader/leader.go
@@ -68,8 +68,10 @@
 	loads              map[ident.Service]*balance.Load
 	moves              map[MoveID]*move
 	// movesDueAt is when startDueCalls has to look at the moves again.
-	movesDueAt       clock.Instant
-	plannedAt        clock.Instant
+	movesDueAt clock.Instant
+	plannedAt  clock.Instant
+	// checksDueAt is when startDueChecks has to look at the upstreams again.
+	checksDueAt      clock.Instant
 	membersCheckedAt clock.Instant
 	events           []Cmd
 	// resumedMoves holds the moves that an earlier leader started.
@@ -165,6 +167,8 @@
 		co.handleTableRead(now, ms.Table)
 	case StepMsg:
 		co.handleStep(now, ms)
+	case CheckedMsg:
+		co.handleChecked(ms)
 	case ReportMsg:
 		co.handleReport(now, ms.Table)
 	}
@@ -187,6 +191,7 @@
 		// wait for the next tick.
 		cmds = append(cmds, co.startDueCalls(now)...)
 	}
+	cmds = append(cmds, co.startDueChecks(now)...)
 	if co.dirty && !co.commitInFlight && now >= co.commitAt {
 		cmds = append(cmds, co.commit())
 	}
--- a/internal/ownership/leader/leader_test.go
+++ b/internal/ownership/leader/leader_test.go
@@ -36,6 +36,8 @@
 				send(leader.CommittedMsg{Table: cmd.Table})
 			case leader.CallCmd:
 				send(leader.StepMsg{Move: cmd.Move, Step: cmd.Step, Result: leader.Taken})
+			case leader.CheckCmd:
+				send(leader.CheckedMsg{Upstream: cmd.Upstream, Incarnation: cmd.Incarnation, Reached: true})
 			}
 		}
 	}
--- a/internal/ownership/leader/message.go
+++ b/internal/ownership/leader/message.go
@@ -64,6 +64,13 @@
 	Handover keyspace.Handover
 }
 
+// CheckedMsg is the result of a CheckCmd.
+type CheckedMsg struct {
+	Upstream    ident.Upstream
+	Incarnation roster.Incarnation
+	Reached     bool
+}
+
 // Result is the outcome of a call to an upstream.
 type Result int
 
@@ -101,11 +108,19 @@
 	Timeout  time.Duration
 }
 
+// CheckCmd requests a call that shows whether an upstream that owns no keys answers at its
+// address. The call must change nothing.
+type CheckCmd struct {
+	Upstream    ident.Upstream
+	Incarnation roster.Incarnation
+	Timeout     time.Duration
+}
+
 // EventCmd requests a log event.
 type EventCmd struct {
 	Name   string
 	Fields map[string]any
 }
 
-// Cmd is a CommitCmd, CallCmd or EventCmd.
+// Cmd is a CommitCmd, CallCmd, CheckCmd or EventCmd.
 type Cmd any
--- a/internal/ownership/leader/plan.go
+++ b/internal/ownership/leader/plan.go
@@ -68,7 +68,7 @@
 	unproven := co.unprovenSlots(now, sv)
 	for _, up := range co.upstreams {
 		if up.Service == sv && co.mayOwn(now, up) {
-			targets = append(targets, balance.Target{ID: up.ID, Capacity: up.capacity(now, unproven)})
+			targets = append(targets, balance.Target{ID: up.ID, Capacity: up.capacity(now, unproven), Unreached: !up.reached})
 		}
 	}
 	slices.SortFunc(targets, func(left, right balance.Target) int {
@@ -111,6 +111,10 @@
 	if now.Sub(co.upstreamsChangedAt) < initialAssignDelay {
 		return
 	}
+	isReached := func(tg balance.Target) bool { return !tg.Unreached }
+	if slices.ContainsFunc(targets, isReached) {
+		targets = slices.DeleteFunc(targets, func(tg balance.Target) bool { return !isReached(tg) })
+	}
 	total := 0.0
 	for _, tg := range targets {
 		total += tg.Capacity
--- a/internal/ownership/leader/upstream.go
+++ b/internal/ownership/leader/upstream.go
@@ -53,6 +53,9 @@
 	avoidCount int
 	// reached reports that this incarnation has answered a call of a host.
 	reached bool
+	// checkAt is when it may be checked again, checkCount how many checks have failed.
+	checkAt    clock.Instant
+	checkCount int
 	// presumedUntil is until when an owner counts as reached for a leader that has just
 	// begun and knows no status yet.
 	presumedUntil clock.Instant
@@ -115,6 +118,7 @@
 	if ul.UnreachedFor >= unreachedTimeout && up.avoidUntil <= now {
 		up.avoidUntil = now.Add(min(avoidBackoff<<up.avoidCount, maxAvoidBackoff))
 		up.avoidCount = min(up.avoidCount+1, 3)
+		up.reached = false
 		co.plannedAt = 0
 		co.logEvent("upstreamUnreached", map[string]any{"upstream": ul.Upstream, "forMs": ul.UnreachedFor.Milliseconds()})
 	}
@@ -168,7 +172,7 @@
 				us.presumedUntil = co.startedAt.Add(reportLag)
 			}
 			co.upstreams[up.ID] = us
-			co.upstreamsChangedAt, co.plannedAt = now, 0
+			co.upstreamsChangedAt, co.plannedAt, co.checksDueAt = now, 0, now
 		}
 		if us.Usable != up.Usable || us.Limit != up.Limit {
 			co.plannedAt = 0
@@ -183,10 +187,10 @@
 	}
 }
 
-// owns reports whether an incarnation of an upstream owns keys.
+// owns reports whether an incarnation of an upstream owns keys or is the next owner of some.
 func (co *Core) owns(id ident.Upstream, incarnation roster.Incarnation) bool {
 	return slices.ContainsFunc(co.draft.Shares, func(sh assignment.Share) bool {
-		return sh.Owner.Upstream == id && sh.Owner.Incarnation == incarnation
+		return sh.Owner.Upstream == id && sh.Owner.Incarnation == incarnation || sh.Next.Upstream == id && sh.Next.Incarnation == incarnation
 	})
 }
 
