Follow the rename in the mutant of the permits' slots

The guard of "upstreams get more requests than they have slots" reads us.slots since, so its text was no longer found. Seen by comparing the texts of all mutants with their files. The mutant is noticed again; the test is unchanged.

--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -200,7 +200,7 @@
 		[]string{"-run=TestDrain", "./internal/serving/httpserver"},
 	},
 	"upstreams get more requests than they have slots": {
-		"internal/serving/permit/upstream.go", " || us.busy(now) >= us.Slots {", " {",
+		"internal/serving/permit/upstream.go", " || us.busy(now) >= us.slots {", " {",
 		[]string{"./internal/serving/permit"},
 	},
 	"an upstream that may be back gets several requests at once": {
