--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -415,6 +415,10 @@
 		"internal/fleet/gateway/rostercache.go", "bb.spent > 0 && bb.spent+float64(count) > float64(burst)", "false",
 		[]string{"-run=TestByteBudget", "./internal/fleet/gateway"},
 	},
+	"a number of seconds overflows": {
+		"platform/settings.go", "max(min(value, limit), -limit)", "max(value, -limit)",
+		[]string{"-run=TestSeconds", "./platform"},
+	},
 	"a draining upstream gets requests": {
 		"internal/fleet/gateway/loop.go", "refuseAt := up.LeavingAt", "refuseAt := clock.Never",
 		[]string{"-run=TestDrainWhileStoreRefusesLeader", "./internal/stand/deployment"},
