Decode no entry whose fields cannot be right

Another writer's entry with slots drew half of a fleet's traffic; services of 50,000 letters, addresses of no single machine, port 0 and cold times of 1e308 s passed too. DecodeEntry checked no upper bound, and of the address only its syntax. An error could quote a number or a state of any length into the log.

Entry.Check in internal/catalog/roster holds the bounds of all fields with their reasons, as messages between hosts, which must not import platform, need the same ones. slots have the bound of signed bundles: a bundle's upstream has to be allowed to say in its entry what the bundle says. That keeps sums and products in range; that an upstream which has never answered draws no more than its neighbours is not settled here. Texts have the platform's 200 bytes and no control characters, as digests separate the texts by one. Rows above 16 KB are not parsed, as each change of the list decodes all of them. Error texts have at most about 500 characters. Loopback stays allowed, as does an empty zone.

--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -419,6 +419,82 @@
 		"platform/settings.go", "max(min(value, limit), -limit)", "max(value, -limit)",
 		[]string{"-run=TestSeconds", "./platform"},
 	},
+	"an entry of any size is decoded": {
+		"platform/discovery.go", "if len(rw.Value) > roster.MaxEncodedBytes {", "if false {",
+		[]string{"-run=TestMalformedEntries|TestMalformedKeys", "./platform"},
+	},
+	"the error about an entry quotes all of it": {
+		"platform/discovery.go", "%.300s", "%s",
+		[]string{"-run=TestMalformedEntries|TestMalformedKeys", "./platform"},
+	},
+	"an id holds any text": {
+		"internal/catalog/roster/bounds.go", "if !isText(string(en.ID)) || en.ID == \"\" {", "if false {",
+		[]string{"-run=TestMalformedEntries|TestMalformedKeys", "./platform"},
+	},
+	"a service holds any text": {
+		"internal/catalog/roster/bounds.go", "if !isText(string(en.Service)) || en.Service == \"\" {", "if false {",
+		[]string{"-run=TestMalformedEntries|TestMalformedKeys", "./platform"},
+	},
+	"a domain holds any text": {
+		"internal/catalog/roster/bounds.go", "if !isText(string(en.Domain)) {", "if false {",
+		[]string{"-run=TestMalformedEntries|TestMalformedKeys", "./platform"},
+	},
+	"an entry's texts have any length": {
+		"internal/catalog/roster/bounds.go", "len(text) > MaxTextBytes || ", "",
+		[]string{"-run=TestMalformedEntries|TestMalformedKeys", "./platform"},
+	},
+	"an entry's texts hold control characters": {
+		"internal/catalog/roster/bounds.go", "letter < ' ' || letter == '\\x7f'", "false && letter > 0",
+		[]string{"-run=TestMalformedEntries|TestMalformedKeys", "./platform"},
+	},
+	"an address has any length": {
+		"internal/catalog/roster/bounds.go", "if len(address) > MaxAddressBytes {", "if false {",
+		[]string{"-run=TestMalformedEntries|TestMalformedKeys", "./platform"},
+	},
+	"an address has port 0": {
+		"internal/catalog/roster/bounds.go", "err != nil || ap.Port() == 0", "err != nil",
+		[]string{"-run=TestMalformedEntries|TestMalformedKeys", "./platform"},
+	},
+	"an address mapped into IPv6 is not checked": {
+		"internal/catalog/roster/bounds.go", ".Unmap()", "",
+		[]string{"-run=TestMalformedEntries|TestMalformedKeys", "./platform"},
+	},
+	"an address has a zone": {
+		"internal/catalog/roster/bounds.go", "ip.Zone() == \"\" && ", "",
+		[]string{"-run=TestMalformedEntries|TestMalformedKeys", "./platform"},
+	},
+	"an address is unspecified": {
+		"internal/catalog/roster/bounds.go", "!ip.IsUnspecified() && ", "",
+		[]string{"-run=TestMalformedEntries|TestMalformedKeys", "./platform"},
+	},
+	"an address is a multicast address": {
+		"internal/catalog/roster/bounds.go", " && !ip.IsMulticast()", "",
+		[]string{"-run=TestMalformedEntries|TestMalformedKeys", "./platform"},
+	},
+	"an address is the broadcast address": {
+		"internal/catalog/roster/bounds.go", " && ip != netip.AddrFrom4([4]byte{255, 255, 255, 255})", "",
+		[]string{"-run=TestMalformedEntries|TestMalformedKeys", "./platform"},
+	},
+	"an entry has any number of slots": {
+		"internal/catalog/roster/bounds.go", " || en.Slots > MaxSlots", "",
+		[]string{"-run=TestMalformedEntries|TestMalformedKeys", "./platform"},
+	},
+	"an entry is cold for any time": {
+		"internal/catalog/roster/bounds.go", " || en.ColdLeft > MaxColdLeft", "",
+		[]string{"-run=TestMalformedEntries|TestMalformedKeys", "./platform"},
+	},
+	"an entry has any sequence": {
+		"internal/catalog/roster/bounds.go", "if en.Sequence > MaxSequence {", "if false {",
+		[]string{"-run=TestMalformedEntries|TestMalformedKeys", "./platform"},
+	},
+	"an entry's incarnation is negative": {
+		"internal/catalog/roster/bounds.go", "en.Incarnation < 0 || ", "",
+		[]string{"-run=TestMalformedEntries|TestMalformedKeys", "./platform"},
+	},
+	"an entry's incarnation is far in the future": {
+		"internal/catalog/roster/bounds.go", " || en.Incarnation > MaxIncarnation", "",
+		[]string{"-run=TestMalformedEntries|TestMalformedKeys", "./platform"},
+	},
 	"a draining upstream gets requests": {
 		"internal/fleet/gateway/loop.go", "refuseAt := up.LeavingAt", "refuseAt := clock.Never",
 		[]string{"-run=TestDrainWhileStoreRefusesLeader", "./internal/stand/deployment"},
