Take an upstream's own entries up again behind another writer's

An entry with a start far in the future, or a sequence near 2^64, written once under a real upstream's id, made all hosts ignore that upstream's own entries for as long as it ran, its draining too: requests went to the address of the other writer. roster orders entries by start and sequence alone, so that a copy of the store brings nothing back, and what the upstream writes never reaches the other writer's numbers. A bound alone does not help, as a start one millisecond later does the same.

An older entry now replaces the known one once the store has had older ones, and no newer one, for 10 s, not while the store has just returned. A copy's entry that nobody renews is removed after three heartbeat intervals (2.6 s at 0.87 s), before that time. What was replaced does not come back by itself, so an entry that alternates with the upstream's own changes hands once only. Until the 10 s are over, hosts still follow the other writer. A heartbeat interval above 3.3 s would make the 10 s too short.

TestEntryOfAnotherWriter failed before in all 8 cases: "Expected <string>: 10.0.0.66:80 to equal <string>: 10.0.0.1:80". TestOlderEntryOfACopy holds the other side.

--- a/internal/catalog/roster/roster.go
+++ b/internal/catalog/roster/roster.go
@@ -26,6 +26,12 @@
 // goneRetention is how long an upstream whose entry is missing stays in the list.
 const goneRetention = 5 * time.Second
 
+// olderEntryTimeout is how long entries may stay older than the known one before they
+// replace it: what an upstream writes is then older than what another writer has left
+// under its id. It is longer than a copy of the store keeps an entry that is not renewed,
+// which is three heartbeat intervals.
+const olderEntryTimeout = 10 * time.Second
+
 // digestBufferBytes is the initial size of the buffer to encode an entry in.
 const digestBufferBytes = 128
 
@@ -68,6 +74,13 @@
 	announced bool
 	// missingSince is when the entry was first missing, or clock.Never.
 	missingSince clock.Instant
+	// olderSince is since when the store has had older entries than this one and no newer
+	// one, or clock.Never. After olderEntryTimeout the entry is doubted, and the next older
+	// one replaces it.
+	olderSince clock.Instant
+	doubted    bool
+	// replaced is the entry that an older one has replaced, or nil. It does not come back.
+	replaced *Entry
 }
 
 // Leaving reports whether the upstream is draining or gone.
@@ -165,29 +178,52 @@
 	return changes
 }
 
+// isOlder reports whether an entry comes before another one of the same upstream.
+func (en *Entry) isOlder(than Entry) bool {
+	return en.Incarnation < than.Incarnation || en.Incarnation == than.Incarnation && en.Sequence < than.Sequence
+}
+
+// isSameVersion reports whether an upstream wrote both entries as the same one.
+func (en *Entry) isSameVersion(as Entry) bool {
+	return en.Incarnation == as.Incarnation && en.Sequence == as.Sequence
+}
+
 // updateEntry applies one entry unless a newer one is known. It reports whether
 // there is a change to log.
 func (rs *Roster) updateEntry(now clock.Instant, en Entry) (Change, bool) {
 	up, known := rs.upstreams[en.ID]
-	if known && (en.Incarnation < up.Incarnation || en.Incarnation == up.Incarnation && en.Sequence < up.Sequence) {
+	older := known && en.isOlder(up.Entry)
+	switch {
+	case known && up.replaced != nil && en.isSameVersion(*up.replaced):
+		return Change{}, false
+	case older && !up.doubted:
+		up.olderSince = min(up.olderSince, now)
+		up.doubted = now.Sub(up.olderSince) >= olderEntryTimeout && !now.Before(rs.graceUntil)
 		return Change{}, false
+	case known && up.Entry.isOlder(en):
+		up.olderSince, up.doubted = clock.Never, false
 	}
-	if known && up.Gone && en.Incarnation == up.Incarnation && en.Sequence == up.Sequence {
+	if known && up.Gone && en.isSameVersion(up.Entry) {
 		// The store came back from a copy that still has the entry.
 		return Change{}, false
 	}
-	if known && !up.Gone && en.Incarnation == up.Incarnation && en.Sequence == up.Sequence && en.Draining == up.Draining {
+	if known && !up.Gone && en.isSameVersion(up.Entry) && en.Draining == up.Draining {
 		return Change{}, false
 	}
 	ch := Change{Upstream: en.ID}
-	if !known || en.Incarnation != up.Incarnation || up.Gone {
+	if !known || en.Incarnation != up.Incarnation || up.Gone || older {
 		ch.Kind = "joined"
-		if known && en.Incarnation != up.Incarnation {
+		if known && en.Incarnation > up.Incarnation {
 			ch.Kind, ch.Unannounced = "restarted", !up.Leaving()
 		}
 		before := up
-		up = &Upstream{LeavingAt: clock.Never, missingSince: clock.Never}
+		up = &Upstream{LeavingAt: clock.Never, missingSince: clock.Never, olderSince: clock.Never}
 		rs.upstreams[en.ID] = up
+		if older {
+			up.replaced = &before.Entry
+		} else if known {
+			up.replaced = before.replaced
+		}
 		if known && en.Incarnation == before.Incarnation {
 			// What an upstream says of itself holds although its entry was missing.
 			up.announced, up.Limit, up.LimitAt = before.announced, before.Limit, before.LimitAt
@@ -250,8 +286,9 @@
 		if !known || up.Incarnation != entries[ix].Incarnation {
 			continue
 		}
-		// An upstream that was gone leaves no longer once it has written a newer entry.
-		if up.announced || up.Draining || up.Gone && entries[ix].Sequence <= up.Sequence {
+		// An upstream that was gone leaves no longer once it has written a newer entry. An
+		// entry that is doubted says nothing about others.
+		if up.announced || !up.doubted && (up.Draining || up.Gone && entries[ix].Sequence <= up.Sequence) {
 			entries[ix].Draining = true
 		}
 	}
--- a/internal/catalog/roster/roster_test.go
+++ b/internal/catalog/roster/roster_test.go
@@ -230,3 +230,94 @@
 		})
 	}
 }
+
+// TestEntryOfAnotherWriter guards against an entry that another writer has left under an
+// upstream's id, beyond what the upstream itself writes for years: its own entries were
+// ignored for as long as it ran.
+func TestEntryOfAnotherWriter(t *testing.T) {
+	const address = "10.0.0.66:80"
+	other := func(sequence uint64, incarnation roster.Incarnation) roster.Entry {
+		en := entry(sequence, incarnation)
+		en.Address = address
+		return en
+	}
+	leaving := other(roster.MaxSequence, 5)
+	leaving.Draining = true
+	cases := map[string]struct {
+		other roster.Entry
+		// gone leaves the id without an entry for a read; alternates writes the other
+		// entry again at every second beat.
+		gone, alternates bool
+	}{
+		"later start":                  {other: other(1, roster.MaxIncarnation)},
+		"higher sequence":              {other: other(roster.MaxSequence, 5)},
+		"higher sequence, leaving":     {other: leaving},
+		"later start, then gone":       {other: other(1, roster.MaxIncarnation), gone: true},
+		"higher sequence, then gone":   {other: other(roster.MaxSequence, 5), gone: true},
+		"later start, alternates":      {other: other(1, roster.MaxIncarnation), alternates: true},
+		"higher sequence, alternates":  {other: other(roster.MaxSequence, 5), alternates: true},
+		"leaving, written once at all": {other: leaving, gone: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			gm := NewWithT(t)
+			rs, now := roster.New(), clock.Instant(time.Hour)
+			read := func(entries ...roster.Entry) {
+				now = now.Add(time.Second)
+				rs.MarkLeaving(entries)
+				rs.Update(now, entries)
+			}
+			read(entry(1, 5))
+			read(tc.other)
+			if tc.gone {
+				read()
+			}
+			for beat := range uint64(20) {
+				if tc.alternates && beat%2 == 1 {
+					read(tc.other)
+					continue
+				}
+				read(entry(2+beat, 5))
+			}
+			up, known := rs.Get("i-1")
+			gm.Expect(known).To(BeTrue())
+			gm.Expect(up.Address).To(Equal("10.0.0.1:80"))
+			gm.Expect(up.Incarnation).To(BeEquivalentTo(5))
+			gm.Expect(up.Leaving()).To(BeFalse())
+		})
+	}
+}
+
+// TestOlderEntryOfACopy guards against an entry from a copy of the store that brings back
+// an upstream which has left or an incarnation which has ended: while the store returns,
+// for as long as such an entry lasts, and once a newer one has come.
+func TestOlderEntryOfACopy(t *testing.T) {
+	draining := entry(9, 5)
+	draining.Draining = true
+	for name, last := range map[string]roster.Entry{"draining": draining, "restarted": entry(1, 6)} {
+		t.Run(name, func(t *testing.T) {
+			gm := NewWithT(t)
+			rs, now := roster.New(), clock.Instant(time.Hour)
+			rs.Update(now, []roster.Entry{last})
+			for range 3 {
+				for range 8 {
+					now = now.Add(time.Second)
+					gm.Expect(rs.Update(now, []roster.Entry{entry(8, 5)})).To(BeEmpty())
+				}
+				last.Sequence++
+				rs.Update(now, []roster.Entry{last})
+			}
+			up, _ := rs.Get("i-1")
+			gm.Expect(up.Incarnation).To(Equal(last.Incarnation))
+			gm.Expect(up.Leaving()).To(Equal(last.Draining))
+			now = now.Add(time.Second)
+			rs.Update(now, []roster.Entry{entry(8, 5)})
+			now = now.Add(9 * time.Second)
+			rs.StoreRecovered(now)
+			now = now.Add(time.Second)
+			for range 2 {
+				gm.Expect(rs.Update(now, []roster.Entry{entry(8, 5)})).To(BeEmpty(), "the store has just returned")
+			}
+		})
+	}
+}
--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -495,6 +495,30 @@
 		"internal/catalog/roster/bounds.go", " || en.Incarnation > MaxIncarnation", "",
 		[]string{"-run=TestMalformedEntries|TestMalformedKeys", "./platform"},
 	},
+	"an upstream is ignored for ever behind another writer's entry": {
+		"internal/catalog/roster/roster.go", "up.doubted = now.Sub(up.olderSince) >= olderEntryTimeout && !now.Before(rs.graceUntil)", "up.doubted = false",
+		[]string{"-run=TestEntryOfAnotherWriter|TestOlderEntryOfACopy", "./internal/catalog/roster"},
+	},
+	"an older entry replaces a newer one at once": {
+		"internal/catalog/roster/roster.go", "now.Sub(up.olderSince) >= olderEntryTimeout && ", "",
+		[]string{"-run=TestEntryOfAnotherWriter|TestOlderEntryOfACopy", "./internal/catalog/roster"},
+	},
+	"an older entry replaces a newer one while the store returns": {
+		"internal/catalog/roster/roster.go", ">= olderEntryTimeout && !now.Before(rs.graceUntil)", ">= olderEntryTimeout",
+		[]string{"-run=TestEntryOfAnotherWriter|TestOlderEntryOfACopy", "./internal/catalog/roster"},
+	},
+	"an entry that an older one has replaced comes back": {
+		"internal/catalog/roster/roster.go", "case known && up.replaced != nil && en.isSameVersion(*up.replaced):", "case false:",
+		[]string{"-run=TestEntryOfAnotherWriter|TestOlderEntryOfACopy", "./internal/catalog/roster"},
+	},
+	"an upstream leaves as another writer's entry said": {
+		"internal/catalog/roster/roster.go", "!up.doubted && (up.Draining", "(up.Draining",
+		[]string{"-run=TestEntryOfAnotherWriter|TestOlderEntryOfACopy", "./internal/catalog/roster"},
+	},
+	"older entries count although a newer one has come": {
+		"internal/catalog/roster/roster.go", "up.olderSince, up.doubted = clock.Never, false", "up.doubted = false",
+		[]string{"-run=TestEntryOfAnotherWriter|TestOlderEntryOfACopy", "./internal/catalog/roster"},
+	},
 	"a draining upstream gets requests": {
 		"internal/fleet/gateway/loop.go", "refuseAt := up.LeavingAt", "refuseAt := clock.Never",
 		[]string{"-run=TestDrainWhileStoreRefusesLeader", "./internal/stand/deployment"},
