Check the entries that other hosts pass on as the store's are checked

Durations beyond 2^63 ns wrapped around, so that 2^61 us and a second passed for a second.

Decode now checks entries by roster.Entry.Check, the same bounds as for rows. A malformed one is left out and the others of its message hold; in a delta its upstream is gone, as it is for a reader of the store. The host's list then has another digest than the leader's, so the leader sends it whole lists instead of deltas while the entry stays. Durations above 100 years are read as 100 years, in all messages, and what would have been negative too.

--- a/internal/fleet/gateway/peers.go
+++ b/internal/fleet/gateway/peers.go
@@ -83,9 +83,9 @@
 		gw.updateFreshness(now, ms)
 		gw.updateAgent(agent.HeartbeatMsg{Heartbeat: ms, From: ev.from.String()})
 	case protocol.Roster:
-		gw.handleRosterPart(now, ms)
+		gw.handleRosterPart(now, ms, ev.from)
 	case protocol.RosterDelta:
-		gw.handleRosterDelta(now, ms)
+		gw.handleRosterDelta(now, ms, ev.from)
 	case protocol.Assignment:
 		gw.handleAssignmentPart(ev.from, ms)
 	case protocol.AssignmentDelta:
--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -519,6 +519,18 @@
 		"internal/catalog/roster/roster.go", "up.olderSince, up.doubted = clock.Never, false", "up.doubted = false",
 		[]string{"-run=TestEntryOfAnotherWriter|TestOlderEntryOfACopy", "./internal/catalog/roster"},
 	},
+	"an entry that another host passes on is not checked": {
+		"internal/peer/protocol/roster.go", "err := en.Check()", "var err error",
+		[]string{"-run=TestMalformedEntriesOfOthers|TestColdTimeOfOthers", "./internal/peer/protocol"},
+	},
+	"an upstream stays whose changed entry is malformed": {
+		"internal/peer/protocol/roster.go", "ms.Gone = append(ms.Gone, codeEntries(cd, &ms.Entries, &ms.Malformed)...)", "codeEntries(cd, &ms.Entries, &ms.Malformed)",
+		[]string{"-run=TestMalformedEntriesOfOthers|TestColdTimeOfOthers", "./internal/peer/protocol"},
+	},
+	"a number of microseconds overflows": {
+		"internal/peer/protocol/codec.go", "min(micros, maxMicros)", "micros",
+		[]string{"-run=TestMalformedEntriesOfOthers|TestColdTimeOfOthers", "./internal/peer/protocol"},
+	},
 	"a draining upstream gets requests": {
 		"internal/fleet/gateway/loop.go", "refuseAt := up.LeavingAt", "refuseAt := clock.Never",
 		[]string{"-run=TestDrainWhileStoreRefusesLeader", "./internal/stand/deployment"},
--- a/internal/peer/protocol/codec.go
+++ b/internal/peer/protocol/codec.go
@@ -77,13 +77,17 @@
 	}
 }
 
+// maxMicros is the longest duration that is read, 100 years: longer ones would overflow
+// in nanoseconds or in a sum with a present time.
+const maxMicros = 100 * 365 * 24 * uint64(time.Hour/time.Microsecond)
+
 // duration codes a duration in microseconds, a negative one as 0. Hosts send
 // durations instead of times because their clocks are never compared.
 func duration(cd *codec, value *time.Duration) {
-	micros := max(value.Microseconds(), 0)
+	micros := uint64(max(value.Microseconds(), 0))
 	varint(cd, &micros)
 	if cd.reading {
-		*value = time.Duration(micros) * time.Microsecond
+		*value = time.Duration(min(micros, maxMicros)) * time.Microsecond
 	}
 }
 
--- a/internal/peer/protocol/roster.go
+++ b/internal/peer/protocol/roster.go
@@ -1,8 +1,11 @@
 package protocol
 
 import (
+	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"chervilwalk/internal/base/ident"
 	"chervilwalk/internal/catalog/roster"
 )
@@ -17,6 +20,8 @@
 	GraceLeft   time.Duration
 	Part, Parts int
 	Entries     []roster.Entry
+	// Malformed are the errors of the entries that Decode has left out.
+	Malformed []error
 }
 
 // RosterDelta carries the changes of the upstream entries, with Version and
@@ -26,6 +31,9 @@
 	Version   uint64
 	GraceLeft time.Duration
 	roster.Delta
+	// Malformed are the errors of the entries that Decode has left out. Their upstreams
+	// are gone, as with malformed rows of the store.
+	Malformed []error
 }
 
 func (ms *Roster) code(cd *codec) {
@@ -34,7 +42,26 @@
 	duration(cd, &ms.GraceLeft)
 	varint(cd, &ms.Part)
 	varint(cd, &ms.Parts)
-	list(cd, &ms.Entries, func(en *roster.Entry) { codeEntry(cd, en) })
+	codeEntries(cd, &ms.Entries, &ms.Malformed)
+}
+
+// codeEntries codes entries. On reading, those beyond the bounds in package roster are
+// left out; it returns the ids of these.
+func codeEntries(cd *codec, entries *[]roster.Entry, malformed *[]error) []ident.Upstream {
+	list(cd, entries, func(en *roster.Entry) { codeEntry(cd, en) })
+	if !cd.reading || cd.err != nil {
+		return nil
+	}
+	var ids []ident.Upstream
+	*entries = slices.DeleteFunc(*entries, func(en roster.Entry) bool {
+		err := en.Check()
+		if err != nil {
+			ids = append(ids, en.ID)
+			*malformed = append(*malformed, eris.Errorf("entry %.200q: %.300s", en.ID, err.Error()))
+		}
+		return err != nil
+	})
+	return ids
 }
 
 func codeEntry(cd *codec, en *roster.Entry) {
@@ -55,5 +82,5 @@
 	duration(cd, &ms.GraceLeft)
 	varint(cd, &ms.Base)
 	list(cd, &ms.Gone, func(id *ident.Upstream) { text(cd, id) })
-	list(cd, &ms.Entries, func(en *roster.Entry) { codeEntry(cd, en) })
+	ms.Gone = append(ms.Gone, codeEntries(cd, &ms.Entries, &ms.Malformed)...)
 }
