Cut lists of entries into datagrams by bytes

Whole lists were cut by count, 120 entries to a datagram, which a usual entry of 90 bytes makes 11 KB. Entries with texts of 200 bytes, which the platform allows, made datagrams of 80 KB: more than the 16 KB that receivers read and than UDP carries, so members never had the list from the leader and read the store themselves. The limit on whole lists counted 90 bytes an entry as well.

Parts now hold up to 11 KB of encoded entries, and the limit counts the encoded size. Part and Parts mean what they did, so earlier builds understand the parts, whatever their number; 261 entries of the largest size make 17. TestByteBudget keeps its figures, with the usual size of an entry in the test.

TestRosterPartBytes failed before: 12488 bytes "to be <= 12288" for texts of 8 bytes beside a long address, and 3 parts "to be >= 12" for the longest texts. My first bound for those in the test, 16 parts, was one too low: 683 bytes an entry make 16 to a part. The mutant that cuts by count is noticed.

--- a/internal/fleet/gateway/rostercache.go
+++ b/internal/fleet/gateway/rostercache.go
@@ -13,10 +13,9 @@
 )
 
 const (
-	// maxPartEntries is the maximum number of entries in one datagram.
-	maxPartEntries = 120
-	// entryBytes is the approximate size of an entry in a datagram.
-	entryBytes = 90
+	// maxPartBytes is how many bytes of encoded entries go into one datagram, which stays
+	// below maxDeltaBytes with the other fields.
+	maxPartBytes = 11 << 10
 	// wholeListBurst and wholeListRate limit what a leader sends to members that need
 	// all entries, in bytes and bytes per second: at hundreds of hosts and thousands
 	// of upstreams such lists would keep heartbeats from its link. Members that wait
@@ -161,7 +160,7 @@
 // sendWholeRoster sends all entries in parts, or nothing if too much was sent lately; the
 // next heartbeat is the next attempt.
 func (gw *Gateway) sendWholeRoster(now clock.Instant, to netip.AddrPort, encode func() [][]byte) {
-	if !gw.cache.wholeLists.take(now, entryBytes*len(gw.cache.entries), wholeListBurst, wholeListRate) {
+	if !gw.cache.wholeLists.take(now, gw.cache.listBytes(), wholeListBurst, wholeListRate) {
 		return
 	}
 	for _, datagram := range encode() {
@@ -169,18 +168,40 @@
 	}
 }
 
+// listBytes returns the size of all entries in datagrams.
+func (rc *rosterCache) listBytes() int {
+	sum := 0
+	for ix := range rc.entries {
+		sum += protocol.EntryBytes(&rc.entries[ix])
+	}
+	return sum
+}
+
+// parts cuts the entries into lists for one datagram each; there is at least one.
+func (rc *rosterCache) parts() [][]roster.Entry {
+	var parts [][]roster.Entry
+	start, size := 0, 0
+	for ix := range rc.entries {
+		entryBytes := protocol.EntryBytes(&rc.entries[ix])
+		if size+entryBytes > maxPartBytes && ix > start {
+			parts = append(parts, rc.entries[start:ix])
+			start, size = ix, 0
+		}
+		size += entryBytes
+	}
+	return append(parts, rc.entries[start:])
+}
+
 // encodeRoster returns the datagrams with all entries.
 func (gw *Gateway) encodeRoster(now clock.Instant) [][]byte {
-	rc := &gw.cache
-	count := max((len(rc.entries)+maxPartEntries-1)/maxPartEntries, 1)
-	parts := make([][]byte, 0, count)
-	for part := range count {
-		entries := rc.entries[min(part*maxPartEntries, len(rc.entries)):min((part+1)*maxPartEntries, len(rc.entries))]
-		parts = append(parts, protocol.Encode(protocol.Roster{
-			Term: gw.agent.Term(), Version: rc.version, GraceLeft: gw.roster.GraceLeft(now), Part: part, Parts: count, Entries: entries,
+	parts := gw.cache.parts()
+	datagrams := make([][]byte, 0, len(parts))
+	for part, entries := range parts {
+		datagrams = append(datagrams, protocol.Encode(protocol.Roster{
+			Term: gw.agent.Term(), Version: gw.cache.version, GraceLeft: gw.roster.GraceLeft(now), Part: part, Parts: len(parts), Entries: entries,
 		}))
 	}
-	return parts
+	return datagrams
 }
 
 // handleRosterPart handles a part of the entries from a leader.
--- a/internal/fleet/gateway/rostercache_test.go
+++ b/internal/fleet/gateway/rostercache_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -9,6 +11,7 @@
 	"chervilwalk/internal/base/clock"
 	"chervilwalk/internal/base/ident"
 	"chervilwalk/internal/catalog/assignment"
+	"chervilwalk/internal/catalog/roster"
 	"chervilwalk/internal/ownership/agent"
 	"chervilwalk/internal/peer/protocol"
 )
@@ -57,6 +60,8 @@
 // TestByteBudget sends lists of the sizes that a leader meets: at hundreds of hosts what
 // it sends stays within the rate, and a single large list is sent all the same.
 func TestByteBudget(t *testing.T) {
+	// entryBytes is the usual size of an entry in a datagram.
+	const entryBytes = 90
 	for name, tc := range map[string]struct {
 		listBytes, lists int
 		minSent, maxSent int
@@ -89,3 +94,50 @@
 		})
 	}
 }
+
+// TestRosterPartBytes guards against lists in parts that receivers cannot read: entries of
+// the largest size made parts of 80 KB.
+func TestRosterPartBytes(t *testing.T) {
+	for name, tc := range map[string]struct {
+		count, textBytes  int
+		minParts, maxPart int
+	}{
+		"none":               {0, 8, 1, 1},
+		"one":                {1, 8, 1, 1},
+		"usual texts":        {261, 8, 2, 4},
+		"longest texts":      {261, roster.MaxTextBytes, 17, 17},
+		"one, longest texts": {1, roster.MaxTextBytes, 1, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			gm := NewWithT(t)
+			gw := &Gateway{agent: agent.New(assignment.Member{Host: "a"}, 1), roster: roster.New()}
+			for ix := range tc.count {
+				pad := func(text string) string {
+					return text + strings.Repeat("x", tc.textBytes-len(text))
+				}
+				gw.cache.entries = append(gw.cache.entries, roster.Entry{
+					ID: ident.Upstream(pad(strconv.Itoa(ix))), Service: ident.Service(pad("s")), Domain: ident.Domain(pad("d")),
+					Address: "[2001:0db8:ffff:ffff:ffff:ffff:255.255.255.255]:65535", Slots: roster.MaxSlots, ColdLeft: roster.MaxColdLeft, Sequence: roster.MaxSequence, Incarnation: roster.MaxIncarnation,
+				})
+			}
+			gw.cache.version = 9
+			datagrams := gw.encodeRoster(0)
+			gm.Expect(len(datagrams)).To(And(BeNumerically(">=", tc.minParts), BeNumerically("<=", tc.maxPart)))
+			var cache rosterCache
+			var entries []roster.Entry
+			sum := 0
+			for ix, datagram := range datagrams {
+				gm.Expect(len(datagram)).To(BeNumerically("<=", maxDeltaBytes))
+				sum += len(datagram)
+				msg, err := protocol.Decode(datagram)
+				gm.Expect(err).NotTo(HaveOccurred())
+				part := msg.(protocol.Roster)
+				gm.Expect(part.Malformed).To(BeEmpty())
+				gm.Expect([]int{part.Part, part.Parts}).To(Equal([]int{ix, len(datagrams)}))
+				entries, _ = cache.addPart(part)
+			}
+			gm.Expect(entries).To(Equal(gw.cache.entries))
+			gm.Expect(gw.cache.listBytes()).To(And(BeNumerically("<=", sum), BeNumerically(">", sum-100*len(datagrams))), "what the rate of lists counts")
+		})
+	}
+}
--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -531,6 +531,10 @@
 		"internal/peer/protocol/codec.go", "min(micros, maxMicros)", "micros",
 		[]string{"-run=TestMalformedEntriesOfOthers|TestColdTimeOfOthers", "./internal/peer/protocol"},
 	},
+	"lists are cut into datagrams that receivers cannot read": {
+		"internal/fleet/gateway/rostercache.go", "if size+entryBytes > maxPartBytes && ix > start {", "if ix-start == 120 {",
+		[]string{"-run=TestRosterPartBytes", "./internal/fleet/gateway"},
+	},
 	"a draining upstream gets requests": {
 		"internal/fleet/gateway/loop.go", "refuseAt := up.LeavingAt", "refuseAt := clock.Never",
 		[]string{"-run=TestDrainWhileStoreRefusesLeader", "./internal/stand/deployment"},
--- a/internal/peer/protocol/roster.go
+++ b/internal/peer/protocol/roster.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/encoding/protowire"
 
 	"chervilwalk/internal/base/ident"
 	"chervilwalk/internal/catalog/roster"
@@ -45,6 +46,16 @@
 	codeEntries(cd, &ms.Entries, &ms.Malformed)
 }
 
+// EntryBytes returns the size of an entry in a message.
+func EntryBytes(en *roster.Entry) int {
+	sum := protowire.SizeVarint(uint64(en.Slots)) + protowire.SizeVarint(protowire.EncodeBool(en.Draining)) +
+		protowire.SizeVarint(uint64(max(en.ColdLeft.Microseconds(), 0))) + protowire.SizeVarint(en.Sequence) + protowire.SizeVarint(uint64(en.Incarnation))
+	for _, field := range [...]int{len(en.ID), len(en.Service), len(en.Address), len(en.Domain)} {
+		sum += protowire.SizeBytes(field)
+	}
+	return sum
+}
+
 // codeEntries codes entries. On reading, those beyond the bounds in package roster are
 // left out; it returns the ids of these.
 func codeEntries(cd *codec, entries *[]roster.Entry, malformed *[]error) []ident.Upstream {
