Log at most 20 malformed entries a minute

Hundreds of odd entries that change at each heartbeat gave a line each at each reader of the store, one for each version: 300 of the 400 lines that the log takes a second, where other events are dropped. One that alternates wrote a line a second for as long as it did.

A host logs 20 of them a minute now, and the next line after that says in `omitted` how many were left out; those of a leader's messages count with them.

--- a/internal/fleet/gateway/entries.go
+++ b/internal/fleet/gateway/entries.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 
@@ -95,3 +96,50 @@
 	}
 	return added
 }
+
+const (
+	// maxMalformedLines is how many malformed entries are logged in malformedLinesInterval:
+	// hundreds of them, or some that change at each heartbeat, must leave room for other
+	// events.
+	maxMalformedLines      = 20
+	malformedLinesInterval = time.Minute
+)
+
+// malformedLines limits the lines about malformed entries. The zero value is ready to use.
+type malformedLines struct {
+	lines, omitted int
+	endsAt         clock.Instant
+}
+
+// take returns whether a malformed entry is logged, and how many were left out before it.
+func (ml *malformedLines) take(now clock.Instant) (omitted int, logged bool) {
+	if now >= ml.endsAt {
+		ml.lines, ml.endsAt = 0, now.Add(malformedLinesInterval)
+	}
+	if ml.lines >= maxMalformedLines {
+		ml.omitted++
+		return 0, false
+	}
+	ml.lines++
+	omitted, ml.omitted = ml.omitted, 0
+	return omitted, true
+}
+
+// logMalformedRows logs rows of the store that name no upstream.
+func (gw *Gateway) logMalformedRows(now clock.Instant, malformed []platform.MalformedEntry) {
+	for _, me := range malformed {
+		if omitted, logged := gw.malformedLines.take(now); logged {
+			gw.config.Log.ErrorEvent("entryMalformed", me.Err, eventlog.Fields{"key": me.Key, "version": me.Version, "omitted": omitted})
+		}
+	}
+}
+
+// logMalformed logs the entries of a leader's message that were left out. The host's list
+// then has another digest than the leader's, so the leader sends it whole lists.
+func (gw *Gateway) logMalformed(now clock.Instant, malformed []error, from netip.AddrPort) {
+	for _, err := range malformed {
+		if omitted, logged := gw.malformedLines.take(now); logged {
+			gw.config.Log.ErrorEvent("entryMalformed", err, eventlog.Fields{"from": from.String(), "omitted": omitted})
+		}
+	}
+}
--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -153,6 +153,7 @@
 	lastEncoded       encodedTable
 	lastDiff          tableDiff
 	cache             rosterCache
+	malformedLines    malformedLines
 }
 
 // Start opens the sockets of a gateway and starts its goroutines.
--- a/internal/fleet/gateway/loop.go
+++ b/internal/fleet/gateway/loop.go
@@ -199,9 +199,7 @@
 // applyRosterRead applies the upstream entries that this host has just read.
 func (gw *Gateway) applyRosterRead(ev rosterEvent) {
 	now := gw.clock.Now()
-	for _, me := range ev.malformed {
-		gw.config.Log.ErrorEvent("entryMalformed", me.Err, eventlog.Fields{"key": me.Key, "version": me.Version})
-	}
+	gw.logMalformedRows(now, ev.malformed)
 	if known := platform.Version(gw.cache.version); known != 0 && known.Era() != ev.version.Era() {
 		gw.config.Log.Event("storeEra", eventlog.Fields{"era": ev.version.Era(), "before": known.Era(), "entries": len(ev.entries)})
 		ev.away = true
--- a/internal/fleet/gateway/rostercache.go
+++ b/internal/fleet/gateway/rostercache.go
@@ -7,7 +7,6 @@
 
 	"chervilwalk/internal/base/clock"
 	"chervilwalk/internal/catalog/roster"
-	"chervilwalk/internal/operations/eventlog"
 	"chervilwalk/internal/ownership/agent"
 	"chervilwalk/internal/peer/protocol"
 )
@@ -210,7 +209,7 @@
 	if ms.Term < gw.agent.Term() || ms.Version <= rc.version || ms.Parts < 1 || ms.Part < 0 || ms.Part >= ms.Parts {
 		return
 	}
-	gw.logMalformed(ms.Malformed, from)
+	gw.logMalformed(now, ms.Malformed, from)
 	if entries, complete := rc.addPart(ms); complete {
 		gw.applyLeaderEntries(now, entries, ms.Version, ms.GraceLeft)
 	}
@@ -222,20 +221,12 @@
 	if ms.Term < gw.agent.Term() || ms.Version <= gw.cache.version {
 		return
 	}
-	gw.logMalformed(ms.Malformed, from)
+	gw.logMalformed(now, ms.Malformed, from)
 	if entries, ok := ms.Apply(gw.cache.entries); ok {
 		gw.applyLeaderEntries(now, entries, ms.Version, ms.GraceLeft)
 	}
 }
 
-// logMalformed logs the entries of a leader's message that were left out. The host's list
-// then has another digest than the leader's, so the leader sends it whole lists.
-func (gw *Gateway) logMalformed(malformed []error, from netip.AddrPort) {
-	for _, err := range malformed {
-		gw.config.Log.ErrorEvent("entryMalformed", err, eventlog.Fields{"from": from.String()})
-	}
-}
-
 // applyLeaderEntries applies entries received from a leader.
 func (gw *Gateway) applyLeaderEntries(now clock.Instant, entries []roster.Entry, version uint64, graceLeft time.Duration) {
 	rc := &gw.cache
--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -535,6 +535,10 @@
 		"internal/fleet/gateway/rostercache.go", "if size+entryBytes > maxPartBytes && ix > start {", "if ix-start == 120 {",
 		[]string{"-run=TestRosterPartBytes", "./internal/fleet/gateway"},
 	},
+	"malformed entries fill the log": {
+		"internal/fleet/gateway/entries.go", "if ml.lines >= maxMalformedLines {", "if false {",
+		[]string{"-run=TestMalformedEntryL", "./internal/fleet/gateway"},
+	},
 	"a draining upstream gets requests": {
 		"internal/fleet/gateway/loop.go", "refuseAt := up.LeavingAt", "refuseAt := clock.Never",
 		[]string{"-run=TestDrainWhileStoreRefusesLeader", "./internal/stand/deployment"},
