Bound the numbers in which upstreams speak of themselves

A latency of 2^63-1 percent and a limit of 300 digits passed as well. The decoders checked signs and syntax only.

Numbers of a load above 2^20 make it malformed, as a negative one does, and the answer says nothing of its load. A limit above a million requests a second is malformed; the last one stays in force, as with any malformed one. There is no header Cold-Remaining in this build. Request-Deadline was bounded already.

Three mutants are noticed. That a sum overflowed is read, not run.

--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -539,6 +539,18 @@
 		"internal/fleet/gateway/entries.go", "if ml.lines >= maxMalformedLines {", "if false {",
 		[]string{"-run=TestMalformedEntryL", "./internal/fleet/gateway"},
 	},
+	"an upstream's load has any number": {
+		"platform/headers.go", " || number > maxLoadNumber", "",
+		[]string{"-run=TestDecodeReport|TestDecodeLimit", "./platform"},
+	},
+	"an upstream's limit is any number": {
+		"platform/headers.go", "number > maxRequestRate || ", "",
+		[]string{"-run=TestDecodeReport|TestDecodeLimit", "./platform"},
+	},
+	"an upstream pauses for any time": {
+		"platform/headers.go", "seconds(min(secs, maxPause.Seconds()))", "seconds(secs)",
+		[]string{"-run=TestDecodeReport|TestDecodeLimit", "./platform"},
+	},
 	"a draining upstream gets requests": {
 		"internal/fleet/gateway/loop.go", "refuseAt := up.LeavingAt", "refuseAt := clock.Never",
 		[]string{"-run=TestDrainWhileStoreRefusesLeader", "./internal/stand/deployment"},
