--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -551,6 +551,10 @@
 		"platform/headers.go", "seconds(min(secs, maxPause.Seconds()))", "seconds(secs)",
 		[]string{"-run=TestDecodeReport|TestDecodeLimit", "./platform"},
 	},
+	"an entry of the store is not checked": {
+		"platform/discovery.go", "return en, en.Check()", "return en, nil",
+		[]string{"-run=FuzzEntryToRoster", "./internal/fleet/gateway"},
+	},
 	"a draining upstream gets requests": {
 		"internal/fleet/gateway/loop.go", "refuseAt := up.LeavingAt", "refuseAt := clock.Never",
 		[]string{"-run=TestDrainWhileStoreRefusesLeader", "./internal/stand/deployment"},
