--- a/internal/fleet/gateway/entryfuzz_test.go
+++ b/internal/fleet/gateway/entryfuzz_test.go
@@ -22,7 +22,7 @@
 // upstream must be in both, both must be the same, and what the other row says must be
 // within the bounds. The row is then removed, and a delta must remove it at the member.
 func FuzzEntryToRoster(f *testing.F) {
-	const real = `{"service":"lookup","address":"127.0.0.1:9001","zone":"a","state":"ready","slots":4,"cold-left-s":0,"sequence":7,"born":1776784341027}`
+	const realEntry = `{"service":"lookup","address":"127.0.0.1:9001","zone":"a","state":"ready","slots":4,"cold-left-s":0,"sequence":7,"born":1776784341027}`
 	for _, replaced := range [][2]string{
 		{"", ""},
 		{`"slots":4`, `"slots":2147483648`},
@@ -36,20 +36,20 @@
 		{`"lookup"`, `"` + strings.Repeat("s", 50_000) + `"`},
 		{`"lookup"`, `"\u0000"`},
 		{`"lookup"`, strings.Repeat("[", 20_000)},
-		{real, "null"},
-		{real, ""},
-		{real, "\xff"},
+		{realEntry, "null"},
+		{realEntry, ""},
+		{realEntry, "\xff"},
 	} {
-		f.Add("i-odd", []byte(strings.Replace(real, replaced[0], replaced[1], 1)))
+		f.Add("i-odd", []byte(strings.Replace(realEntry, replaced[0], replaced[1], 1)))
 	}
-	f.Add("i-real", []byte(real))
-	f.Add("", []byte(real))
-	f.Add(strings.Repeat("i", 50_000), []byte(real))
+	f.Add("i-real", []byte(realEntry))
+	f.Add("", []byte(realEntry))
+	f.Add(strings.Repeat("i", 50_000), []byte(realEntry))
 	f.Fuzz(func(t *testing.T, key string, value []byte) {
 		if key == "i-real" {
 			key = "i-odd"
 		}
-		realRow := platform.Row{Key: "i-real", Value: []byte(real), Version: 1}
+		realRow := platform.Row{Key: "i-real", Value: []byte(realEntry), Version: 1}
 		var log bytes.Buffer
 		gw := &Gateway{agent: agent.New(assignment.Member{Host: "a"}, 1), roster: roster.New()}
 		gw.config.Log = eventlog.New(&log, "a")
