--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -555,6 +555,14 @@
 		"platform/discovery.go", "return en, en.Check()", "return en, nil",
 		[]string{"-run=FuzzEntryToRoster", "./internal/fleet/gateway"},
 	},
+	"hosts follow an entry that cannot be right": {
+		"platform/discovery.go", "return en, en.Check()", "return en, nil",
+		[]string{"-run=TestEntriesOfAnotherWriter/hundreds", "./internal/stand/deployment"},
+	},
+	"hosts follow another writer's entry for ever": {
+		"internal/catalog/roster/roster.go", "up.doubted = now.Sub(up.olderSince) >= olderEntryTimeout && !now.Before(rs.graceUntil)", "up.doubted = false",
+		[]string{"-run=TestEntriesOfAnotherWriter/a_", "./internal/stand/deployment"},
+	},
 	"a draining upstream gets requests": {
 		"internal/fleet/gateway/loop.go", "refuseAt := up.LeavingAt", "refuseAt := clock.Never",
 		[]string{"-run=TestDrainWhileStoreRefusesLeader", "./internal/stand/deployment"},
