Take over a leader's row that cannot be decoded

Callers were refused: another writer leaves a leader's row that is no text or empty, no host can read the rows any more, no host leads, and keys whose upstream goes have no owner. Of 80 calm requests after such a row and one upstream that leaves, 48 were refused, for as long as the row stayed. With a freeze of 285 years in the row (frozenMs 9e12) no key moved: 17 of 79.

Cause: readOwnRows took a row that cannot be decoded for a read that failed. A term of 2^64-1 was adopted, and the next one wrapped to 0, which no other host follows; the freeze was not bounded.

Now such a row is taken over as that of a leader which stopped: after 1.7 s without a change and without heartbeats. What it said is unknown, so the claim assumes the worst: an earlier leader may be active, no key moves for 12 s (above the 11.5 s of lostGrantTTL), and the term is above the store's version, since each term took a write.

--- a/internal/base/era/era.go
+++ b/internal/base/era/era.go
@@ -16,8 +16,19 @@
 	counterBits = 32
 	// versionBits is the same for versions of the store, which count every write.
 	versionBits = 44
+	// maxBits is the width of a number with its era.
+	maxBits = 53
 )
 
+// MaxCounter is the highest counter below the era that is accepted from elsewhere. As
+// many are left for what follows, so that a counter never runs into the next era.
+const MaxCounter = 1<<(counterBits-1) - 1
+
+// InRange reports whether a number with its era leaves room for later ones.
+func InRange[T ~uint64](number T) bool {
+	return number < 1<<maxBits && number&(1<<counterBits-1) <= MaxCounter
+}
+
 // First returns the number below all those of an era.
 func First[T ~uint64](er Era) T { return T(er) << counterBits }
 
--- a/internal/fleet/gateway/store.go
+++ b/internal/fleet/gateway/store.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"chervilwalk/internal/base/clock"
 	"chervilwalk/internal/base/era"
 	"chervilwalk/internal/base/ident"
@@ -253,7 +255,13 @@
 			ms.EraRowVersion = election.Version(rw.Version)
 		case leaderKey:
 			ms.RowVersion = election.Version(rw.Version)
-			ms.Row, err = election.Decode(rw.Value)
+			var rowErr error
+			if ms.Row, rowErr = election.Decode(rw.Value); rowErr == nil && era.Of(ms.Row.Term) > ms.Era {
+				rowErr = eris.Errorf("leader row: term %d is of a later era than the store's, %d", ms.Row.Term, ms.Era)
+			}
+			if ms.RowUnreadable = rowErr != nil; ms.RowUnreadable {
+				gw.config.Log.ErrorEvent("leaderRowMalformed", rowErr, eventlog.Fields{"version": rw.Version})
+			}
 		case assignmentKey:
 			ms.TableVersion = election.Version(rw.Version)
 			ms.Table, err = assignment.Decode(rw.Value)
--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -87,6 +87,26 @@
 		"internal/ownership/leader/move.go", "return end.Add(renewal.CallTimeout)", "return mv.storedAt",
 		[]string{"-run=TestDisturbances", "./internal/ownership/agent"},
 	},
+	"a leader's row that cannot be decoded is not taken over": {
+		"internal/fleet/gateway/store.go", "if ms.RowUnreadable = rowErr != nil; ms.RowUnreadable {", "if err = rowErr; err != nil {",
+		[]string{"-run=TestOddLeaderRow", "./internal/stand/deployment"},
+	},
+	"a leader's row that cannot be decoded is taken over at once": {
+		"internal/ownership/election/election.go", "	if now.Sub(co.rowChangedAt) < staleTimeout || now.Sub(co.leaderHeardAt) < heartbeatTimeout {\n		co.freeSince", "	if false {\n		co.freeSince",
+		[]string{"./internal/ownership/election"},
+	},
+	"the claim of a row that cannot be decoded has a term of the past": {
+		"internal/ownership/election/election.go", "		if co.unreadable {\n", "		if false {\n",
+		[]string{"./internal/ownership/election"},
+	},
+	"a term that no other can follow is read": {
+		"internal/ownership/election/codec.go", "case !era.InRange(st.Term):", "case !era.InRange(st.Term) && false:",
+		[]string{"./internal/ownership/election"},
+	},
+	"a freeze without end is read": {
+		"internal/ownership/election/codec.go", "min(max(st.FrozenMs, 0), MaxFrozen.Milliseconds())", "max(st.FrozenMs, 0)",
+		[]string{"./internal/ownership/election"},
+	},
 	"an epoch is used twice": {
 		"internal/catalog/assignment/assignment.go", "	tb.LastEpoch++\n", "",
 		[]string{"-run=TestDisturbances", "./internal/ownership/agent"},
--- a/internal/ownership/agent/message.go
+++ b/internal/ownership/agent/message.go
@@ -37,6 +37,8 @@
 	EraRowVersion election.Version
 	Row           election.Row
 	RowVersion    election.Version
+	// RowUnreadable means that the leader's row exists and could not be decoded.
+	RowUnreadable bool
 	Table         *assignment.Table
 	TableVersion  election.Version
 }
--- a/internal/ownership/agent/writes.go
+++ b/internal/ownership/agent/writes.go
@@ -43,7 +43,7 @@
 		otherTable = ms.TableVersion != co.tableVersion
 		co.tableVersion, co.eraRowVersion = ms.TableVersion, ms.EraRowVersion
 	}
-	co.updateElection(now, election.RowMsg{Era: ms.Era, Row: ms.Row, Version: ms.RowVersion, StartedAt: ms.StartedAt})
+	co.updateElection(now, election.RowMsg{Era: ms.Era, Row: ms.Row, Version: ms.RowVersion, StartedAt: ms.StartedAt, Unreadable: ms.RowUnreadable})
 	if co.writes.awaitingRead || otherTable {
 		// The next write expects the table that was read, so its revision must
 		// follow that of this table.
--- a/internal/ownership/election/election.go
+++ b/internal/ownership/election/election.go
@@ -43,6 +43,10 @@
 	StepDownTimeout = 5 * time.Second
 )
 
+// MaxFrozen is the longest Row.Frozen: at least the time for which a grant of a lost
+// assignment can be valid.
+const MaxFrozen = 12 * time.Second
+
 // Row is the row in the store that names the leader. A row without a host is
 // free to take.
 type Row struct {
@@ -66,6 +70,8 @@
 	Row       Row
 	Version   Version
 	StartedAt clock.Instant
+	// Unreadable means that the row exists and could not be decoded.
+	Unreadable bool
 }
 
 // EraMsg reports that the store came back from an older copy.
@@ -135,9 +141,11 @@
 	// uncontested is set if, besides, no other host can have led in between.
 	uncontested bool
 	// inFlight is true while a read or write has not returned.
-	inFlight       bool
-	row            Row
-	version        Version
+	inFlight bool
+	row      Row
+	version  Version
+	// unreadable is true while the newest known version of the row cannot be decoded.
+	unreadable     bool
 	rowChangedAt   clock.Instant
 	leaderHeardAt  clock.Instant
 	readStartedAt  clock.Instant
@@ -211,6 +219,12 @@
 	rw.Term = co.row.Term
 	if !co.leading {
 		rw.Term = max(rw.Term, era.First[protocol.Term](co.era)) + 1
+		if co.unreadable {
+			// The last term may be one that this host has never heard of. Each term took
+			// a write, so the store's version is at least as high.
+			_, version := era.Split(co.version)
+			rw.Term = max(rw.Term, era.First[protocol.Term](co.era)+protocol.Term(min(uint64(version), era.MaxCounter))+1)
+		}
 	}
 	rw.Settled, rw.Frozen = co.leading && co.settled, co.frozen
 	if !co.leading {
@@ -266,8 +280,12 @@
 	if ms.Version != co.version || first {
 		co.rowChangedAt = now
 	}
+	co.version, co.unreadable = ms.Version, ms.Unreadable
+	if ms.Unreadable {
+		co.handleUnreadable(now)
+		return
+	}
 	changed := ms.Row != co.row
-	co.version = ms.Version
 	if ms.Row.Term >= co.row.Term {
 		co.row = ms.Row
 	}
@@ -291,12 +309,27 @@
 	co.claimable = now.Sub(co.freeSince) >= co.claimDelay()
 }
 
+// unreadableHost stands for the unknown leader whose row cannot be decoded.
+const unreadableHost ident.Host = "(unreadable)"
+
+// handleUnreadable handles a row that cannot be decoded. Its last leader and freeze are
+// unknown: it is taken over like that of a leader which stopped, with the longest freeze.
+func (co *Core) handleUnreadable(now clock.Instant) {
+	co.row, co.leading = Row{Term: co.row.Term, Host: unreadableHost, Frozen: MaxFrozen}, false
+	if now.Sub(co.rowChangedAt) < staleTimeout || now.Sub(co.leaderHeardAt) < heartbeatTimeout {
+		co.freeSince, co.claimable = clock.Never, false
+		return
+	}
+	co.freeSince = min(co.freeSince, now)
+	co.claimable = now.Sub(co.freeSince) >= co.claimDelay()
+}
+
 // enterEra forgets what this host knew of the store's row: the store may have lost it.
 func (co *Core) enterEra(now clock.Instant, er era.Era) {
 	co.uncontested = co.leading && now.Sub(co.confirmedAt) < staleTimeout || co.ledLast && co.uncontested
 	co.ledLast = co.leading || co.ledLast
 	co.era, co.leading, co.settled = er, false, false
-	co.version, co.rowKnown, co.rowChangedAt = 0, false, now
+	co.version, co.rowKnown, co.unreadable, co.rowChangedAt = 0, false, false, now
 	co.freeSince, co.claimable = clock.Never, false
 }
 
@@ -307,7 +340,9 @@
 	if er, _ := era.Split(ms.RowVersion); er > co.era {
 		co.enterEra(now, er)
 	}
-	if ms.Term > co.row.Term {
+	// A version above that of an unreadable row means that the leader wrote it again.
+	if ms.Term > co.row.Term || co.unreadable && ms.RowVersion > co.version {
+		co.unreadable = false
 		co.leading, co.ledLast, co.uncontested = false, false, false
 		co.row = Row{Term: ms.Term, Host: ms.Host, Address: ms.Address}
 	}
@@ -330,7 +365,7 @@
 }
 
 func (co *Core) handleWritten(now clock.Instant, ms WrittenMsg) {
-	co.row = ms.Row
+	co.row, co.unreadable = ms.Row, false
 	co.leading, co.claimable = ms.Row.Host == co.self.Host, false
 	co.version, co.rowChangedAt, co.writeStartedAt, co.confirmedAt = ms.Version, now, ms.StartedAt, ms.StartedAt
 }
