Say with the first claim of an era that no key may move

A key could have two owners: the store comes back empty, a host that has just started leads for 0.3 s, and a host that remembers the assignment takes over. It found a row without a freeze and an empty assignment of the new era, and gave out keys whose grants were valid for seconds more.

Cause: a leader writes the freeze with its second write of the row; the first one is the claim, which took the freeze from the row of the earlier era.

Found by TestRandomDisturbances with the rows of other writers among its disturbances, though none is in the shrunk play: "VIOLATION h0 granted key 1024 with epoch to u0 while u2 holds it with epoch 12".

--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -131,6 +131,10 @@
 		"internal/catalog/assignment/codec.go", "mb.Fitness > maxFitness {", "false {",
 		[]string{"./internal/catalog/assignment"},
 	},
+	"the first claim of an era does not say that no key may move": {
+		"internal/ownership/election/election.go", "			rw.Frozen = MaxFrozen\n", "",
+		[]string{"-run=TestFirstClaimOfEra", "./internal/ownership/election"},
+	},
 	"an epoch is used twice": {
 		"internal/catalog/assignment/assignment.go", "	tb.LastEpoch++\n", "",
 		[]string{"-run=TestDisturbances", "./internal/ownership/agent"},
--- a/internal/ownership/election/codec_test.go
+++ b/internal/ownership/election/codec_test.go
@@ -93,3 +93,17 @@
 	co.Update(now, election.HeartbeatMsg{Term: 5, Host: "b", Address: "10.0.0.2:1", RowVersion: 9})
 	gm.Expect(co.Leader().Address).To(Equal("10.0.0.2:1"))
 }
+
+// TestFirstClaimOfEra guards against a leader that ends right after the first claim in an era
+// of the store, before it has written that no key may move.
+func TestFirstClaimOfEra(t *testing.T) {
+	gm := NewWithT(t)
+	co := election.New("a", "10.0.0.1:1", 1, 0.8)
+	now := clock.Instant(time.Hour)
+	co.Update(now, election.RowMsg{Row: election.Row{Term: 5}, Version: 7, StartedAt: now})
+	row, _ := co.Proposal()
+	gm.Expect(row.Frozen).To(BeZero())
+	co.Update(now, election.EraMsg{Era: 1})
+	row, _ = co.Proposal()
+	gm.Expect(row.Frozen).To(Equal(election.MaxFrozen))
+}
--- a/internal/ownership/election/election.go
+++ b/internal/ownership/election/election.go
@@ -229,6 +229,11 @@
 	rw.Settled, rw.Frozen = co.leading && co.settled, co.frozen
 	if !co.leading {
 		rw.Frozen = co.row.Frozen
+		if era.Of(co.row.Term) < co.era {
+			// The first leader of an era knows only after its claim whether the store has lost
+			// an assignment. Whoever takes over before its next write must assume so.
+			rw.Frozen = MaxFrozen
+		}
 	}
 	if co.resigning {
 		// A row without a host is free to take.
