Refuse or bound what no message between hosts can mean

Cause: the codec cut numbers off to the field's type and bounded none.

Now numbers that do not fit their field, counts, pools, parts and fitness below 0 or above 2^24, terms, revisions and epochs without room, and reversed ranges make a datagram malformed, which is logged and dropped as before. Durations are at most a year; an answer counts for at least 10 us. What upstreams say in a Done is clamped: without it a permit would stay taken.

Allocation by a stated count was bounded already, by the bytes that are left.

--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -135,6 +135,38 @@
 		"internal/ownership/election/election.go", "			rw.Frozen = MaxFrozen\n", "",
 		[]string{"-run=TestFirstClaimOfEra", "./internal/ownership/election"},
 	},
+	"a number of a message is cut off": {
+		"internal/peer/protocol/codec.go", "if uint64(T(number)) != number {", "if false {",
+		[]string{"./internal/peer/protocol"},
+	},
+	"a count of a message is negative": {
+		"internal/peer/protocol/codec.go", "(*value < 0 || *value > maxCount)", "*value > maxCount",
+		[]string{"./internal/peer/protocol"},
+	},
+	"a count of a message overflows": {
+		"internal/peer/protocol/codec.go", "(*value < 0 || *value > maxCount)", "*value < 0",
+		[]string{"./internal/peer/protocol"},
+	},
+	"a term of a message leaves no room for later ones": {
+		"internal/peer/protocol/codec.go", "cd.reading && !era.InRange(*value)", "cd.reading && !era.InRange(*value) && false",
+		[]string{"./internal/peer/protocol"},
+	},
+	"a duration of a message overflows": {
+		"internal/peer/protocol/codec.go", "min(micros, uint64(maxDuration/time.Microsecond))", "micros",
+		[]string{"./internal/peer/protocol"},
+	},
+	"answers that took no time reach the leader": {
+		"internal/peer/protocol/status.go", "max(ul.WorkTime, time.Duration(ul.Answers)*minWorkTime)", "max(ul.WorkTime, 0)",
+		[]string{"./internal/peer/protocol"},
+	},
+	"a reversed range of keys is decoded": {
+		"internal/peer/protocol/assignment.go", "cd.reading && sh.To < sh.From", "cd.reading && sh.To < sh.From && false",
+		[]string{"./internal/peer/protocol"},
+	},
+	"numbers of an odd upstream reach the holder": {
+		"internal/peer/protocol/permit.go", "clampCount(ms.Running), clampCount(ms.Waiting), clampCount(ms.LatencyPercent)", "ms.Running, ms.Waiting, ms.LatencyPercent",
+		[]string{"./internal/peer/protocol"},
+	},
 	"an epoch is used twice": {
 		"internal/catalog/assignment/assignment.go", "	tb.LastEpoch++\n", "",
 		[]string{"-run=TestDisturbances", "./internal/ownership/agent"},
@@ -576,7 +608,7 @@
 		[]string{"-run=TestMalformedEntriesOfOthers|TestColdTimeOfOthers", "./internal/peer/protocol"},
 	},
 	"a number of microseconds overflows": {
-		"internal/peer/protocol/codec.go", "min(micros, maxMicros)", "micros",
+		"internal/peer/protocol/codec.go", "min(micros, uint64(maxDuration/time.Microsecond))", "micros",
 		[]string{"-run=TestMalformedEntriesOfOthers|TestColdTimeOfOthers", "./internal/peer/protocol"},
 	},
 	"lists are cut into datagrams that receivers cannot read": {
--- a/internal/peer/protocol/assignment.go
+++ b/internal/peer/protocol/assignment.go
@@ -29,17 +29,17 @@
 
 func (ms *Assignment) code(cd *codec) {
 	ms.Heartbeat.code(cd)
-	varint(cd, &ms.Part)
-	varint(cd, &ms.Parts)
+	count(cd, &ms.Part)
+	count(cd, &ms.Parts)
 	text(cd, &ms.Body)
 }
 
 func (ms *AssignmentDelta) code(cd *codec) {
 	ms.Heartbeat.code(cd)
 	dl := &ms.Delta
-	varint(cd, &dl.Base)
-	varint(cd, &dl.Revision)
-	varint(cd, &dl.LastEpoch)
+	numbered(cd, &dl.Base)
+	numbered(cd, &dl.Revision)
+	numbered(cd, &dl.LastEpoch)
 	list(cd, &dl.Members, func(mb *assignment.Member) { codeMember(cd, mb) })
 	list(cd, &dl.Dropped, func(ss *assignment.ShareStart) {
 		text(cd, &ss.Service)
@@ -49,22 +49,25 @@
 		text(cd, &sh.Service)
 		varint(cd, &sh.From)
 		varint(cd, &sh.To)
+		if cd.reading && sh.To < sh.From {
+			cd.err, cd.buf = errMalformed, nil
+		}
 		codeClaim(cd, &sh.Owner)
 		codeClaim(cd, &sh.Next)
-		varint(cd, &sh.Fence)
+		numbered(cd, &sh.Fence)
 	})
 }
 
 func codeClaim(cd *codec, cl *assignment.Claim) {
 	text(cd, &cl.Upstream)
 	varint(cd, &cl.Incarnation)
-	varint(cd, &cl.Epoch)
+	numbered(cd, &cl.Epoch)
 }
 
 func (ms *Report) code(cd *codec) {
 	text(cd, &ms.Host)
-	varint(cd, &ms.Revision)
-	varint(cd, &ms.Part)
-	varint(cd, &ms.Parts)
+	numbered(cd, &ms.Revision)
+	count(cd, &ms.Part)
+	count(cd, &ms.Parts)
 	text(cd, &ms.Body)
 }
--- a/internal/peer/protocol/codec.go
+++ b/internal/peer/protocol/codec.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"google.golang.org/protobuf/encoding/protowire"
+
+	"chervilwalk/internal/base/era"
 )
 
 // errMalformed means that a datagram is truncated or has another version.
@@ -31,9 +33,37 @@
 		cd.err, cd.buf = errMalformed, nil
 		return
 	}
+	if uint64(T(number)) != number {
+		// Cut off, it would be another key or another count.
+		cd.err, cd.buf = errMalformed, nil
+		return
+	}
 	*value, cd.buf = T(number), cd.buf[size:]
 }
 
+// count codes a number that is never negative and of which a host can hold this many.
+func count(cd *codec, value *int) {
+	varint(cd, value)
+	if cd.reading && (*value < 0 || *value > maxCount) {
+		*value, cd.err, cd.buf = 0, errMalformed, nil
+	}
+}
+
+// maxCount bounds counts and ranks in messages. Sums and products of several stay in range.
+const maxCount = 1 << 24
+
+// clampCount returns the closest number in the range of count.
+func clampCount(number int) int { return min(max(number, 0), maxCount) }
+
+// numbered codes a term, a revision or an epoch. One without room for later ones is malformed:
+// the next would start from 0, below everything that hosts and upstreams know.
+func numbered[T ~uint64](cd *codec, value *T) {
+	varint(cd, value)
+	if cd.reading && !era.InRange(*value) {
+		*value, cd.err, cd.buf = 0, errMalformed, nil
+	}
+}
+
 // addedVarint is varint for the last field of a message that earlier builds end without. They
 // ignore it, and it stays zero in what they send.
 func addedVarint[T ~uint64](cd *codec, value *T) {
@@ -77,17 +107,17 @@
 	}
 }
 
-// maxMicros is the longest duration that is read, 100 years: longer ones would overflow
-// in nanoseconds or in a sum with a present time.
-const maxMicros = 100 * 365 * 24 * uint64(time.Hour/time.Microsecond)
+// maxDuration bounds durations in messages, so that their sums with times are in range.
+const maxDuration = 365 * 24 * time.Hour
 
-// duration codes a duration in microseconds, a negative one as 0. Hosts send
-// durations instead of times because their clocks are never compared.
+// duration codes a duration in microseconds, a negative one as 0, a longer one than
+// maxDuration as that. Hosts send durations instead of times because their clocks are
+// never compared.
 func duration(cd *codec, value *time.Duration) {
 	micros := uint64(max(value.Microseconds(), 0))
 	varint(cd, &micros)
 	if cd.reading {
-		*value = time.Duration(min(micros, maxMicros)) * time.Microsecond
+		*value = time.Duration(min(micros, uint64(maxDuration/time.Microsecond))) * time.Microsecond
 	}
 }
 
--- a/internal/peer/protocol/permit.go
+++ b/internal/peer/protocol/permit.go
@@ -103,8 +103,8 @@
 	text(cd, &ms.Domain)
 	varint(cd, &ms.Key)
 	boolean(cd, &ms.Keyed)
-	varint(cd, &ms.Pool)
-	varint(cd, &ms.Pools)
+	count(cd, &ms.Pool)
+	count(cd, &ms.Pools)
 	boolean(cd, &ms.Fallback)
 	boolean(cd, &ms.Large)
 	boolean(cd, &ms.Repeatable)
@@ -118,7 +118,7 @@
 func (ms *Permit) code(cd *codec) {
 	varint(cd, &ms.Ticket)
 	text(cd, &ms.Upstream)
-	varint(cd, &ms.Epoch)
+	numbered(cd, &ms.Epoch)
 	addedBoolean(cd, &ms.Watched)
 }
 
@@ -140,6 +140,10 @@
 	varint(cd, &ms.Running)
 	varint(cd, &ms.Waiting)
 	varint(cd, &ms.LatencyPercent)
+	if cd.reading {
+		// Upstreams say these. Without its Done, a permit would stay taken.
+		ms.Running, ms.Waiting, ms.LatencyPercent = clampCount(ms.Running), clampCount(ms.Waiting), clampCount(ms.LatencyPercent)
+	}
 }
 
 func (ms *Pause) code(cd *codec) {
--- a/internal/peer/protocol/protocol_test.go
+++ b/internal/peer/protocol/protocol_test.go
@@ -99,6 +99,8 @@
 	for _, msg := range messages() {
 		f.Add(protocol.Encode(msg))
 	}
+	f.Add(protocol.Encode(protocol.Heartbeat{Term: math.MaxUint64}))
+	f.Add(protocol.Encode(protocol.Status{Upstreams: []protocol.UpstreamLoad{{Answers: -1}}}))
 	f.Fuzz(func(t *testing.T, datagram []byte) {
 		msg, err := protocol.Decode(datagram)
 		if err != nil {
--- a/internal/peer/protocol/status.go
+++ b/internal/peer/protocol/status.go
@@ -33,6 +33,9 @@
 	Superseded bool
 }
 
+// minWorkTime is the least time that one answer counts for.
+const minWorkTime = 10 * time.Microsecond
+
 // Status reports to the leader that a member is alive and what it measured.
 type Status struct {
 	Member   assignment.Member
@@ -92,14 +95,14 @@
 	text(cd, &mb.Domain)
 	text(cd, &mb.Address)
 	varint(cd, &mb.Incarnation)
-	varint(cd, &mb.Fitness)
+	count(cd, &mb.Fitness)
 	boolean(cd, &mb.Alive)
 }
 
 func (ms *Status) code(cd *codec) {
 	codeMember(cd, &ms.Member)
-	varint(cd, &ms.Term)
-	varint(cd, &ms.Revision)
+	numbered(cd, &ms.Term)
+	numbered(cd, &ms.Revision)
 	boolean(cd, &ms.Stopping)
 	varint(cd, &ms.RosterVersion)
 	varint(cd, &ms.RosterDigest)
@@ -107,22 +110,26 @@
 	list(cd, &ms.Keys, func(kl *KeyLoad) {
 		text(cd, &kl.Service)
 		varint(cd, &kl.Key)
-		varint(cd, &kl.Count)
+		count(cd, &kl.Count)
 	})
 	list(cd, &ms.Upstreams, func(ul *UpstreamLoad) {
 		text(cd, &ul.Upstream)
-		varint(cd, &ul.Answers)
+		count(cd, &ul.Answers)
 		duration(cd, &ul.WorkTime)
-		varint(cd, &ul.Failures)
+		count(cd, &ul.Failures)
 		duration(cd, &ul.UnreachedFor)
 		boolean(cd, &ul.Superseded)
+		if cd.reading && ul.Answers > 0 {
+			// The leader takes the logarithm of the mean.
+			ul.WorkTime = max(ul.WorkTime, time.Duration(ul.Answers)*minWorkTime)
+		}
 	})
 }
 
 func (ms *Heartbeat) code(cd *codec) {
-	varint(cd, &ms.Term)
+	numbered(cd, &ms.Term)
 	text(cd, &ms.Leader)
-	varint(cd, &ms.Revision)
+	numbered(cd, &ms.Revision)
 	duration(cd, &ms.StoreAge)
 	varint(cd, &ms.RowVersion)
 	varint(cd, &ms.Echo)
