Bound the seconds of the desired state, and take no timeout of 0

What callers would see: with an idle or header timeout that is missing, 0, negative or 1e308 every connection gets a read deadline in the past, so it is closed before its first request. A route's timeout of 1e308 made the route malformed on amd64 only.

Cause: seconds() converted what is beyond the range of an integer, which differs between amd64 and arm64; httpserver takes the limits as they are.

What differs between amd64 and arm64 was read, not run on both.

--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -167,6 +167,14 @@
 		"internal/peer/protocol/permit.go", "clampCount(ms.Running), clampCount(ms.Waiting), clampCount(ms.LatencyPercent)", "ms.Running, ms.Waiting, ms.LatencyPercent",
 		[]string{"./internal/peer/protocol"},
 	},
+	"seconds of the platform overflow": {
+		"platform/settings.go", "max(min(value, maxBound), -maxBound)", "value",
+		[]string{"./platform"},
+	},
+	"a timeout of 0 closes every connection": {
+		"platform/desired.go", "	if span <= 0 {", "	if false {",
+		[]string{"./platform"},
+	},
 	"an epoch is used twice": {
 		"internal/catalog/assignment/assignment.go", "	tb.LastEpoch++\n", "",
 		[]string{"-run=TestDisturbances", "./internal/ownership/agent"},
@@ -496,7 +504,7 @@
 		[]string{"-run=TestByteBudget", "./internal/fleet/gateway"},
 	},
 	"a number of seconds overflows": {
-		"platform/settings.go", "max(min(value, limit), -limit)", "max(value, -limit)",
+		"platform/settings.go", "max(min(value, maxBound), -maxBound)", "max(value, -maxBound)",
 		[]string{"-run=TestSeconds", "./platform"},
 	},
 	"an entry of any size is decoded": {
