--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -175,6 +175,10 @@
 		"platform/desired.go", "	if span <= 0 {", "	if false {",
 		[]string{"./platform"},
 	},
+	"a weight whose sum overflows is taken": {
+		"platform/desired.go", " || ds.Weight > maxBound {", " {",
+		[]string{"./platform"},
+	},
 	"an epoch is used twice": {
 		"internal/catalog/assignment/assignment.go", "	tb.LastEpoch++\n", "",
 		[]string{"-run=TestDisturbances", "./internal/ownership/agent"},
