Refuse queued requests in the stand-in whose key is lost meanwhile

Cause: the stand-in of an upstream looked at the key when a request arrived, and recorded whether it held the key when the run began. A request that waited for a slot in between ran although its key had been released or the lease had run out; a real upstream refuses it with 421. Between the decision and the record the lock was also given up once, where a release could come. These two are the only ways to an unheld run, since the stand-in decides itself what it runs: a host cannot cause one by a grant.

Fix: the decision is made again when a slot is free, and it and its record have one time and one critical section. The flag alone would now say nothing, since the stand-in would judge itself, so the check also compares each run with the record of grants and releases (HeldBy). It counts every run that it counted before.

--- a/internal/stand/deployment/load.go
+++ b/internal/stand/deployment/load.go
@@ -197,9 +197,11 @@
 	runs := map[string]int{}
 	upstreams := dp.allUpstreams()
 	for _, up := range upstreams {
-		for _, run := range up.Runs() {
+		// Read after the runs, so that no grant is missing by which one ran.
+		list, changes, keyed := up.Runs(), up.GrantChanges(), up.Config().Keyed
+		for _, run := range list {
 			runs[run.CallerRequest]++
-			if !run.Held {
+			if !run.Held || keyed && !run.HeldBy(changes) {
 				counts.UnheldRuns++
 			}
 		}
--- a/internal/stand/fakeupstream/fakeupstream.go
+++ b/internal/stand/fakeupstream/fakeupstream.go
@@ -285,7 +285,6 @@
 	fl := up.faults
 	wait := time.Duration(float64(up.cf.Work) * fl.Slow)
 	draw := up.random.Float64()
-	up.runs = append(up.runs, Run{CallerRequest: rq.Header.Get(CallerRequestHeader), Request: id, At: time.Now(), Key: key, Held: !up.cf.Keyed || time.Now().Before(up.heldUntil[key])})
 	up.mu.Unlock()
 	if up.deadly(rq, body) {
 		time.Sleep(crashDelay)
@@ -309,8 +308,8 @@
 	up.writeAnswer(rw, id, status, load, body, fl, draw)
 }
 
-// admit waits for a slot. It returns false if the request must not run; it has
-// then been refused, reset or abandoned by its client.
+// admit waits for a slot and records the run. It returns false if the request must not
+// run; it has then been refused, reset or abandoned by its client.
 func (up *Upstream) admit(rw http.ResponseWriter, rq *http.Request, key int, keyed bool) bool {
 	up.mu.Lock()
 	defer up.mu.Unlock()
@@ -323,9 +322,8 @@
 	if time.Since(up.startedAt) < up.cf.ColdTime {
 		up.coldArrivals = append(up.coldArrivals, time.Now())
 	}
-	if up.cf.Keyed && (!keyed || !time.Now().Before(up.heldUntil[key])) {
-		rw.Header().Set("Not-Executed", "1")
-		rw.WriteHeader(http.StatusMisdirectedRequest)
+	if up.cf.Keyed && (!keyed || !up.holds(key, time.Now())) {
+		refuseKey(rw)
 		return false
 	}
 	up.notePause(rq)
@@ -343,6 +341,26 @@
 		up.slotFreed.Wait()
 	}
 	up.queued--
+	// The key may have been lost in the queue. The decision and its record have one time and
+	// no unlock between them, since a release could come there.
+	now := time.Now()
+	held := !up.cf.Keyed || up.holds(key, now)
+	if !held {
+		refuseKey(rw)
+		return false
+	}
 	up.running++
+	up.runs = append(up.runs, Run{CallerRequest: rq.Header.Get(CallerRequestHeader), Request: rq.Header.Get("Request-Id"), At: now, Key: key, Held: held})
 	return true
 }
+
+// holds reports whether the upstream holds a key. up.mu must be held.
+func (up *Upstream) holds(key int, now time.Time) bool {
+	return now.Before(up.heldUntil[key])
+}
+
+// refuseKey refuses a request whose key the upstream does not hold.
+func refuseKey(rw http.ResponseWriter) {
+	rw.Header().Set("Not-Executed", "1")
+	rw.WriteHeader(http.StatusMisdirectedRequest)
+}
--- a/internal/stand/fakeupstream/grants.go
+++ b/internal/stand/fakeupstream/grants.go
@@ -24,6 +24,21 @@
 	return append([]GrantChange(nil), up.grantChanges...)
 }
 
+// HeldBy reports whether an upstream with these grants and releases, the oldest first, held the
+// run's key when it started.
+func (run Run) HeldBy(changes []GrantChange) bool {
+	held := false
+	for _, gc := range changes {
+		if gc.At.After(run.At) {
+			break
+		}
+		if gc.From <= run.Key && run.Key <= gc.To {
+			held = !gc.Released && run.At.Before(gc.Until)
+		}
+	}
+	return held
+}
+
 // grantBody is the body of a grant or release.
 type grantBody struct {
 	From  int     `json:"from"`
