Keep the hosts' logs of a failed test of the soak

Seen: TestSoak failed once with seed 105, and its hosts' logs went with the test's temporary directory, so that which of two causes it was can no longer be said.

Now the directory stays if the test fails, and its path is printed; otherwise it is removed.

--- a/internal/stand/soak/soak_test.go
+++ b/internal/stand/soak/soak_test.go
@@ -25,6 +25,21 @@
 	return program
 }
 
+// logsDir returns a directory for the hosts' logs, which stays if the test fails.
+func logsDir(t *testing.T) string {
+	t.Helper()
+	dir, err := os.MkdirTemp("", "chervilwalk-"+t.Name()+"-")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("the hosts' logs are in %s", dir)
+			return
+		}
+		NewWithT(t).Expect(os.RemoveAll(dir)).To(Succeed())
+	})
+	return dir
+}
+
 // TestMemoryUnderBytesWithoutEnd checks the memory of a host's process while several
 // upstreams answer with bytes without end, and that the others' answers go on.
 func TestMemoryUnderBytesWithoutEnd(t *testing.T) {
@@ -35,7 +50,7 @@
 		minPours = 10
 	)
 	gm := NewWithT(t)
-	dp, err := deployment.Start(deployment.Config{Dir: t.TempDir(), Hosts: 1, Keyed: 4, Orders: 4, Files: 4, Seed: 3, Subnet: 71, Program: build(t)})
+	dp, err := deployment.Start(deployment.Config{Dir: logsDir(t), Hosts: 1, Keyed: 4, Orders: 4, Files: 4, Seed: 3, Subnet: 71, Program: build(t)})
 	gm.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(dp.Close)
 	time.Sleep(4 * time.Second)
@@ -60,7 +75,7 @@
 func TestLimitWhileHolderIsFrozen(t *testing.T) {
 	t.Parallel()
 	gm := NewWithT(t)
-	dir := t.TempDir()
+	dir := logsDir(t)
 	dp, err := deployment.Start(deployment.Config{Dir: dir, Hosts: 3, Keyed: 4, Orders: 3, Files: 3, Seed: 4, Subnet: 72, Program: build(t)})
 	gm.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(dp.Close)
@@ -104,7 +119,7 @@
 func TestDeadlyWhileHolderIsFrozen(t *testing.T) {
 	t.Parallel()
 	gm := NewWithT(t)
-	dir := t.TempDir()
+	dir := logsDir(t)
 	dp, err := deployment.Start(deployment.Config{Dir: dir, Hosts: 3, Keyed: 4, Orders: 4, Files: 3, Seed: 6, Subnet: 73, Program: build(t)})
 	gm.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(dp.Close)
@@ -142,7 +157,7 @@
 func TestSoak(t *testing.T) {
 	t.Parallel()
 	gm := NewWithT(t)
-	rs, err := soak.Run(t.Context(), soak.Config{Program: build(t), Dir: t.TempDir(), Seed: 105, Hosts: 4, PerSecond: 40, Span: 12 * time.Second, Subnet: 70})
+	rs, err := soak.Run(t.Context(), soak.Config{Program: build(t), Dir: logsDir(t), Seed: 105, Hosts: 4, PerSecond: 40, Span: 12 * time.Second, Subnet: 70})
 	gm.Expect(err).NotTo(HaveOccurred())
 	gm.Expect(rs.Broken()).To(BeFalse(), rs.String)
 	gm.Expect(len(rs.Steps)).To(BeNumerically(">", 5), rs.String)
