Send the bytes behind an answer with it in the test of bytes without end

TestBytesWithoutEnd, "after the answer", failed once on beside other tests (load average about 12): "peer sent more bytes than allowed" on a connection in use again. Traced by reading: the stand-in wrote the answer and the bytes behind it in two writes. When it was held up in between, the connection was idle when it was taken again, and its next request met the bytes: it fails, as it must, since they are no answer to it. The test demands a whole answer for each request, which such an upstream can't be held to.

A connection in use again that brings such bytes has a test of its own (TestReuse).

--- a/internal/serving/transport/endless_test.go
+++ b/internal/serving/transport/endless_test.go
@@ -36,7 +36,8 @@
 				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
 					return
 				}
-				_, err := io.WriteString(conn, begin)
+				// In one write, so that the first of the bytes are there with the beginning.
+				_, err := conn.Write(append([]byte(begin), block...))
 				for err == nil {
 					_, err = conn.Write(block)
 				}
