Renew no grants of an owner that has restarted

What could happen: keys of two owners. The store comes back some moves older while all hosts are down, and an upstream restarts meanwhile. The recovered assignment still names it as the owner of keys that it had given up since, and members renew its grants with the epoch of that time. The upstream has forgotten the fence that would make it refuse.

Fix: members know incarnations of upstreams from their entries. A share whose owner is known as a later process is not renewed; the leader gives it to that process or another with a higher epoch, as the users ask for another life.

--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -27,6 +27,10 @@
 const mutantTimeout = 3 * time.Minute
 
 var mutants = map[string]mutant{
+	"grants of an owner that has restarted are renewed": {
+		"internal/ownership/renewal/renewal.go", "ms.Incarnations[id] > sh.Owner.Incarnation", "false",
+		[]string{"-run=TestRandomDisturbances|TestRestartedOwner", "./internal/ownership/agent", "./internal/ownership/renewal"},
+	},
 	"keys of a working owner move to an upstream that nobody has reached": {
 		"internal/ownership/leader/plan.go", "Unreached: !up.reached", "Unreached: false",
 		[]string{"-run=TestDeadEntries", "./internal/ownership/agent"},
--- a/internal/ownership/agent/agent.go
+++ b/internal/ownership/agent/agent.go
@@ -12,7 +12,9 @@
 	"time"
 
 	"chervilwalk/internal/base/clock"
+	"chervilwalk/internal/base/ident"
 	"chervilwalk/internal/catalog/assignment"
+	"chervilwalk/internal/catalog/roster"
 	"chervilwalk/internal/ownership/election"
 	"chervilwalk/internal/ownership/leader"
 	"chervilwalk/internal/ownership/renewal"
@@ -231,5 +233,9 @@
 
 // refreshRenewals passes the assignment in force to the renewal's core.
 func (co *Core) refreshRenewals(now clock.Instant) {
-	co.updateRenewal(now, renewal.TableMsg{Table: co.table, Domains: co.upstreams.Domains})
+	incarnations := make(map[ident.Upstream]roster.Incarnation, len(co.upstreams.ForLeader.Upstreams))
+	for _, up := range co.upstreams.ForLeader.Upstreams {
+		incarnations[up.ID] = up.Incarnation
+	}
+	co.updateRenewal(now, renewal.TableMsg{Table: co.table, Domains: co.upstreams.Domains, Incarnations: incarnations})
 }
--- a/internal/ownership/renewal/renewal.go
+++ b/internal/ownership/renewal/renewal.go
@@ -19,6 +19,7 @@
 	"chervilwalk/internal/base/ident"
 	"chervilwalk/internal/base/keyspace"
 	"chervilwalk/internal/catalog/assignment"
+	"chervilwalk/internal/catalog/roster"
 	"chervilwalk/internal/peer/protocol"
 )
 
@@ -45,6 +46,8 @@
 type TableMsg struct {
 	Table   *assignment.Table
 	Domains map[ident.Upstream]ident.Domain
+	// Incarnations holds those of the upstreams that are known.
+	Incarnations map[ident.Upstream]roster.Incarnation
 }
 
 // ConfirmMsg reports that the table was still in force at the time At.
@@ -130,7 +133,9 @@
 		if _, known := isRenewer[id]; !known {
 			isRenewer[id] = Renewer(ms.Table, id, ms.Domains[id]) == co.host
 		}
-		if isRenewer[id] && !sh.Moving() {
+		// An owner that has restarted takes epochs again that it had given up.
+		restarted := ms.Incarnations[id] > sh.Owner.Incarnation
+		if isRenewer[id] && !sh.Moving() && !restarted {
 			assigned[id] = append(assigned[id], sh)
 		}
 	}
--- a/internal/ownership/renewal/renewal_test.go
+++ b/internal/ownership/renewal/renewal_test.go
@@ -11,6 +11,7 @@
 	"chervilwalk/internal/base/ident"
 	"chervilwalk/internal/base/keyspace"
 	"chervilwalk/internal/catalog/assignment"
+	"chervilwalk/internal/catalog/roster"
 	"chervilwalk/internal/ownership/renewal"
 )
 
@@ -55,3 +56,30 @@
 		})
 	}
 }
+
+// TestRestartedOwner guards against grants with epochs that their owner gave up before it
+// restarted: another upstream has had the keys with a higher one since.
+func TestRestartedOwner(t *testing.T) {
+	cases := map[string]struct {
+		known   map[ident.Upstream]roster.Incarnation
+		renewed bool
+	}{
+		"the owner is known":              {map[ident.Upstream]roster.Incarnation{"u": 5}, true},
+		"it has restarted":                {map[ident.Upstream]roster.Incarnation{"u": 6}, false},
+		"its restart is not yet known":    {map[ident.Upstream]roster.Incarnation{"u": 4}, true},
+		"no upstream is known":            {nil, true},
+		"only another upstream is listed": {map[ident.Upstream]roster.Incarnation{"v": 9}, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			co := renewal.New("a")
+			now := clock.Instant(time.Hour)
+			table := &assignment.Table{
+				Members: []assignment.Member{{Host: "a", Domain: "d", Alive: true}},
+				Shares:  []assignment.Share{{Service: "s", Range: keyspace.Range{To: keyspace.Last}, Owner: assignment.Claim{Upstream: "u", Incarnation: 5, Epoch: 1}}},
+			}
+			co.Update(now, renewal.TableMsg{Table: table, Domains: map[ident.Upstream]ident.Domain{"u": "d"}, Incarnations: tc.known})
+			NewWithT(t).Expect(len(co.Update(now, renewal.ConfirmMsg{At: now})) > 0).To(Equal(tc.renewed))
+		})
+	}
+}
