Notice callers who leave behind a request that is refused

What was seen: upstreams at work for nobody. When a request is refused while others are in flight on its connection (408, 400, 413, 431, or one that comes while the connection closes), nobody reads the connection until those are answered. If its caller leaves meanwhile, they run on (rule GONE).

Cause: linger waited for the responses before it read.

Why this works: what still comes is read and discarded while responses are due; an end that is not the writer's deadline after the last of them is the caller's.

--- a/internal/serving/httpserver/connection.go
+++ b/internal/serving/httpserver/connection.go
@@ -55,6 +55,8 @@
 	idleSince time.Time
 	// closing reports whether no further request is accepted.
 	closing bool
+	// lingering reports whether what the caller sends is only read to be discarded.
+	lingering bool
 	// changed wakes goroutines that wait for a change of inFlight or closing.
 	changed *sync.Cond
 }
@@ -330,19 +332,39 @@
 // linger waits for the responses in flight, closes the write side, and reads what
 // the caller still sends, so that a reset does not destroy the last response.
 func (cn *connection) linger() {
+	cn.source.Remaining = socket.Unlimited
 	cn.mu.Lock()
-	for cn.inFlight.Load() > 0 {
-		cn.changed.Wait()
+	cn.lingering = true
+	waits := cn.inFlight.Load() > 0
+	if waits {
+		_ = cn.raw.SetReadDeadline(time.Time{})
 	}
 	cn.mu.Unlock()
+	if waits {
+		cn.discardUntilAnswered()
+	}
 	if tc, ok := cn.raw.(*net.TCPConn); ok {
 		_ = tc.CloseWrite()
 	}
 	_ = cn.raw.SetReadDeadline(time.Now().Add(lingerTimeout))
-	cn.source.Remaining = socket.Unlimited
 	_, _ = io.Copy(io.Discard, cn.reader)
 }
 
+// discardUntilAnswered reads on until no request is in flight. Those in flight are cancelled if
+// their caller leaves.
+func (cn *connection) discardUntilAnswered() {
+	// The writer ends the read after the last response.
+	if _, err := io.Copy(io.Discard, cn.reader); !isTimeout(err) {
+		cn.noteReadEnd(cmp.Or(err, io.EOF))
+		cn.cancel()
+	}
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	for cn.inFlight.Load() > 0 {
+		cn.changed.Wait()
+	}
+}
+
 // writeResponses writes the responses in the order of their requests.
 func (cn *connection) writeResponses() {
 	broken := false
@@ -362,6 +384,9 @@
 		if cn.inFlight.Add(-1) == 0 {
 			cn.idleSince = time.Now()
 		}
+		if cn.lingering && cn.inFlight.Load() == 0 {
+			_ = cn.raw.SetReadDeadline(time.Unix(1, 0))
+		}
 		cn.changed.Broadcast()
 		cn.mu.Unlock()
 	}
@@ -431,7 +456,7 @@
 	if unframed || cn.server.draining.Load() || cn.inFlight.Load() == 1 && (pr.close || cn.closing) {
 		cn.closing = true
 		cn.changed.Broadcast()
-		if !unframed && cn.inFlight.Load() == 1 {
+		if !unframed && !cn.lingering && cn.inFlight.Load() == 1 {
 			// readRequests may be waiting for the next request. While others are in flight it
 			// notices if their caller leaves.
 			_ = cn.raw.SetReadDeadline(time.Now().Add(lingerTimeout))
