Let a stopping process deliver its last responses

What callers saw: beside a planned stop, a connection reset in the middle of a response that was written whole. It needs a response that is still on its way, as on a slow link, and a caller that sends another request meanwhile.

Cause: a connection that closes reads on for a second, so that what its caller still sends causes no reset. A stopping process asks every connection each 40 ms to take no further request, and set the read deadline of such a one to the past: it closed within 80 ms of its last response, and the next byte reset it.

Evidence: TestStopLeavesTheLastResponse failed with "linger_test.go:97: Unexpected error: read tcp 127.0.0.1:43138->127.0.0.1:38897: read: connection reset by peer". It passes, four times with the race detector.

Why this works: a connection that lingers takes no request anyway, and keeps its own deadline. A stop may last up to a second longer, within its grace period, if callers don't close.

--- a/internal/serving/httpserver/connection.go
+++ b/internal/serving/httpserver/connection.go
@@ -89,7 +89,8 @@
 	defer cn.mu.Unlock()
 	cn.closing = true
 	cn.changed.Broadcast()
-	if cn.inFlight.Load() == 0 {
+	// A lingering connection has a deadline of its own.
+	if cn.inFlight.Load() == 0 && !cn.lingering {
 		_ = cn.raw.SetReadDeadline(time.Unix(1, 0))
 	}
 }
--- a/internal/serving/httpserver/linger_test.go
+++ b/internal/serving/httpserver/linger_test.go
@@ -1,8 +1,11 @@
 package httpserver_test
 
 import (
+	"bufio"
 	"context"
 	"io"
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -46,3 +49,52 @@
 		})
 	}
 }
+
+// bufferingListener accepts connections that take a whole response to send it later.
+type bufferingListener struct{ net.Listener }
+
+func (bl bufferingListener) Accept() (net.Conn, error) {
+	conn, err := bl.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return conn, conn.(*net.TCPConn).SetWriteBuffer(400 << 10)
+}
+
+// TestStopLeavesTheLastResponse guards against a reset that destroys a response which is still on
+// its way: its caller sends another request meanwhile, and the process stops.
+func TestStopLeavesTheLastResponse(t *testing.T) {
+	gm := NewWithT(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	gm.Expect(err).NotTo(HaveOccurred())
+	body := make([]byte, 150<<10)
+	taken := make(chan struct{})
+	sv := httpserver.New(func(context.Context, *httpserver.Request) *httpserver.Response {
+		close(taken)
+		return &httpserver.Response{Status: http.StatusOK, Header: http.Header{}, Body: body}
+	}, limits)
+	go func() { _ = sv.Serve(bufferingListener{ln}) }()
+	t.Cleanup(sv.Close)
+	conn, err := net.Dial("tcp", ln.Addr().String())
+	gm.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = conn.Close() })
+	gm.Expect(conn.SetDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+	// A slow link.
+	gm.Expect(conn.(*net.TCPConn).SetReadBuffer(4 << 10)).To(Succeed())
+	sv.Drain()
+	_, err = io.WriteString(conn, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+	gm.Expect(err).NotTo(HaveOccurred())
+	gm.Eventually(taken).Should(BeClosed())
+	gm.Eventually(sv.Idle).Should(BeTrue(), "the response is written")
+	for range 5 {
+		// As a stopping process does.
+		sv.StopTaking()
+		time.Sleep(20 * time.Millisecond)
+	}
+	_, err = io.WriteString(conn, "GET /b HTTP/1.1\r\nHost: h\r\n\r\n")
+	gm.Expect(err).NotTo(HaveOccurred())
+	time.Sleep(50 * time.Millisecond)
+	rs, got := readResponse(t, bufio.NewReader(conn))
+	gm.Expect(rs.StatusCode).To(Equal(http.StatusOK))
+	gm.Expect(got).To(HaveLen(len(body)))
+}
