Serve no request whose caller left before it sent the body

What was seen: nothing yet; found by reading.

Cause: readBody returned 0, which stands for a body that was read, when "100 Continue" could not be written.

Evidence: TestNoRequestWithoutItsBody failed, "linger_test.go:137: Expected <bool>: true to be false", with a connection whose writes fail; it passes, with the other tests of the package under the race detector.

Why this works: the end is that of the connection, and nothing is served.

--- a/internal/serving/httpserver/connection.go
+++ b/internal/serving/httpserver/connection.go
@@ -201,6 +201,12 @@
 			Chunked: len(hr.TransferEncoding) > 0, Arrived: time.Now(),
 		},
 	}
+	if strings.EqualFold(hr.Header.Get("Expect"), "100-continue") && hr.ContentLength != 0 && cn.inFlight.Load() == 0 {
+		if _, err := io.WriteString(cn.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+			cn.noteReadEnd(err)
+			return nil, 0
+		}
+	}
 	if status := cn.readBody(pr, hr, lm); status != 0 {
 		return nil, status
 	}
@@ -281,11 +287,6 @@
 	if hr.ContentLength == 0 {
 		return 0
 	}
-	if strings.EqualFold(hr.Header.Get("Expect"), "100-continue") && cn.inFlight.Load() == 0 {
-		if _, err := io.WriteString(cn.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return 0
-		}
-	}
 	_ = cn.raw.SetReadDeadline(time.Now().Add(bodyReadTimeout))
 	var buffered bytes.Buffer
 	if hr.ContentLength > 0 {
--- a/internal/serving/httpserver/linger_test.go
+++ b/internal/serving/httpserver/linger_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -98,3 +100,39 @@
 	gm.Expect(rs.StatusCode).To(Equal(http.StatusOK))
 	gm.Expect(got).To(HaveLen(len(body)))
 }
+
+// deafListener accepts connections whose callers cannot be written to any more.
+type deafListener struct{ net.Listener }
+
+type deafConn struct{ net.Conn }
+
+func (dl deafListener) Accept() (net.Conn, error) {
+	conn, err := dl.Listener.Accept()
+	return deafConn{conn}, err
+}
+
+func (deafConn) Write([]byte) (int, error) { return 0, syscall.EPIPE }
+
+// TestNoRequestWithoutItsBody guards against requests that are served without the body that their
+// caller did not send: it has left before it was told to go on.
+func TestNoRequestWithoutItsBody(t *testing.T) {
+	gm := NewWithT(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	gm.Expect(err).NotTo(HaveOccurred())
+	var served atomic.Bool
+	sv := httpserver.New(func(context.Context, *httpserver.Request) *httpserver.Response {
+		served.Store(true)
+		return nil
+	}, limits)
+	go func() { _ = sv.Serve(deafListener{ln}) }()
+	t.Cleanup(sv.Close)
+	conn, err := net.Dial("tcp", ln.Addr().String())
+	gm.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = conn.Close() })
+	gm.Expect(conn.SetDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+	_, err = io.WriteString(conn, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nExpect: 100-continue\r\n\r\n")
+	gm.Expect(err).NotTo(HaveOccurred())
+	_, err = conn.Read(make([]byte, 1))
+	gm.Expect(err).To(HaveOccurred(), "the connection ends")
+	gm.Expect(served.Load()).To(BeFalse())
+}
