Notice callers who leave while a request waits for its turn

What was seen: upstreams at work for nobody. On a connection with requests in flight, one that may not be repeated (all but GET and HEAD) waits until they are answered.

Cause: admit waited for the responses without a look at the connection.

Evidence: TestCallerLeavesBeforeItsTurn failed in both cases, such as "one_that_is_safe (2.00s) linger_test.go:82: Timed out after 0.501s. Expected <chan struct {}> to be closed". It passes, with the other tests of the package under the race detector.

Why this works: the reader waits for the next byte instead, which the writer ends after the last response; an error that is not that deadline is the caller's end. With further bytes in the buffer it waits as before, and still notices nothing.

--- a/internal/serving/httpserver/connection.go
+++ b/internal/serving/httpserver/connection.go
@@ -57,6 +57,8 @@
 	closing bool
 	// lingering reports whether what the caller sends is only read to be discarded.
 	lingering bool
+	// awaitingTurn reports whether a request that was read waits for those in flight.
+	awaitingTurn bool
 	// changed wakes goroutines that wait for a change of inFlight or closing.
 	changed *sync.Cond
 }
@@ -144,9 +146,12 @@
 // until those before them are answered, so that none of them follows a response
 // that closes the connection.
 func (cn *connection) admit(pr *pendingRequest) bool {
+	safe := pr.request.Method == http.MethodGet || pr.request.Method == http.MethodHead
+	if !safe {
+		cn.awaitTurn()
+	}
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
-	safe := pr.request.Method == http.MethodGet || pr.request.Method == http.MethodHead
 	for !safe && cn.inFlight.Load() > 0 && !cn.closing {
 		cn.changed.Wait()
 	}
@@ -157,6 +162,30 @@
 	return true
 }
 
+// awaitTurn waits until no request is in flight or the caller sends more. The requests in flight
+// are cancelled if it leaves.
+func (cn *connection) awaitTurn() {
+	cn.mu.Lock()
+	cn.awaitingTurn = cn.inFlight.Load() > 0 && !cn.closing
+	if cn.awaitingTurn {
+		_ = cn.raw.SetReadDeadline(time.Time{})
+	}
+	waits := cn.awaitingTurn
+	cn.mu.Unlock()
+	if !waits {
+		return
+	}
+	// The writer ends the read after the last response.
+	_, err := cn.reader.Peek(1)
+	cn.mu.Lock()
+	cn.awaitingTurn = false
+	cn.mu.Unlock()
+	if err != nil && !isTimeout(err) {
+		cn.noteReadEnd(err)
+		cn.cancel()
+	}
+}
+
 // stoppedReading stands for a status where a connection that is closing stopped to wait for a
 // request. Those in flight are still answered.
 const stoppedReading = -1
@@ -386,7 +415,7 @@
 		if cn.inFlight.Add(-1) == 0 {
 			cn.idleSince = time.Now()
 		}
-		if cn.lingering && cn.inFlight.Load() == 0 {
+		if (cn.lingering || cn.awaitingTurn) && cn.inFlight.Load() == 0 {
 			_ = cn.raw.SetReadDeadline(time.Unix(1, 0))
 		}
 		cn.changed.Broadcast()
--- a/internal/serving/httpserver/linger_test.go
+++ b/internal/serving/httpserver/linger_test.go
@@ -52,6 +52,39 @@
 	}
 }
 
+// TestCallerLeavesBeforeItsTurn guards against upstreams that work for nobody: the caller leaves
+// while a request that may not be repeated waits for those before it.
+func TestCallerLeavesBeforeItsTurn(t *testing.T) {
+	const post = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"
+	cases := map[string]string{
+		"one that is safe":             "GET /a HTTP/1.1\r\nHost: h\r\n\r\n" + post,
+		"one that may not be repeated": post + post,
+	}
+	for name, sent := range cases {
+		t.Run(name, func(t *testing.T) {
+			gm := NewWithT(t)
+			left := make(chan struct{})
+			var served atomic.Int32
+			_, conn, _ := serve(t, func(ctx context.Context, _ *httpserver.Request) *httpserver.Response {
+				served.Add(1)
+				select {
+				case <-ctx.Done():
+					close(left)
+				case <-time.After(2 * time.Second):
+				}
+				return nil
+			})
+			_, err := io.WriteString(conn, sent)
+			gm.Expect(err).NotTo(HaveOccurred())
+			time.Sleep(200 * time.Millisecond)
+			gm.Expect(left).NotTo(BeClosed())
+			gm.Expect(conn.Close()).To(Succeed())
+			gm.Eventually(left, "500ms").Should(BeClosed())
+			gm.Consistently(served.Load, "200ms").Should(BeEquivalentTo(1))
+		})
+	}
+}
+
 // bufferingListener accepts connections that take a whole response to send it later.
 type bufferingListener struct{ net.Listener }
 
