Blame no upstream for the limit of its request's caller

Fix: where an answer is awaited only until the caller leaves, its permit ends as withdrawn, as when the caller has left. The run counts as abandoned, so that a crash under it still counts once the upstream's entry has ended.

Evidence: TestSilenceUntilTheCallerLeaves failed before in both cases of a caller's limit (timed out, and not abandoned), passes now, and shows that the route's timeout still counts.

--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -271,6 +271,10 @@
 		"internal/serving/proxy/exchange.go", "limit = min(limit, ex.info.TimeLimit-stopMargin)", "limit = min(limit, ex.info.TimeLimit)",
 		[]string{"-run=TestAnswerBeforeTheCallerLeaves", "./internal/serving/proxy"},
 	},
+	"an upstream is blamed for the limit of a caller": {
+		"internal/serving/proxy/attempt.go", "outcome == permit.TimedOut && ex.callerLeaves()", "false",
+		[]string{"-run=TestSilenceUntilTheCallerLeaves", "./internal/serving/proxy"},
+	},
 	"an answer is awaited until its caller has left": {
 		"internal/serving/proxy/exchange.go", "ex.info.TimeLimit-deliveryMargin)", "ex.info.TimeLimit+answerGrace)",
 		[]string{"-run=TestAnswerBeforeTheCallerLeaves", "./internal/serving/proxy"},
--- a/internal/serving/proxy/attempt.go
+++ b/internal/serving/proxy/attempt.go
@@ -39,6 +39,10 @@
 	an, err := ex.px.cf.Connections.Send(sendCtx, transport.Target{ID: pm.Upstream, Address: pm.Address}, rq)
 	done := protocol.Done{Service: ex.service, Upstream: pm.Upstream, Took: time.Since(began)}
 	outcome := ex.outcome(ctx, an, err)
+	if outcome == permit.TimedOut && ex.callerLeaves() {
+		// The upstream had less than the time in which it must answer.
+		outcome = permit.Withdrawn
+	}
 	done.Outcome = uint8(outcome)
 	if an != nil {
 		rp := ex.px.cf.UpstreamHeaders.DecodeReport(an.Status, an.Header)
--- a/internal/serving/proxy/exchange.go
+++ b/internal/serving/proxy/exchange.go
@@ -117,6 +117,9 @@
 	ex.objective = ex.rq.Arrived.Add(ex.route.Objective - waited)
 }
 
+// callerLeaves reports whether the answer is awaited only until the caller leaves.
+func (ex *exchange) callerLeaves() bool { return ex.answerBy.Before(ex.deadline.Add(answerGrace)) }
+
 // forward sends the request until it is answered or no further attempt is
 // allowed.
 func (ex *exchange) forward(ctx context.Context) *httpserver.Response {
--- a/internal/serving/proxy/proxy_test.go
+++ b/internal/serving/proxy/proxy_test.go
@@ -20,6 +20,7 @@
 	"chervilwalk/internal/catalog/desired"
 	"chervilwalk/internal/peer/protocol"
 	"chervilwalk/internal/serving/httpserver"
+	"chervilwalk/internal/serving/permit"
 	"chervilwalk/internal/serving/proxy"
 	"chervilwalk/internal/serving/transport"
 	"chervilwalk/internal/serving/verdict"
@@ -132,6 +133,8 @@
 	addresses []string
 	issued    int
 	released  int
+	// outcomes are those of the released permits.
+	outcomes []permit.Outcome
 	// watched is what the permits say.
 	watched bool
 	// onRelease may be nil.
@@ -149,10 +152,11 @@
 	return proxy.Permit{Permit: protocol.Permit{Ticket: ask.Ticket, Upstream: ident.Upstream(address), Watched: pm.watched}, Address: address}, nil, nil
 }
 
-func (pm *permits) Release(proxy.Permit, protocol.Done) {
+func (pm *permits) Release(_ proxy.Permit, done protocol.Done) {
 	pm.mu.Lock()
 	defer pm.mu.Unlock()
 	pm.released++
+	pm.outcomes = append(pm.outcomes, permit.Outcome(done.Outcome))
 	if pm.onRelease != nil {
 		pm.onRelease()
 	}
--- a/internal/serving/proxy/timelimit_test.go
+++ b/internal/serving/proxy/timelimit_test.go
@@ -13,6 +13,7 @@
 	"chervilwalk/internal/base/rate"
 	"chervilwalk/internal/catalog/desired"
 	"chervilwalk/internal/serving/httpserver"
+	"chervilwalk/internal/serving/permit"
 	"chervilwalk/internal/serving/proxy"
 	"chervilwalk/internal/serving/transport"
 )
@@ -93,3 +94,44 @@
 		})
 	}
 }
+
+// TestSilenceUntilTheCallerLeaves guards against an upstream that is blamed for a time in which it
+// need not have answered, and against a crash that is not counted since its caller's limit came.
+func TestSilenceUntilTheCallerLeaves(t *testing.T) {
+	cases := map[string]struct {
+		limit     time.Duration
+		outcome   permit.Outcome
+		abandoned bool
+	}{
+		"the caller's limit comes":  {timeout / 2, permit.Withdrawn, true},
+		"the route's timeout comes": {4 * timeout, permit.TimedOut, false},
+	}
+	for name, tc := range cases {
+		for _, path := range []string{"/lookup", "/order"} {
+			t.Run(name+path, func(t *testing.T) {
+				gm := NewWithT(t)
+				server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, rq *http.Request) { <-rq.Context().Done() }))
+				t.Cleanup(server.Close)
+				pl := transport.New(func(hd http.Header) ident.Request { return ident.Request(hd.Get("Id")) })
+				t.Cleanup(pl.Close)
+				st := state(t)
+				pm := &permits{addresses: []string{server.Listener.Addr().String()}}
+				abandoned := false
+				px := proxy.New(proxy.Config{
+					State: func() *desired.State { return st }, Permits: pm,
+					Connections: pl, CallerHeaders: limitedHeaders{}, UpstreamHeaders: testHeaders{},
+					Budget: proxy.NewBudget(1, func() float64 { return 10 }),
+					OnEnd:  func(proxy.End) {}, OnKeyedRequest: func(ident.Service, keyspace.Key) {},
+					OnLeaving: func(ident.Upstream) {}, OnPause: func(proxy.Permit, time.Duration) {}, OnLimit: func(proxy.Permit, time.Time, rate.Limit, error) {},
+					OnCrash: func(proxy.Permit, ident.Fingerprint) {}, OnAnswer: func(proxy.Permit, ident.Fingerprint) {}, OnAbandoned: func(proxy.Permit, ident.Fingerprint) { abandoned = true },
+					Suspect: func(ident.Fingerprint) bool { return false },
+				})
+				rs := px.Serve(t.Context(), &httpserver.Request{Method: http.MethodPost, URI: path, Header: http.Header{"Id": {"r1"}, "Time-Limit": {tc.limit.String()}}, Arrived: time.Now()})
+				gm.Expect(rs).NotTo(BeNil())
+				gm.Expect(rs.Status).To(Equal(http.StatusGatewayTimeout))
+				gm.Expect(pm.outcomes).To(Equal([]permit.Outcome{tc.outcome}))
+				gm.Expect(abandoned).To(Equal(tc.abandoned))
+			})
+		}
+	}
+}
