Put the writing of responses in a file of its own

connection.go has grown beyond what one concept needs: reading and admitting requests stays there, writing responses and ending a connection whose response cannot be written goes to response.go.

--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -284,7 +284,7 @@
 		[]string{"-run=TestConnectionTimeoutsCutNoRequest", "./internal/serving/httpserver"},
 	},
 	"the idle time begins before the answer": {
-		"internal/serving/httpserver/connection.go", "		if cn.inFlight.Add(-1) == 0 {\n			cn.idleSince = time.Now()\n		}", "		cn.inFlight.Add(-1)",
+		"internal/serving/httpserver/response.go", "		if cn.inFlight.Add(-1) == 0 {\n			cn.idleSince = time.Now()\n		}", "		cn.inFlight.Add(-1)",
 		[]string{"-run=TestIdleTimeBeginsWithTheAnswer", "./internal/serving/httpserver"},
 	},
 	"a connection keeps an idle timeout that is no longer in force": {
@@ -296,7 +296,7 @@
 		[]string{"-run=TestConnectionTimeoutsCutNoRequest", "./internal/serving/httpserver"},
 	},
 	"a planned stop lets busy connections go on": {
-		"internal/serving/httpserver/connection.go", "unframed || cn.server.draining.Load() || ", "unframed || ",
+		"internal/serving/httpserver/response.go", "unframed || cn.server.draining.Load() || ", "unframed || ",
 		[]string{"-run=TestDrain", "./internal/serving/httpserver"},
 	},
 	"upstreams get more requests than they have slots": {
