Refuse connections at the proxies of upstreams that have crashed, in tests

TestDeadlyRequest/the holder is cut off failed in the whole script on: an innocent request stayed refused to the end of the play. Its log: innocent0 broke off on i-orders-1 with "connection reset by peer" after 0 ms, 330 ms after that upstream had crashed; the same with the two others, so that it counted as crashing three upstreams.

Cause: the proxy before an upstream goes on listening when the upstream has ended; it accepts a connection, takes the request and closes it, which a host that has not heard of the crash must take for a crash under that request. The address of a real process that has ended refuses connections, and then a request has not been sent.

Fix: the proxies of an upstream that crashes stop accepting; the next incarnation has a proxy of its own already.

--- a/internal/stand/deployment/upstreams.go
+++ b/internal/stand/deployment/upstreams.go
@@ -70,6 +70,12 @@
 	defer dp.mu.Unlock()
 	dp.upstreams[id].listed = false
 	dp.crashes = append(dp.crashes, time.Now())
+	for _, px := range dp.proxies {
+		if px.Name == id {
+			// The next incarnation gets a proxy of its own.
+			px.StopAccepting()
+		}
+	}
 	dp.background.Add(1)
 	go func() {
 		defer dp.background.Done()
--- a/internal/stand/faultproxy/faultproxy.go
+++ b/internal/stand/faultproxy/faultproxy.go
@@ -72,6 +72,10 @@
 	}
 }
 
+// StopAccepting makes the proxy refuse new connections, as the address of a process that has ended
+// does. Open ones stay.
+func (px *Proxy) StopAccepting() { _ = px.listener.Close() }
+
 // Close closes the listener and all connections and waits for them to end.
 func (px *Proxy) Close() {
 	px.mu.Lock()
--- a/internal/stand/faultproxy/faultproxy_test.go
+++ b/internal/stand/faultproxy/faultproxy_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -56,3 +57,27 @@
 		})
 	}
 }
+
+// TestStopAccepting guards against connections that a proxy accepts for a process that has ended:
+// a host takes their end for a crash under its request.
+func TestStopAccepting(t *testing.T) {
+	gm := NewWithT(t)
+	target, err := net.Listen("tcp", "127.0.0.1:0")
+	gm.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = target.Close() })
+	px, err := faultproxy.Start("127.0.0.1:0", target.Addr().String())
+	gm.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(px.Close)
+	open, err := net.Dial("tcp", px.Address())
+	gm.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = open.Close() })
+	accepted, err := target.Accept()
+	gm.Expect(err).NotTo(HaveOccurred())
+	px.StopAccepting()
+	_, err = net.Dial("tcp", px.Address())
+	gm.Expect(err).To(MatchError(syscall.ECONNREFUSED))
+	_, err = accepted.Write([]byte("x"))
+	gm.Expect(err).NotTo(HaveOccurred())
+	_, err = open.Read(make([]byte, 1))
+	gm.Expect(err).NotTo(HaveOccurred())
+}
