Name the guard of a mutant by what can be taken away

With the condition on the target's room follows another one, and the mutant that replaced it did not compile any more ("redundant and"). The same guard is taken away as before.

--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -496,7 +496,7 @@
 		[]string{"-run=TestHotKeyStays", "./internal/ownership/balance"},
 	},
 	"keys leave a hot key for upstreams without room": {
-		"internal/ownership/balance/hotkey.go", "to.utilizationAt(to.rate+pl.load.Rate(piece)) < 1 {", "to != from {",
+		"internal/ownership/balance/hotkey.go", " && to.utilizationAt(to.rate+pl.load.Rate(piece)) < 1 {", " {",
 		[]string{"-run=TestOverloadMovesFewKeys", "./internal/ownership/balance"},
 	},
 	"a member that acknowledges late prolongs old grants": {
