Check that an odd row names no upstream beside real hosts

The mutant that takes the bounds of entries away was not noticed any more by TestEntriesOfAnotherWriter: keys stay away from upstreams that nobody has reached, so that hosts which follow the odd rows serve all the same. The test now also checks that no odd row becomes an upstream, and notices it.

--- a/internal/stand/deployment/otherwriter_test.go
+++ b/internal/stand/deployment/otherwriter_test.go
@@ -77,6 +77,7 @@
 				taken := strings.Count(lg.String(), "now=joined upstream="+id+" ")
 				gm.Expect(taken).To(Equal(2*hosts), "each host takes the upstream up again\n%s", lg.String())
 			}
+			gm.Expect(lg.String()).NotTo(MatchRegexp("event=upstream .*upstream=i-odd-"), "an odd row names no upstream")
 			lines := strings.Count(lg.String(), "event=entryMalformed")
 			gm.Expect(lines).To(BeNumerically("<=", tc.lines))
 			gm.Expect(lines > 0).To(Equal(tc.lines > 0))
