Measure late refusals of deadly requests from when they were known

Two shapes of refusals for crashes took long without being late:

event=request attempts=1 cause=requestQuarantined error="dial tcp …: connect: connection refused" request=other4-163 status=503 tookMs=294 waitedMs=294

and the same with 235 and 196 ms for innocent ones: the request was admitted, waited for a crashed upstream to be back, was sent, and another deadly request had just crashed that upstream. It had not run and asked again; meanwhile it was in quarantine, or another run of it had begun, and it was refused at once. tookMs holds the wait for the attempt, too, which may exceed half a second.

event=request attempts=0 cause=requestSuspected request=innocent0-68 status=503 tookMs=150 waitedMs=150

the request waited for an upstream when an earlier run of it crashed one.

lastWaitMs in the line of a request refused after attempts tells how long its last ask took. TestLastWaitLeavesOutEarlierOnes fails where earlier waits are counted.

--- a/internal/serving/proxy/exchange.go
+++ b/internal/serving/proxy/exchange.go
@@ -149,7 +149,8 @@
 		ObjectiveLeft: time.Until(ex.objective), TimeLeft: time.Until(ex.deadline), Avoid: ex.avoid,
 		Fingerprint: ex.end.Fingerprint,
 	})
-	ex.end.Waited += time.Since(began)
+	ex.end.LastWait = time.Since(began)
+	ex.end.Waited += ex.end.LastWait
 	if err != nil {
 		ex.end.Cause = "callerLeft"
 		return nil, nil
--- a/internal/serving/proxy/proxy.go
+++ b/internal/serving/proxy/proxy.go
@@ -122,10 +122,11 @@
 	Upstream ident.Upstream
 	Holder   ident.Host
 	Attempts int
-	// Waited is the time spent waiting for permits, Took the time from the
-	// request's arrival to its response.
-	Waited time.Duration
-	Took   time.Duration
+	// Waited is the time spent waiting for permits, LastWait that for the last one alone,
+	// Took the time from the request's arrival to its response.
+	Waited   time.Duration
+	LastWait time.Duration
+	Took     time.Duration
 	// HasSignature reports whether the response is an upstream's answer with a
 	// signature, which is not verified.
 	HasSignature bool
--- a/internal/serving/proxy/proxy_test.go
+++ b/internal/serving/proxy/proxy_test.go
@@ -273,6 +273,42 @@
 	}
 }
 
+// slowPermits issues the first permit late.
+type slowPermits struct {
+	permits
+	first time.Duration
+}
+
+func (sp *slowPermits) Acquire(ctx context.Context, ask protocol.Ask) (proxy.Permit, *protocol.Refusal, error) {
+	time.Sleep(sp.first)
+	sp.first = 0
+	return sp.permits.Acquire(ctx, ask)
+}
+
+// TestLastWaitLeavesOutEarlierOnes guards against a refusal after an attempt that seems to have
+// come late, since the request had waited before the attempt.
+func TestLastWaitLeavesOutEarlierOnes(t *testing.T) {
+	gm := NewWithT(t)
+	const first = timeout / 4
+	var end proxy.End
+	pl := transport.New(func(hd http.Header) ident.Request { return ident.Request(hd.Get("Id")) })
+	t.Cleanup(pl.Close)
+	st := state(t)
+	px := proxy.New(proxy.Config{
+		State: func() *desired.State { return st }, Permits: &slowPermits{permits: permits{addresses: []string{closedAddress(t)}}, first: first},
+		Connections: pl, CallerHeaders: testHeaders{}, UpstreamHeaders: testHeaders{},
+		Budget: proxy.NewBudget(1, func() float64 { return 10 }),
+		OnEnd:  func(en proxy.End) { end = en }, OnKeyedRequest: func(ident.Service, keyspace.Key) {},
+		Suspect: func(ident.Fingerprint) bool { return false },
+	})
+	rs := px.Serve(t.Context(), &httpserver.Request{Method: http.MethodPost, URI: "/order", Header: http.Header{"Id": {"r1"}}, Arrived: time.Now()})
+	gm.Expect(rs).NotTo(BeNil())
+	gm.Expect(rs.Status).To(Equal(http.StatusServiceUnavailable), "%+v", end)
+	gm.Expect(end.Attempts).To(Equal(1))
+	gm.Expect(end.Waited).To(BeNumerically(">=", first))
+	gm.Expect(end.LastWait).To(BeNumerically("<", first))
+}
+
 // TestBudgetBoundsRetries checks that retries stay within the budget when every
 // attempt fails.
 func TestBudgetBoundsRetries(t *testing.T) {
