Answer requests whose body ends wrong while an upstream reads it

What callers saw: a request with a body of more than 128 KB that grew beyond max-body-bytes in its chunks, had a malformed chunk or stalled for ten seconds got no answer; its connection was reset.

Cause: each error of the rest of the body counted as the caller's leaving. Bodies below 128 KB are read before the request is handled and were refused with 413, 400 and 408 already.

The body now says which of these it was, and the request is refused so, not "not run", since an upstream may have had a part of it. Where the caller's side has ended the connection, nothing is sent, as before.

TestRejectionOfBodies has the stalled body, too. A mutant takes the answer away.

--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -279,6 +279,10 @@
 		"internal/serving/proxy/exchange.go", "ex.info.TimeLimit-deliveryMargin)", "ex.info.TimeLimit+answerGrace)",
 		[]string{"-run=TestAnswerBeforeTheCallerLeaves", "./internal/serving/proxy"},
 	},
+	"the rest of a body that cannot be read passes for a caller who leaves": {
+		"internal/serving/proxy/attempt.go", "if status := ex.bodyRejection(); status != 0 {", "if status := 0; status != 0 {",
+		[]string{"-run=TestBodyThatEndsWrongIsAnswered", "./internal/serving/proxy"},
+	},
 	"a connection is idle while its requests are served": {
 		"internal/serving/httpserver/connection.go", "	if cn.inFlight.Load() > 0 {\n		return time.Now().Add(max(timeout, minIdleCheck))", "	if false {\n		return time.Now().Add(max(timeout, minIdleCheck))",
 		[]string{"-run=TestConnectionTimeoutsCutNoRequest", "./internal/serving/httpserver"},
--- a/internal/operations/explain/explain.go
+++ b/internal/operations/explain/explain.go
@@ -42,6 +42,7 @@
 	"noRoute":            "no route of the desired state in force matches it; nothing was sent",
 	"noKey":              "its service is divided by key, but the request has none; nothing was sent",
 	"bodyTooLarge":       "its body is larger than the route allows; nothing was sent",
+	"bodyRejected":       "the rest of its body was larger than the limit (413), malformed (400) or too slow (408), while an upstream read it; it may have run",
 	"noDesiredState":     "the host had no desired state yet; nothing was sent",
 	"noRoomInTime":       "the holder expected no free slot for it in time and refused at once; it did not run",
 	"waitedTooLong":      "it waited for a slot until it could no longer be answered in time; it did not run",
--- a/internal/serving/httpserver/body.go
+++ b/internal/serving/httpserver/body.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 )
@@ -72,6 +73,21 @@
 	return bd.err
 }
 
+// Rejection returns the status with which to reject the request if its body has ended with an
+// error, or 0 if it has not or its caller left.
+func (bd *Body) Rejection() int {
+	err := bd.Err()
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &tooLarge):
+		return http.StatusRequestEntityTooLarge
+	default:
+		return rejectionStatus(err)
+	}
+}
+
 // complete reports whether the whole body was read.
 func (bd *Body) complete() bool {
 	bd.mu.Lock()
--- a/internal/serving/httpserver/body_test.go
+++ b/internal/serving/httpserver/body_test.go
@@ -115,3 +115,40 @@
 	_, err = io.ReadAll(from)
 	gm.Expect(err).NotTo(HaveOccurred())
 }
+
+// TestRejectionOfBodies guards against a caller that is taken to have left, since the rest of its
+// body cannot be read.
+func TestRejectionOfBodies(t *testing.T) {
+	chunk := func(size int) string { return fmt.Sprintf("%x\r\n%s\r\n", size, strings.Repeat("b", size)) }
+	first := chunk(httpserver.BufferBytes + 1)
+	cases := map[string]struct {
+		body   string
+		leaves bool
+		status int
+	}{
+		"whole":             {body: first + "0\r\n\r\n"},
+		"too large":         {body: first + chunk(limits().BodyBytes) + "0\r\n\r\n", status: http.StatusRequestEntityTooLarge},
+		"malformed":         {body: first + "zz\r\n", status: http.StatusBadRequest},
+		"stalls":            {body: first, status: http.StatusRequestTimeout},
+		"the caller leaves": {body: first, leaves: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			gm := NewWithT(t)
+			rejections := make(chan int, 1)
+			_, conn, _ := serve(t, func(_ context.Context, rq *httpserver.Request) *httpserver.Response {
+				_, err := io.Copy(io.Discard, rq.Rest)
+				gm.Expect(err != nil).To(Equal(tc.status != 0 || tc.leaves))
+				rejections <- rq.Rest.Rejection()
+				return nil
+			})
+			_, err := io.WriteString(conn, "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"+tc.body)
+			gm.Expect(err).NotTo(HaveOccurred())
+			if tc.leaves {
+				gm.Expect(conn.(*net.TCPConn).CloseWrite()).To(Succeed())
+			}
+			gm.Eventually(rejections, 15*time.Second).Should(Receive(Equal(tc.status)))
+		})
+	}
+}
--- a/internal/serving/proxy/attempt.go
+++ b/internal/serving/proxy/attempt.go
@@ -208,6 +208,11 @@
 		ex.mayHaveRun = true
 		return ex.retry(pm, "unsignedAnswer", ex.repeatable())
 	case permit.Withdrawn:
+		if status := ex.bodyRejection(); status != 0 {
+			ex.mayHaveRun = true
+			ex.end.Err = err
+			return ex.localResponse(status, "bodyRejected", 0), false
+		}
 		ex.end.Cause = "callerLeft"
 		return nil, false
 	case permit.Unreached:
@@ -238,8 +243,17 @@
 	return ex.giveUp(cause), false
 }
 
-// bodyBrokeOff reports whether the caller stopped in the middle of the body.
+// bodyBrokeOff reports whether the caller stopped in the middle of the body, or its rest could not
+// be read.
 func (ex *exchange) bodyBrokeOff() bool { return ex.rq.Rest != nil && ex.rq.Rest.Err() != nil }
 
+// bodyRejection returns the status for a body whose rest could not be read, or 0.
+func (ex *exchange) bodyRejection() int {
+	if ex.rq.Rest == nil {
+		return 0
+	}
+	return ex.rq.Rest.Rejection()
+}
+
 // bodyConsumed reports whether a part of the body was sent and not kept.
 func (ex *exchange) bodyConsumed() bool { return ex.rq.Rest != nil && ex.rq.Rest.Consumed() }
--- /dev/null
+++ b/internal/serving/proxy/body_test.go
@@ -0,0 +1,92 @@
+package proxy_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"chervilwalk/internal/base/ident"
+	"chervilwalk/internal/base/keyspace"
+	"chervilwalk/internal/base/rate"
+	"chervilwalk/internal/catalog/desired"
+	"chervilwalk/internal/serving/httpserver"
+	"chervilwalk/internal/serving/proxy"
+	"chervilwalk/internal/serving/transport"
+	"chervilwalk/internal/serving/verdict"
+)
+
+// TestBodyThatEndsWrongIsAnswered guards against a request that gets no answer, since the end of
+// its body is taken for its caller's leaving.
+func TestBodyThatEndsWrongIsAnswered(t *testing.T) {
+	const bodyBytes = 2 * httpserver.BufferBytes
+	chunk := func(size int) string { return fmt.Sprintf("%x\r\n%s\r\n", size, strings.Repeat("b", size)) }
+	cases := map[string]struct {
+		body   string
+		status int
+		cause  string
+	}{
+		"too large":         {chunk(bodyBytes) + chunk(1) + "0\r\n\r\n", http.StatusRequestEntityTooLarge, "bodyRejected"},
+		"malformed":         {chunk(httpserver.BufferBytes+1) + "zz\r\n", http.StatusBadRequest, "bodyRejected"},
+		"the caller leaves": {chunk(httpserver.BufferBytes + 1), 0, "callerLeft"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			gm := NewWithT(t)
+			upstream := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, rq *http.Request) {
+				if _, err := io.Copy(io.Discard, rq.Body); err != nil {
+					return
+				}
+				rw.Header().Set("Seal", "s")
+			}))
+			t.Cleanup(upstream.Close)
+			pl := transport.New(func(hd http.Header) ident.Request { return ident.Request(hd.Get("Id")) })
+			t.Cleanup(pl.Close)
+			st, ends := state(t), make(chan proxy.End, 1)
+			px := proxy.New(proxy.Config{
+				State: func() *desired.State { return st }, Permits: &permits{addresses: []string{upstream.Listener.Addr().String()}},
+				Connections: pl, CallerHeaders: testHeaders{}, UpstreamHeaders: testHeaders{},
+				Budget: proxy.NewBudget(1, func() float64 { return 10 }),
+				OnEnd:  func(en proxy.End) { ends <- en }, OnKeyedRequest: func(ident.Service, keyspace.Key) {},
+				OnLeaving: func(ident.Upstream) {}, OnPause: func(proxy.Permit, time.Duration) {}, OnLimit: func(proxy.Permit, time.Time, rate.Limit, error) {},
+				OnCrash: func(proxy.Permit, ident.Fingerprint) {}, OnAnswer: func(proxy.Permit, ident.Fingerprint) {}, OnAbandoned: func(proxy.Permit, ident.Fingerprint) {},
+				Suspect: func(ident.Fingerprint) bool { return false },
+			})
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			gm.Expect(err).NotTo(HaveOccurred())
+			sv := httpserver.New(func(ctx context.Context, rq *httpserver.Request) *httpserver.Response { return px.Serve(ctx, rq) }, func() httpserver.Limits {
+				return httpserver.Limits{HeaderBytes: 4096, BodyBytes: bodyBytes, HeaderTimeout: time.Second, IdleTimeout: time.Second}
+			})
+			go func() { _ = sv.Serve(ln) }()
+			t.Cleanup(sv.Close)
+			conn, err := net.Dial("tcp", ln.Addr().String())
+			gm.Expect(err).NotTo(HaveOccurred())
+			t.Cleanup(func() { _ = conn.Close() })
+			_, err = io.WriteString(conn, "POST /upload HTTP/1.1\r\nHost: h\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n"+tc.body)
+			gm.Expect(err).NotTo(HaveOccurred())
+			if tc.status == 0 {
+				gm.Expect(conn.(*net.TCPConn).CloseWrite()).To(Succeed())
+			}
+			_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+			rs, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if tc.status == 0 {
+				gm.Expect(err).To(HaveOccurred())
+			} else {
+				gm.Expect(err).NotTo(HaveOccurred())
+				_ = rs.Body.Close()
+				gm.Expect(rs.StatusCode).To(Equal(tc.status))
+				gm.Expect(rs.Close).To(BeTrue())
+				gm.Expect(rs.Header.Get("Verdict")).To(Equal(verdict.MayHaveRun.String()))
+			}
+			gm.Expect((<-ends).Cause).To(Equal(tc.cause))
+		})
+	}
+}
