Count a late refusal from its first crash at most, and from refused asks only

By made-up log lines a refusal after 0.9 s passed as one of 50 ms, and a repeat that waits for the trial under way instead of being refused at once as one of 5 ms. And lastWaitMs was logged for requests that no ask had refused: there it was the wait for the permit of the attempt, so that a slow attempt counted as 0.

The check now moves its begin only for a request that asked before the first crash under its fingerprint, to that crash. refusedAfterMs is logged, in place of lastWaitMs, only where an ask after an attempt was refused; elsewhere the time since arrival counts.

--- a/internal/fleet/gateway/metrics.go
+++ b/internal/fleet/gateway/metrics.go
@@ -139,9 +139,9 @@
 	}
 	if en.RetryAfter > 0 {
 		fields["retryAfterMs"] = en.RetryAfter.Milliseconds()
-		if en.Attempts > 0 {
-			fields["lastWaitMs"] = en.LastWait.Milliseconds()
-		}
+	}
+	if en.Attempts > 0 && en.RefusedAfter > 0 {
+		fields["refusedAfterMs"] = en.RefusedAfter.Milliseconds()
 	}
 	if en.Fingerprint != 0 && !en.HasSignature {
 		fields["fingerprint"] = en.Fingerprint
--- a/internal/serving/proxy/exchange.go
+++ b/internal/serving/proxy/exchange.go
@@ -149,13 +149,14 @@
 		ObjectiveLeft: time.Until(ex.objective), TimeLeft: time.Until(ex.deadline), Avoid: ex.avoid,
 		Fingerprint: ex.end.Fingerprint,
 	})
-	ex.end.LastWait = time.Since(began)
-	ex.end.Waited += ex.end.LastWait
+	waited := time.Since(began)
+	ex.end.Waited += waited
 	if err != nil {
 		ex.end.Cause = "callerLeft"
 		return nil, nil
 	}
 	if refusal != nil {
+		ex.end.RefusedAfter = waited
 		if ex.mayHaveRun {
 			return nil, ex.localResponse(http.StatusBadGateway, refusal.Reason, 0)
 		}
--- a/internal/serving/proxy/proxy.go
+++ b/internal/serving/proxy/proxy.go
@@ -122,11 +122,12 @@
 	Upstream ident.Upstream
 	Holder   ident.Host
 	Attempts int
-	// Waited is the time spent waiting for permits, LastWait that for the last one alone,
-	// Took the time from the request's arrival to its response.
-	Waited   time.Duration
-	LastWait time.Duration
-	Took     time.Duration
+	// Waited is the time spent waiting for permits, Took the time from the
+	// request's arrival to its response.
+	Waited time.Duration
+	Took   time.Duration
+	// RefusedAfter is how long the request waited for the permit that it was refused, or 0.
+	RefusedAfter time.Duration
 	// HasSignature reports whether the response is an upstream's answer with a
 	// signature, which is not verified.
 	HasSignature bool
--- a/internal/serving/proxy/proxy_test.go
+++ b/internal/serving/proxy/proxy_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -285,28 +286,42 @@
 	return sp.permits.Acquire(ctx, ask)
 }
 
-// TestLastWaitLeavesOutEarlierOnes guards against a refusal after an attempt that seems to have
-// come late, since the request had waited before the attempt.
-func TestLastWaitLeavesOutEarlierOnes(t *testing.T) {
-	gm := NewWithT(t)
+// TestRefusedAfter guards against a refusal that seems late, since the request had waited for an
+// attempt before, and against a late one that does not, since an attempt came before it.
+func TestRefusedAfter(t *testing.T) {
 	const first = timeout / 4
-	var end proxy.End
-	pl := transport.New(func(hd http.Header) ident.Request { return ident.Request(hd.Get("Id")) })
-	t.Cleanup(pl.Close)
-	st := state(t)
-	px := proxy.New(proxy.Config{
-		State: func() *desired.State { return st }, Permits: &slowPermits{permits: permits{addresses: []string{closedAddress(t)}}, first: first},
-		Connections: pl, CallerHeaders: testHeaders{}, UpstreamHeaders: testHeaders{},
-		Budget: proxy.NewBudget(1, func() float64 { return 10 }),
-		OnEnd:  func(en proxy.End) { end = en }, OnKeyedRequest: func(ident.Service, keyspace.Key) {},
-		Suspect: func(ident.Fingerprint) bool { return false },
-	})
-	rs := px.Serve(t.Context(), &httpserver.Request{Method: http.MethodPost, URI: "/order", Header: http.Header{"Id": {"r1"}}, Arrived: time.Now()})
-	gm.Expect(rs).NotTo(BeNil())
-	gm.Expect(rs.Status).To(Equal(http.StatusServiceUnavailable), "%+v", end)
-	gm.Expect(end.Attempts).To(Equal(1))
-	gm.Expect(end.Waited).To(BeNumerically(">=", first))
-	gm.Expect(end.LastWait).To(BeNumerically("<", first))
+	cases := map[string]struct {
+		attempts int
+		cause    string
+		refused  bool
+	}{
+		"its next permit is refused": {1, "noRoomInTime", true},
+		"no attempt is left":         {2, "unreached", false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			gm := NewWithT(t)
+			var end proxy.End
+			pl := transport.New(func(hd http.Header) ident.Request { return ident.Request(hd.Get("Id")) })
+			t.Cleanup(pl.Close)
+			st := state(t)
+			px := proxy.New(proxy.Config{
+				State: func() *desired.State { return st }, Permits: &slowPermits{permits: permits{addresses: slices.Repeat([]string{closedAddress(t)}, tc.attempts)}, first: first},
+				Connections: pl, CallerHeaders: testHeaders{}, UpstreamHeaders: testHeaders{},
+				Budget: proxy.NewBudget(1, func() float64 { return 10 }),
+				OnEnd:  func(en proxy.End) { end = en }, OnKeyedRequest: func(ident.Service, keyspace.Key) {},
+				Suspect: func(ident.Fingerprint) bool { return false },
+			})
+			rs := px.Serve(t.Context(), &httpserver.Request{Method: http.MethodPost, URI: "/order", Header: http.Header{"Id": {"r1"}}, Arrived: time.Now()})
+			gm.Expect(rs).NotTo(BeNil())
+			gm.Expect(rs.Status).To(Equal(http.StatusServiceUnavailable), "%+v", end)
+			gm.Expect(end.Cause).To(Equal(tc.cause))
+			gm.Expect(end.Attempts).To(Equal(tc.attempts))
+			gm.Expect(end.Waited).To(BeNumerically(">=", first))
+			gm.Expect(end.RefusedAfter > 0).To(Equal(tc.refused))
+			gm.Expect(end.RefusedAfter).To(BeNumerically("<", first))
+		})
+	}
 }
 
 // TestBudgetBoundsRetries checks that retries stay within the budget when every
--- a/internal/stand/deployment/deadly_test.go
+++ b/internal/stand/deployment/deadly_test.go
@@ -278,11 +278,11 @@
 		gm.Expect(all).To(BeNumerically(">", 0))
 		gm.Expect(float64(served)/float64(all)).To(BeNumerically(">=", 0.9), "innocents in the last seconds\n%s", lg.String())
 	}
-	refused, heardOf := 0, loggedCrashes(gm, lg)
+	refused, crashed := 0, firstCrashes(gm, lg)
 	for _, en := range loggedEnds(gm, lg, "deadly") {
 		if en.status == http.StatusServiceUnavailable && (en.blamed() || en.at.After(end.Add(-settledTime))) {
 			refused++
-			gm.Expect(en.at.Sub(en.knownSince(heardOf))).To(BeNumerically("<", atOnce), "%s\nrefused late: %s", lg.String(), en.line)
+			gm.Expect(en.at.Sub(en.knownSince(crashed))).To(BeNumerically("<", atOnce), "%s\nrefused late: %s", lg.String(), en.line)
 		}
 	}
 	gm.Expect(refused).To(BeNumerically(">", 0), lg.String())
@@ -296,8 +296,8 @@
 	cause       string
 	status      int
 	fingerprint string
-	// askedAt is when the request arrived, or when it asked for another permit after its last
-	// attempt.
+	// askedAt is when the request arrived, or when it asked for the permit that it was refused
+	// after an attempt.
 	askedAt time.Time
 }
 
@@ -306,27 +306,26 @@
 	return le.cause == "requestSuspected" || le.cause == "requestQuarantined"
 }
 
-// knownSince returns from when on the request could be refused: since it asked, or since another
-// run of it crashed an upstream meanwhile.
-func (le loggedEnd) knownSince(crashes map[string][]time.Time) time.Time {
-	since := le.askedAt
-	for _, at := range crashes[le.fingerprint] {
-		if at.After(since) && !at.After(le.at) {
-			since = at
-		}
+// knownSince returns from when on the request could be refused: since it asked, or since the first
+// crash under a run of it if it asked before.
+func (le loggedEnd) knownSince(crashes map[string]time.Time) time.Time {
+	if first := crashes[le.fingerprint]; first.After(le.askedAt) && !first.After(le.at) {
+		return first
 	}
-	return since
+	return le.askedAt
 }
 
-// loggedCrashes returns when hosts saw or heard of crashes under requests, by fingerprint.
-func loggedCrashes(gm *WithT, lg *logBuffer) map[string][]time.Time {
-	crashes := map[string][]time.Time{}
+// firstCrashes returns when a host first saw or heard of a crash under a request, by fingerprint.
+func firstCrashes(gm *WithT, lg *logBuffer) map[string]time.Time {
+	first := map[string]time.Time{}
 	for _, found := range regexp.MustCompile(`(?m)^(\S+) .*event=(?:requestSuspected|requestQuarantined|request .*cause=broken) .*fingerprint=(\S+)`).FindAllStringSubmatch(lg.String(), -1) {
 		at, err := time.Parse(time.RFC3339, found[1])
 		gm.Expect(err).NotTo(HaveOccurred())
-		crashes[found[2]] = append(crashes[found[2]], at)
+		if known, seen := first[found[2]]; !seen || at.Before(known) {
+			first[found[2]] = at
+		}
 	}
-	return crashes
+	return first
 }
 
 // loggedEnds returns how the requests with this prefix of their ids ended.
@@ -337,7 +336,7 @@
 		gm.Expect(err).NotTo(HaveOccurred())
 		return value
 	}
-	lastWait, fingerprint := regexp.MustCompile(` lastWaitMs=(\d+) `), regexp.MustCompile(` fingerprint=(\S+) `)
+	refusedAfter, fingerprint := regexp.MustCompile(` refusedAfterMs=(\d+) `), regexp.MustCompile(` fingerprint=(\S+) `)
 	field := func(line string, pattern *regexp.Regexp) string {
 		if found := pattern.FindStringSubmatch(line); found != nil {
 			return found[1]
@@ -347,7 +346,7 @@
 	for _, found := range regexp.MustCompile(`(?m)^(\S+) .*event=request .*cause=(\S+) .*request=`+prefix+`.* status=(\d+) tookMs=(\d+).*$`).FindAllStringSubmatch(lg.String(), -1) {
 		at, err := time.Parse(time.RFC3339, found[1])
 		gm.Expect(err).NotTo(HaveOccurred())
-		asked := time.Duration(number(cmp.Or(field(found[0], lastWait), found[4]))) * time.Millisecond
+		asked := time.Duration(number(cmp.Or(field(found[0], refusedAfter), found[4]))) * time.Millisecond
 		ends = append(ends, loggedEnd{found[0], at, found[2], number(found[3]), field(found[0], fingerprint), at.Add(-asked)})
 	}
 	return ends
