Tell stalls and leaving from malformed bytes at the end of a body, too

A caller who left there was answered with 400, and one who stalled got 400 in place of 408. The error of the read itself counts now, as it does in the head. The two new cases of TestRejectionOfBodies fail before (400, want 0 and 408).

--- a/internal/serving/httpserver/body.go
+++ b/internal/serving/httpserver/body.go
@@ -1,12 +1,15 @@
 package httpserver
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"net"
 	"net/http"
 	"sync"
 	"time"
+
+	"chervilwalk/internal/serving/socket"
 )
 
 // Body is the part of a request's body that is read while the request is handled. A
@@ -15,6 +18,8 @@
 type Body struct {
 	reader io.Reader
 	raw    net.Conn
+	// source is below reader, which may replace its errors.
+	source *socket.LimitedReader
 	ended  bool
 
 	mu sync.Mutex
@@ -42,7 +47,7 @@
 	defer bd.mu.Unlock()
 	bd.ended = errors.Is(err, io.EOF)
 	if err != nil && !bd.ended && !bd.stopped {
-		bd.err = err
+		bd.err = cmp.Or(bd.source.Err, err)
 	}
 	return count, err
 }
--- a/internal/serving/httpserver/body_test.go
+++ b/internal/serving/httpserver/body_test.go
@@ -119,6 +119,7 @@
 // TestRejectionOfBodies guards against a caller that is taken to have left, since the rest of its
 // body cannot be read.
 func TestRejectionOfBodies(t *testing.T) {
+	t.Parallel()
 	chunk := func(size int) string { return fmt.Sprintf("%x\r\n%s\r\n", size, strings.Repeat("b", size)) }
 	first := chunk(httpserver.BufferBytes + 1)
 	cases := map[string]struct {
@@ -126,11 +127,13 @@
 		leaves bool
 		status int
 	}{
-		"whole":             {body: first + "0\r\n\r\n"},
-		"too large":         {body: first + chunk(limits().BodyBytes) + "0\r\n\r\n", status: http.StatusRequestEntityTooLarge},
-		"malformed":         {body: first + "zz\r\n", status: http.StatusBadRequest},
-		"stalls":            {body: first, status: http.StatusRequestTimeout},
-		"the caller leaves": {body: first, leaves: true},
+		"whole":                        {body: first + "0\r\n\r\n"},
+		"too large":                    {body: first + chunk(limits().BodyBytes) + "0\r\n\r\n", status: http.StatusRequestEntityTooLarge},
+		"malformed":                    {body: first + "zz\r\n", status: http.StatusBadRequest},
+		"stalls":                       {body: first, status: http.StatusRequestTimeout},
+		"stalls at its end":            {body: first + "0\r\n", status: http.StatusRequestTimeout},
+		"the caller leaves":            {body: first, leaves: true},
+		"the caller leaves at its end": {body: first + "0\r\n", leaves: true},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/serving/httpserver/connection.go
+++ b/internal/serving/httpserver/connection.go
@@ -338,7 +338,7 @@
 	}
 	pr.request.Body = buffered.Bytes()
 	if count == BufferBytes && hr.ContentLength != BufferBytes {
-		pr.request.Rest = &Body{reader: body, raw: cn.raw}
+		pr.request.Rest = &Body{reader: body, raw: cn.raw, source: cn.source}
 	} else {
 		pr.request.Length = count
 	}
