Give each write to a caller the whole write timeout

A streamed answer of unknown length whose end came more than 30 s after its last part was cut before that end.

Cause, of the class of LOST, a connection ended by a time that is not that of its requests: these two writes ran under the deadline that an earlier write had set. The default idle timeout of 15 s keeps the first from showing; desired states may name longer ones.

All writes to callers go through one method, which sets the deadline. TestWriteTimeoutIsThatOfTheWrite fails in both cases before ("unexpected EOF", "connection reset by peer").

--- a/internal/serving/httpserver/connection.go
+++ b/internal/serving/httpserver/connection.go
@@ -230,7 +230,7 @@
 		},
 	}
 	if strings.EqualFold(hr.Header.Get("Expect"), "100-continue") && hr.ContentLength != 0 && cn.inFlight.Load() == 0 {
-		if _, err := io.WriteString(cn.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+		if _, err := cn.write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 			cn.noteReadEnd(err)
 			return nil, 0
 		}
--- a/internal/serving/httpserver/response.go
+++ b/internal/serving/httpserver/response.go
@@ -80,11 +80,10 @@
 		return false
 	}
 	out.WriteString("\r\n")
-	_ = cn.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if !pr.isHead && !chunked {
 		out.Write(rs.Body)
 	}
-	count, err := cn.raw.Write(out.Bytes())
+	count, err := cn.write(out.Bytes())
 	pr.begun = count > 0
 	if err != nil {
 		cn.noteEnd(WriteFailed, err)
@@ -93,6 +92,12 @@
 	return rs.Rest == nil || pr.isHead || cn.writeRest(rs, chunked)
 }
 
+// write writes to the caller, with the whole write timeout.
+func (cn *connection) write(part []byte) (int, error) {
+	_ = cn.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
+	return cn.raw.Write(part)
+}
+
 // closesAfter reports whether the connection closes after this response. Every
 // request that was already read is still answered first.
 func (cn *connection) closesAfter(pr *pendingRequest, rs *Response) bool {
@@ -124,12 +129,11 @@
 	for {
 		count, readErr := body.Read(buf)
 		if count > 0 {
-			_ = cn.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
 			part := buf[:count]
 			if chunked {
 				part = append(append([]byte(strconv.FormatInt(int64(count), 16)+"\r\n"), part...), '\r', '\n')
 			}
-			if _, err := cn.raw.Write(part); err != nil {
+			if _, err := cn.write(part); err != nil {
 				cn.noteEnd(WriteFailed, err)
 				return false
 			}
@@ -140,7 +144,7 @@
 			cn.noteEnd(ResponseBrokeOff, readErr)
 			return false
 		case chunked:
-			if _, err := io.WriteString(cn.raw, "0\r\n\r\n"); err != nil {
+			if _, err := cn.write([]byte("0\r\n\r\n")); err != nil {
 				cn.noteEnd(WriteFailed, err)
 				return false
 			}
--- a/internal/serving/httpserver/timeouts_test.go
+++ b/internal/serving/httpserver/timeouts_test.go
@@ -118,3 +118,48 @@
 	time.Sleep(1500 * time.Millisecond)
 	ask()
 }
+
+// TestWriteTimeoutIsThatOfTheWrite guards against responses that are cut since the time for an
+// earlier write has run out.
+func TestWriteTimeoutIsThatOfTheWrite(t *testing.T) {
+	t.Parallel()
+	const longer = 31 * time.Second
+	patient := func() httpserver.Limits {
+		return httpserver.Limits{HeaderBytes: 1024, BodyBytes: 1 << 20, HeaderTimeout: time.Second, IdleTimeout: 2 * longer}
+	}
+	t.Run("a request expects 100 Continue", func(t *testing.T) {
+		t.Parallel()
+		gm := NewWithT(t)
+		conn, from := serveWithin(t, takes(0), patient)
+		gm.Expect(conn.SetDeadline(time.Now().Add(2 * longer))).To(Succeed())
+		_, err := io.WriteString(conn, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+		gm.Expect(err).NotTo(HaveOccurred())
+		rs, _ := readResponse(t, from)
+		gm.Expect(rs.StatusCode).To(Equal(http.StatusOK))
+		time.Sleep(longer)
+		_, err = io.WriteString(conn, "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nExpect: 100-continue\r\n\r\n")
+		gm.Expect(err).NotTo(HaveOccurred())
+		rs, _ = readResponse(t, from)
+		gm.Expect(rs.StatusCode).To(Equal(http.StatusContinue))
+		_, err = io.WriteString(conn, "abc")
+		gm.Expect(err).NotTo(HaveOccurred())
+		rs, body := readResponse(t, from)
+		gm.Expect(rs.StatusCode).To(Equal(http.StatusOK))
+		gm.Expect(body).To(Equal("/b"))
+	})
+	t.Run("a streamed answer ends late", func(t *testing.T) {
+		t.Parallel()
+		gm := NewWithT(t)
+		reader, writer := io.Pipe()
+		conn, from := serveWithin(t, func(context.Context, *httpserver.Request) *httpserver.Response {
+			return &httpserver.Response{Status: http.StatusOK, Header: http.Header{}, Body: []byte("abc"), Rest: reader, Length: -1}
+		}, patient)
+		gm.Expect(conn.SetDeadline(time.Now().Add(2 * longer))).To(Succeed())
+		_, err := io.WriteString(conn, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+		gm.Expect(err).NotTo(HaveOccurred())
+		time.AfterFunc(longer, func() { _ = writer.Close() })
+		rs, body := readResponse(t, from)
+		gm.Expect(rs.StatusCode).To(Equal(http.StatusOK))
+		gm.Expect(body).To(Equal("abc"))
+	})
+}
