Refuse requests that arrive while a planned stop closes their connection

No response had told its caller that the connection closes. Nor was a request answered that had been read whole right after StopTaking.

The server now knows that a request arrives, lets its read end by the times for heads and bodies, and hands it on as late. The proxy refuses late ones with 503 "not run", since they might not be finished in time. Behind a response that says that the connection closes, and behind a reset, they are dropped as before.

--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -299,6 +299,14 @@
 		"internal/serving/httpserver/connection.go", "		return http.StatusRequestTimeout\n	case errors.Is(err, io.EOF)", "		return 0\n	case errors.Is(err, io.EOF)",
 		[]string{"-run=TestConnectionTimeoutsCutNoRequest", "./internal/serving/httpserver"},
 	},
+	"a planned stop cuts requests that arrive": {
+		"internal/serving/httpserver/connection.go", " && !cn.lingering && !cn.reading {", " && !cn.lingering {",
+		[]string{"-run=TestStopAnswersWhatArrives", "./internal/serving/httpserver"},
+	},
+	"a stopping host sends late requests on": {
+		"internal/serving/proxy/exchange.go", "	case ex.rq.Late:\n", "	case false:\n",
+		[]string{"-run=TestLateRequestsDoNotRun", "./internal/serving/proxy"},
+	},
 	"a planned stop lets busy connections go on": {
 		"internal/serving/httpserver/response.go", "unframed || cn.server.draining.Load() || ", "unframed || ",
 		[]string{"-run=TestDrain", "./internal/serving/httpserver"},
--- a/internal/operations/explain/explain.go
+++ b/internal/operations/explain/explain.go
@@ -44,6 +44,7 @@
 	"bodyTooLarge":       "its body is larger than the route allows; nothing was sent",
 	"bodyRejected":       "the rest of its body was larger than the limit (413), malformed (400) or too slow (408), while an upstream read it; it may have run",
 	"noDesiredState":     "the host had no desired state yet; nothing was sent",
+	"stopping":           "it arrived when the host had stopped taking requests; nothing was sent",
 	"noRoomInTime":       "the holder expected no free slot for it in time and refused at once; it did not run",
 	"waitedTooLong":      "it waited for a slot until it could no longer be answered in time; it did not run",
 	"noUpstream":         "no upstream could run it: none is listed, or its key had no owner; it did not run",
--- a/internal/serving/httpserver/connection.go
+++ b/internal/serving/httpserver/connection.go
@@ -52,8 +52,11 @@
 	endErr error
 	// idleSince is when the last request in flight was answered, or the connection opened.
 	idleSince time.Time
-	// closing reports whether no further request is accepted.
-	closing bool
+	// closing reports whether no further request is accepted, told whether a response or a reset
+	// says so.
+	closing, told bool
+	// reading reports whether a part of a request that is not in flight yet was read.
+	reading bool
 	// lingering reports whether what the caller sends is only read to be discarded.
 	lingering bool
 	// awaitingTurn reports whether a request that was read waits for those in flight.
@@ -90,8 +93,8 @@
 	defer cn.mu.Unlock()
 	cn.closing = true
 	cn.changed.Broadcast()
-	// A lingering connection has a deadline of its own.
-	if cn.inFlight.Load() == 0 && !cn.lingering {
+	// A lingering connection has a deadline of its own. A request that is arriving is refused.
+	if cn.inFlight.Load() == 0 && !cn.lingering && !cn.reading {
 		_ = cn.raw.SetReadDeadline(time.Unix(1, 0))
 	}
 }
@@ -141,7 +144,7 @@
 }
 
 // admit counts a request as in flight, or returns false if the connection is
-// closing. Requests that may not be repeated (all but GET and HEAD) first wait
+// closing and a response before it says so. Requests that may not be repeated (all but GET and HEAD) first wait
 // until those before them are answered, so that none of them follows a response
 // that closes the connection.
 func (cn *connection) admit(pr *pendingRequest) bool {
@@ -154,10 +157,12 @@
 	for !safe && cn.inFlight.Load() > 0 && !cn.closing {
 		cn.changed.Wait()
 	}
-	if cn.closing {
+	if cn.closing && (cn.told || cn.inFlight.Load() > 0) {
 		return false
 	}
+	pr.request.Late = cn.closing
 	cn.inFlight.Add(1)
+	cn.reading = false
 	return true
 }
 
@@ -202,7 +207,10 @@
 		}
 	}
 	lm := cn.server.limits()
+	cn.mu.Lock()
+	cn.reading = true
 	_ = cn.raw.SetReadDeadline(time.Now().Add(lm.HeaderTimeout))
+	cn.mu.Unlock()
 	cn.source.Remaining = int64(max(lm.HeaderBytes-cn.reader.Buffered(), 0))
 	hr, err := http.ReadRequest(cn.reader)
 	if err != nil {
@@ -348,7 +356,7 @@
 // reject queues the response to a request that cannot be read.
 func (cn *connection) reject(status int) {
 	cn.mu.Lock()
-	if cn.closing {
+	if cn.closing && (cn.told || cn.inFlight.Load() > 0) {
 		cn.mu.Unlock()
 		return
 	}
--- a/internal/serving/httpserver/httpserver.go
+++ b/internal/serving/httpserver/httpserver.go
@@ -69,6 +69,9 @@
 	Length int64
 	// Arrived is the time at which the head of the request had been read.
 	Arrived time.Time
+	// Late reports whether the request arrived while its connection stopped taking any. It
+	// might not be finished before the server closes.
+	Late bool
 	// ID names the request in reports. The handler may set it until it returns.
 	ID ident.Request
 }
@@ -198,7 +201,8 @@
 }
 
 // StopTaking makes each connection take no further request. Those without one in flight close at
-// once, the others after the responses to what they have taken.
+// once, or after the response to one of which a part has arrived, the others after the responses
+// to what they have taken.
 func (sv *Server) StopTaking() {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
--- a/internal/serving/httpserver/linger_test.go
+++ b/internal/serving/httpserver/linger_test.go
@@ -169,3 +169,52 @@
 	gm.Expect(err).To(HaveOccurred(), "the connection ends")
 	gm.Expect(served.Load()).To(BeFalse())
 }
+
+// TestStopAnswersWhatArrives guards against a request that a planned stop cuts without an answer
+// while it arrives: no response before it has told its caller that the connection closes.
+func TestStopAnswersWhatArrives(t *testing.T) {
+	const whole = "GET /before HTTP/1.1\r\nHost: h\r\n\r\n"
+	cases := map[string]struct {
+		// before is sent and answered before, first before the stop, rest after it.
+		before, first, rest string
+		status              int
+	}{
+		"in its head":              {"", "POST /a HTTP/1.1\r\nHost: h\r\nConte", "nt-Length: 3\r\n\r\nabc", http.StatusServiceUnavailable},
+		"in its body":              {"", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 6\r\n\r\nabc", "def", http.StatusServiceUnavailable},
+		"after another one":        {whole, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 6\r\n\r\nabc", "def", http.StatusServiceUnavailable},
+		"with a body in two parts": {"", "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", "0\r\n\r\n", http.StatusServiceUnavailable},
+		"malformed":                {"", "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", "zz\r\n", http.StatusBadRequest},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			gm := NewWithT(t)
+			sv, conn, from := serve(t, func(_ context.Context, rq *httpserver.Request) *httpserver.Response {
+				if rq.Late {
+					return &httpserver.Response{Status: http.StatusServiceUnavailable, Header: http.Header{}}
+				}
+				return &httpserver.Response{Status: http.StatusOK, Header: http.Header{}}
+			})
+			if tc.before != "" {
+				_, err := io.WriteString(conn, tc.before)
+				gm.Expect(err).NotTo(HaveOccurred())
+				rs, _ := readResponse(t, from)
+				gm.Expect(rs.StatusCode).To(Equal(http.StatusOK))
+			}
+			_, err := io.WriteString(conn, tc.first)
+			gm.Expect(err).NotTo(HaveOccurred())
+			time.Sleep(50 * time.Millisecond)
+			sv.Drain()
+			for range 5 {
+				// As a stopping process does.
+				sv.StopTaking()
+				time.Sleep(20 * time.Millisecond)
+			}
+			_, err = io.WriteString(conn, tc.rest)
+			gm.Expect(err).NotTo(HaveOccurred())
+			rs, _ := readResponse(t, from)
+			gm.Expect(rs.StatusCode).To(Equal(tc.status))
+			gm.Expect(rs.Close).To(BeTrue())
+			gm.Eventually(sv.Connections, 3*time.Second).Should(BeZero())
+		})
+	}
+}
--- a/internal/serving/httpserver/response.go
+++ b/internal/serving/httpserver/response.go
@@ -42,7 +42,7 @@
 func (cn *connection) abort() {
 	cn.cancel()
 	cn.mu.Lock()
-	cn.closing = true
+	cn.closing, cn.told = true, true
 	cn.changed.Broadcast()
 	cn.mu.Unlock()
 	if tc, ok := cn.raw.(*net.TCPConn); ok {
@@ -113,7 +113,9 @@
 			_ = cn.raw.SetReadDeadline(time.Now().Add(lingerTimeout))
 		}
 	}
-	return cn.closing && cn.inFlight.Load() == 1
+	last := cn.closing && cn.inFlight.Load() == 1
+	cn.told = cn.told || last
+	return last
 }
 
 // writeRest streams the rest of a large body and reports whether all of it was written.
--- a/internal/serving/proxy/exchange.go
+++ b/internal/serving/proxy/exchange.go
@@ -60,6 +60,8 @@
 		}
 	}
 	switch {
+	case ex.rq.Late:
+		return ex.localResponse(http.StatusServiceUnavailable, "stopping", startRetryAfter)
 	case ex.state == nil:
 		return ex.localResponse(http.StatusServiceUnavailable, "noDesiredState", startRetryAfter)
 	case !found:
--- a/internal/serving/proxy/proxy.go
+++ b/internal/serving/proxy/proxy.go
@@ -33,7 +33,7 @@
 	deliveryMargin = 10 * time.Millisecond
 	// minTimeLeft is the shortest time left with which a request is still sent.
 	minTimeLeft = 15 * time.Millisecond
-	// startRetryAfter is the Retry-After of a host that has no desired state yet.
+	// startRetryAfter is the Retry-After of a host that has no desired state yet, or that stops.
 	startRetryAfter = 500 * time.Millisecond
 	// busyRetryAfter is the Retry-After of a request that no upstream ran.
 	busyRetryAfter = 300 * time.Millisecond
--- a/internal/serving/proxy/proxy_test.go
+++ b/internal/serving/proxy/proxy_test.go
@@ -274,6 +274,26 @@
 	}
 }
 
+// TestLateRequestsDoNotRun guards against requests that a stopping host sends to an upstream and
+// cannot answer any more.
+func TestLateRequestsDoNotRun(t *testing.T) {
+	gm := NewWithT(t)
+	st, pm := state(t), &permits{addresses: []string{closedAddress(t)}}
+	var end proxy.End
+	px := proxy.New(proxy.Config{
+		State: func() *desired.State { return st }, Permits: pm, CallerHeaders: testHeaders{}, UpstreamHeaders: testHeaders{},
+		Budget: proxy.NewBudget(1, func() float64 { return 10 }),
+		OnEnd:  func(en proxy.End) { end = en }, OnKeyedRequest: func(ident.Service, keyspace.Key) {},
+		Suspect: func(ident.Fingerprint) bool { return false },
+	})
+	rs := px.Serve(t.Context(), &httpserver.Request{Method: http.MethodPost, URI: "/order", Header: http.Header{"Id": {"r1"}}, Arrived: time.Now(), Late: true})
+	gm.Expect(rs.Status).To(Equal(http.StatusServiceUnavailable))
+	gm.Expect(rs.Header.Get("Verdict")).To(Equal(verdict.NotRun.String()))
+	gm.Expect(rs.Header.Get("Retry-After")).NotTo(BeEmpty())
+	gm.Expect(end.Cause).To(Equal("stopping"))
+	gm.Expect(pm.issued).To(BeZero())
+}
+
 // slowPermits issues the first permit late.
 type slowPermits struct {
 	permits
