--- a/review/fleet/fleet.go
+++ b/review/fleet/fleet.go
@@ -15,6 +15,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -109,8 +110,11 @@
 	storeAddr string
 	prefix    string
 	Hosts     []*Host
+	// mu guards Upstreams where they are replaced.
+	mu        sync.Mutex
 	Upstreams []*Upstream
 	version   int
+	config    []byte
 	done      chan struct{}
 	group     sync.WaitGroup
 }
@@ -188,7 +192,8 @@
 	if err != nil {
 		panic(err)
 	}
-	fl.Store.Put("op", "config", body)
+	fl.config = body
+	fl.Rewrite()
 }
 
 // AddUpstream starts an upstream.
@@ -205,6 +210,24 @@
 	return up, nil
 }
 
+// Rewrite writes the operators' rows again as they are.
+func (fl *Fleet) Rewrite() { fl.Store.Put("op", "config", fl.config) }
+
+// Replace starts an upstream again under the id that it had, after it has ended.
+func (fl *Fleet) Replace(ix int) (*Upstream, error) {
+	cf := fl.Upstreams[ix].Config()
+	raw, err := fakeupstream.Start(cf)
+	if err != nil {
+		return nil, err
+	}
+	up := &Upstream{Upstream: raw, Service: cf.Service, ID: cf.ID, state: "ready"}
+	fl.mu.Lock()
+	fl.Upstreams[ix] = up
+	fl.mu.Unlock()
+	fl.announce(up)
+	return up, nil
+}
+
 // announce writes an upstream's entry.
 func (fl *Fleet) announce(up *Upstream) {
 	up.mu.Lock()
@@ -218,7 +241,10 @@
 
 // Announce writes all entries at once.
 func (fl *Fleet) Announce() {
-	for _, up := range fl.Upstreams {
+	fl.mu.Lock()
+	list := slices.Clone(fl.Upstreams)
+	fl.mu.Unlock()
+	for _, up := range list {
 		fl.announce(up)
 	}
 }
