--- a/review/fleet/fleet.go
+++ b/review/fleet/fleet.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -122,6 +123,7 @@
 // Start starts the store, the upstreams and the hosts, and waits until all hosts are ready.
 func Start(cf Config) (*Fleet, error) {
 	fl := &Fleet{cf: cf, Store: metastore.New(), done: make(chan struct{})}
+	fl.closeOnSignal()
 	if err := fl.choosePrefix(); err != nil {
 		return nil, err
 	}
@@ -158,6 +160,19 @@
 	return fl, fl.AwaitReady(fl.Hosts...)
 }
 
+// closeOnSignal ends all hosts, and this process, when it is asked to end.
+func (fl *Fleet) closeOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-signals
+		for _, ho := range fl.Hosts {
+			ho.Signal(syscall.SIGKILL)
+		}
+		os.Exit(2)
+	}()
+}
+
 // choosePrefix chooses loopback addresses whose ports are free.
 func (fl *Fleet) choosePrefix() error {
 	for try := range 200 {
@@ -173,6 +188,9 @@
 
 func (fl *Fleet) ip(number int) string { return fl.prefix + fmt.Sprint(number) }
 
+// ServerIP returns the IP of the upstreams.
+func (fl *Fleet) ServerIP() string { return fl.ip(2) }
+
 // Configure writes a new version of the desired state.
 func (fl *Fleet) Configure() {
 	fl.version += 3
@@ -199,7 +217,7 @@
 // AddUpstream starts an upstream.
 func (fl *Fleet) AddUpstream(sv Service, id, zone string) (*Upstream, error) {
 	raw, err := fakeupstream.Start(fakeupstream.Config{
-		ID: id, Address: fl.ip(2) + ":0", Service: sv.Name, Zone: zone, Slots: 2, Queue: 8, Keyed: sv.Keyed, Work: sv.Work, AnswerBytes: sv.AnswerBytes,
+		ID: id, Address: fl.ServerIP() + ":0", Service: sv.Name, Zone: zone, Slots: 2, Queue: 8, Keyed: sv.Keyed, Work: sv.Work, AnswerBytes: sv.AnswerBytes,
 	})
 	if err != nil {
 		return nil, err
