--- a/review/fleet/fleet.go
+++ b/review/fleet/fleet.go
@@ -95,6 +95,13 @@
 	state    string
 }
 
+// Sequence returns the sequence of the last entry.
+func (up *Upstream) Sequence() int {
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	return up.sequence
+}
+
 // SetState sets the state that the entry names from the next beat on; with an empty one the
 // upstream writes no entry.
 func (up *Upstream) SetState(state string) {
