Review: build the cases without a version stamp

review/build.sh builds with -buildvcs=false, so that the build does not depend on what the version control tool says of the checkout. No case changes.

--- a/review/build.sh
+++ b/review/build.sh
@@ -6,6 +6,6 @@
 mkdir -p target/review
 for dir in review/[1-5]; do
 	if [ -f "$dir/main.go" ]; then
-		go build -o "target/review/case$(basename "$dir")" "./$dir"
+		go build -buildvcs=false -o "target/review/case$(basename "$dir")" "./$dir"
 	fi
 done
