--- a/review/1/main.go
+++ b/review/1/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -14,10 +15,10 @@
 	"chervilwalk/review/fleet"
 )
 
-// The figures are those of the users' grown deployment at Arusha.
+// The figures are those of the users' deployment at Arusha.
 var services = []fleet.Service{
-	{Name: "gluebook", Kind: "non_idempotent", Objective: 1200 * time.Millisecond, Timeout: 2 * time.Second, Priority: 1, Upstreams: 4, Work: 290 * time.Millisecond, AnswerBytes: 400},
-	{Name: "certshelf", Kind: "download", Objective: 1500 * time.Millisecond, Timeout: 2 * time.Second, Priority: 2, Upstreams: 4, Work: 180 * time.Millisecond, AnswerBytes: 90000},
+	{Name: "gluebook", Kind: "non_idempotent", Objective: 800 * time.Millisecond, Timeout: 1500 * time.Millisecond, Priority: 1, Upstreams: 4, Work: 290 * time.Millisecond, AnswerBytes: 400},
+	{Name: "certshelf", Kind: "download", Objective: 600 * time.Millisecond, Timeout: 1500 * time.Millisecond, Priority: 2, Upstreams: 4, Work: 180 * time.Millisecond, AnswerBytes: 90000},
 }
 
 // service returns the service with a name.
@@ -30,19 +31,19 @@
 
 const (
 	// hosts is the number of hosts, rounds how often one of them is killed, in turn.
-	hosts, rounds = 3, 12
+	hosts, rounds = 3, 30
 	// settleTime is the time before the load begins.
 	settleTime = 4 * time.Second
 	// loadBefore is how long the load lasts before the first kill.
 	loadBefore = 3 * time.Second
 	// uptime is how long a killed host runs until it is killed once more.
-	uptime = 700 * time.Millisecond
+	uptime = 400 * time.Millisecond
 	// pause is the time between two rounds.
-	pause = 3300 * time.Millisecond
+	pause = 2 * time.Second
 	// restartDelay is the time from a kill to the start of the next process.
 	restartDelay = 20 * time.Millisecond
 	// timeLimit is how long callers wait.
-	timeLimit = 4 * time.Second
+	timeLimit = 3 * time.Second
 )
 
 // intervals holds the time between two requests to one host, by service: a little more than the
@@ -141,8 +142,11 @@
 	}
 }
 
+// maxTries is how often a caller tries.
+const maxTries = 3
+
 // call sends one request. Like the users' callers, one whose connection was not opened comes
-// back, and one whose answer broke off only if it may be repeated.
+// back, at another host, and one whose answer broke off only if it may be repeated.
 func (ts *test) call(ho *fleet.Host, sv fleet.Service) {
 	defer ts.group.Done()
 	ts.mu.Lock()
@@ -150,7 +154,9 @@
 	number := ts.number
 	ts.mu.Unlock()
 	deadline := time.Now().Add(timeLimit)
-	for time.Until(deadline) > 100*time.Millisecond {
+	at := slices.Index(ts.fleet.Hosts, ho)
+	for try := range maxTries {
+		ho := ts.fleet.Hosts[(at+try)%hosts]
 		rq := &fleet.Request{Method: http.MethodGet, Path: fmt.Sprintf("/%s/%d", sv.Name, number), Key: -1, TimeLimit: time.Until(deadline), ID: fleet.NewID()}
 		if sv.Kind == "non_idempotent" {
 			rq.Method, rq.Body = http.MethodPost, fmt.Sprintf("order %d", number)
@@ -168,7 +174,6 @@
 		if an.Status != 0 || an.Sent && sv.Kind == "non_idempotent" {
 			return
 		}
-		time.Sleep(restartDelay)
 	}
 }
 
