--- a/review/fleet/fleet.go
+++ b/review/fleet/fleet.go
@@ -56,8 +56,17 @@
 	AnswerBytes int
 }
 
+// Store is a stand-in for the platform's store. Put writes a row as operators and upstreams do, in
+// the part without a name.
+type Store interface {
+	http.Handler
+	Put(table, key string, value []byte)
+}
+
 // Config configures a Fleet.
 type Config struct {
+	// Store, if set, takes the place of the project's stand-in.
+	Store Store
 	// Program is the path of chervilwalk's binary, Dir the directory for settings and logs.
 	Program, Dir string
 	Hosts        int
@@ -113,7 +122,7 @@
 // Fleet is a running deployment.
 type Fleet struct {
 	cf        Config
-	Store     *metastore.Store
+	Store     Store
 	server    *http.Server
 	storeAddr string
 	prefix    string
@@ -129,7 +138,10 @@
 
 // Start starts the store, the upstreams and the hosts, and waits until all hosts are ready.
 func Start(cf Config) (*Fleet, error) {
-	fl := &Fleet{cf: cf, Store: metastore.New(), done: make(chan struct{})}
+	fl := &Fleet{cf: cf, Store: cf.Store, done: make(chan struct{})}
+	if fl.Store == nil {
+		fl.Store = metastore.New()
+	}
 	fl.closeOnSignal()
 	if err := fl.choosePrefix(); err != nil {
 		return nil, err
