--- a/review/1/main.go
+++ b/review/1/main.go
@@ -142,8 +142,8 @@
 	}
 }
 
-// maxTries is how often a caller tries.
-const maxTries = 3
+// maxTries is how often a caller tries: the users have their callers retry once.
+const maxTries = 2
 
 // call sends one request. Like the users' callers, one whose connection was not opened comes
 // back, at another host, and one whose answer broke off only if it may be repeated.
