Split the cost of an upstream and Retry-After off the permit queue

Cause: admission, Retry-After and the choice of a domain change for different reasons, and all three stood in queue.go. Each has a file of its own now; the two callers that computed a Retry-After share one function. No change of behaviour: the package's tests pass unchanged.

--- a/internal/serving/permit/queue.go
+++ b/internal/serving/permit/queue.go
@@ -36,8 +36,6 @@
 	// unreachable or busy with a long request. maxMoveTime limits that.
 	expectedMoveTime = 200 * time.Millisecond
 	maxMoveTime      = 3 * time.Second
-	// minRetryAfter prevents an immediate retry of a refused request.
-	minRetryAfter = 100 * time.Millisecond
 	// disownedDelay is how long asks for keys that their owner disowned are held
 	// back.
 	disownedDelay = 150 * time.Millisecond
@@ -51,17 +49,6 @@
 	// unconfirmedShare is the fraction of a limit that a holder uses while another may have
 	// taken its place: with the other's it stays within one and a half times the limit.
 	unconfirmedShare = 0.5
-	// crossDomainCost is added to the expected latency of an upstream in another
-	// domain, because traffic between domains is expensive; for large answers it
-	// is largeCrossDomainCost.
-	crossDomainCost      = 10 * time.Millisecond
-	largeCrossDomainCost = 400 * time.Millisecond
-	// refusalCost is added to the expected latency of an upstream that refuses all
-	// requests, because each refusal costs an attempt.
-	refusalCost = 400 * time.Millisecond
-	// maxLocalWait is how long a request with a large answer waits for a slot
-	// in its own domain before it may use another domain.
-	maxLocalWait = 120 * time.Millisecond
 )
 
 // admit queues an ask or refuses it. A repeated ask changes nothing: the reply
@@ -93,10 +80,11 @@
 		ak.refuseAt = min(ak.refuseAt, now.Add(co.lateWait(now, ak)))
 	}
 	if now.Add(es.Wait) > ak.refuseAt {
+		reason := "noRoomInTime"
 		if es.Limit.Named {
-			return append(cmds, ak.refuse(now, us.returnAfter(now, max(es.Wait, minRetryAfter), es.Limit), "upstreamLimited", es))
+			reason = "upstreamLimited"
 		}
-		return append(cmds, ak.refuse(now, max(es.Wait-msg.ObjectiveLeft/2, minRetryAfter), "noRoomInTime", es))
+		return append(cmds, ak.refuse(now, co.retryAfter(now, ak, es), reason, es))
 	}
 	co.asks[id] = ak
 	co.waiting[msg.Service] = append(co.waiting[msg.Service], ak)
@@ -388,11 +376,7 @@
 	// Only now, as estimates count the asks that wait.
 	for _, ak := range overdue {
 		es, _ := co.estimate(now, ak)
-		after := minRetryAfter
-		if us := co.upstreams[es.Upstream]; us != nil && es.Limit.Named {
-			after = us.returnAfter(now, max(es.Wait, minRetryAfter), es.Limit)
-		}
-		cmds = append(cmds, ak.refuse(now, after, "waitedTooLong", es))
+		cmds = append(cmds, ak.refuse(now, co.retryAfter(now, ak, es), "waitedTooLong", es))
 	}
 	return cmds
 }
@@ -432,21 +416,3 @@
 func (ak *ask) inPool(us *upstream) bool {
 	return us.Service == ak.Service && ident.PoolOf(us.hash, ak.Pools) == ak.Pool
 }
-
-// cost returns the expected latency of an upstream plus the cost of refusals and of
-// crossing domains; cold upstreams count double. It returns false while the ask should
-// wait for an upstream in its own domain.
-func (ak *ask) cost(now clock.Instant, us *upstream) (time.Duration, bool) {
-	cost := us.latency + time.Duration(us.refusalRatio*float64(refusalCost))
-	if us.cold(now) {
-		cost += us.latency
-	}
-	switch {
-	case us.Domain == ak.Domain:
-	case ak.Large:
-		return cost + largeCrossDomainCost, now.Sub(ak.arrivedAt) >= maxLocalWait
-	default:
-		cost += crossDomainCost
-	}
-	return cost, true
-}
