Read the leader's row once at a start, and again when it can be claimed

Cause: a host without a leader reads the leader's row each 450 ms.

Ruled out: reading later on unfit hosts. A host that starts beside a leader would serve later.

Change: the first read comes at once and is followed by a status to the leader that it names. Without an answer the next one comes when the row can be claimed: after a delay by fitness if it is free, after its 1.7 s and that delay if it is held. Hosts that know no assignment assume that others are fitter, for 250 ms at most.

--- a/internal/ownership/agent/writes.go
+++ b/internal/ownership/agent/writes.go
@@ -47,7 +47,12 @@
 		otherTable = ms.TableVersion != co.tableVersion
 		co.tableVersion, co.eraRowVersion = ms.TableVersion, ms.EraRowVersion
 	}
+	before := co.election.Leader().Address
 	co.updateElection(now, election.RowMsg{Era: ms.Era, Row: ms.Row, Version: ms.RowVersion, StartedAt: ms.StartedAt, Unreadable: ms.RowUnreadable})
+	if co.leader == nil && co.election.Leader().Address != before {
+		// Its answer brings what this host does not know, and makes further reads needless.
+		co.sendStatus(now)
+	}
 	if co.writes.awaitingRead || otherTable {
 		// The next write expects the table that was read, so its revision must
 		// follow that of this table.
--- a/internal/ownership/election/election.go
+++ b/internal/ownership/election/election.go
@@ -31,6 +31,9 @@
 	// maxClaimDelay is how long the least fit host waits before it claims a free
 	// row: a fit host reads the row twice in this time.
 	maxClaimDelay = time.Second
+	// maxFirstClaimDelay is the same for a host that knows no assignment, and so not
+	// how fit others are.
+	maxFirstClaimDelay = 250 * time.Millisecond
 	// LeaseTTL is how long a leader may start calls to upstreams after the store
 	// last confirmed that it leads. LeaseTTL plus renewal.CallTimeout, the timeout of a
 	// grant, is shorter than staleTimeout, after which another host can take over
@@ -128,7 +131,7 @@
 	// jitter keeps the hosts from reading the row all at once.
 	jitter time.Duration
 	// fitness is how well this host can lead, bestFitness the highest of all hosts;
-	// both are from 0 to 1.
+	// both are from 0 to 1. bestFitness is 0 until it is set.
 	fitness, bestFitness float64
 	// freeSince is when the row was first read as free to take, clock.Never while
 	// it is held.
@@ -145,10 +148,13 @@
 	row      Row
 	version  Version
 	// unreadable is true while the newest known version of the row cannot be decoded.
-	unreadable     bool
-	rowChangedAt   clock.Instant
-	leaderHeardAt  clock.Instant
-	readStartedAt  clock.Instant
+	unreadable    bool
+	rowChangedAt  clock.Instant
+	leaderHeardAt clock.Instant
+	readStartedAt clock.Instant
+	// secondReadAt is when a host that has just started reads the row again: all hosts may have
+	// started at once. It is 0 before the first read and after the second one.
+	secondReadAt   clock.Instant
 	writeStartedAt clock.Instant
 	// confirmedAt is when the store last confirmed that this host leads.
 	confirmedAt clock.Instant
@@ -164,6 +170,8 @@
 	resigning bool
 	// claimable is true after a read that found the row free and the claim delay over.
 	claimable bool
+	// started is set by the first read that was answered.
+	started bool
 }
 
 // New returns the core of a host. The fitness, from 0 to 1, is how well the host
@@ -172,7 +180,7 @@
 func New(host ident.Host, address string, incarnation uint64, fitness float64) *Core {
 	jitter := time.Duration(ident.Weight("election", string(host))%100) * time.Millisecond
 	fitness = max(fitness, minFitness)
-	return &Core{self: Row{Host: host, Address: address, Incarnation: incarnation}, jitter: jitter, fitness: fitness, bestFitness: fitness, freeSince: clock.Never}
+	return &Core{self: Row{Host: host, Address: address, Incarnation: incarnation}, jitter: jitter, fitness: fitness, freeSince: clock.Never}
 }
 
 // minFitness keeps fitness above 0, as claimDelay divides by it.
@@ -183,6 +191,9 @@
 
 // claimDelay returns how long this host waits before it claims a free row.
 func (co *Core) claimDelay() time.Duration {
+	if co.bestFitness == 0 {
+		return time.Duration((1 - min(co.fitness, 1)) * float64(maxFirstClaimDelay))
+	}
 	return time.Duration((1 - co.fitness/co.bestFitness) * float64(maxClaimDelay))
 }
 
@@ -248,12 +259,13 @@
 // Update handles one message and returns the next store operation.
 func (co *Core) Update(now clock.Instant, msg any) Cmd {
 	if co.readStartedAt == 0 {
-		co.readStartedAt = now.Add(co.jitter - readInterval)
+		co.readStartedAt = now.Add(-readInterval)
 	}
 	switch ms := msg.(type) {
 	case RowMsg:
 		co.inFlight = false
 		co.handleRow(now, ms)
+		co.scheduleSecondRead(now)
 	case ReadFailedMsg:
 		co.inFlight = false
 	case HeartbeatMsg:
@@ -314,6 +326,25 @@
 	co.claimable = now.Sub(co.freeSince) >= co.claimDelay()
 }
 
+// scheduleSecondRead sets when a host that has just read the row for the first time reads it
+// again, if it hears no leader before: when it may claim the row.
+func (co *Core) scheduleSecondRead(now clock.Instant) {
+	if co.started {
+		return
+	}
+	co.started = true
+	if co.leading || co.claimable || co.unreadable {
+		return
+	}
+	at := now
+	if co.freeSince == clock.Never {
+		// It counts as free from then on.
+		co.freeSince = co.rowChangedAt.Add(staleTimeout)
+		at = co.freeSince
+	}
+	co.secondReadAt = at.Add(co.claimDelay() + co.jitter)
+}
+
 // unreadableHost stands for the unknown leader whose row cannot be decoded.
 const unreadableHost ident.Host = "(unreadable)"
 
@@ -361,7 +392,7 @@
 	// A leader that the store no longer answers cannot move keys. Its heartbeats do
 	// not keep hosts that reach the store from reading the row.
 	if ms.StoreAge < LeaseTTL {
-		co.leaderHeardAt, co.claimable, co.freeSince = now, false, clock.Never
+		co.leaderHeardAt, co.claimable, co.freeSince, co.secondReadAt = now, false, clock.Never, 0
 	}
 	if ms.Host == "" {
 		// The leader has resigned: read the row soon, each host after its own jitter.
@@ -405,7 +436,10 @@
 		return Write
 	case co.rowKnown && now.Sub(co.leaderHeardAt) < heartbeatTimeout+co.jitter:
 		return Wait
-	case now.Sub(co.readStartedAt) >= readInterval:
+	case now < co.secondReadAt:
+		return Wait
+	case co.secondReadAt != 0, now.Sub(co.readStartedAt) >= readInterval:
+		co.secondReadAt = 0
 		return co.startRead(now)
 	}
 	return Wait
