Learn operator rows, entries and suspects from the leader

Cause: each host read its suspects, the operator rows, the entries and the leader's row by itself at a start, and watched the operator rows ever after.

Ruled out: sending changes of rows instead of all of them, compressed, as a lost change would need a second way; lists from members of the same domain, as no leader's heartbeat says how fresh they are (docs/design/start.md).

Change: the leader sends the raw operator rows with the version that the store gave them, in parts, to members whose status says that they take them, and the suspects with the first ones. While its heartbeats say that it does and that the store has answered it lately, only it and the fittest host of each failure domain watch. Rows are taken only if newer, and not of an era that is over; each host decodes them and checks seals itself. A host that starts leaves entries and rows to a leader for 0.8 to 1.5 s, 3.7 s at most if it hears one. Builds before and after serve together: fields are added at the ends of messages, and a leader of an earlier build is not waited for.

Test of keys out of range: a status is one byte longer, the key one byte further from its end. The checks are the same.

--- a/internal/fleet/gateway/entries.go
+++ b/internal/fleet/gateway/entries.go
@@ -31,6 +31,9 @@
 	known := map[string]platform.Version{}
 	retry := minRetryDelay
 	er := entryReader{store: gw.store}
+	if !gw.awaitEntries() {
+		return
+	}
 	for {
 		if gw.leaderFresh() && !gw.leading.Load() {
 			// The leader reads for all hosts.
@@ -38,7 +41,7 @@
 			lastOK, lost = time.Now(), false
 			gw.send(rosterTickEvent{})
 			freshFor := clock.Instant(gw.leaderReadAt.Load()).Add(maxEntriesAge).Sub(gw.clock.Now())
-			if !gw.sleep(max(min(freshFor, pollInterval), time.Millisecond)) {
+			if !gw.sleepUnlessWoken(max(min(freshFor, pollInterval), time.Millisecond)) {
 				return
 			}
 			continue
@@ -76,6 +79,45 @@
 	}
 }
 
+// awaitEntries leaves it to a leader to send the entries to this host, which has just
+// started, until its own first read is due. It returns false when the gateway is closed.
+func (gw *Gateway) awaitEntries() bool {
+	first := newFirstRead(gw.clock.Now(), gw.self.Host, gw.fitness())
+	for !gw.leading.Load() && !gw.leaderFresh() {
+		left := first.dueAt(gw.rowConditions().heard).Sub(gw.clock.Now())
+		if left <= 0 {
+			return true
+		}
+		if !gw.sleepUnlessWoken(left) {
+			return false
+		}
+	}
+	return true
+}
+
+// sleepUnlessWoken is sleep, but ends when this host begins or ceases to lead.
+func (gw *Gateway) sleepUnlessWoken(wait time.Duration) bool {
+	tm := time.NewTimer(wait)
+	defer tm.Stop()
+	select {
+	case <-tm.C:
+	case <-gw.entriesWake:
+	case <-gw.done:
+		return false
+	}
+	return true
+}
+
+// wakeReaders wakes the goroutines that follow rows and entries.
+func (gw *Gateway) wakeReaders() {
+	for _, wake := range []chan struct{}{gw.rowsWake, gw.entriesWake} {
+		select {
+		case wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
 // newlyMalformed returns the malformed entries that are new or have changed, so that
 // each is logged once. The map known holds the versions of those that were, by
 // key; it is updated.
--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -110,18 +110,29 @@
 	// leaderReadAt is when a leader last read the upstream entries and found no
 	// change from those known here; operatorVersion is the store version up to
 	// which the operator rows are known.
-	leaderReadAt    atomic.Int64
+	leaderReadAt atomic.Int64
+	// leaderHeardAt is when the leader's last heartbeat came, leaderStoreAt when the store last
+	// answered the leader, as far as its heartbeats tell.
+	leaderHeardAt   atomic.Int64
+	leaderStoreAt   atomic.Int64
+	leaderSendsRows atomic.Bool
 	operatorVersion atomic.Uint64
 	leading         atomic.Bool
 	// longWatch reports whether the current watch of the operator rows uses the
 	// long wait, which relies on a leader to report changes.
-	longWatch       atomic.Bool
+	longWatch atomic.Bool
+	// listening reports whether this host relies on a leader to send it operator rows.
+	listening       atomic.Bool
 	rereadOperators chan struct{}
-	isReady         atomic.Bool
-	stopping        atomic.Bool
-	events          chan any
-	done            chan struct{}
-	tasks           sync.WaitGroup
+	// relayedRows carries rows that another host has sent. rowsWake and entriesWake wake the
+	// goroutines that follow rows and entries when this host begins or ceases to lead.
+	relayedRows           chan rowAnswer
+	rowsWake, entriesWake chan struct{}
+	isReady               atomic.Bool
+	stopping              atomic.Bool
+	events                chan any
+	done                  chan struct{}
+	tasks                 sync.WaitGroup
 	// bounds holds those of the newest settings.
 	bounds atomic.Pointer[platform.Bounds]
 
@@ -154,6 +165,7 @@
 	lastEncoded       encodedTable
 	lastDiff          tableDiff
 	cache             rosterCache
+	rowRelay          rowRelay
 	malformedLines    malformedLines
 }
 
@@ -167,7 +179,8 @@
 	gw := &Gateway{
 		config: cf,
 		self:   assignment.Member{Host: st.Host, Domain: st.Domain, Address: st.PeerAddress, Incarnation: uint64(time.Now().UnixMicro()), Fitness: max(int(100*fitness(st)), 1), Alive: true},
-		events: make(chan any, eventBuffer), done: make(chan struct{}), rereadOperators: make(chan struct{}, 1), roster: roster.New(),
+		events: make(chan any, eventBuffer), done: make(chan struct{}), rereadOperators: make(chan struct{}, 1), relayedRows: make(chan rowAnswer, 1),
+		rowsWake: make(chan struct{}, 1), entriesWake: make(chan struct{}, 1), rowRelay: rowRelay{takers: map[ident.Host]string{}}, roster: roster.New(),
 		restoredColdUntil: map[ident.Domain]clock.Instant{}, evacuatedAt: map[ident.Domain]clock.Instant{}, permits: permit.New(),
 		grantClients: grantClients{clients: map[grantClientID]*grantClient{}}, announcements: newAnnouncements(), reportParts: map[ident.Host]*assignmentParts{},
 	}
@@ -216,6 +229,9 @@
 	return gw, nil
 }
 
+// fitness returns how suitable this host is to read for others and to lead, at most 1.
+func (gw *Gateway) fitness() float64 { return float64(gw.self.Fitness) / 100 }
+
 // fullFitnessLink is the link speed in Mbit/s above which a host is no better as
 // a leader: the users' hosts have 10 to 700 Mbit/s, and a leader sends every
 // change to all other hosts besides serving its callers.
--- a/internal/fleet/gateway/loop.go
+++ b/internal/fleet/gateway/loop.go
@@ -109,10 +109,7 @@
 func (gw *Gateway) tick() {
 	now := gw.clock.Now()
 	gw.updateAgent(agent.TickMsg{})
-	if gw.longWatch.Load() && !gw.leaderFresh() {
-		gw.longWatch.Store(false)
-		gw.requestOperatorRead("leaderSilent")
-	}
+	gw.checkSilentLeader()
 	gw.updatePermits(permit.TickMsg{})
 	gw.permitClient.tick(now)
 	if gw.upstreamLimits.relay.broadcast(now) {
@@ -158,7 +155,7 @@
 		}
 	}
 	gw.operatorState.Evacuated = ev.state.Evacuated
-	gw.cache.operatorVersion = max(gw.cache.operatorVersion, ev.changedVersion)
+	gw.noteOperatorRows(now, ev)
 	if st := ev.state.Desired; st != nil && (gw.desiredState.Load() == nil || st.Version > gw.desiredState.Load().Version) {
 		gw.desiredState.Store(st)
 		gw.config.Log.Event("desiredState", eventlog.Fields{
@@ -328,7 +325,9 @@
 	cmds := gw.agent.Update(gw.clock.Now(), msg)
 	gw.leadershipConfirmedAt.Store(int64(gw.agent.LeadershipConfirmed()))
 	gw.tableConfirmedAt.Store(int64(gw.agent.TableConfirmed()))
-	gw.leading.Store(gw.agent.Leading())
+	if leads := gw.agent.Leading(); gw.leading.Swap(leads) != leads {
+		gw.wakeReaders()
+	}
 	gw.confirmHolder()
 	for _, cmd := range cmds {
 		switch cmd := cmd.(type) {
@@ -364,6 +363,7 @@
 func (gw *Gateway) sendStatus(cmd agent.StatusCmd) {
 	st := cmd.Status
 	st.RosterVersion, st.RosterDigest = gw.cache.version, gw.cache.digest
+	st.OperatorRows = gw.operatorVersion.Load() + 1
 	keys, loads := gw.loads.take()
 	st.Keys = keys
 	st.Upstreams = append(st.Upstreams, loads...)
--- a/internal/fleet/gateway/metrics.go
+++ b/internal/fleet/gateway/metrics.go
@@ -30,6 +30,7 @@
 	desiredVersion     prometheus.Gauge
 	crashes            prometheus.Counter
 	suspects           prometheus.Gauge
+	receivedRows       prometheus.Counter
 }
 
 // NewMetrics returns metrics that are all zero, in a registry of their own.
@@ -47,8 +48,9 @@
 		desiredVersion:     prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "desired_state_version", Help: "Version of the desired state in force; 0 until the first."}),
 		crashes:            prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "upstream_connections_ended_total", Help: "Connections that upstreams ended while they ran a request."}),
 		suspects:           prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "suspect_requests", Help: "Requests known here under which upstreams may have crashed, or that were cleared lately."}),
+		receivedRows:       prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "operator_rows_received_total", Help: "Newer operator rows that another host has sent."}),
 	}
-	mt.registry.MustRegister(mt.crashes, mt.suspects, mt.requests, mt.durations, mt.unanswered, mt.permitWaits, mt.storeCalls, mt.storeCallDurations, mt.unsentDatagrams, mt.desiredVersion)
+	mt.registry.MustRegister(mt.receivedRows, mt.crashes, mt.suspects, mt.requests, mt.durations, mt.unanswered, mt.permitWaits, mt.storeCalls, mt.storeCallDurations, mt.unsentDatagrams, mt.desiredVersion)
 	return mt
 }
 
@@ -88,6 +90,12 @@
 	}
 }
 
+func (mt *Metrics) rowsReceived() {
+	if mt != nil {
+		mt.receivedRows.Inc()
+	}
+}
+
 func (mt *Metrics) setSuspects(count int) {
 	if mt != nil {
 		mt.suspects.Set(float64(count))
--- a/internal/fleet/gateway/peers.go
+++ b/internal/fleet/gateway/peers.go
@@ -79,7 +79,11 @@
 	switch ms := ev.msg.(type) {
 	case protocol.Status:
 		gw.updateAgent(agent.StatusMsg{Status: ms, From: ev.from.String()})
+		gw.answerStatus(now, ms, ev.from)
 	case protocol.Heartbeat:
+		if ms.Term >= gw.agent.Term() {
+			gw.leaderSendsRows.Store(ms.SendsOperatorRows)
+		}
 		gw.updateFreshness(now, ms)
 		gw.updateAgent(agent.HeartbeatMsg{Heartbeat: ms, From: ev.from.String()})
 	case protocol.Roster:
@@ -99,6 +103,8 @@
 		gw.handlePeerLimits(ms, ev.from.String())
 	case protocol.Suspects:
 		gw.handlePeerSuspects(ms, ev.from.String())
+	case protocol.OperatorRows:
+		gw.handleOperatorRows(ms, ev.from)
 	case protocol.Report:
 		gw.handleReportPart(ms)
 	case protocol.Ask:
--- a/internal/fleet/gateway/rostercache.go
+++ b/internal/fleet/gateway/rostercache.go
@@ -101,15 +101,11 @@
 	return protocol.Freshness{RosterVersion: rc.changedVersion, RosterAge: now.Sub(rc.readAt), OperatorVersion: rc.operatorVersion}
 }
 
-// sendHeartbeat sends a heartbeat, and the entries if the receiver's are outdated.
+// sendHeartbeat sends a heartbeat.
 func (gw *Gateway) sendHeartbeat(cmd agent.HeartbeatCmd) {
-	now := gw.clock.Now()
 	hb := cmd.Heartbeat
-	hb.Freshness = gw.cache.freshness(now)
+	hb.Freshness, hb.SendsOperatorRows = gw.cache.freshness(gw.clock.Now()), true
 	gw.sendMessage(cmd.To, hb)
-	if to, err := netip.ParseAddrPort(cmd.To); err == nil && hb.Leader != "" && cmd.RosterVersion < gw.cache.changedVersion {
-		gw.sendRoster(now, cmd.RosterDigest, to)
-	}
 }
 
 // broadcastRoster sends the entries to every member if this host leads. Most
@@ -261,8 +257,7 @@
 	return entries, true
 }
 
-// updateFreshness applies the versions and the age from a leader's heartbeat and
-// requests a read of the operator rows if they stay behind the leader's.
+// updateFreshness applies the versions and the age from a leader's heartbeat.
 func (gw *Gateway) updateFreshness(now clock.Instant, hb protocol.Heartbeat) {
 	gw.noteStoreConfirmation(now, hb)
 	rc := &gw.cache
@@ -275,24 +270,10 @@
 		rc.readAt = max(rc.readAt, hb.Echo.Add(-hb.RosterAge))
 		gw.leaderReadAt.Store(int64(rc.readAt))
 	}
-	if hb.OperatorVersion <= gw.operatorVersion.Load() {
-		rc.operatorBehindSince = 0
-		return
-	}
-	if rc.operatorBehindSince == 0 {
-		rc.operatorBehindSince = now
-	}
-	if now.Sub(rc.operatorBehindSince) >= maxWatchLag {
-		rc.operatorBehindSince = now.Add(time.Second)
-		gw.requestOperatorRead("leaderKnowsNewer")
-	}
-}
-
-// requestOperatorRead requests an immediate read of the operator rows.
-func (gw *Gateway) requestOperatorRead(reason string) {
-	select {
-	case gw.rereadOperators <- struct{}{}:
-		gw.config.Log.Event("operatorRowsReadAgain", map[string]any{"reason": reason, "version": gw.operatorVersion.Load()})
-	default:
+	if hb.Echo <= now {
+		// The same holds for the leader's other knowledge of the store.
+		gw.leaderStoreAt.Store(max(gw.leaderStoreAt.Load(), int64(hb.Echo.Add(-hb.RosterAge))))
 	}
+	gw.leaderHeardAt.Store(int64(now))
+	gw.compareOperatorRows(now, hb)
 }
--- /dev/null
+++ b/internal/fleet/gateway/rowfeed_test.go
@@ -0,0 +1,196 @@
+package gateway
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"chervilwalk/internal/base/clock"
+	"chervilwalk/internal/base/era"
+	"chervilwalk/internal/base/ident"
+	"chervilwalk/internal/catalog/assignment"
+	"chervilwalk/internal/peer/protocol"
+	"chervilwalk/internal/serving/quarantine"
+	"chervilwalk/platform"
+)
+
+// TestRowSources guards against hosts that call the store for what the leader tells all, and
+// against one that waits for a leader which tells nothing.
+func TestRowSources(t *testing.T) {
+	const started = clock.Instant(time.Hour)
+	later := started.Add(time.Minute)
+	follows := rowConditions{heard: true, sends: true, fresh: true}
+	lost := rowFeed{known: true, mustRead: true, failing: true}
+	cases := map[string]struct {
+		feed rowFeed
+		at   clock.Instant
+		rc   rowConditions
+		want rowSource
+	}{
+		"just started":                          {rowFeed{}, started, rowConditions{}, fromPeers},
+		"started, nobody answers":               {rowFeed{}, started.Add(1500 * time.Millisecond), rowConditions{}, fromRead},
+		"started, a leader has much to send":    {rowFeed{}, started.Add(1500 * time.Millisecond), follows, fromPeers},
+		"started, a leader sends nothing":       {rowFeed{}, started.Add(3700 * time.Millisecond), follows, fromRead},
+		"started, leader of an earlier build":   {rowFeed{}, started, rowConditions{heard: true, fresh: true}, fromRead},
+		"started and leads":                     {rowFeed{}, started, rowConditions{leading: true}, fromRead},
+		"follows a leader":                      {rowFeed{known: true}, later, follows, fromPeers},
+		"reads for its domain":                  {rowFeed{known: true}, later, rowConditions{heard: true, sends: true, fresh: true, reader: true}, fromWatch},
+		"follows a leader of an earlier build":  {rowFeed{known: true}, later, rowConditions{heard: true, fresh: true}, fromWatch},
+		"the store does not answer the leader":  {rowFeed{known: true}, later, rowConditions{heard: true, sends: true}, fromWatch},
+		"no leader":                             {rowFeed{known: true}, later, rowConditions{}, fromWatch},
+		"leads":                                 {rowFeed{known: true}, later, rowConditions{leading: true, heard: true, sends: true, fresh: true}, fromWatch},
+		"must read":                             {rowFeed{known: true, mustRead: true}, later, follows, fromRead},
+		"the store turns it away, leader tells": {lost, later, follows, fromPeers},
+		"the store turns it away, no leader":    {lost, later, rowConditions{}, fromRead},
+		"the store turns a reader away":         {rowFeed{known: true, failing: true}, later, rowConditions{heard: true, sends: true, fresh: true, reader: true}, fromPeers},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			tc.feed.first = newFirstRead(started, "a", 0.5)
+			source, _ := tc.feed.next(tc.at, tc.rc)
+			NewWithT(t).Expect(source).To(Equal(tc.want))
+		})
+	}
+}
+
+// TestFirstReadsAreSpread guards against hosts that all read at one moment, and against one
+// that waits without end.
+func TestFirstReadsAreSpread(t *testing.T) {
+	gm := NewWithT(t)
+	slots := map[time.Duration]int{}
+	for ix := range 100 {
+		fr := newFirstRead(0, ident.Host(rune('a'+ix)), 0.1)
+		wait := time.Duration(fr.dueAt(false))
+		gm.Expect(wait).To(And(BeNumerically(">=", 800*time.Millisecond), BeNumerically("<=", 1500*time.Millisecond)))
+		gm.Expect(newFirstRead(0, ident.Host(rune('a'+ix)), 1).dueAt(false)).To(BeNumerically("<", fr.dueAt(false)), "a fit host reads earlier")
+		gm.Expect(time.Duration(fr.dueAt(true))).To(BeNumerically("<", 4*time.Second))
+		slots[wait.Truncate(50*time.Millisecond)]++
+	}
+	for slot, hosts := range slots {
+		gm.Expect(hosts).To(BeNumerically("<", 30), "within 50 ms from %s", slot)
+	}
+}
+
+// TestStoreAwayIsNotPolled guards against a host that calls a store which does not answer
+// without a pause, or that does not notice its return.
+func TestStoreAwayIsNotPolled(t *testing.T) {
+	gm := NewWithT(t)
+	rf := rowFeed{known: true, mustRead: true}
+	calls := 0
+	for now := clock.Instant(time.Hour); now < clock.Instant(time.Hour+10*time.Second); now = now.Add(10 * time.Millisecond) {
+		if source, _ := rf.next(now, rowConditions{}); source == fromRead {
+			calls++
+			gm.Expect(rf.failed(now, errors.New("refused"))).To(Equal(calls == 1), "logged once")
+		}
+	}
+	gm.Expect(calls).To(And(BeNumerically(">=", 10), BeNumerically("<=", 14)))
+	rf.applied(clock.Instant(2*time.Hour), false)
+	source, _ := rf.next(clock.Instant(2*time.Hour), rowConditions{})
+	gm.Expect(source).To(Equal(fromWatch))
+}
+
+func TestDomainReader(t *testing.T) {
+	gm := NewWithT(t)
+	tb := &assignment.Table{Members: []assignment.Member{
+		{Host: "c", Domain: "x", Fitness: 80, Alive: true},
+		{Host: "b", Domain: "x", Fitness: 80, Alive: true},
+		{Host: "a", Domain: "x", Fitness: 10, Alive: true},
+		{Host: "d", Domain: "x", Fitness: 90},
+		{Host: "e", Domain: "y", Fitness: 100, Alive: true},
+	}}
+	gm.Expect(domainReader(tb, "x")).To(Equal(ident.Host("b")), "the first of the fittest that are alive")
+	gm.Expect(domainReader(tb, "z")).To(BeEmpty())
+}
+
+// row returns a row of an era with the number that the store gave it.
+func row(key string, er era.Era, number platform.Version) platform.Row {
+	return platform.Row{Key: key, Version: era.Position(er, number)}
+}
+
+// TestRowSetUpdates guards against rows that go back to an earlier state, or that stay although
+// they were deleted.
+func TestRowSetUpdates(t *testing.T) {
+	deleted := row("evacuate/a", 0, 5)
+	deleted.Deleted = true
+	known := rowSet{}.update(rowAnswer{[]platform.Row{row("config", 0, 3), row("evacuate/a", 0, 4)}, 4, true})
+	cases := map[string]struct {
+		answer  rowAnswer
+		rows    []platform.Row
+		version platform.Version
+	}{
+		"a watch with a change":                      {rowAnswer{[]platform.Row{row("config", 0, 6)}, 7, false}, []platform.Row{row("config", 0, 6), row("evacuate/a", 0, 4)}, 7},
+		"a watch with a deletion":                    {rowAnswer{[]platform.Row{deleted}, 5, false}, []platform.Row{row("config", 0, 3)}, 5},
+		"a watch without a change":                   {rowAnswer{nil, 9, false}, []platform.Row{row("config", 0, 3), row("evacuate/a", 0, 4)}, 9},
+		"a watch that was overtaken by another host": {rowAnswer{[]platform.Row{row("config", 0, 2)}, 2, false}, []platform.Row{row("config", 0, 3), row("evacuate/a", 0, 4)}, 4},
+		"all rows, one deleted":                      {rowAnswer{[]platform.Row{row("config", 0, 3)}, 6, true}, []platform.Row{row("config", 0, 3)}, 6},
+		"all rows of a new era":                      {rowAnswer{[]platform.Row{row("config", 1, 2)}, era.Position[platform.Version](1, 2), true}, []platform.Row{row("config", 1, 2)}, era.Position[platform.Version](1, 2)},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			gm := NewWithT(t)
+			next := known.update(tc.answer)
+			gm.Expect(next.all()).To(Equal(tc.rows))
+			gm.Expect(next.version).To(Equal(tc.version))
+		})
+	}
+}
+
+// TestRowsOfOtherHosts guards against a desired state or an evacuation that is taken back by a
+// host that knows less, or that has not heard of the store's return from an older copy.
+func TestRowsOfOtherHosts(t *testing.T) {
+	known := rowSet{}.update(rowAnswer{[]platform.Row{row("config", 1, 3)}, era.Position[platform.Version](1, 4), true})
+	for name, tc := range map[string]struct {
+		er      era.Era
+		number  platform.Version
+		newest  era.Era
+		accepts bool
+	}{
+		"newer":                         {1, 5, 1, true},
+		"the same":                      {1, 4, 1, false},
+		"older":                         {1, 3, 1, false},
+		"of an earlier era":             {0, 9, 1, false},
+		"of a new era":                  {2, 1, 1, true},
+		"newer, of an era that is over": {1, 5, 2, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ra := rowAnswer{version: era.Position(tc.er, tc.number), whole: true}
+			NewWithT(t).Expect(known.accepts(ra, tc.newest)).To(Equal(tc.accepts))
+		})
+	}
+}
+
+// TestSuspectsComeWithRows guards against a host that has a desired state, and so serves, before
+// it knows the requests that crash upstreams.
+func TestSuspectsComeWithRows(t *testing.T) {
+	gm := NewWithT(t)
+	nw := &testNetwork{t: t, gateways: map[netip.AddrPort]*Gateway{}}
+	leader, starts := nw.startProcess("a", "10.0.0.1:1", 1), nw.startProcess("b", "10.0.0.2:1", 1)
+	for _, gw := range []*Gateway{leader, starts} {
+		gw.source, gw.relayedRows = operatorRows{}, make(chan rowAnswer, 1)
+	}
+	const deadly = ident.Fingerprint(7)
+	for run, upstream := range []ident.Upstream{"u", "v", "w"} {
+		leader.recordCrash(leader.clock.Now(), "", quarantine.CrashMsg{Fingerprint: deadly, Upstream: upstream, Incarnation: 1, Run: protocol.Run(run)}, "attempt")
+	}
+	nw.inFlight = nil
+	config := platform.Row{Table: platform.OperatorTable, Key: "config", Value: bytes.Repeat([]byte("{}"), 40_000), Version: 5}
+	for ix := range config.Value {
+		// It must not fit into one datagram.
+		config.Value[ix] = byte(ident.Weight("value", fmt.Sprint(ix)))
+	}
+	leader.rowRelay.rows, leader.rowRelay.version = []platform.Row{config}, 6
+	leader.sendOperatorRows(leader.clock.Now(), "10.0.0.2:1", true)
+	gm.Expect(len(nw.inFlight)).To(BeNumerically(">", 2))
+	nw.deliver()
+	gm.Expect(starts.relayedRows).To(Receive(Equal(rowAnswer{[]platform.Row{config}, 6, true})))
+	gm.Expect(starts.suspects.core.Crashes(deadly)).To(Equal(3))
+	starts.operatorVersion.Store(6)
+	leader.sendOperatorRows(leader.clock.Now(), "10.0.0.2:1", false)
+	nw.deliver()
+	gm.Expect(starts.relayedRows).NotTo(Receive(), "they are known")
+}
--- /dev/null
+++ b/internal/fleet/gateway/rowrelay.go
@@ -0,0 +1,220 @@
+package gateway
+
+import (
+	"net/netip"
+	"strings"
+	"time"
+
+	"chervilwalk/internal/base/clock"
+	"chervilwalk/internal/base/ident"
+	"chervilwalk/internal/operations/eventlog"
+	"chervilwalk/internal/peer/protocol"
+	"chervilwalk/internal/serving/quarantine"
+	"chervilwalk/platform"
+)
+
+// silentSpread is by how much hosts spread their reads when the leader goes silent.
+const silentSpread = 250 * time.Millisecond
+
+// rowRelay sends operator rows to other hosts and collects those that they send. Only the
+// event loop may use it.
+type rowRelay struct {
+	// rows are the newest ones of this host, as the store had them at version.
+	rows    []platform.Row
+	version platform.Version
+	// takers holds the addresses of the members that take rows from this host while it leads.
+	takers map[ident.Host]string
+	// encoded is the row set that was encoded last, without suspects.
+	encoded        []byte
+	encodedVersion platform.Version
+	// leaderBehindSince is since when this host knows newer rows than the leader.
+	leaderBehindSince clock.Instant
+	pending           rowParts
+}
+
+// rowParts collects the parts of one row set from one host.
+type rowParts struct {
+	from    netip.AddrPort
+	version uint64
+	parts   []string
+	have    int
+}
+
+// maxRowParts is the number of parts of the largest row set.
+const maxRowParts = 1 << 10
+
+// add stores a part and returns the body once all parts are there.
+func (rp *rowParts) add(from netip.AddrPort, ms protocol.OperatorRows) (body string, complete bool) {
+	if ms.Part >= ms.Parts || ms.Parts > maxRowParts || ms.Body == "" {
+		return "", false
+	}
+	if rp.from != from || rp.version != ms.Version || len(rp.parts) != ms.Parts {
+		*rp = rowParts{from: from, version: ms.Version, parts: make([]string, ms.Parts)}
+	}
+	if rp.parts[ms.Part] == "" {
+		rp.parts[ms.Part] = ms.Body
+		rp.have++
+	}
+	if rp.have < ms.Parts {
+		return "", false
+	}
+	body = strings.Join(rp.parts, "")
+	*rp = rowParts{}
+	return body, true
+}
+
+// answerStatus sends a member what its status says that it lacks, if this host leads.
+func (gw *Gateway) answerStatus(now clock.Instant, st protocol.Status, from netip.AddrPort) {
+	if !gw.agent.Leading() {
+		return
+	}
+	delete(gw.rowRelay.takers, st.Member.Host)
+	if st.OperatorRows > 0 {
+		gw.rowRelay.takers[st.Member.Host] = from.String()
+		// A host that has no rows must know the suspects before it serves.
+		if starts := st.OperatorRows == 1; starts || st.OperatorRows-1 < gw.cache.operatorVersion {
+			gw.sendOperatorRows(now, from.String(), starts)
+		}
+	}
+	if st.RosterVersion < gw.cache.changedVersion {
+		gw.sendRoster(now, st.RosterDigest, from)
+	}
+}
+
+// noteOperatorRows keeps the rows that are in force now, and passes them on if they have changed.
+func (gw *Gateway) noteOperatorRows(now clock.Instant, ev operatorStateEvent) {
+	gw.cache.operatorVersion = max(gw.cache.operatorVersion, ev.changedVersion)
+	if ev.version > gw.rowRelay.version {
+		gw.rowRelay.rows, gw.rowRelay.version = ev.rows, ev.version
+		gw.broadcastOperatorRows(now)
+	}
+}
+
+// broadcastOperatorRows sends the operator rows to all members that take them, if this host
+// leads.
+func (gw *Gateway) broadcastOperatorRows(now clock.Instant) {
+	if !gw.agent.Leading() {
+		return
+	}
+	for _, mb := range gw.table.Load().Members {
+		if to, takes := gw.rowRelay.takers[mb.Host]; takes && mb.Alive {
+			gw.sendOperatorRows(now, to, false)
+		}
+	}
+}
+
+// sendOperatorRows sends the operator rows to a host, with the suspects if it starts.
+func (gw *Gateway) sendOperatorRows(now clock.Instant, to string, starts bool) {
+	rl := &gw.rowRelay
+	if rl.version == 0 {
+		return
+	}
+	body := rl.encoded
+	if starts || rl.encodedVersion != rl.version {
+		body = protocol.EncodeRowSet(gw.rowSetMessage(now, starts))
+	}
+	if !starts {
+		rl.encoded, rl.encodedVersion = body, rl.version
+	}
+	chunks := assignmentChunks(string(body))
+	for part, chunk := range chunks {
+		gw.sendMessage(to, protocol.OperatorRows{Version: uint64(rl.version), Part: part, Parts: len(chunks), Body: chunk})
+	}
+}
+
+func (gw *Gateway) rowSetMessage(now clock.Instant, starts bool) protocol.RowSet {
+	set := protocol.RowSet{Table: gw.source.table(), Version: uint64(gw.rowRelay.version)}
+	for _, rw := range gw.rowRelay.rows {
+		set.Rows = append(set.Rows, protocol.OperatorRow{Key: rw.Key, Value: string(rw.Value), Version: uint64(rw.Version)})
+	}
+	if starts {
+		set.Suspects = gw.suspects.core.Suspects(now, maxStored)
+	}
+	return set
+}
+
+// handleOperatorRows handles a part of the operator rows that another host knows.
+func (gw *Gateway) handleOperatorRows(ms protocol.OperatorRows, from netip.AddrPort) {
+	if ms.Version <= gw.operatorVersion.Load() {
+		return
+	}
+	body, complete := gw.rowRelay.pending.add(from, ms)
+	if !complete {
+		return
+	}
+	set, err := protocol.DecodeRowSet([]byte(body))
+	if err != nil {
+		gw.config.Log.ErrorEvent("operatorRowsMalformed", err, eventlog.Fields{"from": from.String(), "version": ms.Version})
+		return
+	}
+	if set.Table != gw.source.table() || set.Version != ms.Version {
+		gw.config.Log.Event("operatorRowsIgnored", eventlog.Fields{"from": from.String(), "version": set.Version, "table": set.Table})
+		return
+	}
+	if gw.desiredState.Load() == nil && len(set.Suspects) > 0 {
+		gw.updateSuspects(gw.clock.Now(), quarantine.SuspectsMsg{Suspects: set.Suspects, Stored: true}, from.String())
+	}
+	ra := rowAnswer{version: platform.Version(set.Version), whole: true}
+	for _, rw := range set.Rows {
+		ra.rows = append(ra.rows, platform.Row{Table: set.Table, Key: rw.Key, Value: []byte(rw.Value), Version: platform.Version(rw.Version)})
+	}
+	gw.config.Log.Event("operatorRowsReceived", eventlog.Fields{"from": from.String(), "version": set.Version, "rows": len(set.Rows)})
+	gw.config.Metrics.rowsReceived()
+	// Only the newest ones count.
+	select {
+	case <-gw.relayedRows:
+	default:
+	}
+	gw.relayedRows <- ra
+}
+
+// compareOperatorRows compares this host's operator rows with those of the leader, by its
+// heartbeat: rows that stay older are read, newer ones of a domain's reader are sent to it.
+func (gw *Gateway) compareOperatorRows(now clock.Instant, hb protocol.Heartbeat) {
+	rc, rl := &gw.cache, &gw.rowRelay
+	if hb.OperatorVersion >= rc.operatorVersion {
+		rl.leaderBehindSince = 0
+	} else if rl.leaderBehindSince == 0 {
+		rl.leaderBehindSince = now
+	}
+	if rl.leaderBehindSince != 0 && now.Sub(rl.leaderBehindSince) >= maxWatchLag && gw.leaderSendsRows.Load() && gw.readsForDomain() {
+		gw.config.Log.Event("operatorRowsReported", eventlog.Fields{"leader": gw.agent.Leader(), "version": rc.operatorVersion, "leaderHas": hb.OperatorVersion})
+		gw.sendOperatorRows(now, gw.agent.Leader(), false)
+	}
+	known := gw.operatorVersion.Load()
+	if hb.OperatorVersion <= known || known == 0 {
+		// Without any, the first read is due at its own time.
+		rc.operatorBehindSince = 0
+		return
+	}
+	if rc.operatorBehindSince == 0 {
+		rc.operatorBehindSince = now
+	}
+	if now.Sub(rc.operatorBehindSince) >= maxWatchLag {
+		rc.operatorBehindSince = now.Add(time.Second)
+		gw.requestOperatorRead("leaderKnowsNewer")
+	}
+}
+
+// checkSilentLeader requests a read if this host relies on a leader for changes that has not
+// had an answer of the store lately.
+func (gw *Gateway) checkSilentLeader() {
+	delay := maxEntriesAge
+	if !gw.readsForDomain() {
+		delay += time.Duration(ident.Weight("silent", string(gw.self.Host)) % uint64(silentSpread))
+	}
+	if (gw.longWatch.Load() || gw.listening.Load()) && gw.leaderStoreAge() >= delay {
+		gw.longWatch.Store(false)
+		gw.listening.Store(false)
+		gw.requestOperatorRead("leaderSilent")
+	}
+}
+
+// requestOperatorRead requests an immediate read of the operator rows.
+func (gw *Gateway) requestOperatorRead(reason string) {
+	select {
+	case gw.rereadOperators <- struct{}{}:
+		gw.config.Log.Event("operatorRowsReadAgain", map[string]any{"reason": reason, "version": gw.operatorVersion.Load()})
+	default:
+	}
+}
--- a/internal/fleet/gateway/store.go
+++ b/internal/fleet/gateway/store.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"errors"
-	"maps"
 	"strconv"
 	"sync"
 	"time"
@@ -11,7 +9,6 @@
 
 	"chervilwalk/internal/base/clock"
 	"chervilwalk/internal/base/era"
-	"chervilwalk/internal/base/ident"
 	"chervilwalk/internal/catalog/assignment"
 	"chervilwalk/internal/operations/eventlog"
 	"chervilwalk/internal/ownership/agent"
@@ -70,19 +67,6 @@
 	storeAwayTimeout = 1500 * time.Millisecond
 )
 
-// operatorStateEvent carries the decoded operator rows.
-type operatorStateEvent struct {
-	state platform.OperatorState
-	// era is that of the store; rewritten holds the domains whose rows were written in
-	// it, and not before.
-	era       era.Era
-	rewritten map[ident.Domain]bool
-	// changedVersion is the newest version among the changed rows.
-	changedVersion uint64
-	// err names what is malformed or not validly signed; state has the rest.
-	err error
-}
-
 // sleep waits for a duration and returns true, or returns false as soon as the
 // gateway is closed.
 func (gw *Gateway) sleep(wait time.Duration) bool {
@@ -96,161 +80,6 @@
 	}
 }
 
-// readResult is the result of a read or a watch.
-type readResult struct {
-	rows    []platform.Row
-	version platform.Version
-	err     error
-}
-
-// followOperatorRows keeps the operator rows up to date by a read and then
-// watches. A value on rereadOperators forces an immediate read, since the
-// connection of a watch may have silently failed.
-func (gw *Gateway) followOperatorRows() {
-	// Before there is a desired state, and so before the first request.
-	gw.readSuspects()
-	rows, rewritten := map[string]platform.Row{}, map[ident.Domain]bool{}
-	var version platform.Version
-	known, lost := false, false
-	retry := minRetryDelay
-	for {
-		answer := make(chan readResult, 1)
-		if known {
-			go gw.watchOperatorRows(version, answer)
-		} else {
-			go gw.readOperatorRows(answer)
-		}
-		var rr readResult
-		select {
-		case <-gw.done:
-			return
-		case <-gw.rereadOperators:
-			// The abandoned watch leaves its result in its buffered channel. Its connection may
-			// have failed, and with it all that are open.
-			gw.store.Close()
-			known = false
-			continue
-		case rr = <-answer:
-		}
-		if rr.err != nil {
-			first := !lost
-			if first {
-				gw.config.Log.ErrorEvent("desiredStateSourceLost", rr.err, eventlog.Fields{"version": version})
-			}
-			// Without the history that a watch needs, all rows are read again.
-			lost, known = true, known && !errors.Is(rr.err, platform.ErrHistoryGone)
-			if first && platform.IsTimeout(rr.err) {
-				// Another connection may work.
-				continue
-			}
-			if !gw.sleep(retry) {
-				return
-			}
-			retry = min(2*retry, maxRetryDelay)
-			continue
-		}
-		retry = minRetryDelay
-		if lost {
-			gw.config.Log.Event("desiredStateSourceRegained", eventlog.Fields{"version": rr.version})
-		}
-		switch {
-		case rr.version.Era() != version.Era():
-			// These rows may be older than what this host knows.
-			rewritten = map[ident.Domain]bool{}
-		default:
-			rewritten = maps.Clone(rewritten)
-			noteRewritten(rewritten, rows, rr.rows, known)
-		}
-		if !known {
-			clear(rows)
-		}
-		if len(rr.rows) > 0 || !known {
-			rr.err = gw.applyOperatorRows(rows, rr, rewritten)
-		}
-		if rr.err != nil {
-			gw.config.Log.ErrorEvent("desiredStateNotFetched", rr.err, eventlog.Fields{"version": rr.version})
-			known = false
-			if !gw.sleep(minRetryDelay) {
-				return
-			}
-			continue
-		}
-		version, known, lost = max(version, rr.version), true, false
-		gw.operatorVersion.Store(uint64(version))
-		if len(rr.rows) > 0 && !gw.sleep(watchDelay) {
-			return
-		}
-	}
-}
-
-// noteRewritten notes the domains whose rows have changed since the last answer: those
-// of a watch, or the difference between two reads.
-func noteRewritten(rewritten map[ident.Domain]bool, before map[string]platform.Row, rows []platform.Row, watched bool) {
-	listed := map[string]bool{}
-	for _, rw := range rows {
-		listed[rw.Key] = true
-		if dm, ok := platform.EvacuatedDomain(rw.Key); ok && (watched || before[rw.Key].Version != rw.Version) {
-			rewritten[dm] = true
-		}
-	}
-	for key := range before {
-		if dm, ok := platform.EvacuatedDomain(key); ok && !watched && !listed[key] {
-			rewritten[dm] = true
-		}
-	}
-}
-
-func (gw *Gateway) readOperatorRows(answer chan<- readResult) {
-	rows, version, err := gw.store.Read(gw.source.table(), "", time.Now().Add(readTimeout))
-	answer <- readResult{rows, version, err}
-}
-
-// watchOperatorRows waits for changes of the operator rows.
-func (gw *Gateway) watchOperatorRows(after platform.Version, answer chan<- readResult) {
-	wait := watchWait
-	leading := gw.leading.Load()
-	long := gw.leaderFresh() && !leading
-	gw.longWatch.Store(long)
-	switch {
-	case leading:
-		wait = leaderWatchWait
-	case long:
-		// The leader reports changes that a silently failed connection misses.
-		wait = longWatchWait
-	}
-	rows, version, err := gw.store.Watch(gw.source.table(), after, wait, time.Now().Add(wait+watchTimeoutSlack))
-	answer <- readResult{rows, version, err}
-}
-
-// leaderFresh reports whether a leader confirmed the known entries recently enough
-// to rely on it for changes.
-func (gw *Gateway) leaderFresh() bool {
-	return gw.clock.Now().Sub(clock.Instant(gw.leaderReadAt.Load())) < maxEntriesAge
-}
-
-// applyOperatorRows applies changed operator rows and sends the resulting state
-// to the loop. An error means that they must be read again.
-func (gw *Gateway) applyOperatorRows(rows map[string]platform.Row, rr readResult, rewritten map[ident.Domain]bool) error {
-	changedVersion := uint64(0)
-	for _, rw := range rr.rows {
-		changedVersion = max(changedVersion, uint64(rw.Version))
-		if rw.Deleted {
-			delete(rows, rw.Key)
-			continue
-		}
-		rows[rw.Key] = rw
-	}
-	all := make([]platform.Row, 0, len(rows))
-	for _, rw := range rows {
-		all = append(all, rw)
-	}
-	state, decodeErr, err := gw.source.decode(all)
-	if err == nil {
-		gw.send(operatorStateEvent{state: state, era: rr.version.Era(), rewritten: rewritten, changedVersion: changedVersion, err: decodeErr})
-	}
-	return err
-}
-
 // eraKey is the key of the row that marks an era of the store. Every write expects it:
 // one from an earlier era that arrives late could otherwise find the versions that it
 // expects given out again.
--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -316,9 +316,41 @@
 		[]string{"./internal/serving/quarantine"},
 	},
 	"hosts forget deadly requests as they start": {
-		"internal/fleet/gateway/store.go", "	gw.readSuspects()\n", "",
+		"internal/fleet/gateway/followrows.go", "	gw.readSuspects()\n", "",
 		[]string{"-run=TestDeadlyRequest/all", "./internal/stand/deployment"},
 	},
+	"hosts that start read the leader's row again and again": {
+		"internal/ownership/election/election.go", "case now < co.secondReadAt:", "case false:",
+		[]string{"-run=TestReadsOfStartingHost", "./internal/ownership/election"},
+	},
+	"a watch that was overtaken brings older rows back": {
+		"internal/fleet/gateway/rowset.go", "return rw.Version <= rs.version", "return false",
+		[]string{"-run=TestRowSetUpdates", "./internal/fleet/gateway"},
+	},
+	"rows of another host are taken back to an earlier version": {
+		"internal/fleet/gateway/rowset.go", "ra.version > rs.version && ", "",
+		[]string{"-run=TestRowsOfOtherHosts", "./internal/fleet/gateway"},
+	},
+	"rows of an era that is over are taken from another host": {
+		"internal/fleet/gateway/rowset.go", " && ra.version.Era() >= newest", "",
+		[]string{"-run=TestRowsOfOtherHosts", "./internal/fleet/gateway"},
+	},
+	"a host waits for rows of a leader that sends none": {
+		"internal/fleet/gateway/rowfeed.go", "return rc.sends && rc.fresh", "return rc.fresh",
+		[]string{"-run=TestRowSources", "./internal/fleet/gateway"},
+	},
+	"a host waits for rows of a leader that the store does not answer": {
+		"internal/fleet/gateway/rowfeed.go", "return rc.sends && rc.fresh", "return rc.sends",
+		[]string{"-run=TestRowSources", "./internal/fleet/gateway"},
+	},
+	"a host that starts serves before it knows the suspects": {
+		"internal/fleet/gateway/rowrelay.go", "set.Suspects = gw.suspects.core.Suspects(now, maxStored)", "set.Suspects = nil",
+		[]string{"-run=TestSuspectsComeWithRows", "./internal/fleet/gateway"},
+	},
+	"rows of another host count as deleted if one is malformed": {
+		"internal/peer/protocol/operatorrows.go", "case rowNumber == 0 || rowEra != er:", "case rowNumber > 0 && rowEra != er && false:",
+		[]string{"-run=TestMalformedRowSets", "./internal/peer/protocol"},
+	},
 	"a crash is not reported": {
 		"internal/serving/proxy/attempt.go", "	case outcome == permit.Broken && errors.As(err, &fl) && fl.Closed:\n", "	case outcome == permit.Broken && errors.As(err, &fl) && fl.Closed && false:\n",
 		[]string{"-run=TestDeadlyRequest/download", "./internal/stand/deployment"},
--- a/internal/ownership/agent/heartbeat.go
+++ b/internal/ownership/agent/heartbeat.go
@@ -39,11 +39,11 @@
 	case co.leader.Recovering():
 		hb := co.heartbeat(now, ms.From)
 		hb.Recovering = true
-		co.emit(HeartbeatCmd{To: ms.From, Heartbeat: hb, RosterVersion: ms.Status.RosterVersion, RosterDigest: ms.Status.RosterDigest})
+		co.emit(HeartbeatCmd{To: ms.From, Heartbeat: hb})
 	case ms.Status.Revision < co.table.Revision:
 		co.emit(AssignmentCmd{To: ms.From, Heartbeat: co.heartbeat(now, ms.From), Table: co.table, Base: co.history.find(ms.Status.Revision)})
 	default:
-		co.emit(HeartbeatCmd{To: ms.From, Heartbeat: co.heartbeat(now, ms.From), RosterVersion: ms.Status.RosterVersion, RosterDigest: ms.Status.RosterDigest})
+		co.emit(HeartbeatCmd{To: ms.From, Heartbeat: co.heartbeat(now, ms.From)})
 	}
 	co.updateLeader(now, leader.StatusMsg{Status: ms.Status, Follows: ms.From == "" || ms.Status.Term == co.election.Term()})
 }
--- a/internal/ownership/agent/message.go
+++ b/internal/ownership/agent/message.go
@@ -143,12 +143,10 @@
 	Status protocol.Status
 }
 
-// HeartbeatCmd sends a heartbeat to a member. RosterVersion and RosterDigest identify
-// the upstream entries that the receiver knows.
+// HeartbeatCmd sends a heartbeat to a member.
 type HeartbeatCmd struct {
-	To                          string
-	RosterVersion, RosterDigest uint64
-	Heartbeat                   protocol.Heartbeat
+	To        string
+	Heartbeat protocol.Heartbeat
 }
 
 // AssignmentCmd sends the assignment in force to a member that knows Base. Base
--- a/internal/peer/protocol/message.go
+++ b/internal/peer/protocol/message.go
@@ -33,6 +33,7 @@
 	pauseNumber
 	limitsNumber
 	suspectsNumber
+	operatorRowsNumber
 )
 
 func (Status) number() uint8          { return statusNumber }
@@ -69,7 +70,7 @@
 	case Status:
 		ms.code(cd)
 	case Heartbeat:
-		ms.code(cd)
+		ms.codeAlone(cd)
 	case Report:
 		ms.code(cd)
 	case Leaving:
@@ -80,6 +81,8 @@
 		ms.code(cd)
 	case Suspects:
 		ms.code(cd)
+	case OperatorRows:
+		ms.code(cd)
 	case Assignment:
 		ms.code(cd)
 	case Ask:
@@ -116,10 +119,10 @@
 	case statusNumber:
 		msg = decode(cd, func(ms *Status) { ms.code(cd) })
 	case heartbeatNumber:
-		msg = decode(cd, func(ms *Heartbeat) { ms.code(cd) })
+		msg = decode(cd, func(ms *Heartbeat) { ms.codeAlone(cd) })
 	case recoveringNumber:
 		msg = decode(cd, func(ms *Heartbeat) {
-			ms.code(cd)
+			ms.codeAlone(cd)
 			ms.Recovering = true
 		})
 	case leavingNumber:
@@ -130,6 +133,8 @@
 		msg = decode(cd, func(ms *Limits) { ms.code(cd) })
 	case suspectsNumber:
 		msg = decode(cd, func(ms *Suspects) { ms.code(cd) })
+	case operatorRowsNumber:
+		msg = decode(cd, func(ms *OperatorRows) { ms.code(cd) })
 	case reportNumber:
 		msg = decode(cd, func(ms *Report) { ms.code(cd) })
 	case assignmentNumber:
--- a/internal/peer/protocol/protocol_test.go
+++ b/internal/peer/protocol/protocol_test.go
@@ -19,15 +19,19 @@
 // messages returns one message of each type, with nearly all fields set.
 func messages() map[string]protocol.Msg {
 	heartbeat := protocol.Heartbeat{Term: 3, Leader: "a", Revision: 9, StoreAge: 20 * time.Millisecond, RowVersion: 7, Echo: 1 << 40, Freshness: protocol.Freshness{RosterVersion: 5, RosterAge: time.Second, OperatorVersion: 4}}
+	alone := heartbeat
+	alone.SendsOperatorRows = true
 	asker := protocol.Process{Host: "a", Incarnation: 1 << 60}
 	return map[string]protocol.Msg{
 		"status": protocol.Status{
 			Member: assignment.Member{Host: "a", Domain: "d", Address: "10.0.0.1:7540", Incarnation: 1 << 60, Fitness: 80, Alive: true}, Term: 3, Revision: 9, Stopping: true, RosterVersion: 5, RosterDigest: 1 << 63, SentAt: 1 << 40,
-			Keys:      []protocol.KeyLoad{{Service: "lookup", Key: 65535, Count: 3}},
-			Upstreams: []protocol.UpstreamLoad{{Upstream: "u", Answers: 2, WorkTime: 300 * time.Millisecond, Failures: 1, UnreachedFor: time.Second, Superseded: true}},
+			Keys:         []protocol.KeyLoad{{Service: "lookup", Key: 65535, Count: 3}},
+			Upstreams:    []protocol.UpstreamLoad{{Upstream: "u", Answers: 2, WorkTime: 300 * time.Millisecond, Failures: 1, UnreachedFor: time.Second, Superseded: true}},
+			OperatorRows: 1<<40 + 6,
 		},
-		"heartbeat":           heartbeat,
-		"recoveringHeartbeat": protocol.Heartbeat{Term: 1 << 33, Leader: "a", Revision: 9, RowVersion: 1 << 44, Recovering: true},
+		"heartbeat":           alone,
+		"recoveringHeartbeat": protocol.Heartbeat{Term: 1 << 33, Leader: "a", Revision: 9, RowVersion: 1 << 44, SendsOperatorRows: true, Recovering: true},
+		"operatorRows":        protocol.OperatorRows{Version: 1<<44 + 6, Part: 1, Parts: 2, Body: "{}"},
 		"leaving":             protocol.Leaving{Upstream: "u", Incarnation: 9},
 		"pause":               protocol.Pause{Host: "a", Upstream: "u", Left: 3 * time.Second},
 		"limits": protocol.Limits{Limits: []protocol.UpstreamLimit{
@@ -71,7 +75,12 @@
 	unwatched.Watched = false
 	rf := messages()["refusal"].(protocol.Refusal)
 	rf.Asker = protocol.Process{}
+	st := messages()["status"].(protocol.Status)
+	st.OperatorRows = 0
+	hb, recovering := messages()["heartbeat"].(protocol.Heartbeat), messages()["recoveringHeartbeat"].(protocol.Heartbeat)
+	hb.SendsOperatorRows, recovering.SendsOperatorRows = false, false
 	return map[string][]protocol.Msg{
+		"status": {st}, "heartbeat": {hb}, "recoveringHeartbeat": {recovering},
 		"ask": {ask}, "permit": {unwatched, pm}, "refusal": {rf}, "queued": {protocol.Queued{Ticket: 9}}, "doneAck": {protocol.DoneAck{Ticket: 9}},
 	}
 }
--- a/internal/peer/protocol/status.go
+++ b/internal/peer/protocol/status.go
@@ -51,6 +51,9 @@
 
 	Keys      []KeyLoad
 	Upstreams []UpstreamLoad
+	// OperatorRows is 0 if the member takes no operator rows from the leader, as one of an
+	// earlier build. Otherwise it is 1 more than the store's version of those that it knows.
+	OperatorRows uint64
 }
 
 // Heartbeat is the leader's heartbeat, the reply to a status.
@@ -67,6 +70,9 @@
 	// time or later, however long its delivery took.
 	Echo clock.Instant
 	Freshness
+	// SendsOperatorRows says that the leader sends operator rows to members that take them. Only
+	// a heartbeat that is a message of its own says so.
+	SendsOperatorRows bool
 	// Recovering asks for the members' assignments: the store came back from an older
 	// copy and this leader does not know yet whether its own is the newest. It
 	// confirms nothing. Heartbeats with an assignment never have it.
@@ -124,6 +130,7 @@
 			ul.WorkTime = max(ul.WorkTime, time.Duration(ul.Answers)*minWorkTime)
 		}
 	})
+	addedVarint(cd, &ms.OperatorRows)
 }
 
 func (ms *Heartbeat) code(cd *codec) {
@@ -138,6 +145,12 @@
 	varint(cd, &ms.OperatorVersion)
 }
 
+// codeAlone codes a heartbeat that is a message of its own, not the beginning of another.
+func (ms *Heartbeat) codeAlone(cd *codec) {
+	ms.code(cd)
+	addedBoolean(cd, &ms.SendsOperatorRows)
+}
+
 func (ms *Leaving) code(cd *codec) {
 	text(cd, &ms.Upstream)
 	varint(cd, &ms.Incarnation)
