Send members what has changed of them, and lists packed and paced by the link

Cause: a commit that changes one member lists all members to each of them. From some 200 members on that is more than the 12 KB of a delta, and every member gets the whole assignment in parts; each datagram was encoded anew. Whole lists of entries were encoded for each member, and paced alike on links of 10 and of 700 Mbit/s.

Change: members of this build get the members that have changed or left; deltas are encoded once, with each member's heartbeat before them; all entries are compressed, once for each version of the store; lists may take a second of the leader's link at once and half of it after that. The new messages have numbers of their own and go only to members whose status says that they know them.

--- a/internal/catalog/assignment/delta_test.go
+++ b/internal/catalog/assignment/delta_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -28,13 +29,13 @@
 }
 
 // randomChange starts a move, makes the next claim of a share its owner, splits a
-// share or marks a member as not alive.
+// share, marks a member as not alive, adds one or removes one.
 func randomChange(rt *rapid.T, tb *assignment.Table) *assignment.Table {
 	next := tb.Clone()
 	next.Revision++
 	ix := rapid.IntRange(0, len(next.Shares)-1).Draw(rt, "share")
 	sh := &next.Shares[ix]
-	switch rapid.IntRange(0, 3).Draw(rt, "kind") {
+	switch rapid.IntRange(0, 5).Draw(rt, "kind") {
 	case 0:
 		sh.Next, sh.Fence = assignment.Claim{Upstream: "new", Epoch: next.TakeEpoch()}, next.TakeEpoch()
 	case 1:
@@ -45,6 +46,13 @@
 		}
 	case 3:
 		next.Members[rapid.IntRange(0, len(next.Members)-1).Draw(rt, "member")].Alive = false
+	case 4:
+		next.Members = append(next.Members, assignment.Member{Host: ident.Host(fmt.Sprint("new", next.Revision)), Alive: true})
+	case 5:
+		if len(next.Members) > 1 {
+			ix := rapid.IntRange(0, len(next.Members)-1).Draw(rt, "leaves")
+			next.Members = slices.Delete(next.Members, ix, ix+1)
+		}
 	}
 	return next
 }
@@ -63,6 +71,11 @@
 		applied, ok := delta.Apply(base)
 		gm.Expect(ok).To(BeTrue())
 		gm.Expect(applied).To(Equal(next))
+		changed := delta.WithChangedMembers(base)
+		gm.Expect(changed.Members).To(BeEmpty())
+		applied, ok = changed.Apply(base)
+		gm.Expect(ok).To(BeTrue())
+		gm.Expect(applied).To(Equal(next))
 		_, ok = delta.Apply(next)
 		gm.Expect(ok).To(BeFalse(), "a delta applies only to its base")
 	})
--- a/internal/fleet/gateway/peers.go
+++ b/internal/fleet/gateway/peers.go
@@ -84,16 +84,18 @@
 		if ms.Term >= gw.agent.Term() {
 			gw.leaderSendsRows.Store(ms.SendsOperatorRows)
 		}
-		gw.updateFreshness(now, ms)
+		gw.updateFreshness(now, ms, ev.from)
 		gw.updateAgent(agent.HeartbeatMsg{Heartbeat: ms, From: ev.from.String()})
 	case protocol.Roster:
 		gw.handleRosterPart(now, ms, ev.from)
+	case protocol.PackedRoster:
+		gw.handlePackedRoster(now, ms, ev.from)
 	case protocol.RosterDelta:
 		gw.handleRosterDelta(now, ms, ev.from)
 	case protocol.Assignment:
 		gw.handleAssignmentPart(ev.from, ms)
 	case protocol.AssignmentDelta:
-		gw.updateFreshness(now, ms.Heartbeat)
+		gw.updateFreshness(now, ms.Heartbeat, ev.from)
 		gw.updateAgent(agent.DeltaMsg{Heartbeat: ms.Heartbeat, Delta: ms.Delta, From: ev.from.String()})
 	case protocol.Leaving:
 		gw.handlePeerLeaving(ms)
@@ -203,11 +205,16 @@
 		return false
 	}
 	if gw.lastDiff.base != cmd.Base || gw.lastDiff.table != cmd.Table {
-		gw.lastDiff = tableDiff{cmd.Base, cmd.Table, assignment.Diff(cmd.Base, cmd.Table)}
+		delta := assignment.Diff(cmd.Base, cmd.Table)
+		gw.lastDiff = tableDiff{cmd.Base, cmd.Table, protocol.EncodeDelta(delta), protocol.EncodeDelta(delta.WithChangedMembers(cmd.Base))}
 	}
 	hb := cmd.Heartbeat
 	hb.Freshness = gw.cache.freshness(gw.clock.Now())
-	datagram := protocol.Encode(protocol.AssignmentDelta{Heartbeat: hb, Delta: gw.lastDiff.delta})
+	delta := gw.lastDiff.delta
+	if gw.rowRelay.takers[to] {
+		delta = gw.lastDiff.changed
+	}
+	datagram := delta.Datagram(hb)
 	if len(datagram) > maxDeltaBytes {
 		return false
 	}
@@ -215,10 +222,11 @@
 	return true
 }
 
-// tableDiff is the assignment delta that was computed last.
+// tableDiff is the assignment delta that was computed last. changed has only the members that
+// have changed, which earlier builds do not read.
 type tableDiff struct {
-	base, table *assignment.Table
-	delta       assignment.Delta
+	base, table    *assignment.Table
+	delta, changed protocol.EncodedDelta
 }
 
 // encodedTable is the assignment that was encoded last.
@@ -257,7 +265,7 @@
 
 // handleAssignmentPart handles a part of an assignment from the leader.
 func (gw *Gateway) handleAssignmentPart(from netip.AddrPort, ms protocol.Assignment) {
-	gw.updateFreshness(gw.clock.Now(), ms.Heartbeat)
+	gw.updateFreshness(gw.clock.Now(), ms.Heartbeat, from)
 	if ms.Revision <= gw.table.Load().Revision {
 		gw.updateAgent(agent.HeartbeatMsg{Heartbeat: ms.Heartbeat, From: from.String()})
 		return
--- a/internal/fleet/gateway/restart_test.go
+++ b/internal/fleet/gateway/restart_test.go
@@ -66,22 +66,27 @@
 // startProcess starts a process of a host, in place of an earlier one at the same address. The
 // tickets of all processes begin with the same number. Only the host "holder" issues permits.
 func (nw *testNetwork) startProcess(host ident.Host, address string, incarnation uint64) *Gateway {
+	return newTestProcess(nw.t, nw, host, address, incarnation)
+}
+
+func newTestProcess(tb testing.TB, nw *testNetwork, host ident.Host, address string, incarnation uint64) *Gateway {
 	gw := &Gateway{
 		self: assignment.Member{Host: host, Address: address, Incarnation: incarnation}, roster: roster.New(), permits: permit.New(),
 		events: make(chan any, eventBuffer), done: make(chan struct{}), announcements: newAnnouncements(), loads: newLoadCounter(),
 		upstreamCount: map[ident.Service]int{orders: 1, files: 1},
 	}
 	lg := eventlog.New(io.Discard, string(host))
-	nw.t.Cleanup(lg.Close)
+	tb.Cleanup(lg.Close)
 	gw.config.Log = lg
+	gw.rowRelay.takers = map[netip.AddrPort]bool{}
 	gw.agent = agent.New(gw.self, 1)
 	gw.permitClient = newPermitClient(gw)
 	gw.permitClient.lastTicket.Store(0)
 	gw.upstreamLimits, gw.suspects = newUpstreamLimits(gw), newSuspects(gw)
-	tb := &assignment.Table{Members: []assignment.Member{{Host: "holder", Address: "10.0.0.9:1", Fitness: 20, Alive: true}}}
-	gw.table.Store(tb)
+	table := &assignment.Table{Members: []assignment.Member{{Host: "holder", Address: "10.0.0.9:1", Fitness: 20, Alive: true}}}
+	gw.table.Store(table)
 	upstreams := []permit.Upstream{{ID: orderUpstream, Service: orders, Slots: 1}, {ID: fileUpstream, Service: files, Slots: 1}}
-	gw.updatePermits(permit.UpstreamsMsg{Upstreams: upstreams, Services: map[ident.Service]desired.Service{orders: {}, files: {}}, Table: tb})
+	gw.updatePermits(permit.UpstreamsMsg{Upstreams: upstreams, Services: map[ident.Service]desired.Service{orders: {}, files: {}}, Table: table})
 	endpoints := map[ident.Upstream]endpoint{}
 	for _, up := range upstreams {
 		endpoints[up.ID] = endpoint{service: up.Service, address: "10.0.1.1:80", refuseAt: gw.clock.Now().Add(time.Hour)}
--- a/internal/fleet/gateway/rostercache.go
+++ b/internal/fleet/gateway/rostercache.go
@@ -7,6 +7,7 @@
 
 	"chervilwalk/internal/base/clock"
 	"chervilwalk/internal/catalog/roster"
+	"chervilwalk/internal/operations/eventlog"
 	"chervilwalk/internal/ownership/agent"
 	"chervilwalk/internal/peer/protocol"
 )
@@ -15,14 +16,24 @@
 	// maxPartBytes is how many bytes of encoded entries go into one datagram, which stays
 	// below maxDeltaBytes with the other fields.
 	maxPartBytes = 11 << 10
-	// wholeListBurst and wholeListRate limit what a leader sends to members that need
-	// all entries, in bytes and bytes per second: at hundreds of hosts and thousands
-	// of upstreams such lists would keep heartbeats from its link. Members that wait
+	// wholeListBurst and wholeListRate limit what a leader whose link is not known sends to
+	// members that need all entries, in bytes and bytes per second: at hundreds of hosts and
+	// thousands of upstreams such lists would keep heartbeats from its link. Members that wait
 	// for theirs read the store.
 	wholeListBurst = 4 << 20
 	wholeListRate  = 1 << 20
+	// bytesPerMegabit converts the speed of a link.
+	bytesPerMegabit = 1e6 / 8
 )
 
+// listPace returns wholeListBurst and wholeListRate for a link: a second of it, and then half.
+func listPace(linkMbps float64) (burst, perSecond int) {
+	if linkMbps <= 0 {
+		return wholeListBurst, wholeListRate
+	}
+	return int(linkMbps * bytesPerMegabit), int(linkMbps * bytesPerMegabit / 2)
+}
+
 // rosterCache holds what this host knows of the store and how fresh that is. The
 // leader reads the entries for all hosts and sends them the changes; a host
 // without a leader whose entries are fresh reads them itself.
@@ -44,6 +55,11 @@
 	operatorBehindSince clock.Instant
 	// pendingParts are the parts received of a list that is not complete yet.
 	pendingParts []protocol.Roster
+	// packedParts are those received of a packed list; packed is the list of packedVersion, which
+	// this host sends.
+	packedParts   bodyParts
+	packed        []byte
+	packedVersion uint64
 	// history holds earlier lists of entries, the newest last.
 	history []pastEntryList
 	// wholeLists limits the lists of all entries that this host sends as the leader.
@@ -153,9 +169,13 @@
 }
 
 // sendWholeRoster sends all entries in parts, or nothing if too much was sent lately; the
-// next heartbeat is the next attempt.
+// next status is the next attempt. Members of earlier builds do not read packed ones.
 func (gw *Gateway) sendWholeRoster(now clock.Instant, to netip.AddrPort, encode func() [][]byte) {
-	if !gw.cache.wholeLists.take(now, gw.cache.listBytes(), wholeListBurst, wholeListRate) {
+	if gw.rowRelay.takers[to] {
+		gw.sendPackedRoster(now, to)
+		return
+	}
+	if !gw.mayListBytes(now, gw.cache.listBytes()) {
 		return
 	}
 	for _, datagram := range encode() {
@@ -163,6 +183,47 @@
 	}
 }
 
+// mayListBytes takes the bytes of a whole list from the budget of this host's link.
+func (gw *Gateway) mayListBytes(now clock.Instant, count int) bool {
+	burst, perSecond := listPace(gw.config.Settings.LinkMbps)
+	return gw.cache.wholeLists.take(now, count, burst, perSecond)
+}
+
+func (gw *Gateway) sendPackedRoster(now clock.Instant, to netip.AddrPort) {
+	rc := &gw.cache
+	if rc.packed == nil || rc.packedVersion != rc.version {
+		rc.packed, rc.packedVersion = protocol.PackEntries(rc.entries), rc.version
+	}
+	if !gw.mayListBytes(now, len(rc.packed)) {
+		return
+	}
+	chunks := assignmentChunks(string(rc.packed))
+	for part, chunk := range chunks {
+		gw.sendMessageTo(to, protocol.PackedRoster{
+			Term: gw.agent.Term(), Version: rc.version, GraceLeft: gw.roster.GraceLeft(now), Part: part, Parts: len(chunks), Body: chunk,
+		})
+	}
+}
+
+// handlePackedRoster handles a part of a packed list from a leader.
+func (gw *Gateway) handlePackedRoster(now clock.Instant, ms protocol.PackedRoster, from netip.AddrPort) {
+	rc := &gw.cache
+	if ms.Term < gw.agent.Term() || ms.Version <= rc.version {
+		return
+	}
+	body, complete := rc.packedParts.add(from, ms.Version, ms.Part, ms.Parts, ms.Body)
+	if !complete {
+		return
+	}
+	entries, malformed, err := protocol.UnpackEntries(body)
+	if err != nil {
+		gw.config.Log.ErrorEvent("datagramMalformed", err, eventlog.Fields{"from": from.String(), "version": ms.Version})
+		return
+	}
+	gw.logMalformed(now, malformed, from)
+	gw.applyLeaderEntries(now, entries, ms.Version, ms.GraceLeft)
+}
+
 // listBytes returns the size of all entries in datagrams.
 func (rc *rosterCache) listBytes() int {
 	sum := 0
@@ -258,7 +319,7 @@
 }
 
 // updateFreshness applies the versions and the age from a leader's heartbeat.
-func (gw *Gateway) updateFreshness(now clock.Instant, hb protocol.Heartbeat) {
+func (gw *Gateway) updateFreshness(now clock.Instant, hb protocol.Heartbeat, from netip.AddrPort) {
 	gw.noteStoreConfirmation(now, hb)
 	rc := &gw.cache
 	if hb.Term < gw.agent.Term() || hb.Leader == "" {
@@ -275,5 +336,5 @@
 		gw.leaderStoreAt.Store(max(gw.leaderStoreAt.Load(), int64(hb.Echo.Add(-hb.RosterAge))))
 	}
 	gw.leaderHeardAt.Store(int64(now))
-	gw.compareOperatorRows(now, hb)
+	gw.compareOperatorRows(now, hb, from)
 }
--- a/internal/fleet/gateway/rostercache_test.go
+++ b/internal/fleet/gateway/rostercache_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/netip"
 	"strconv"
 	"strings"
 	"testing"
@@ -31,7 +32,7 @@
 	lastRead := clock.Instant(time.Hour)
 	for age := time.Duration(0); ; age += heartbeatInterval {
 		now := lastRead.Add(age)
-		gw.updateFreshness(now, protocol.Heartbeat{Leader: "b", Echo: now, Freshness: protocol.Freshness{RosterAge: age}})
+		gw.updateFreshness(now, protocol.Heartbeat{Leader: "b", Echo: now, Freshness: protocol.Freshness{RosterAge: age}}, netip.AddrPort{})
 		sinceRead := now.Sub(clock.Instant(gw.leaderReadAt.Load()))
 		if sinceRead >= maxEntriesAge {
 			break
@@ -141,3 +142,22 @@
 		})
 	}
 }
+
+// TestListPace guards against a leader whose own heartbeats wait behind the lists that it sends.
+func TestListPace(t *testing.T) {
+	const heartbeatDelay = time.Second
+	for name, linkMbps := range map[string]float64{"slow link": 10, "fast link": 700} {
+		t.Run(name, func(t *testing.T) {
+			gm := NewWithT(t)
+			gw := &Gateway{}
+			gw.config.Settings.LinkMbps = linkMbps
+			now, sent := clock.Instant(time.Hour), 0
+			for range 1000 {
+				if gw.mayListBytes(now, 50_000) {
+					sent += 50_000
+				}
+			}
+			gm.Expect(time.Duration(float64(sent) / (linkMbps * bytesPerMegabit) * float64(time.Second))).To(And(BeNumerically(">", heartbeatDelay/2), BeNumerically("<=", heartbeatDelay)))
+		})
+	}
+}
--- a/internal/fleet/gateway/rowfeed_test.go
+++ b/internal/fleet/gateway/rowfeed_test.go
@@ -184,13 +184,13 @@
 		config.Value[ix] = byte(ident.Weight("value", fmt.Sprint(ix)))
 	}
 	leader.rowRelay.rows, leader.rowRelay.version = []platform.Row{config}, 6
-	leader.sendOperatorRows(leader.clock.Now(), "10.0.0.2:1", true)
+	leader.sendOperatorRows(leader.clock.Now(), netip.MustParseAddrPort("10.0.0.2:1"), true)
 	gm.Expect(len(nw.inFlight)).To(BeNumerically(">", 2))
 	nw.deliver()
 	gm.Expect(starts.relayedRows).To(Receive(Equal(rowAnswer{[]platform.Row{config}, 6, true})))
 	gm.Expect(starts.suspects.core.Crashes(deadly)).To(Equal(3))
 	starts.operatorVersion.Store(6)
-	leader.sendOperatorRows(leader.clock.Now(), "10.0.0.2:1", false)
+	leader.sendOperatorRows(leader.clock.Now(), netip.MustParseAddrPort("10.0.0.2:1"), false)
 	nw.deliver()
 	gm.Expect(starts.relayedRows).NotTo(Receive(), "they are known")
 }
--- a/internal/fleet/gateway/rowrelay.go
+++ b/internal/fleet/gateway/rowrelay.go
@@ -23,43 +23,43 @@
 	rows    []platform.Row
 	version platform.Version
 	// takers holds the addresses of the members that take rows from this host while it leads.
-	takers map[ident.Host]string
+	takers map[netip.AddrPort]bool
 	// encoded is the row set that was encoded last, without suspects.
 	encoded        []byte
 	encodedVersion platform.Version
 	// leaderBehindSince is since when this host knows newer rows than the leader.
 	leaderBehindSince clock.Instant
-	pending           rowParts
+	pending           bodyParts
 }
 
-// rowParts collects the parts of one row set from one host.
-type rowParts struct {
+// bodyParts collects the parts of one body, such as a row set, from one host.
+type bodyParts struct {
 	from    netip.AddrPort
 	version uint64
 	parts   []string
 	have    int
 }
 
-// maxRowParts is the number of parts of the largest row set.
-const maxRowParts = 1 << 10
+// maxBodyParts is the number of parts of the largest body.
+const maxBodyParts = 1 << 10
 
 // add stores a part and returns the body once all parts are there.
-func (rp *rowParts) add(from netip.AddrPort, ms protocol.OperatorRows) (body string, complete bool) {
-	if ms.Part >= ms.Parts || ms.Parts > maxRowParts || ms.Body == "" {
+func (bp *bodyParts) add(from netip.AddrPort, version uint64, part, parts int, chunk string) (body string, complete bool) {
+	if part >= parts || parts > maxBodyParts || chunk == "" {
 		return "", false
 	}
-	if rp.from != from || rp.version != ms.Version || len(rp.parts) != ms.Parts {
-		*rp = rowParts{from: from, version: ms.Version, parts: make([]string, ms.Parts)}
+	if bp.from != from || bp.version != version || len(bp.parts) != parts {
+		*bp = bodyParts{from: from, version: version, parts: make([]string, parts)}
 	}
-	if rp.parts[ms.Part] == "" {
-		rp.parts[ms.Part] = ms.Body
-		rp.have++
+	if bp.parts[part] == "" {
+		bp.parts[part] = chunk
+		bp.have++
 	}
-	if rp.have < ms.Parts {
+	if bp.have < parts {
 		return "", false
 	}
-	body = strings.Join(rp.parts, "")
-	*rp = rowParts{}
+	body = strings.Join(bp.parts, "")
+	*bp = bodyParts{}
 	return body, true
 }
 
@@ -68,12 +68,12 @@
 	if !gw.agent.Leading() {
 		return
 	}
-	delete(gw.rowRelay.takers, st.Member.Host)
+	delete(gw.rowRelay.takers, from)
 	if st.OperatorRows > 0 {
-		gw.rowRelay.takers[st.Member.Host] = from.String()
+		gw.rowRelay.takers[from] = true
 		// A host that has no rows must know the suspects before it serves.
 		if starts := st.OperatorRows == 1; starts || st.OperatorRows-1 < gw.cache.operatorVersion {
-			gw.sendOperatorRows(now, from.String(), starts)
+			gw.sendOperatorRows(now, from, starts)
 		}
 	}
 	if st.RosterVersion < gw.cache.changedVersion {
@@ -97,14 +97,14 @@
 		return
 	}
 	for _, mb := range gw.table.Load().Members {
-		if to, takes := gw.rowRelay.takers[mb.Host]; takes && mb.Alive {
+		if to, err := netip.ParseAddrPort(mb.Address); err == nil && mb.Alive && gw.rowRelay.takers[to] {
 			gw.sendOperatorRows(now, to, false)
 		}
 	}
 }
 
 // sendOperatorRows sends the operator rows to a host, with the suspects if it starts.
-func (gw *Gateway) sendOperatorRows(now clock.Instant, to string, starts bool) {
+func (gw *Gateway) sendOperatorRows(now clock.Instant, to netip.AddrPort, starts bool) {
 	rl := &gw.rowRelay
 	if rl.version == 0 {
 		return
@@ -118,7 +118,7 @@
 	}
 	chunks := assignmentChunks(string(body))
 	for part, chunk := range chunks {
-		gw.sendMessage(to, protocol.OperatorRows{Version: uint64(rl.version), Part: part, Parts: len(chunks), Body: chunk})
+		gw.sendMessageTo(to, protocol.OperatorRows{Version: uint64(rl.version), Part: part, Parts: len(chunks), Body: chunk})
 	}
 }
 
@@ -138,7 +138,7 @@
 	if ms.Version <= gw.operatorVersion.Load() {
 		return
 	}
-	body, complete := gw.rowRelay.pending.add(from, ms)
+	body, complete := gw.rowRelay.pending.add(from, ms.Version, ms.Part, ms.Parts, ms.Body)
 	if !complete {
 		return
 	}
@@ -170,7 +170,7 @@
 
 // compareOperatorRows compares this host's operator rows with those of the leader, by its
 // heartbeat: rows that stay older are read, newer ones of a domain's reader are sent to it.
-func (gw *Gateway) compareOperatorRows(now clock.Instant, hb protocol.Heartbeat) {
+func (gw *Gateway) compareOperatorRows(now clock.Instant, hb protocol.Heartbeat, from netip.AddrPort) {
 	rc, rl := &gw.cache, &gw.rowRelay
 	if hb.OperatorVersion >= rc.operatorVersion {
 		rl.leaderBehindSince = 0
@@ -178,8 +178,8 @@
 		rl.leaderBehindSince = now
 	}
 	if rl.leaderBehindSince != 0 && now.Sub(rl.leaderBehindSince) >= maxWatchLag && gw.leaderSendsRows.Load() && gw.readsForDomain() {
-		gw.config.Log.Event("operatorRowsReported", eventlog.Fields{"leader": gw.agent.Leader(), "version": rc.operatorVersion, "leaderHas": hb.OperatorVersion})
-		gw.sendOperatorRows(now, gw.agent.Leader(), false)
+		gw.config.Log.Event("operatorRowsReported", eventlog.Fields{"leader": from.String(), "version": rc.operatorVersion, "leaderHas": hb.OperatorVersion})
+		gw.sendOperatorRows(now, from, false)
 	}
 	known := gw.operatorVersion.Load()
 	if hb.OperatorVersion <= known || known == 0 {
--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -335,6 +335,26 @@
 		"internal/fleet/gateway/rowset.go", " && ra.version.Era() >= newest", "",
 		[]string{"-run=TestRowsOfOtherHosts", "./internal/fleet/gateway"},
 	},
+	"members of earlier builds get packed lists": {
+		"internal/fleet/gateway/rostercache.go", "if gw.rowRelay.takers[to] {", "if true {",
+		[]string{"-run=TestMembersOfEarlierBuilds", "./internal/fleet/gateway"},
+	},
+	"members of earlier builds get deltas that they do not know": {
+		"internal/fleet/gateway/peers.go", "if gw.rowRelay.takers[to] {", "if true {",
+		[]string{"-run=TestMembersOfEarlierBuilds", "./internal/fleet/gateway"},
+	},
+	"members of earlier builds get operator rows": {
+		"internal/fleet/gateway/rowrelay.go", "if st.OperatorRows > 0 {", "if true {",
+		[]string{"-run=TestMembersOfEarlierBuilds", "./internal/fleet/gateway"},
+	},
+	"packed entries go back to earlier ones": {
+		"internal/fleet/gateway/rostercache.go", "if ms.Term < gw.agent.Term() || ms.Version <= rc.version {", "if false {",
+		[]string{"-run=TestPackedEntries", "./internal/fleet/gateway"},
+	},
+	"members that have left stay in the assignment of others": {
+		"internal/catalog/assignment/delta.go", "if left[mb.Host] {", "if false {",
+		[]string{"-run=TestApplyReversesDiff", "./internal/catalog/assignment"},
+	},
 	"a host waits for rows of a leader that sends none": {
 		"internal/fleet/gateway/rowfeed.go", "return rc.sends && rc.fresh", "return rc.fresh",
 		[]string{"-run=TestRowSources", "./internal/fleet/gateway"},
--- a/internal/peer/protocol/assignment.go
+++ b/internal/peer/protocol/assignment.go
@@ -11,6 +11,39 @@
 	Delta assignment.Delta
 }
 
+// number of a delta with the members that have changed is another one, so that builds that do not
+// know it do not keep the members that they have.
+func (ms AssignmentDelta) number() uint8 {
+	if ms.Delta.ChangesMembers() {
+		return memberDeltaNumber
+	}
+	return assignmentDeltaNumber
+}
+
+// EncodedDelta is an assignment delta that is sent to many members, each with a heartbeat of its
+// own.
+type EncodedDelta struct {
+	number uint8
+	body   []byte
+}
+
+// EncodeDelta encodes a delta.
+func EncodeDelta(dl assignment.Delta) EncodedDelta {
+	cd := &codec{}
+	codeDelta(cd, &dl, dl.ChangesMembers())
+	return EncodedDelta{AssignmentDelta{Delta: dl}.number(), cd.buf}
+}
+
+// Datagram returns the datagram with the delta and a heartbeat.
+func (ed EncodedDelta) Datagram(hb Heartbeat) []byte {
+	cd := &codec{buf: append(make([]byte, 0, len(ed.body)+heartbeatBytes), version, ed.number)}
+	hb.code(cd)
+	return append(cd.buf, ed.body...)
+}
+
+// heartbeatBytes is more than an encoded heartbeat usually takes.
+const heartbeatBytes = 128
+
 // Assignment carries one part of the encoded assignment, numbered as in Roster.
 type Assignment struct {
 	Heartbeat
@@ -34,13 +67,22 @@
 	text(cd, &ms.Body)
 }
 
-func (ms *AssignmentDelta) code(cd *codec) {
+func (ms *AssignmentDelta) code(cd *codec, changesMembers bool) {
 	ms.Heartbeat.code(cd)
-	dl := &ms.Delta
+	codeDelta(cd, &ms.Delta, changesMembers)
+}
+
+// codeDelta codes a delta with the members that have changed, or with all of them if any has.
+func codeDelta(cd *codec, dl *assignment.Delta, changesMembers bool) {
 	numbered(cd, &dl.Base)
 	numbered(cd, &dl.Revision)
 	numbered(cd, &dl.LastEpoch)
-	list(cd, &dl.Members, func(mb *assignment.Member) { codeMember(cd, mb) })
+	if changesMembers {
+		list(cd, &dl.Changed, func(mb *assignment.Member) { codeMember(cd, mb) })
+		list(cd, &dl.Left, func(host *ident.Host) { text(cd, host) })
+	} else {
+		list(cd, &dl.Members, func(mb *assignment.Member) { codeMember(cd, mb) })
+	}
 	list(cd, &dl.Dropped, func(ss *assignment.ShareStart) {
 		text(cd, &ss.Service)
 		varint(cd, &ss.From)
--- a/internal/peer/protocol/message.go
+++ b/internal/peer/protocol/message.go
@@ -34,18 +34,19 @@
 	limitsNumber
 	suspectsNumber
 	operatorRowsNumber
+	memberDeltaNumber
+	packedRosterNumber
 )
 
-func (Status) number() uint8          { return statusNumber }
-func (Assignment) number() uint8      { return assignmentNumber }
-func (Ask) number() uint8             { return askNumber }
-func (Permit) number() uint8          { return permitNumber }
-func (Refusal) number() uint8         { return refusalNumber }
-func (Queued) number() uint8          { return queuedNumber }
-func (Done) number() uint8            { return doneNumber }
-func (Roster) number() uint8          { return rosterNumber }
-func (DoneAck) number() uint8         { return doneAckNumber }
-func (AssignmentDelta) number() uint8 { return assignmentDeltaNumber }
+func (Status) number() uint8     { return statusNumber }
+func (Assignment) number() uint8 { return assignmentNumber }
+func (Ask) number() uint8        { return askNumber }
+func (Permit) number() uint8     { return permitNumber }
+func (Refusal) number() uint8    { return refusalNumber }
+func (Queued) number() uint8     { return queuedNumber }
+func (Done) number() uint8       { return doneNumber }
+func (Roster) number() uint8     { return rosterNumber }
+func (DoneAck) number() uint8    { return doneAckNumber }
 
 // number of a recovering heartbeat is another one, so that builds that do not know it
 // take it for no confirmation.
@@ -83,6 +84,8 @@
 		ms.code(cd)
 	case OperatorRows:
 		ms.code(cd)
+	case PackedRoster:
+		ms.code(cd)
 	case Assignment:
 		ms.code(cd)
 	case Ask:
@@ -102,7 +105,7 @@
 	case RosterDelta:
 		ms.code(cd)
 	case AssignmentDelta:
-		ms.code(cd)
+		ms.code(cd, ms.Delta.ChangesMembers())
 	}
 	return cd.buf
 }
@@ -135,6 +138,8 @@
 		msg = decode(cd, func(ms *Suspects) { ms.code(cd) })
 	case operatorRowsNumber:
 		msg = decode(cd, func(ms *OperatorRows) { ms.code(cd) })
+	case packedRosterNumber:
+		msg = decode(cd, func(ms *PackedRoster) { ms.code(cd) })
 	case reportNumber:
 		msg = decode(cd, func(ms *Report) { ms.code(cd) })
 	case assignmentNumber:
@@ -156,7 +161,9 @@
 	case rosterDeltaNumber:
 		msg = decode(cd, func(ms *RosterDelta) { ms.code(cd) })
 	case assignmentDeltaNumber:
-		msg = decode(cd, func(ms *AssignmentDelta) { ms.code(cd) })
+		msg = decode(cd, func(ms *AssignmentDelta) { ms.code(cd, false) })
+	case memberDeltaNumber:
+		msg = decode(cd, func(ms *AssignmentDelta) { ms.code(cd, true) })
 	default:
 		return nil, fmt.Errorf("protocol: unknown message %d", datagram[1])
 	}
--- a/internal/peer/protocol/operatorrows.go
+++ b/internal/peer/protocol/operatorrows.go
@@ -1,11 +1,6 @@
 package protocol
 
 import (
-	"bytes"
-	"compress/flate"
-	"io"
-	"sync"
-
 	"github.com/rotisserie/eris"
 
 	"chervilwalk/internal/base/era"
@@ -35,19 +30,8 @@
 	Version    uint64
 }
 
-const (
-	// maxRowSetBytes bounds a decoded row set, which comes compressed.
-	maxRowSetBytes = 4 << 20
-	// maxRowKeyBytes is the store's bound on keys.
-	maxRowKeyBytes = 200
-)
-
-// flateWriters reuses writers, as each takes about a megabyte.
-var flateWriters = sync.Pool{New: func() any {
-	// NewWriter only fails for an invalid level.
-	fw, _ := flate.NewWriter(nil, flate.BestSpeed)
-	return fw
-}}
+// maxRowKeyBytes is the store's bound on keys.
+const maxRowKeyBytes = 200
 
 func (ms *OperatorRows) code(cd *codec) {
 	varint(cd, &ms.Version)
@@ -75,25 +59,15 @@
 func EncodeRowSet(rs RowSet) []byte {
 	cd := &codec{}
 	rs.code(cd)
-	var compressed bytes.Buffer
-	fw := flateWriters.Get().(*flate.Writer)
-	defer flateWriters.Put(fw)
-	fw.Reset(&compressed)
-	// Writes to a bytes.Buffer do not fail.
-	_, _ = fw.Write(cd.buf)
-	_ = fw.Close()
-	return compressed.Bytes()
+	return compress(cd.buf)
 }
 
 // DecodeRowSet decodes a row set. It fails if any of it is malformed: without one of its rows
 // the set would say that this row was deleted.
 func DecodeRowSet(body []byte) (RowSet, error) {
-	content, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(body)), maxRowSetBytes+1))
+	content, err := decompress(body)
 	if err != nil {
-		return RowSet{}, eris.Wrap(err, "operator rows: decompress")
-	}
-	if len(content) > maxRowSetBytes {
-		return RowSet{}, eris.Errorf("operator rows: more than %d bytes", maxRowSetBytes)
+		return RowSet{}, eris.Wrap(err, "operator rows")
 	}
 	cd := &codec{buf: content, reading: true}
 	var rs RowSet
--- a/internal/peer/protocol/protocol_test.go
+++ b/internal/peer/protocol/protocol_test.go
@@ -31,6 +31,7 @@
 		},
 		"heartbeat":           alone,
 		"recoveringHeartbeat": protocol.Heartbeat{Term: 1 << 33, Leader: "a", Revision: 9, RowVersion: 1 << 44, SendsOperatorRows: true, Recovering: true},
+		"packedRoster":        protocol.PackedRoster{Term: 3, Version: 5, GraceLeft: time.Second, Part: 1, Parts: 2, Body: "{}"},
 		"operatorRows":        protocol.OperatorRows{Version: 1<<44 + 6, Part: 1, Parts: 2, Body: "{}"},
 		"leaving":             protocol.Leaving{Upstream: "u", Incarnation: 9},
 		"pause":               protocol.Pause{Host: "a", Upstream: "u", Left: 3 * time.Second},
@@ -46,6 +47,10 @@
 				Next: assignment.Claim{Upstream: "v", Incarnation: 6, Epoch: 16}, Fence: 13,
 			}},
 		}},
+		"memberDelta": protocol.AssignmentDelta{Heartbeat: heartbeat, Delta: assignment.Delta{
+			Base: 8, Revision: 9, LastEpoch: 40, Changed: []assignment.Member{{Host: "a", Domain: "d", Address: "10.0.0.1:7540", Incarnation: 7, Alive: true}}, Left: []ident.Host{"b"},
+			Dropped: []assignment.ShareStart{}, Added: []assignment.Share{},
+		}},
 		"rosterDelta": protocol.RosterDelta{Term: 3, Version: 5, GraceLeft: time.Second, Delta: roster.Delta{
 			Base: 1 << 63, Gone: []ident.Upstream{"w"}, Entries: []roster.Entry{{ID: "u", Service: "lookup", Address: "10.0.0.9:80", Domain: "d", Slots: 2, Incarnation: 99}},
 		}},
--- a/internal/peer/protocol/roster_test.go
+++ b/internal/peer/protocol/roster_test.go
@@ -47,6 +47,11 @@
 			gm.Expect(whole.Malformed).To(HaveLen(1))
 			gm.Expect(len(whole.Malformed[0].Error())).To(BeNumerically("<", 1000), "a log line")
 
+			packed, malformed, err := protocol.UnpackEntries(string(protocol.PackEntries(entries)))
+			gm.Expect(err).NotTo(HaveOccurred())
+			gm.Expect(packed).To(Equal(whole.Entries))
+			gm.Expect(malformed).To(HaveLen(1))
+
 			msg, err = protocol.Decode(protocol.Encode(protocol.RosterDelta{Delta: roster.Delta{Base: 1, Gone: []ident.Upstream{"w"}, Entries: entries}}))
 			gm.Expect(err).NotTo(HaveOccurred())
 			delta := msg.(protocol.RosterDelta)
