Watch the operator rows when the leader or the reader of a domain changes

A host that leaves it to the leader to send rows waits for a signal. A leader of an earlier build that takes over sends none, and a host that becomes the reader of its domain has to begin to watch: both now wake it. Before, it read after the next change, when the leader's heartbeats named a newer version.

The soak restarts all hosts as the store goes away.

--- a/internal/fleet/gateway/entries.go
+++ b/internal/fleet/gateway/entries.go
@@ -108,13 +108,11 @@
 	return true
 }
 
-// wakeReaders wakes the goroutines that follow rows and entries.
-func (gw *Gateway) wakeReaders() {
-	for _, wake := range []chan struct{}{gw.rowsWake, gw.entriesWake} {
-		select {
-		case wake <- struct{}{}:
-		default:
-		}
+// wake wakes the goroutine that waits for a signal.
+func wake(signal chan struct{}) {
+	select {
+	case signal <- struct{}{}:
+	default:
 	}
 }
 
--- a/internal/fleet/gateway/followrows.go
+++ b/internal/fleet/gateway/followrows.go
@@ -116,7 +116,7 @@
 func (gw *Gateway) rowConditions() rowConditions {
 	age := gw.clock.Now().Sub(clock.Instant(gw.leaderHeardAt.Load()))
 	return rowConditions{
-		leading: gw.leading.Load(), reader: gw.readsForDomain(), heard: age < leaderSilentTimeout, sends: gw.leaderSendsRows.Load(),
+		leading: gw.leading.Load(), reader: gw.readsForDomain.Load(), heard: age < leaderSilentTimeout, sends: gw.leaderSendsRows.Load(),
 		fresh: gw.leaderStoreAge() < maxEntriesAge,
 	}
 }
@@ -130,11 +130,6 @@
 	return gw.clock.Now().Sub(clock.Instant(gw.leaderStoreAt.Load()))
 }
 
-// readsForDomain reports whether this host watches the operator rows beside the leader.
-func (gw *Gateway) readsForDomain() bool {
-	return domainReader(gw.table.Load(), gw.self.Domain) == gw.self.Host
-}
-
 // callForRows starts the call that a source needs.
 func (gw *Gateway) callForRows(source rowSource, known bool, version platform.Version, rc rowConditions) chan readResult {
 	answer := make(chan readResult, 1)
--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -116,6 +116,8 @@
 	leaderHeardAt   atomic.Int64
 	leaderStoreAt   atomic.Int64
 	leaderSendsRows atomic.Bool
+	// readsForDomain reports whether this host watches the operator rows for its failure domain.
+	readsForDomain  atomic.Bool
 	operatorVersion atomic.Uint64
 	leading         atomic.Bool
 	// longWatch reports whether the current watch of the operator rows uses the
@@ -125,7 +127,7 @@
 	listening       atomic.Bool
 	rereadOperators chan struct{}
 	// relayedRows carries rows that another host has sent. rowsWake and entriesWake wake the
-	// goroutines that follow rows and entries when this host begins or ceases to lead.
+	// goroutines that follow rows and entries, when what they depend on has changed.
 	relayedRows           chan rowAnswer
 	rowsWake, entriesWake chan struct{}
 	isReady               atomic.Bool
--- a/internal/fleet/gateway/loop.go
+++ b/internal/fleet/gateway/loop.go
@@ -326,7 +326,8 @@
 	gw.leadershipConfirmedAt.Store(int64(gw.agent.LeadershipConfirmed()))
 	gw.tableConfirmedAt.Store(int64(gw.agent.TableConfirmed()))
 	if leads := gw.agent.Leading(); gw.leading.Swap(leads) != leads {
-		gw.wakeReaders()
+		wake(gw.rowsWake)
+		wake(gw.entriesWake)
 	}
 	gw.confirmHolder()
 	for _, cmd := range cmds {
@@ -354,6 +355,9 @@
 		case agent.TableCmd:
 			gw.suspects.noteMembers(gw.table.Load(), cmd.Table)
 			gw.table.Store(cmd.Table)
+			if reads := domainReader(cmd.Table, gw.self.Domain) == gw.self.Host; gw.readsForDomain.Swap(reads) != reads {
+				wake(gw.rowsWake)
+			}
 			gw.updatePermits(permit.TableMsg{Table: cmd.Table})
 		}
 	}
--- a/internal/fleet/gateway/peers.go
+++ b/internal/fleet/gateway/peers.go
@@ -81,8 +81,8 @@
 		gw.updateAgent(agent.StatusMsg{Status: ms, From: ev.from.String()})
 		gw.answerStatus(now, ms, ev.from)
 	case protocol.Heartbeat:
-		if ms.Term >= gw.agent.Term() {
-			gw.leaderSendsRows.Store(ms.SendsOperatorRows)
+		if ms.Term >= gw.agent.Term() && gw.leaderSendsRows.Swap(ms.SendsOperatorRows) != ms.SendsOperatorRows {
+			wake(gw.rowsWake)
 		}
 		gw.updateFreshness(now, ms, ev.from)
 		gw.updateAgent(agent.HeartbeatMsg{Heartbeat: ms, From: ev.from.String()})
--- a/internal/fleet/gateway/rowrelay.go
+++ b/internal/fleet/gateway/rowrelay.go
@@ -177,7 +177,7 @@
 	} else if rl.leaderBehindSince == 0 {
 		rl.leaderBehindSince = now
 	}
-	if rl.leaderBehindSince != 0 && now.Sub(rl.leaderBehindSince) >= maxWatchLag && gw.leaderSendsRows.Load() && gw.readsForDomain() {
+	if rl.leaderBehindSince != 0 && now.Sub(rl.leaderBehindSince) >= maxWatchLag && gw.leaderSendsRows.Load() && gw.readsForDomain.Load() {
 		gw.config.Log.Event("operatorRowsReported", eventlog.Fields{"leader": from.String(), "version": rc.operatorVersion, "leaderHas": hb.OperatorVersion})
 		gw.sendOperatorRows(now, from, false)
 	}
@@ -200,7 +200,7 @@
 // had an answer of the store lately.
 func (gw *Gateway) checkSilentLeader() {
 	delay := maxEntriesAge
-	if !gw.readsForDomain() {
+	if !gw.readsForDomain.Load() {
 		delay += time.Duration(ident.Weight("silent", string(gw.self.Host)) % uint64(silentSpread))
 	}
 	if (gw.longWatch.Load() || gw.listening.Load()) && gw.leaderStoreAge() >= delay {
--- a/internal/stand/soak/soak.go
+++ b/internal/stand/soak/soak.go
@@ -209,6 +209,14 @@
 			rn.dp.ReturnStore(time.Duration(rn.random.Intn(6000))*time.Millisecond, 200*time.Millisecond, 500*time.Millisecond)
 		}},
 		{"desired state changes", func() { rn.dp.Configure(nil) }},
+		{"all hosts restart as the store goes away", func() {
+			for _, host := range rn.dp.Hosts {
+				rn.dp.KillHost(host)
+				rn.start(host)
+			}
+			time.Sleep(time.Duration(rn.random.Intn(600)) * time.Millisecond)
+			rn.storeFaults(metastore.Faults{Down: true})
+		}},
 		{"proxy of " + px.Name + " delays", func() { rn.proxyFaults(px, faultproxy.Faults{Delay: 80 * time.Millisecond}) }},
 		{"proxy of " + px.Name + " is silent", func() { rn.proxyFaults(px, faultproxy.Faults{DropRequests: true, DropAnswers: true}) }},
 		{"proxy of " + px.Name + " drops answers", func() { rn.proxyFaults(px, faultproxy.Faults{DropAnswers: true}) }},
