Let the fittest hosts of each domain read first when nobody leads

Change: the two fittest hosts of each failure domain of the last assignment read after 0.2 s if they hear no leader, and tell the members of their domain. Two, as the fittest one often is the leader that was lost.

--- a/internal/fleet/gateway/entries.go
+++ b/internal/fleet/gateway/entries.go
@@ -84,7 +84,7 @@
 func (gw *Gateway) awaitEntries() bool {
 	first := newFirstRead(gw.clock.Now(), gw.self.Host, gw.fitness())
 	for !gw.leading.Load() && !gw.leaderFresh() {
-		left := first.dueAt(gw.rowConditions().heard).Sub(gw.clock.Now())
+		left := first.dueAt(gw.rowConditions().heard, int(gw.domainRank.Load())).Sub(gw.clock.Now())
 		if left <= 0 {
 			return true
 		}
--- a/internal/fleet/gateway/firstread.go
+++ b/internal/fleet/gateway/firstread.go
@@ -17,6 +17,11 @@
 	// answeredReadDelay is firstReadDelay for a host that hears a leader, which sends lists to
 	// all others too.
 	answeredReadDelay = 3 * time.Second
+	// rankedReadDelay is how long the fittest hosts of a failure domain wait that know the last
+	// assignment and hear no leader: after a loss of all hosts they read for their domain.
+	rankedReadDelay = 200 * time.Millisecond
+	// firstReaders is how many they are. The fittest one may be lost, as it often led.
+	firstReaders = 2
 )
 
 // firstRead says when a host that has just started reads by itself what nobody has told it.
@@ -34,11 +39,14 @@
 }
 
 // dueAt returns when this host reads. answered reports whether it hears a leader that sends
-// what is missing.
-func (fr firstRead) dueAt(answered bool) clock.Instant {
+// what is missing, rank is its rank in its failure domain, or -1.
+func (fr firstRead) dueAt(answered bool, rank int) clock.Instant {
 	delay := firstReadDelay
-	if answered {
+	switch {
+	case answered:
 		delay = answeredReadDelay
+	case rank >= 0 && rank < firstReaders:
+		return fr.startedAt.Add(rankedReadDelay)
 	}
 	return fr.startedAt.Add(delay + time.Duration(fr.spread*float64(firstReadSpread)))
 }
--- a/internal/fleet/gateway/followrows.go
+++ b/internal/fleet/gateway/followrows.go
@@ -116,7 +116,7 @@
 func (gw *Gateway) rowConditions() rowConditions {
 	age := gw.clock.Now().Sub(clock.Instant(gw.leaderHeardAt.Load()))
 	return rowConditions{
-		leading: gw.leading.Load(), reader: gw.readsForDomain.Load(), heard: age < leaderSilentTimeout, sends: gw.leaderSendsRows.Load(),
+		leading: gw.leading.Load(), rank: int(gw.domainRank.Load()), heard: age < leaderSilentTimeout, sends: gw.leaderSendsRows.Load(),
 		fresh: gw.leaderStoreAge() < maxEntriesAge,
 	}
 }
--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -116,8 +116,8 @@
 	leaderHeardAt   atomic.Int64
 	leaderStoreAt   atomic.Int64
 	leaderSendsRows atomic.Bool
-	// readsForDomain reports whether this host watches the operator rows for its failure domain.
-	readsForDomain  atomic.Bool
+	// domainRank is this host's rank in its failure domain, or -1.
+	domainRank      atomic.Int64
 	operatorVersion atomic.Uint64
 	leading         atomic.Bool
 	// longWatch reports whether the current watch of the operator rows uses the
@@ -189,6 +189,7 @@
 	gw.grantClients.onLeaving, gw.grantClients.mayRenewOn = gw.onLeaving, gw.mayRenewOn
 	gw.bounds.Store(&st.Bounds)
 	gw.loads = newLoadCounter()
+	gw.domainRank.Store(-1)
 	gw.permitClient = newPermitClient(gw)
 	gw.permitClient.lastTicket.Store(firstTicket(gw.process()))
 	gw.upstreamLimits, gw.suspects = newUpstreamLimits(gw), newSuspects(gw)
--- a/internal/fleet/gateway/loop.go
+++ b/internal/fleet/gateway/loop.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/netip"
 	"time"
 
 	"chervilwalk/internal/base/clock"
@@ -209,7 +210,7 @@
 		return
 	}
 	gw.roster.MarkLeaving(ev.entries)
-	before := gw.cache.digest
+	before, first := gw.cache.digest, gw.cache.version == 0
 	digest := roster.Digest(ev.entries)
 	if digest != before {
 		gw.cache.pushHistory()
@@ -219,6 +220,9 @@
 		gw.cache.digest, gw.cache.changedVersion = digest, uint64(ev.version)
 		gw.broadcastRoster(now, before)
 	}
+	if first {
+		gw.tellDomain(func(to netip.AddrPort) { gw.sendPackedRoster(now, to) })
+	}
 	gw.updateRoster(digest != before)
 }
 
@@ -355,8 +359,9 @@
 		case agent.TableCmd:
 			gw.suspects.noteMembers(gw.table.Load(), cmd.Table)
 			gw.table.Store(cmd.Table)
-			if reads := domainReader(cmd.Table, gw.self.Domain) == gw.self.Host; gw.readsForDomain.Swap(reads) != reads {
+			if rank := int64(domainRank(cmd.Table, gw.self.Host)); gw.domainRank.Swap(rank) != rank {
 				wake(gw.rowsWake)
+				wake(gw.entriesWake)
 			}
 			gw.updatePermits(permit.TableMsg{Table: cmd.Table})
 		}
--- a/internal/fleet/gateway/rowfeed.go
+++ b/internal/fleet/gateway/rowfeed.go
@@ -38,8 +38,10 @@
 
 // rowConditions is what the choice of a source depends on.
 type rowConditions struct {
-	// leading is set while this host leads, reader while it reads for its failure domain.
-	leading, reader bool
+	// leading is set while this host leads.
+	leading bool
+	// rank is this host's rank in its failure domain, or -1.
+	rank int
 	// heard is set while a leader is heard, sends while that leader sends rows, and fresh while
 	// the store has answered it lately.
 	heard, sends, fresh bool
@@ -48,6 +50,9 @@
 // relayed reports whether the leader tells this host of changes in time.
 func (rc rowConditions) relayed() bool { return rc.sends && rc.fresh && !rc.leading }
 
+// reader reports whether this host watches for its failure domain.
+func (rc rowConditions) reader() bool { return rc.rank == 0 }
+
 // next returns the source, and when to ask again if nothing happens before.
 func (rf *rowFeed) next(now clock.Instant, rc rowConditions) (rowSource, clock.Instant) {
 	switch {
@@ -55,11 +60,11 @@
 		return fromPeers, rf.pausedUntil
 	case rf.mustRead && !(rf.failing && rf.known && rc.relayed()):
 		return fromRead, clock.Never
-	case !rf.known && !rc.leading && (rc.sends || !rc.heard) && now < rf.first.dueAt(rc.heard):
-		return fromPeers, rf.first.dueAt(rc.heard)
+	case !rf.known && !rc.leading && (rc.sends || !rc.heard) && now < rf.first.dueAt(rc.heard, rc.rank):
+		return fromPeers, rf.first.dueAt(rc.heard, rc.rank)
 	case !rf.known:
 		return fromRead, clock.Never
-	case rc.relayed() && (!rc.reader || rf.failing):
+	case rc.relayed() && (!rc.reader() || rf.failing):
 		return fromPeers, clock.Never
 	}
 	return fromWatch, clock.Never
@@ -98,17 +103,19 @@
 	}
 }
 
-// domainReader returns the host that watches the operator rows for a failure domain beside the
-// leader: the fittest one that is alive. All hosts that know the assignment choose alike.
-func domainReader(tb *assignment.Table, dm ident.Domain) ident.Host {
-	var best assignment.Member
+// domainRank returns how many members of a host's failure domain are fitter than it, or -1 if
+// the assignment does not list it as alive. All hosts that know the assignment rank alike. The
+// first one watches the operator rows for its domain, beside the leader.
+func domainRank(tb *assignment.Table, host ident.Host) int {
+	self, listed := tb.Member(host)
+	if !listed || !self.Alive {
+		return -1
+	}
+	rank := 0
 	for _, mb := range tb.Members {
-		if mb.Domain != dm || !mb.Alive {
-			continue
-		}
-		if best.Host == "" || cmp.Or(cmp.Compare(mb.Fitness, best.Fitness), cmp.Compare(best.Host, mb.Host)) > 0 {
-			best = mb
+		if mb.Domain == self.Domain && mb.Alive && cmp.Or(cmp.Compare(mb.Fitness, self.Fitness), cmp.Compare(self.Host, mb.Host)) > 0 {
+			rank++
 		}
 	}
-	return best.Host
+	return rank
 }
--- a/internal/fleet/gateway/rowfeed_test.go
+++ b/internal/fleet/gateway/rowfeed_test.go
@@ -31,27 +31,34 @@
 		at   clock.Instant
 		rc   rowConditions
 		want rowSource
+		// ranked hosts keep the rank of rc, others have none.
+		ranked bool
 	}{
-		"just started":                          {rowFeed{}, started, rowConditions{}, fromPeers},
-		"started, nobody answers":               {rowFeed{}, started.Add(1500 * time.Millisecond), rowConditions{}, fromRead},
-		"started, a leader has much to send":    {rowFeed{}, started.Add(1500 * time.Millisecond), follows, fromPeers},
-		"started, a leader sends nothing":       {rowFeed{}, started.Add(3700 * time.Millisecond), follows, fromRead},
-		"started, leader of an earlier build":   {rowFeed{}, started, rowConditions{heard: true, fresh: true}, fromRead},
-		"started and leads":                     {rowFeed{}, started, rowConditions{leading: true}, fromRead},
-		"follows a leader":                      {rowFeed{known: true}, later, follows, fromPeers},
-		"reads for its domain":                  {rowFeed{known: true}, later, rowConditions{heard: true, sends: true, fresh: true, reader: true}, fromWatch},
-		"follows a leader of an earlier build":  {rowFeed{known: true}, later, rowConditions{heard: true, fresh: true}, fromWatch},
-		"the store does not answer the leader":  {rowFeed{known: true}, later, rowConditions{heard: true, sends: true}, fromWatch},
-		"no leader":                             {rowFeed{known: true}, later, rowConditions{}, fromWatch},
-		"leads":                                 {rowFeed{known: true}, later, rowConditions{leading: true, heard: true, sends: true, fresh: true}, fromWatch},
-		"must read":                             {rowFeed{known: true, mustRead: true}, later, follows, fromRead},
-		"the store turns it away, leader tells": {lost, later, follows, fromPeers},
-		"the store turns it away, no leader":    {lost, later, rowConditions{}, fromRead},
-		"the store turns a reader away":         {rowFeed{known: true, failing: true}, later, rowConditions{heard: true, sends: true, fresh: true, reader: true}, fromPeers},
+		"just started":                          {rowFeed{}, started, rowConditions{}, fromPeers, false},
+		"started, nobody answers":               {rowFeed{}, started.Add(1500 * time.Millisecond), rowConditions{}, fromRead, false},
+		"started, a leader has much to send":    {rowFeed{}, started.Add(1500 * time.Millisecond), follows, fromPeers, false},
+		"started, a leader sends nothing":       {rowFeed{}, started.Add(3700 * time.Millisecond), follows, fromRead, false},
+		"started, leader of an earlier build":   {rowFeed{}, started, rowConditions{heard: true, fresh: true}, fromRead, false},
+		"all started, fit host of a domain":     {rowFeed{}, started.Add(300 * time.Millisecond), rowConditions{rank: 1}, fromRead, true},
+		"all started, one of many of a domain":  {rowFeed{}, started.Add(300 * time.Millisecond), rowConditions{rank: 2}, fromPeers, true},
+		"started and leads":                     {rowFeed{}, started, rowConditions{leading: true}, fromRead, false},
+		"follows a leader":                      {rowFeed{known: true}, later, follows, fromPeers, false},
+		"reads for its domain":                  {rowFeed{known: true}, later, rowConditions{heard: true, sends: true, fresh: true}, fromWatch, true},
+		"follows a leader of an earlier build":  {rowFeed{known: true}, later, rowConditions{heard: true, fresh: true}, fromWatch, false},
+		"the store does not answer the leader":  {rowFeed{known: true}, later, rowConditions{heard: true, sends: true}, fromWatch, false},
+		"no leader":                             {rowFeed{known: true}, later, rowConditions{}, fromWatch, false},
+		"leads":                                 {rowFeed{known: true}, later, rowConditions{leading: true, heard: true, sends: true, fresh: true}, fromWatch, false},
+		"must read":                             {rowFeed{known: true, mustRead: true}, later, follows, fromRead, false},
+		"the store turns it away, leader tells": {lost, later, follows, fromPeers, false},
+		"the store turns it away, no leader":    {lost, later, rowConditions{}, fromRead, false},
+		"the store turns a reader away":         {rowFeed{known: true, failing: true}, later, rowConditions{heard: true, sends: true, fresh: true}, fromPeers, true},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			tc.feed.first = newFirstRead(started, "a", 0.5)
+			if !tc.ranked {
+				tc.rc.rank = -1
+			}
 			source, _ := tc.feed.next(tc.at, tc.rc)
 			NewWithT(t).Expect(source).To(Equal(tc.want))
 		})
@@ -65,10 +72,10 @@
 	slots := map[time.Duration]int{}
 	for ix := range 100 {
 		fr := newFirstRead(0, ident.Host(rune('a'+ix)), 0.1)
-		wait := time.Duration(fr.dueAt(false))
+		wait := time.Duration(fr.dueAt(false, -1))
 		gm.Expect(wait).To(And(BeNumerically(">=", 800*time.Millisecond), BeNumerically("<=", 1500*time.Millisecond)))
-		gm.Expect(newFirstRead(0, ident.Host(rune('a'+ix)), 1).dueAt(false)).To(BeNumerically("<", fr.dueAt(false)), "a fit host reads earlier")
-		gm.Expect(time.Duration(fr.dueAt(true))).To(BeNumerically("<", 4*time.Second))
+		gm.Expect(newFirstRead(0, ident.Host(rune('a'+ix)), 1).dueAt(false, -1)).To(BeNumerically("<", fr.dueAt(false, -1)), "a fit host reads earlier")
+		gm.Expect(time.Duration(fr.dueAt(true, 0))).To(BeNumerically("<", 4*time.Second))
 		slots[wait.Truncate(50*time.Millisecond)]++
 	}
 	for slot, hosts := range slots {
@@ -94,7 +101,7 @@
 	gm.Expect(source).To(Equal(fromWatch))
 }
 
-func TestDomainReader(t *testing.T) {
+func TestDomainRank(t *testing.T) {
 	gm := NewWithT(t)
 	tb := &assignment.Table{Members: []assignment.Member{
 		{Host: "c", Domain: "x", Fitness: 80, Alive: true},
@@ -103,8 +110,9 @@
 		{Host: "d", Domain: "x", Fitness: 90},
 		{Host: "e", Domain: "y", Fitness: 100, Alive: true},
 	}}
-	gm.Expect(domainReader(tb, "x")).To(Equal(ident.Host("b")), "the first of the fittest that are alive")
-	gm.Expect(domainReader(tb, "z")).To(BeEmpty())
+	for host, rank := range map[ident.Host]int{"a": 2, "b": 0, "c": 1, "d": -1, "e": 0, "f": -1} {
+		gm.Expect(domainRank(tb, host)).To(Equal(rank), "%s: the fittest that is alive is first", host)
+	}
 }
 
 // row returns a row of an era with the number that the store gave it.
--- a/internal/fleet/gateway/rowrelay.go
+++ b/internal/fleet/gateway/rowrelay.go
@@ -84,9 +84,28 @@
 // noteOperatorRows keeps the rows that are in force now, and passes them on if they have changed.
 func (gw *Gateway) noteOperatorRows(now clock.Instant, ev operatorStateEvent) {
 	gw.cache.operatorVersion = max(gw.cache.operatorVersion, ev.changedVersion)
-	if ev.version > gw.rowRelay.version {
-		gw.rowRelay.rows, gw.rowRelay.version = ev.rows, ev.version
-		gw.broadcastOperatorRows(now)
+	if ev.version <= gw.rowRelay.version {
+		return
+	}
+	first := gw.rowRelay.version == 0
+	gw.rowRelay.rows, gw.rowRelay.version = ev.rows, ev.version
+	gw.broadcastOperatorRows(now)
+	if first {
+		gw.tellDomain(func(to netip.AddrPort) { gw.sendOperatorRows(now, to, true) })
+	}
+}
+
+// tellDomain tells the members of this host's failure domain what it has read as one of the
+// first readers: all hosts may have started at once, without a leader.
+func (gw *Gateway) tellDomain(send func(to netip.AddrPort)) {
+	rank := gw.domainRank.Load()
+	if gw.agent.Leading() || gw.rowConditions().heard || rank < 0 || rank >= firstReaders {
+		return
+	}
+	for _, mb := range gw.table.Load().Members {
+		if to, err := netip.ParseAddrPort(mb.Address); err == nil && mb.Domain == gw.self.Domain && mb.Host != gw.self.Host {
+			send(to)
+		}
 	}
 }
 
@@ -177,7 +196,7 @@
 	} else if rl.leaderBehindSince == 0 {
 		rl.leaderBehindSince = now
 	}
-	if rl.leaderBehindSince != 0 && now.Sub(rl.leaderBehindSince) >= maxWatchLag && gw.leaderSendsRows.Load() && gw.readsForDomain.Load() {
+	if rl.leaderBehindSince != 0 && now.Sub(rl.leaderBehindSince) >= maxWatchLag && gw.leaderSendsRows.Load() && gw.domainRank.Load() == 0 {
 		gw.config.Log.Event("operatorRowsReported", eventlog.Fields{"leader": from.String(), "version": rc.operatorVersion, "leaderHas": hb.OperatorVersion})
 		gw.sendOperatorRows(now, from, false)
 	}
@@ -200,7 +219,7 @@
 // had an answer of the store lately.
 func (gw *Gateway) checkSilentLeader() {
 	delay := maxEntriesAge
-	if !gw.readsForDomain.Load() {
+	if gw.domainRank.Load() != 0 {
 		delay += time.Duration(ident.Weight("silent", string(gw.self.Host)) % uint64(silentSpread))
 	}
 	if (gw.longWatch.Load() || gw.listening.Load()) && gw.leaderStoreAge() >= delay {
--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -355,6 +355,10 @@
 		"internal/catalog/assignment/delta.go", "if left[mb.Host] {", "if false {",
 		[]string{"-run=TestApplyReversesDiff", "./internal/catalog/assignment"},
 	},
+	"all hosts wait for a leader that does not come back": {
+		"internal/fleet/gateway/firstread.go", "case rank >= 0 && rank < firstReaders:", "case false:",
+		[]string{"-run=TestRowSources", "./internal/fleet/gateway"},
+	},
 	"a host waits for rows of a leader that sends none": {
 		"internal/fleet/gateway/rowfeed.go", "return rc.sends && rc.fresh", "return rc.fresh",
 		[]string{"-run=TestRowSources", "./internal/fleet/gateway"},
--- a/internal/stand/deployment/start_test.go
+++ b/internal/stand/deployment/start_test.go
@@ -168,3 +168,27 @@
 		})
 	}
 }
+
+// TestAllStartWithoutLastLeader guards against hosts that serve later than they could, as they
+// wait for a leader after a loss of all hosts: the last one does not come back.
+func TestAllStartWithoutLastLeader(t *testing.T) {
+	t.Parallel()
+	gm := NewWithT(t)
+	dp, lg := startDeployment(t, 1805, 44, func(cf *deployment.Config) { cf.Hosts = 9 })
+	leader, _ := leaderAndOther(dp, lg)
+	time.Sleep(time.Second)
+	for _, host := range dp.Hosts {
+		dp.KillHost(host)
+	}
+	for _, host := range dp.Hosts {
+		if host != leader {
+			gm.Expect(dp.StartHost(host)).To(Succeed())
+		}
+	}
+	// Unfit hosts read by themselves after 1.1 s, and nobody can lead for 1.7 s.
+	for _, host := range dp.Hosts {
+		if host != leader {
+			gm.Eventually(host.Ready, "900ms", "10ms").Should(BeTrue(), host.Name)
+		}
+	}
+}
