--- a/internal/fleet/gateway/loop.go
+++ b/internal/fleet/gateway/loop.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/netip"
 	"time"
 
 	"chervilwalk/internal/base/clock"
@@ -109,10 +110,7 @@
 func (gw *Gateway) tick() {
 	now := gw.clock.Now()
 	gw.updateAgent(agent.TickMsg{})
-	if gw.longWatch.Load() && !gw.leaderFresh() {
-		gw.longWatch.Store(false)
-		gw.requestOperatorRead("leaderSilent")
-	}
+	gw.checkSilentLeader()
 	gw.updatePermits(permit.TickMsg{})
 	gw.permitClient.tick(now)
 	if gw.upstreamLimits.relay.broadcast(now) {
@@ -158,7 +156,7 @@
 		}
 	}
 	gw.operatorState.Evacuated = ev.state.Evacuated
-	gw.cache.operatorVersion = max(gw.cache.operatorVersion, ev.changedVersion)
+	gw.noteOperatorRows(now, ev)
 	if st := ev.state.Desired; st != nil && (gw.desiredState.Load() == nil || st.Version > gw.desiredState.Load().Version) {
 		gw.desiredState.Store(st)
 		gw.config.Log.Event("desiredState", eventlog.Fields{
@@ -212,7 +210,7 @@
 		return
 	}
 	gw.roster.MarkLeaving(ev.entries)
-	before := gw.cache.digest
+	before, first := gw.cache.digest, gw.cache.version == 0
 	digest := roster.Digest(ev.entries)
 	if digest != before {
 		gw.cache.pushHistory()
@@ -222,6 +220,9 @@
 		gw.cache.digest, gw.cache.changedVersion = digest, uint64(ev.version)
 		gw.broadcastRoster(now, before)
 	}
+	if first {
+		gw.tellDomain(func(to netip.AddrPort) { gw.sendPackedRoster(now, to) })
+	}
 	gw.updateRoster(digest != before)
 }
 
@@ -328,7 +329,10 @@
 	cmds := gw.agent.Update(gw.clock.Now(), msg)
 	gw.leadershipConfirmedAt.Store(int64(gw.agent.LeadershipConfirmed()))
 	gw.tableConfirmedAt.Store(int64(gw.agent.TableConfirmed()))
-	gw.leading.Store(gw.agent.Leading())
+	if leads := gw.agent.Leading(); gw.leading.Swap(leads) != leads {
+		wake(gw.rowsWake)
+		wake(gw.entriesWake)
+	}
 	gw.confirmHolder()
 	for _, cmd := range cmds {
 		switch cmd := cmd.(type) {
@@ -355,6 +359,10 @@
 		case agent.TableCmd:
 			gw.suspects.noteMembers(gw.table.Load(), cmd.Table)
 			gw.table.Store(cmd.Table)
+			if rank := int64(domainRank(cmd.Table, gw.self.Host)); gw.domainRank.Swap(rank) != rank {
+				wake(gw.rowsWake)
+				wake(gw.entriesWake)
+			}
 			gw.updatePermits(permit.TableMsg{Table: cmd.Table})
 		}
 	}
@@ -364,6 +372,7 @@
 func (gw *Gateway) sendStatus(cmd agent.StatusCmd) {
 	st := cmd.Status
 	st.RosterVersion, st.RosterDigest = gw.cache.version, gw.cache.digest
+	st.OperatorRows = gw.operatorVersion.Load() + 1
 	keys, loads := gw.loads.take()
 	st.Keys = keys
 	st.Upstreams = append(st.Upstreams, loads...)
