Admit requests by their chance of an answer in time

Tests: TestSumOfClaimedSlots now sends a request whose deadline is as near as its objective; with a far deadline it no longer noticed the mutant, since late requests may wait. The simulation takes slots, times and reports from a test; its own values are unchanged.

--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -39,6 +39,18 @@
 		"internal/serving/permit/queue.go", "id.incarnation < msg.Incarnation && ak.upstream == nil", "false",
 		[]string{"-run=TestWaitingAsksOfKilledProcess", "./internal/serving/permit"},
 	},
+	"late asks wait in vain behind on-time ones": {
+		"internal/serving/permit/patience.go", "if ak.late && co.isHopeless(now, ak, ahead[dm]) {", "if false {",
+		[]string{"-run=TestAnswersInTimeUnderLoad", "./internal/serving/permit"},
+	},
+	"asks of a pool wait until their answer is as likely late as in time": {
+		"internal/serving/permit/patience.go", "minPoolChance  = 0.9", "minPoolChance  = 0.5",
+		[]string{"-run=TestAnswersInTimeUnderLoad", "./internal/serving/permit"},
+	},
+	"nobody looks at what upstreams say of their speed": {
+		"internal/serving/permit/latency.go", "return 1 + fresh*(db.last/db.usual-1)", "return 1",
+		[]string{"-run=TestDisturbedUpstreamIsAvoided", "./internal/serving/permit"},
+	},
 	"permits of a killed process are taken back": {
 		"internal/serving/permit/queue.go", "id.incarnation < msg.Incarnation && ak.upstream == nil", "id.incarnation < msg.Incarnation",
 		[]string{"-run=TestPermitsOfKilledProcessStay", "./internal/serving/permit"},
@@ -132,7 +144,7 @@
 		[]string{"-run=TestClaimedSlots", "./internal/serving/permit"},
 	},
 	"the sum of claimed slots is an integer": {
-		"internal/serving/permit/queue.go", "free += float64(us.slots - us.busy(now))", "free = float64(int(free) + us.slots - us.busy(now))",
+		"internal/serving/permit/capacity.go", "pc.free += float64(us.slots - us.busy(now))", "pc.free = float64(int(pc.free) + us.slots - us.busy(now))",
 		[]string{"-run=TestSumOfClaimedSlots", "./internal/serving/permit"},
 	},
 	"a leader does not wait for members that did not acknowledge a move": {
--- a/internal/serving/permit/claim_test.go
+++ b/internal/serving/permit/claim_test.go
@@ -114,7 +114,7 @@
 				sm.runLoad(5, 5*time.Second, 0)
 			}
 			sm.update(ms)
-			sm.ask(7, objective-350*time.Millisecond)
+			sm.askWithin(7, objective-350*time.Millisecond, 350*time.Millisecond)
 			gm.Expect(sm.refused).To(BeZero())
 			gm.Expect(sm.running["u0"] + sm.running["u1"]).To(Equal(1))
 		})
--- a/internal/serving/permit/cost.go
+++ b/internal/serving/permit/cost.go
@@ -24,9 +24,9 @@
 // crossing domains; cold upstreams count double. It returns false while the ask should
 // wait for an upstream in its own domain.
 func (ak *ask) cost(now clock.Instant, us *upstream) (time.Duration, bool) {
-	cost := us.latency + time.Duration(us.refusalRatio*float64(refusalCost))
+	cost := us.latencyAt(now) + time.Duration(us.refusalRatio*float64(refusalCost))
 	if us.cold(now) {
-		cost += us.latency
+		cost += us.latencyAt(now)
 	}
 	switch {
 	case us.Domain == ak.Domain:
--- a/internal/serving/permit/permit.go
+++ b/internal/serving/permit/permit.go
@@ -179,6 +179,10 @@
 	upstream    *upstream
 	permit      protocol.Permit
 	permittedAt clock.Instant
+	// expected is how long the answer was expected to take after permittedAt, of which
+	// usual is a multiple of the upstream's latency.
+	expected time.Duration
+	usual    float64
 }
 
 // Core queues asks and issues permits. It is not safe for concurrent use.
@@ -205,6 +209,15 @@
 	confirmedUntil clock.Instant
 	// latencies is the moving average of each service's time to answer.
 	latencies map[ident.Service]time.Duration
+	// kinds holds what each kind of request takes.
+	kinds map[ident.Service]map[kind]*work
+	// initialShape is the distribution of kinds that have not been answered yet.
+	initialShape latencyShape
+	// demands holds the on-time demand of each pool.
+	demands map[poolOf]*demand
+	// reviewAt is when each service's waiting asks are next checked for those that wait
+	// in vain.
+	reviewAt map[ident.Service]clock.Instant
 }
 
 // New returns a core without upstreams; UpstreamsMsg sets them.
@@ -212,6 +225,7 @@
 	return &Core{
 		upstreams: map[ident.Upstream]*upstream{}, table: &assignment.Table{}, asks: map[askID]*ask{}, incarnations: map[ident.Host]uint64{},
 		waiting: map[ident.Service][]*ask{}, disownedUntil: map[keyspace.Epoch]clock.Instant{}, latencies: map[ident.Service]time.Duration{},
+		kinds: map[ident.Service]map[kind]*work{}, initialShape: newLatencyShape(), demands: map[poolOf]*demand{}, reviewAt: map[ident.Service]clock.Instant{},
 	}
 }
 
@@ -325,22 +339,6 @@
 	}
 }
 
-// setTable replaces the owners of keys.
-func (co *Core) setTable(now clock.Instant, tb *assignment.Table) {
-	since := map[keyspace.Epoch]clock.Instant{}
-	for ix := range tb.Shares {
-		sh := &tb.Shares[ix]
-		if !sh.Moving() {
-			continue
-		}
-		since[sh.Next.Epoch] = now
-		if seenAt, known := co.movingSince[sh.Next.Epoch]; known {
-			since[sh.Next.Epoch] = seenAt
-		}
-	}
-	co.table, co.movingSince = tb, since
-}
-
 // expectedLatency returns the average time that a service takes to answer.
 func (co *Core) expectedLatency(sv ident.Service) time.Duration {
 	if latency, known := co.latencies[sv]; known {
@@ -365,7 +363,7 @@
 	us := ak.upstream
 	delete(us.running, id)
 	answered := us.answered
-	us.observe(now, dn)
+	us.observe(now, dn, ak.usual)
 	if us.answered != answered {
 		co.boundSlots(us.Service)
 	}
@@ -375,6 +373,7 @@
 	if Outcome(dn.Outcome) == Answered {
 		latency := co.expectedLatency(ak.Service)
 		co.latencies[ak.Service] = latency + time.Duration(serviceLatencyWeight*float64(dn.Took-latency))
+		co.learn(ak, dn.Took)
 	}
 	return ak.Service
 }
--- a/internal/serving/permit/permit_test.go
+++ b/internal/serving/permit/permit_test.go
@@ -42,6 +42,16 @@
 	keyed bool
 	// latency is the mean time of each upstream to answer.
 	latency map[ident.Upstream]time.Duration
+	// slots is how many requests each upstream runs at once.
+	slots int
+	// objective and limit are the times within which a caller wants its answer.
+	objective, limit time.Duration
+	// timeAt, if set, replaces the random time to answer, and percentAt is the upstream's
+	// report of how long work takes at present.
+	timeAt    func(id ident.Upstream, ticket protocol.Ticket) time.Duration
+	percentAt func(id ident.Upstream) int
+	// onRefused, if set, gets the refusals.
+	onRefused func(cmd permit.RefuseCmd)
 	// refusing is the fraction of requests that each upstream refuses at once, though it
 	// has room.
 	refusing  float64
@@ -88,6 +98,7 @@
 func newSimulation(seed int64, keyed bool, latencies ...time.Duration) *simulation {
 	sm := &simulation{
 		now: clock.Instant(time.Hour), rng: rand.New(rand.NewSource(seed)), core: permit.New(), keyed: keyed,
+		slots: 2, objective: objective, limit: limit,
 		latency: map[ident.Upstream]time.Duration{}, startedAt: map[protocol.Ticket]clock.Instant{},
 		running: map[ident.Upstream]int{}, maxRunning: map[ident.Upstream]int{}, sentPerSecond: map[ident.Upstream]map[int64]int{},
 	}
@@ -107,7 +118,7 @@
 	ms := permit.UpstreamsMsg{Services: map[ident.Service]desired.Service{service: {Name: service, ColdRate: 2.6, Keyed: sm.keyed}}, Table: &assignment.Table{}}
 	count := len(sm.latency)
 	for ix := range count {
-		up := permit.Upstream{ID: upstreamName(ix), Service: service, Domain: ident.Domain(fmt.Sprintf("d%d", ix%3)), Slots: 2}
+		up := permit.Upstream{ID: upstreamName(ix), Service: service, Domain: ident.Domain(fmt.Sprintf("d%d", ix%3)), Slots: sm.slots}
 		if ix < coldCount {
 			up.ColdUntil = sm.now.Add(time.Minute)
 		}
@@ -150,6 +161,9 @@
 			if cmd.Waited > refusedAtOnce {
 				sm.refusedLate++
 			}
+			if sm.onRefused != nil {
+				sm.onRefused(cmd)
+			}
 		}
 	}
 	next := max(sm.core.Next(sm.now), sm.now.Add(time.Millisecond))
@@ -165,14 +179,19 @@
 	})
 }
 
-// ask requests a permit for a request that has already waited.
+// ask requests a permit for a request that has already waited, with its whole time limit.
 func (sm *simulation) ask(key keyspace.Key, waited time.Duration) {
+	sm.askWithin(key, waited, sm.limit)
+}
+
+// askWithin requests a permit for a request that has already waited.
+func (sm *simulation) askWithin(key keyspace.Key, waited, limit time.Duration) {
 	sm.ticket++
 	sm.asked++
 	sm.startedAt[sm.ticket] = sm.now.Add(-waited)
 	sm.update(permit.AskMsg{Ask: protocol.Ask{
 		Host: "a", Ticket: sm.ticket, Service: service, Domain: "d0", Key: key, Keyed: sm.keyed, Repeatable: true,
-		ObjectiveLeft: objective - waited, TimeLeft: limit,
+		ObjectiveLeft: sm.objective - waited, TimeLeft: limit,
 	}})
 }
 
@@ -183,6 +202,9 @@
 	sm.maxRunning[id] = max(sm.maxRunning[id], sm.running[id])
 	sm.sentPerSecond[id][int64(sm.now)/int64(time.Second)]++
 	took := time.Duration(float64(sm.latency[id]) * math.Exp(0.5*sm.rng.NormFloat64()-0.125))
+	if sm.timeAt != nil {
+		took = sm.timeAt(id, cmd.Permit.Ticket)
+	}
 	outcome := permit.Answered
 	if timeLeft := cmd.Ask.TimeLeft - cmd.Waited; took > timeLeft {
 		// An upstream stops work when the request's time has run out.
@@ -200,14 +222,18 @@
 			sm.refusedByUpstream++
 		case outcome == permit.TimedOut:
 			sm.failed++
-		case latency <= objective:
+		case latency <= sm.objective:
 			sm.inTime++
-		case latency <= limit:
+		case latency <= sm.limit:
 			sm.late++
 		}
+		percent := 0
+		if sm.percentAt != nil {
+			percent = sm.percentAt(id)
+		}
 		sm.update(permit.DoneMsg{Done: protocol.Done{
 			Host: "a", Ticket: cmd.Permit.Ticket, Service: service, Upstream: id, Outcome: uint8(outcome), Took: took,
-			Reported: true, Running: sm.running[id] + 1,
+			Reported: true, Running: sm.running[id] + 1, LatencyPercent: percent,
 		}})
 	})
 }
--- a/internal/serving/permit/queue.go
+++ b/internal/serving/permit/queue.go
@@ -18,24 +18,6 @@
 	// permitSlack is how long after its request's deadline a permit may still be
 	// released.
 	permitSlack = 300 * time.Millisecond
-	// latencyMargin is the factor on the expected latency with which a request
-	// must still meet its objective to count as on time. A request admitted too
-	// optimistically is answered late and takes a slot from another.
-	latencyMargin = 1.1
-	// minLatencyFraction is the fraction of the expected latency that must be
-	// left until a waiting request's objective; with less it counts as late.
-	minLatencyFraction = 0.9
-	// maxLateWait limits the wait of a request that can no longer meet its
-	// objective: it gets only unused slots, and a busy upstream has none.
-	maxLateWait = 120 * time.Millisecond
-	// maxHeldWait is the same for a request whose key is on the move or was just
-	// disowned: its next owner may well have unused slots.
-	maxHeldWait = time.Second
-	// expectedMoveTime is how long keys usually take to move to their next owner. Those
-	// that have been moving for longer probably need as long again: their owner is
-	// unreachable or busy with a long request. maxMoveTime limits that.
-	expectedMoveTime = 200 * time.Millisecond
-	maxMoveTime      = 3 * time.Second
 	// disownedDelay is how long asks for keys that their owner disowned are held
 	// back.
 	disownedDelay = 150 * time.Millisecond
@@ -74,12 +56,16 @@
 	case us != nil && es.Limit.Named && msg.Fallback:
 		return append(cmds, ak.refuse(now, fallbackRetryAfter, "limitHeldElsewhere", es))
 	}
-	ak.refuseAt = ak.deadline.Add(-es.Latency)
-	if es.Wait+time.Duration(latencyMargin*float64(es.Latency)) > msg.ObjectiveLeft {
+	if !co.isLate(now, ak, 0, es.Latency) {
+		co.demandOf(ak).count(now)
+	}
+	if co.isLate(now, ak, es.Wait, es.Latency) {
 		ak.late = true
-		ak.refuseAt = min(ak.refuseAt, now.Add(co.lateWait(now, ak)))
+		// Late asks are served after all others.
+		es, _ = co.estimate(now, ak)
 	}
-	if now.Add(es.Wait) > ak.refuseAt {
+	ak.refuseAt = co.lastStart(now, ak, es)
+	if now.Add(co.lateWait(now, ak, es.Wait)) > ak.refuseAt {
 		reason := "noRoomInTime"
 		if es.Limit.Named {
 			reason = "upstreamLimited"
@@ -136,11 +122,12 @@
 	if us == nil {
 		return es, false
 	}
-	es = Estimate{Upstream: us.ID, Latency: us.latency, Busy: us.busy(now), Ahead: co.ahead(ak, us), Cold: us.cold(now), Limit: co.limitOf(now, us)}
-	es.Wait = us.expectedWait(now, es.Ahead, es.Limit)
+	es = Estimate{Upstream: us.ID, Busy: us.busy(now), Ahead: co.ahead(ak, us), Cold: us.cold(now), Limit: co.limitOf(now, us)}
+	es.Wait = us.expectedWait(now, es.Ahead, es.Limit, co.shapeOf(ak))
 	if moving {
 		es.Wait += co.moveTimeLeft(now, ak)
 	}
+	es.Latency = co.latencyOf(now.Add(es.Wait), ak, us)
 	return es, true
 }
 
@@ -159,42 +146,10 @@
 
 // estimatePool is estimate for an ask that any upstream of its pool can serve.
 func (co *Core) estimatePool(now clock.Instant, ak *ask) (es Estimate, known bool) {
-	// Floats, as upstreams may claim slots whose sum an integer does not hold.
-	perSecond, free, limitedElsewhere := 0.0, 0.0, false
-	for _, us := range co.upstreamsOf[ak.Service] {
-		if !ak.inPool(us) || !us.usable {
-			continue
-		}
-		known = true
-		lm := co.limitOf(now, us)
-		if lm.Named && ak.Fallback {
-			limitedElsewhere = true
-			continue
-		}
-		if now.Before(us.backoffUntil) || us.paused(now, ak.Host) {
-			continue
-		}
-		es.Busy += us.busy(now)
-		slots := float64(us.slots) / us.latency.Seconds()
-		if !lm.Named {
-			perSecond += slots
-			free += float64(us.slots - us.busy(now))
-			continue
-		}
-		perSecond += min(slots, float64(lm.PerSecond))
-		if us.available(now, lm) {
-			free++
-		}
-	}
-	es.Latency, es.Ahead = co.expectedLatency(ak.Service), co.ahead(ak, nil)
-	switch {
-	case perSecond > 0:
-		es.Wait = rate.PerSecond(perSecond).Interval(max(float64(es.Ahead+1)-free, 0))
-	case limitedElsewhere:
-		es.Wait = fallbackRetryAfter
-	default:
-		es.Wait = pollInterval
-	}
+	pc, known := co.poolCapacity(now, ak)
+	es.Busy, es.Latency, es.Ahead = pc.busy, co.expectedLatencyFor(now, ak), co.ahead(ak, nil)
+	es.Limit.Named = pc.limited
+	es.Wait = pc.wait(es.Ahead)
 	return es, known
 }
 
@@ -259,21 +214,6 @@
 	return us, sh.Moving()
 }
 
-// moveTimeLeft returns how long the ask's key will probably be on the move.
-func (co *Core) moveTimeLeft(now clock.Instant, ak *ask) time.Duration {
-	sh, _ := co.table.ShareOf(ak.Service, ak.Key)
-	elapsed := now.Sub(co.movingSince[sh.Next.Epoch])
-	return min(max(elapsed, expectedMoveTime), maxMoveTime)
-}
-
-// lateWait returns how long an ask that can no longer meet its objective waits.
-func (co *Core) lateWait(now clock.Instant, ak *ask) time.Duration {
-	if _, moving := co.owner(ak); ak.Keyed && (moving || co.isDisowned(now, ak)) {
-		return maxHeldWait
-	}
-	return maxLateWait
-}
-
 // isDisowned reports whether the owner of the ask's key has just disowned it.
 // The owner's grant or the next revision of the table is then on its way.
 func (co *Core) isDisowned(now clock.Instant, ak *ask) bool {
@@ -304,15 +244,26 @@
 	available := co.availableUpstreams(now, sv)
 	queue := slices.Clone(co.waiting[sv])
 	slices.SortStableFunc(queue, (*ask).compare)
+	// betterLater holds what isBetterLater says of the first ask of each pool.
+	betterLater := map[*demand]bool{}
 	for _, ak := range queue {
 		us := co.choose(now, ak, available)
 		if us == nil {
 			continue
 		}
+		if !ak.Keyed && !ak.late && co.isLate(now, ak, 0, co.latencyOf(now, ak, us)) {
+			dm := co.demandOf(ak)
+			if _, known := betterLater[dm]; !known {
+				betterLater[dm] = co.isBetterLater(now, ak)
+			}
+			if betterLater[dm] {
+				continue
+			}
+		}
 		co.dequeue(ak)
 		cmds = append(cmds, co.issuePermit(now, ak, us))
 	}
-	return cmds
+	return append(cmds, co.refuseHopeless(now, sv, queue)...)
 }
 
 // availableUpstreams returns the upstreams that can take one more request; none
@@ -337,6 +288,8 @@
 		us.bucket.Take()
 	}
 	ak.upstream, ak.permittedAt = us, now
+	ak.expected = co.latencyOf(now, ak, us)
+	ak.usual = ratio(ak.expected, us.latency)
 	us.running[ak.id] = ak
 	ak.permit = protocol.Permit{Ticket: ak.Ticket, Upstream: us.ID, Asker: ak.Process()}
 	if sh, found := co.table.ShareOf(ak.Service, ak.Key); ak.Keyed && found {
@@ -347,11 +300,11 @@
 
 // expectedLatencyFor returns the average time of the ask's owner to answer, or
 // that of the service for asks without an owner.
-func (co *Core) expectedLatencyFor(ak *ask) time.Duration {
+func (co *Core) expectedLatencyFor(now clock.Instant, ak *ask) time.Duration {
 	if us, _ := co.owner(ak); ak.Keyed && us != nil {
-		return us.latency
+		return co.latencyOf(now, ak, us)
 	}
-	return co.expectedLatency(ak.Service)
+	return time.Duration(float64(co.expectedLatency(ak.Service)) * co.kindRatio(ak))
 }
 
 // refuseOverdue marks as late the waiting asks that can no longer meet their
@@ -361,9 +314,8 @@
 	var overdue []*ask
 	kept := co.waiting[sv][:0]
 	for _, ak := range co.waiting[sv] {
-		if !ak.late && ak.objective.Before(now.Add(time.Duration(minLatencyFraction*float64(co.expectedLatencyFor(ak))))) {
+		if !ak.late && co.isLate(now, ak, 0, co.expectedLatencyFor(now, ak)) {
 			ak.late = true
-			ak.refuseAt = min(ak.refuseAt, now.Add(co.lateWait(now, ak)))
 		}
 		if now < ak.refuseAt {
 			kept = append(kept, ak)
--- a/internal/serving/permit/upstream.go
+++ b/internal/serving/permit/upstream.go
@@ -57,8 +57,12 @@
 	slots int
 	// running holds the asks with a permit for the upstream.
 	running map[askID]*ask
-	// latency is the moving average of the time to answer.
-	latency time.Duration
+	// latency is the moving average of the time to answer, disturbance by how much it differs
+	// from that at present.
+	latency     time.Duration
+	disturbance disturbance
+	// demand is that of on-time asks for keys that the upstream owns.
+	demand demand
 	// otherRequests counts requests that this holder issued no permit for, by the
 	// upstream's own report.
 	otherRequests      int
@@ -128,14 +132,18 @@
 
 // expectedWait estimates how long a request waits for a slot, and for the limit to admit
 // it, behind ahead others.
-func (us *upstream) expectedWait(now clock.Instant, ahead int, lm rate.Limit) time.Duration {
+func (us *upstream) expectedWait(now clock.Instant, ahead int, lm rate.Limit, shape *latencyShape) time.Duration {
 	wait := max(us.backoffUntil.Sub(now), 0)
 	admitted := us.admitsAt(now, lm, ahead+1).Sub(now)
-	excess := us.busy(now) + ahead + 1 - us.slots
-	if excess <= 0 {
+	if us.busy(now)+ahead < us.slots {
 		return wait + admitted
 	}
-	return wait + max(admitted, us.firstFree(now)+time.Duration(excess-1)*us.latency/time.Duration(max(us.slots, 1)))
+	return wait + max(admitted, us.slotWait(now, ahead, shape))
+}
+
+// latencyAt returns the average time to answer at present.
+func (us *upstream) latencyAt(now clock.Instant) time.Duration {
+	return time.Duration(float64(us.latency) * us.disturbance.factor(now))
 }
 
 // returnAfter returns when a caller may come back that is refused since the limit admits it
@@ -150,24 +158,10 @@
 	return at.Sub(now)
 }
 
-// firstFree estimates how long until the first slot becomes free. Times to
-// answer vary widely: a request that has run for long will probably run much
-// longer.
-func (us *upstream) firstFree(now clock.Instant) time.Duration {
-	first := us.latency / 2
-	if len(us.running) < us.slots {
-		return first
-	}
-	first = time.Duration(clock.Never)
-	for _, ak := range us.running {
-		first = min(first, max(us.latency, now.Sub(ak.permittedAt))/2)
-	}
-	return first
-}
-
 // observe updates the upstream's load, latency and backoff from a finished
-// request.
-func (us *upstream) observe(now clock.Instant, dn protocol.Done) {
+// request, which usually takes expected as a multiple of the upstream's latency.
+func (us *upstream) observe(now clock.Instant, dn protocol.Done, expected float64) {
+	took := time.Duration(float64(dn.Took) / expected)
 	if dn.Reported {
 		// The report includes the request that it came with.
 		us.otherRequests = max(dn.Running+dn.Waiting-1-len(us.running), 0)
@@ -176,15 +170,18 @@
 	switch Outcome(dn.Outcome) {
 	case Answered:
 		us.answered = true
+		if dn.Reported && dn.LatencyPercent > 0 {
+			us.disturbance.report(now, dn.LatencyPercent)
+		}
 		if us.returning {
 			us.returning, us.slowStartUntil = false, now.Add(slowStartTime)
 		}
 		us.failures, us.refusals = 0, 0
 		us.refusalRatio -= refusalWeight * us.refusalRatio
-		us.latency += time.Duration(upstreamLatencyWeight * float64(dn.Took-us.latency))
+		us.latency += time.Duration(upstreamLatencyWeight * float64(took-us.latency))
 	case Failed, Disowned, Withdrawn:
 	case TimedOut:
-		us.latency += time.Duration(2 * upstreamLatencyWeight * float64(dn.Took-us.latency))
+		us.latency += time.Duration(2 * upstreamLatencyWeight * float64(took-us.latency))
 		us.backOff(now)
 	case Refused:
 		us.backOffRefusal(now)
