Expect moves to take as long as moves have taken

So callers waited in vain for long moves.

The holder learns how long moves take from the revisions of the table, and expects the median of those that have taken as long. Until it has seen some it expects the same as before.

--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -51,6 +51,10 @@
 		"internal/serving/permit/latency.go", "return 1 + fresh*(db.last/db.usual-1)", "return 1",
 		[]string{"-run=TestDisturbedUpstreamIsAvoided", "./internal/serving/permit"},
 	},
+	"moves that take long are not learned from": {
+		"internal/serving/permit/move.go", "co.moves.observe(ratio(now.Sub(seenAt), usualMoveTime))", "_ = seenAt",
+		[]string{"-run=TestMovesOfUsualLength", "./internal/serving/permit"},
+	},
 	"permits of a killed process are taken back": {
 		"internal/serving/permit/queue.go", "id.incarnation < msg.Incarnation && ak.upstream == nil", "id.incarnation < msg.Incarnation",
 		[]string{"-run=TestPermitsOfKilledProcessStay", "./internal/serving/permit"},
--- a/internal/serving/permit/latency.go
+++ b/internal/serving/permit/latency.go
@@ -124,6 +124,24 @@
 	return sum / weights
 }
 
+// medianLeft returns how much longer one that has not come after a ratio of the mean takes with
+// a probability of one half. One that takes longer than any other takes as long again.
+func (ls *latencyShape) medianLeft(elapsed float64) float64 {
+	remaining := ls.total * (1 - ls.within(elapsed))
+	if remaining < ls.total/maxShapeWeight {
+		return elapsed
+	}
+	first, sum := binOf(elapsed), 0.0
+	for bin := int(first); bin < binCount; bin++ {
+		weight := ls.weights[bin] * min(float64(bin+1)-first, 1)
+		if sum += weight; sum >= remaining/2 && bin < binCount-1 {
+			return max(binCentre(bin)-elapsed, 0)
+		}
+	}
+	// The last bin has no upper bound.
+	return max(binCentre(binCount-1)-elapsed, elapsed)
+}
+
 // disturbance is how much longer an upstream takes at present than without whatever else
 // runs on its machine, by its own reports.
 type disturbance struct {
--- a/internal/serving/permit/move.go
+++ b/internal/serving/permit/move.go
@@ -1,6 +1,7 @@
 package permit
 
 import (
+	"math"
 	"time"
 
 	"chervilwalk/internal/base/clock"
@@ -8,13 +9,25 @@
 	"chervilwalk/internal/catalog/assignment"
 )
 
-const (
-	// expectedMoveTime is how long keys usually take to move to their next owner. Those
-	// that have been moving for longer probably need as long again: their owner is
-	// unreachable or busy with a long request. maxMoveTime limits that.
-	expectedMoveTime = 200 * time.Millisecond
-	maxMoveTime      = 3 * time.Second
-)
+// usualMoveTime is how long keys take to move to their next owner, before any did.
+const usualMoveTime = 200 * time.Millisecond
+
+// newMoveShape returns the distribution of how long moves take, as ratios to usualMoveTime.
+// Until moves have been seen, one that has taken longer than usual takes as long again: its
+// owner is unreachable or busy with a long request.
+func newMoveShape() latencyShape {
+	var ls latencyShape
+	for bin := int(binOf(1)); bin < binCount; bin++ {
+		ls.weights[bin] = 1 / binCentre(bin)
+		ls.total += ls.weights[bin]
+	}
+	// All that take longer than the scale holds.
+	beyond := ls.weights[binCount-1] / (1 - math.Exp2(-1.0/binsPerOctave))
+	ls.weights[binCount-1] += beyond
+	ls.total += beyond
+	ls.scale(priorWeight / ls.total)
+	return ls
+}
 
 // setTable replaces the owners of keys.
 func (co *Core) setTable(now clock.Instant, tb *assignment.Table) {
@@ -29,12 +42,17 @@
 			since[sh.Next.Epoch] = seenAt
 		}
 	}
+	for epoch, seenAt := range co.movingSince {
+		if _, moving := since[epoch]; !moving {
+			co.moves.observe(ratio(now.Sub(seenAt), usualMoveTime))
+		}
+	}
 	co.table, co.movingSince = tb, since
 }
 
 // moveTimeLeft returns how long the ask's key will probably be on the move.
 func (co *Core) moveTimeLeft(now clock.Instant, ak *ask) time.Duration {
 	sh, _ := co.table.ShareOf(ak.Service, ak.Key)
-	elapsed := now.Sub(co.movingSince[sh.Next.Epoch])
-	return min(max(elapsed, expectedMoveTime), maxMoveTime)
+	elapsed := ratio(now.Sub(co.movingSince[sh.Next.Epoch]), usualMoveTime)
+	return time.Duration(co.moves.medianLeft(elapsed) * float64(usualMoveTime))
 }
--- a/internal/serving/permit/permit.go
+++ b/internal/serving/permit/permit.go
@@ -197,7 +197,9 @@
 	// movingSince is when each move in the table was first seen, by the next owner's
 	// epoch.
 	movingSince map[keyspace.Epoch]clock.Instant
-	asks        map[askID]*ask
+	// moves is the distribution of how long moves take.
+	moves latencyShape
+	asks  map[askID]*ask
 	// incarnations holds that of the newest process of each host that has asked.
 	incarnations map[ident.Host]uint64
 	// waiting holds the asks without a permit, by service, in order of arrival.
@@ -225,7 +227,7 @@
 	return &Core{
 		upstreams: map[ident.Upstream]*upstream{}, table: &assignment.Table{}, asks: map[askID]*ask{}, incarnations: map[ident.Host]uint64{},
 		waiting: map[ident.Service][]*ask{}, disownedUntil: map[keyspace.Epoch]clock.Instant{}, latencies: map[ident.Service]time.Duration{},
-		kinds: map[ident.Service]map[kind]*work{}, initialShape: newLatencyShape(), demands: map[poolOf]*demand{}, reviewAt: map[ident.Service]clock.Instant{},
+		kinds: map[ident.Service]map[kind]*work{}, initialShape: newLatencyShape(), moves: newMoveShape(), demands: map[poolOf]*demand{}, reviewAt: map[ident.Service]clock.Instant{},
 	}
 }
 
