Leave a share of the slots to less urgent kinds of requests

A tenth of the slot time of an owner or a pool now goes to lower priorities while they have on-time requests waiting, and their expected wait counts on it.

--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -47,6 +47,10 @@
 		"internal/serving/permit/patience.go", "minPoolChance  = 0.9", "minPoolChance  = 0.5",
 		[]string{"-run=TestAnswersInTimeUnderLoad", "./internal/serving/permit"},
 	},
+	"a kind of request gets nothing beside more urgent ones": {
+		"internal/serving/permit/share.go", "if dm.owed > 0 {", "if false {",
+		[]string{"-run=TestTwoKindsCompete", "./internal/serving/permit"},
+	},
 	"nobody looks at what upstreams say of their speed": {
 		"internal/serving/permit/latency.go", "return 1 + fresh*(db.last/db.usual-1)", "return 1",
 		[]string{"-run=TestDisturbedUpstreamIsAvoided", "./internal/serving/permit"},
--- a/internal/serving/permit/patience.go
+++ b/internal/serving/permit/patience.go
@@ -179,10 +179,16 @@
 	return co.demands[id]
 }
 
-// demand is the moving average of the rate at which on-time asks are admitted.
+// demand is the moving average of the rate at which asks come to an owner or a pool that can be
+// on time, and how its slots are shared among priorities.
 type demand struct {
 	perSecond float64
 	countedAt clock.Instant
+	// contested reports that on-time asks of several priorities wait, of which priority is
+	// the highest; owed is the slot time that the others have got less than their share.
+	contested bool
+	priority  int
+	owed      time.Duration
 }
 
 // rate returns the demand at present.
--- a/internal/serving/permit/permit_test.go
+++ b/internal/serving/permit/permit_test.go
@@ -46,6 +46,8 @@
 	slots int
 	// objective and limit are the times within which a caller wants its answer.
 	objective, limit time.Duration
+	// priority is that of further asks.
+	priority int
 	// timeAt, if set, replaces the random time to answer, and percentAt is the upstream's
 	// report of how long work takes at present.
 	timeAt    func(id ident.Upstream, ticket protocol.Ticket) time.Duration
@@ -190,7 +192,7 @@
 	sm.asked++
 	sm.startedAt[sm.ticket] = sm.now.Add(-waited)
 	sm.update(permit.AskMsg{Ask: protocol.Ask{
-		Host: "a", Ticket: sm.ticket, Service: service, Domain: "d0", Key: key, Keyed: sm.keyed, Repeatable: true,
+		Host: "a", Ticket: sm.ticket, Service: service, Domain: "d0", Key: key, Keyed: sm.keyed, Repeatable: true, Priority: sm.priority,
 		ObjectiveLeft: sm.objective - waited, TimeLeft: limit,
 	}})
 }
--- a/internal/serving/permit/queue.go
+++ b/internal/serving/permit/queue.go
@@ -156,7 +156,7 @@
 // ahead counts the waiting asks that are served before this one; with us set,
 // only those whose keys us owns.
 func (co *Core) ahead(ak *ask, us *upstream) int {
-	count := 0
+	higher, same := 0, 0
 	for _, other := range co.waiting[ak.Service] {
 		if other == ak || !other.before(ak) {
 			continue
@@ -166,14 +166,21 @@
 				continue
 			}
 		}
-		count++
+		if other.Priority < ak.Priority {
+			higher++
+		} else {
+			same++
+		}
+	}
+	if ak.late {
+		return higher + same
 	}
-	return count
+	return aheadWithShare(higher, same)
 }
 
 // before reports whether the ask is served before other. On-time asks come
-// first, late ones last. Both are ordered by priority, then on-time asks by
-// objective and late ones by deadline.
+// first, late ones last. Both are ordered by priority, apart from the share of lower ones,
+// then on-time asks by objective and late ones by deadline.
 func (ak *ask) before(other *ask) bool {
 	if ak.late != other.late {
 		return !ak.late
@@ -244,6 +251,7 @@
 	available := co.availableUpstreams(now, sv)
 	queue := slices.Clone(co.waiting[sv])
 	slices.SortStableFunc(queue, (*ask).compare)
+	queue = co.withShares(queue)
 	// betterLater holds what isBetterLater says of the first ask of each pool.
 	betterLater := map[*demand]bool{}
 	for _, ak := range queue {
@@ -291,6 +299,9 @@
 	ak.expected = co.latencyOf(now, ak, us)
 	ak.usual = ratio(ak.expected, us.latency)
 	us.running[ak.id] = ak
+	if !ak.late {
+		co.demandOf(ak).countShare(ak)
+	}
 	ak.permit = protocol.Permit{Ticket: ak.Ticket, Upstream: us.ID, Asker: ak.Process()}
 	if sh, found := co.table.ShareOf(ak.Service, ak.Key); ak.Keyed && found {
 		ak.permit.Epoch = sh.Owner.Epoch
