--- a/internal/serving/permit/latency.go
+++ b/internal/serving/permit/latency.go
@@ -39,11 +39,13 @@
 	// latency is the moving average, shape the distribution around what was expected.
 	latency time.Duration
 	shape   latencyShape
+	answers int
 }
 
 // observe adds an answer that took a time of which expected was the mean.
 func (wk *work) observe(took, expected time.Duration) {
-	wk.latency += time.Duration(serviceLatencyWeight * float64(took-wk.latency))
+	wk.answers++
+	wk.latency += time.Duration(max(serviceLatencyWeight, 1/float64(wk.answers)) * float64(took-wk.latency))
 	wk.shape.observe(ratio(took, expected))
 }
 
--- a/internal/serving/permit/patience.go
+++ b/internal/serving/permit/patience.go
@@ -39,23 +39,14 @@
 // kindRatio returns what the ask's kind of request takes as a ratio to all requests of its
 // service.
 func (co *Core) kindRatio(ak *ask) float64 {
-	wk, known := co.kinds[ak.Service][ak.kind()]
-	if !known || len(co.kinds[ak.Service]) == 1 {
+	if len(co.kinds[ak.Service]) == 1 {
 		return 1
 	}
-	return ratio(wk.latency, co.expectedLatency(ak.Service))
+	return ratio(ak.work.latency, co.expectedLatency(ak.Service))
 }
 
-// shapeOf returns the distribution of what the ask's kind of request takes.
-func (co *Core) shapeOf(ak *ask) *latencyShape {
-	if wk, known := co.kinds[ak.Service][ak.kind()]; known {
-		return &wk.shape
-	}
-	return &co.initialShape
-}
-
-// learn updates what the kind of an answered ask takes.
-func (co *Core) learn(ak *ask, took time.Duration) {
+// workOf returns what the ask's kind of request takes.
+func (co *Core) workOf(ak *ask) *work {
 	kinds := co.kinds[ak.Service]
 	if kinds == nil {
 		kinds = map[kind]*work{}
@@ -63,16 +54,16 @@
 	}
 	wk := kinds[ak.kind()]
 	if wk == nil {
-		wk = &work{latency: took, shape: co.initialShape}
+		wk = &work{latency: co.expectedLatency(ak.Service), shape: co.initialShape}
 		kinds[ak.kind()] = wk
 	}
-	wk.observe(took, ak.expected)
+	return wk
 }
 
 // isLate reports whether an ask that waits for a time has too little chance to be answered by
 // its objective.
 func (co *Core) isLate(now clock.Instant, ak *ask, wait, latency time.Duration) bool {
-	left, shape := ak.objective.Sub(now), co.shapeOf(ak)
+	left, shape := ak.objective.Sub(now), &ak.work.shape
 	chance, minFraction := shape.within(ratio(left-wait, latency)), minPoolChance
 	if ak.Keyed {
 		minFraction = minOwnerChance
@@ -97,7 +88,7 @@
 		if !ak.inPool(us) || !us.usable || us.ID == ak.Avoid || us.paused(now, ak.Host) || lm.Named {
 			continue
 		}
-		wait := us.expectedWait(now, 0, lm, co.shapeOf(ak))
+		wait := us.expectedWait(now, 0, lm, &ak.work.shape)
 		if !co.isLate(now, ak, wait, co.latencyOf(now.Add(wait), ak, us)) {
 			return true
 		}
@@ -147,7 +138,7 @@
 		if lm.Named {
 			return false
 		}
-		wait = us.expectedWait(now, ahead, lm, co.shapeOf(ak))
+		wait = us.expectedWait(now, ahead, lm, &ak.work.shape)
 		if moving {
 			wait += co.moveTimeLeft(now, ak)
 		}
@@ -184,11 +175,11 @@
 type demand struct {
 	perSecond float64
 	countedAt clock.Instant
-	// contested reports that on-time asks of several priorities wait, of which priority is
-	// the highest; owed is the slot time that the others have got less than their share.
-	contested bool
-	priority  int
-	owed      time.Duration
+	// contestedAt is when on-time asks of several priorities last waited, of which priority
+	// was the highest; owed is the slot time that the others have got less than their share.
+	contestedAt clock.Instant
+	priority    int
+	owed        time.Duration
 }
 
 // rate returns the demand at present.
--- a/internal/serving/permit/permit.go
+++ b/internal/serving/permit/permit.go
@@ -179,6 +179,8 @@
 	upstream    *upstream
 	permit      protocol.Permit
 	permittedAt clock.Instant
+	// work describes the ask's kind of request.
+	work *work
 	// expected is how long the answer was expected to take after permittedAt, of which
 	// usual is a multiple of the upstream's latency.
 	expected time.Duration
@@ -375,7 +377,7 @@
 	if Outcome(dn.Outcome) == Answered {
 		latency := co.expectedLatency(ak.Service)
 		co.latencies[ak.Service] = latency + time.Duration(serviceLatencyWeight*float64(dn.Took-latency))
-		co.learn(ak, dn.Took)
+		ak.work.observe(dn.Took, ak.expected)
 	}
 	return ak.Service
 }
--- a/internal/serving/permit/queue.go
+++ b/internal/serving/permit/queue.go
@@ -45,6 +45,7 @@
 	}
 	cmds := co.refuseEarlier(now, msg)
 	ak := &ask{Ask: msg, id: id, arrivedAt: now, objective: now.Add(msg.ObjectiveLeft), deadline: now.Add(msg.TimeLeft)}
+	ak.work = co.workOf(ak)
 	es, known := co.estimate(now, ak)
 	if !known {
 		return append(cmds, ak.refuse(now, noUpstreamRetryAfter, "noUpstream", es))
@@ -123,7 +124,7 @@
 		return es, false
 	}
 	es = Estimate{Upstream: us.ID, Busy: us.busy(now), Ahead: co.ahead(ak, us), Cold: us.cold(now), Limit: co.limitOf(now, us)}
-	es.Wait = us.expectedWait(now, es.Ahead, es.Limit, co.shapeOf(ak))
+	es.Wait = us.expectedWait(now, es.Ahead, es.Limit, &ak.work.shape)
 	if moving {
 		es.Wait += co.moveTimeLeft(now, ak)
 	}
@@ -251,7 +252,7 @@
 	available := co.availableUpstreams(now, sv)
 	queue := slices.Clone(co.waiting[sv])
 	slices.SortStableFunc(queue, (*ask).compare)
-	queue = co.withShares(queue)
+	queue = co.withShares(now, queue)
 	// betterLater holds what isBetterLater says of the first ask of each pool.
 	betterLater := map[*demand]bool{}
 	for _, ak := range queue {
@@ -300,7 +301,7 @@
 	ak.usual = ratio(ak.expected, us.latency)
 	us.running[ak.id] = ak
 	if !ak.late {
-		co.demandOf(ak).countShare(ak)
+		co.demandOf(ak).countShare(now, ak)
 	}
 	ak.permit = protocol.Permit{Ticket: ak.Ticket, Upstream: us.ID, Asker: ak.Process()}
 	if sh, found := co.table.ShareOf(ak.Service, ak.Key); ak.Keyed && found {
