--- a/internal/fleet/gateway/loop.go
+++ b/internal/fleet/gateway/loop.go
@@ -394,7 +394,7 @@
 				"retryAfterMs": cmd.Refusal.RetryAfter.Milliseconds(), "waitedMs": cmd.Waited.Milliseconds(),
 				"objectiveLeftMs": cmd.Ask.ObjectiveLeft.Milliseconds(), "timeLeftMs": cmd.Ask.TimeLeft.Milliseconds(),
 				"upstream": cmd.Estimate.Upstream, "expectedWaitMs": cmd.Estimate.Wait.Milliseconds(), "expectedWorkMs": cmd.Estimate.Latency.Milliseconds(),
-				"busy": cmd.Estimate.Busy, "ahead": cmd.Estimate.Ahead, "cold": cmd.Estimate.Cold, "limitPerS": cmd.Estimate.Limit.PerSecond,
+				"busy": cmd.Estimate.Busy, "ahead": cmd.Estimate.Ahead, "cold": cmd.Estimate.Cold, "late": cmd.Estimate.Late, "disturbance": cmd.Estimate.Disturbance, "limitPerS": cmd.Estimate.Limit.PerSecond,
 				"entriesAgeMs": gw.clock.Now().Sub(gw.cache.readAt).Milliseconds(), "revision": gw.table.Load().Revision,
 			})
 		case permit.QueuedCmd:
--- a/internal/serving/permit/permit.go
+++ b/internal/serving/permit/permit.go
@@ -141,6 +141,10 @@
 	// Busy counts the slots in use, Ahead the waiting asks that are served first.
 	Busy, Ahead int
 	Cold        bool
+	// Late asks will probably be answered after their objective.
+	Late bool
+	// Disturbance is how much longer than usual the owner takes at present, as a factor.
+	Disturbance float64
 	// Limit is how many requests per second this holder lets the owner have.
 	Limit rate.Limit
 }
--- a/internal/serving/permit/queue.go
+++ b/internal/serving/permit/queue.go
@@ -107,6 +107,7 @@
 
 // refuse returns the command that denies the ask a permit.
 func (ak *ask) refuse(now clock.Instant, after time.Duration, reason string, es Estimate) Cmd {
+	es.Late = ak.late
 	return RefuseCmd{
 		Host: ak.Host, Ask: ak.Ask, Waited: now.Sub(ak.arrivedAt), Estimate: es,
 		Refusal: protocol.Refusal{Ticket: ak.Ticket, RetryAfter: after, Reason: reason, Asker: ak.Process()},
@@ -123,7 +124,7 @@
 	if us == nil {
 		return es, false
 	}
-	es = Estimate{Upstream: us.ID, Busy: us.busy(now), Ahead: co.ahead(ak, us), Cold: us.cold(now), Limit: co.limitOf(now, us)}
+	es = Estimate{Upstream: us.ID, Busy: us.busy(now), Ahead: co.ahead(ak, us), Cold: us.cold(now), Limit: co.limitOf(now, us), Disturbance: us.disturbance.factor(now)}
 	es.Wait = us.expectedWait(now, es.Ahead, es.Limit, &ak.work.shape)
 	if moving {
 		es.Wait += co.moveTimeLeft(now, ak)
