--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -51,6 +51,10 @@
 		"internal/serving/permit/share.go", "if dm.owed > 0 {", "if false {",
 		[]string{"-run=TestTwoKindsCompete", "./internal/serving/permit"},
 	},
+	"the wait for a slot is that of one running request": {
+		"internal/serving/permit/patience.go", "frees[0] = us.firstFree(now, shape, frees[0])", "_ = us.firstFree(now, shape, frees[0])",
+		[]string{"-run=TestExpectedWait", "./internal/serving/permit"},
+	},
 	"nobody looks at what upstreams say of their speed": {
 		"internal/serving/permit/latency.go", "return 1 + fresh*(db.last/db.usual-1)", "return 1",
 		[]string{"-run=TestDisturbedUpstreamIsAvoided", "./internal/serving/permit"},
