--- a/internal/serving/permit/permit.go
+++ b/internal/serving/permit/permit.go
@@ -141,6 +141,10 @@
 	// Busy counts the slots in use, Ahead the waiting asks that are served first.
 	Busy, Ahead int
 	Cold        bool
+	// Late asks will probably be answered after their objective.
+	Late bool
+	// Disturbance is how much longer than usual the owner takes at present, as a factor.
+	Disturbance float64
 	// Limit is how many requests per second this holder lets the owner have.
 	Limit rate.Limit
 }
@@ -179,6 +183,12 @@
 	upstream    *upstream
 	permit      protocol.Permit
 	permittedAt clock.Instant
+	// work describes the ask's kind of request.
+	work *work
+	// expected is how long the answer was expected to take after permittedAt, of which
+	// usual is a multiple of the upstream's latency.
+	expected time.Duration
+	usual    float64
 }
 
 // Core queues asks and issues permits. It is not safe for concurrent use.
@@ -193,7 +203,9 @@
 	// movingSince is when each move in the table was first seen, by the next owner's
 	// epoch.
 	movingSince map[keyspace.Epoch]clock.Instant
-	asks        map[askID]*ask
+	// moves is the distribution of how long moves take.
+	moves latencyShape
+	asks  map[askID]*ask
 	// incarnations holds that of the newest process of each host that has asked.
 	incarnations map[ident.Host]uint64
 	// waiting holds the asks without a permit, by service, in order of arrival.
@@ -205,6 +217,15 @@
 	confirmedUntil clock.Instant
 	// latencies is the moving average of each service's time to answer.
 	latencies map[ident.Service]time.Duration
+	// kinds holds what each kind of request takes.
+	kinds map[ident.Service]map[kind]*work
+	// initialShape is the distribution of kinds that have not been answered yet.
+	initialShape latencyShape
+	// demands holds the on-time demand of each pool.
+	demands map[poolOf]*demand
+	// reviewAt is when each service's waiting asks are next checked for those that wait
+	// in vain.
+	reviewAt map[ident.Service]clock.Instant
 }
 
 // New returns a core without upstreams; UpstreamsMsg sets them.
@@ -212,6 +233,7 @@
 	return &Core{
 		upstreams: map[ident.Upstream]*upstream{}, table: &assignment.Table{}, asks: map[askID]*ask{}, incarnations: map[ident.Host]uint64{},
 		waiting: map[ident.Service][]*ask{}, disownedUntil: map[keyspace.Epoch]clock.Instant{}, latencies: map[ident.Service]time.Duration{},
+		kinds: map[ident.Service]map[kind]*work{}, initialShape: newLatencyShape(), moves: newMoveShape(), demands: map[poolOf]*demand{}, reviewAt: map[ident.Service]clock.Instant{},
 	}
 }
 
@@ -325,22 +347,6 @@
 	}
 }
 
-// setTable replaces the owners of keys.
-func (co *Core) setTable(now clock.Instant, tb *assignment.Table) {
-	since := map[keyspace.Epoch]clock.Instant{}
-	for ix := range tb.Shares {
-		sh := &tb.Shares[ix]
-		if !sh.Moving() {
-			continue
-		}
-		since[sh.Next.Epoch] = now
-		if seenAt, known := co.movingSince[sh.Next.Epoch]; known {
-			since[sh.Next.Epoch] = seenAt
-		}
-	}
-	co.table, co.movingSince = tb, since
-}
-
 // expectedLatency returns the average time that a service takes to answer.
 func (co *Core) expectedLatency(sv ident.Service) time.Duration {
 	if latency, known := co.latencies[sv]; known {
@@ -365,7 +371,7 @@
 	us := ak.upstream
 	delete(us.running, id)
 	answered := us.answered
-	us.observe(now, dn)
+	us.observe(now, dn, ak.usual)
 	if us.answered != answered {
 		co.boundSlots(us.Service)
 	}
@@ -375,6 +381,7 @@
 	if Outcome(dn.Outcome) == Answered {
 		latency := co.expectedLatency(ak.Service)
 		co.latencies[ak.Service] = latency + time.Duration(serviceLatencyWeight*float64(dn.Took-latency))
+		ak.work.observe(dn.Took, ak.expected)
 	}
 	return ak.Service
 }
