Tell a domain that is cut off from upstreams that have failed

Cause: a host of a domain that is cut off takes each request that is lost over the cut for a failure of its upstream. So its holders count the upstreams of all other domains as restarted and keep them to the cold rate until 1.5 s after their next answer, and each upstream is tried by itself.

Ruled out: a holder that is not confirmed (limits were whole after the cut); connections that outlast the cut as evidence.

--- a/internal/fleet/gateway/holder.go
+++ b/internal/fleet/gateway/holder.go
@@ -87,5 +87,5 @@
 		confirmedAt = gw.agent.LeadershipConfirmed()
 	}
 	until := min(gw.agent.TableConfirmed().Add(holderTTL), confirmedAt.Add(election.LeaseTTL))
-	gw.permits.Update(gw.clock.Now(), permit.ConfirmedMsg{Until: until})
+	gw.permits.Update(gw.clock.Now(), permit.ConfirmedMsg{Until: until, EntriesReadAt: gw.cache.readAt})
 }
--- a/internal/fleet/gateway/loop.go
+++ b/internal/fleet/gateway/loop.go
@@ -399,6 +399,8 @@
 			})
 		case permit.QueuedCmd:
 			gw.sendToHost(cmd.Host, cmd.Queued)
+		case permit.LinkCmd:
+			gw.config.Log.Event("domainLink", eventlog.Fields{"from": cmd.From, "to": cmd.To, "down": cmd.Down, "isolated": cmd.Isolated})
 		}
 	}
 }
--- a/internal/fleet/gateway/permitclient.go
+++ b/internal/fleet/gateway/permitclient.go
@@ -31,6 +31,9 @@
 	// triesPerHolder is how many times an ask is sent to a holder before the holder
 	// is skipped.
 	triesPerHolder = 2
+	// leaderSilence is how long this host must have heard nothing of the leader to take itself
+	// for the one that was cut off: as long as the leader waits for a member.
+	leaderSilence = 1300 * time.Millisecond
 	// releaseTries is how many times an unconfirmed release is sent; a permit that
 	// is not released expires with its request's deadline.
 	releaseTries = 3
@@ -107,6 +110,8 @@
 	held         map[protocol.Ticket]struct{}
 	releases     map[askID]*pendingRelease
 	suspectUntil map[ident.Host]clock.Instant
+	// leaderHeardAt is when the leader's last heartbeat arrived.
+	leaderHeardAt clock.Instant
 	// addresses holds where each host's asks came from.
 	addresses map[ident.Host]netip.AddrPort
 	// regular holds the regular holders of pools.
@@ -189,6 +194,10 @@
 		// Replies of this host's own core have no address.
 		pa.address = ""
 	}
+	if _, suspect := pc.suspectUntil[pa.holder]; suspect {
+		// This ask finds out whether the holder answers again.
+		pc.suspectUntil[pa.holder] = now.Add(triesPerHolder * replyTimeout)
+	}
 	pc.sendAsk(now, pa)
 }
 
@@ -245,6 +254,14 @@
 	return true
 }
 
+// noteLeaderHeard forgets which holders were silent if this host was cut off until now.
+func (pc *permitClient) noteLeaderHeard(now clock.Instant) {
+	if now.Sub(pc.leaderHeardAt) >= leaderSilence {
+		clear(pc.suspectUntil)
+	}
+	pc.leaderHeardAt = now
+}
+
 // chooseHolder returns the member that issues the permits of one pool of a
 // service. All hosts make the same choice, except that each skips the members
 // that recently failed to answer it. Fallback reports that the result is not the
--- a/internal/fleet/gateway/permitclient_test.go
+++ b/internal/fleet/gateway/permitclient_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"chervilwalk/internal/base/ident"
 	"chervilwalk/internal/catalog/assignment"
 	"chervilwalk/internal/peer/protocol"
+	"chervilwalk/internal/serving/quarantine"
 )
 
 // TestFallbackHolderIsReported checks that an ask to any holder other than the
@@ -121,3 +123,53 @@
 	pc.withdraw(withdrawEvent{pa.reply})
 	gm.Expect(pc.pending).To(BeEmpty())
 }
+
+// TestSilentHolder guards against all asks of a host that wait for a holder which it does not reach,
+// each time that it is tried again, and against one that is skipped once it answers.
+func TestSilentHolder(t *testing.T) {
+	const service = ident.Service("files")
+	cases := map[string]struct {
+		// replies means that the holder answers the ask that finds out.
+		replies bool
+		// cutOffFor is how long this host hears nothing of the leader before it hears it again.
+		cutOffFor time.Duration
+		want      bool
+	}{
+		"is still silent":       {},
+		"answers":               {replies: true, want: true},
+		"this host was cut off": {cutOffFor: 3 * time.Second, want: true},
+		"the leader was heard a short time before": {cutOffFor: 400 * time.Millisecond},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			gm := NewWithT(t)
+			socket, err := net.ListenUDP("udp", nil)
+			gm.Expect(err).NotTo(HaveOccurred())
+			defer func() { gm.Expect(socket.Close()).To(Succeed()) }()
+			gw := &Gateway{self: assignment.Member{Host: "self"}, socket: socket, upstreamCount: map[ident.Service]int{service: 1}, suspects: suspects{core: quarantine.New()}}
+			gw.permitClient = newPermitClient(gw)
+			pc := &gw.permitClient
+			gw.table.Store(&assignment.Table{Members: []assignment.Member{
+				{Host: "h0", Address: "127.0.0.1:9", Fitness: 90, Alive: true}, {Host: "h1", Address: "127.0.0.1:9", Fitness: 20, Alive: true},
+			}})
+			first, _, _ := pc.chooseHolder(0, &pendingAcquire{ask: protocol.Ask{Service: service, Pools: 1}})
+			now := clock.Instant(time.Hour)
+			pc.noteLeaderHeard(now)
+			pc.suspectUntil[first] = now.Add(-time.Millisecond)
+			probe := &pendingAcquire{ask: protocol.Ask{Service: service, Ticket: 7}, deadline: now.Add(time.Second), reply: make(chan acquireResult, 1)}
+			pc.pending[7] = probe
+			pc.tryNextHolder(now, probe)
+			gm.Expect(probe.holder).To(Equal(first))
+			if tc.replies {
+				pc.handleQueued(now, probe.address, protocol.Queued{Ticket: 7})
+			}
+			if tc.cutOffFor > 0 {
+				now = now.Add(tc.cutOffFor)
+				pc.suspectUntil[first] = now.Add(time.Second)
+				pc.noteLeaderHeard(now)
+			}
+			other, _, _ := pc.chooseHolder(now, &pendingAcquire{ask: protocol.Ask{Service: service, Pools: 1}})
+			gm.Expect(other == first).To(Equal(tc.want))
+		})
+	}
+}
--- a/internal/fleet/gateway/permitreplies.go
+++ b/internal/fleet/gateway/permitreplies.go
@@ -35,7 +35,11 @@
 // that was skipped may still reply; its permit is released.
 func (pc *permitClient) pendingFrom(from string, ticket protocol.Ticket) (*pendingAcquire, bool) {
 	pa, known := pc.pending[ticket]
-	return pa, known && pa.address == from
+	if !known || pa.address != from {
+		return pa, false
+	}
+	delete(pc.suspectUntil, pa.holder)
+	return pa, true
 }
 
 // handlePermit handles a permit from another host.
--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -379,6 +379,26 @@
 		"internal/serving/permit/upstream.go", "us.returning, us.slowStartUntil = false, now.Add(slowStartTime)", "us.returning = false",
 		[]string{"-run=TestReturnAfterCrash", "./internal/serving/permit"},
 	},
+	"a domain that is cut off takes its lost requests for failures of upstreams": {
+		"internal/serving/permit/cutoff.go", "return !co.links.Down(lk)", "return true",
+		[]string{"-run=TestCutOffDomain", "./internal/serving/permit"},
+	},
+	"upstreams pass for warm before their entries are read after a cut": {
+		"internal/serving/permit/cutoff.go", "us.unconfirmedUntil = from, clock.Never", "us.unconfirmedUntil = from, 0",
+		[]string{"-run=TestCutOffDomain", "./internal/serving/permit"},
+	},
+	"upstreams of a dark domain that got no request pass for warm": {
+		"internal/serving/permit/cutoff.go", "us.returning = us.returning || us.Domain == to", "us.returning = us.returning || false && us.Domain == to",
+		[]string{"-run=TestDarkDomain", "./internal/serving/permit"},
+	},
+	"a dark domain passes for one that this one is cut off from": {
+		"internal/serving/locality/links.go", "return down >= minCutLinks && ", "return down >= 1 && ",
+		[]string{"-run=TestLinks", "./internal/serving/locality"},
+	},
+	"all asks wait for a holder that is tried again": {
+		"internal/fleet/gateway/permitclient.go", "if _, suspect := pc.suspectUntil[pa.holder]; suspect {", "if false {",
+		[]string{"-run=TestSilentHolder", "./internal/fleet/gateway"},
+	},
 	"the cold rate is not enforced": {
 		"internal/serving/permit/queue.go", "	if us.cold(now) {\n		lm = lm.Tighter(", "	if false {\n		lm = lm.Tighter(",
 		[]string{"./internal/serving/permit"},
--- a/internal/operations/explain/explain.go
+++ b/internal/operations/explain/explain.go
@@ -56,6 +56,7 @@
 	"timedOut":           "it was sent, but no answer came in time; it may have run",
 	"unsignedAnswer":     "the answer lacked the upstream's signature; it may have run",
 	"upstreamPaused":     "the only upstream that could run it wanted no request from this host; it did not run",
+	"domainUnreached":    "this host's failure domain was cut off from that of the only upstream that could run it; it did not run",
 	"requestQuarantined": "upstreams have crashed under it, here or at other hosts, and its next trial was not due; it did not run",
 	"requestSuspected":   "upstreams have crashed under it, and another run of it was under way; it did not run",
 	"routeMalformed":     "its route in the desired state could not be read; nothing was sent",
@@ -65,7 +66,7 @@
 // notRunCauses are the causes that say of the last attempt that it did not run.
 var notRunCauses = map[string]bool{
 	"noRoomInTime": true, "waitedTooLong": true, "noUpstream": true, "noAnswerFromHolder": true, "unreached": true, "refused": true, "disowned": true,
-	"upstreamPaused": true, "outOfTime": true, "requestQuarantined": true, "requestSuspected": true,
+	"upstreamPaused": true, "domainUnreached": true, "outOfTime": true, "requestQuarantined": true, "requestSuspected": true,
 }
 
 // stateEvents report a change of a host's state or of what it knows.
--- a/internal/serving/permit/permit.go
+++ b/internal/serving/permit/permit.go
@@ -23,6 +23,7 @@
 	"chervilwalk/internal/catalog/desired"
 	"chervilwalk/internal/catalog/roster"
 	"chervilwalk/internal/peer/protocol"
+	"chervilwalk/internal/serving/locality"
 )
 
 // Outcome is the result of a permit: what happened to the request.
@@ -93,8 +94,8 @@
 }
 
 // ConfirmedMsg reports until when no other host can have become the holder of the pools that
-// this one holds.
-type ConfirmedMsg struct{ Until clock.Instant }
+// this one holds, and when the entries of upstreams were last read.
+type ConfirmedMsg struct{ Until, EntriesReadAt clock.Instant }
 
 // TickMsg reports that time has passed. It expires permits and dispatches
 // waiting asks.
@@ -151,7 +152,16 @@
 	Queued protocol.Queued
 }
 
-// Cmd is an IssueCmd, RefuseCmd or QueuedCmd.
+// LinkCmd reports that hosts of a domain do not reach the upstreams of another any more, or do
+// again.
+type LinkCmd struct {
+	locality.Link
+	Down bool
+	// Isolated means that they reach those of no other domain.
+	Isolated bool
+}
+
+// Cmd is an IssueCmd, RefuseCmd, QueuedCmd or LinkCmd.
 type Cmd any
 
 // askID identifies an ask across all hosts.
@@ -205,6 +215,10 @@
 	confirmedUntil clock.Instant
 	// latencies is the moving average of each service's time to answer.
 	latencies map[ident.Service]time.Duration
+	// links holds which domains are reached from which.
+	links *locality.Links
+	// linkCmds holds the commands about links that the next dispatch returns.
+	linkCmds []Cmd
 }
 
 // New returns a core without upstreams; UpstreamsMsg sets them.
@@ -212,6 +226,7 @@
 	return &Core{
 		upstreams: map[ident.Upstream]*upstream{}, table: &assignment.Table{}, asks: map[askID]*ask{}, incarnations: map[ident.Host]uint64{},
 		waiting: map[ident.Service][]*ask{}, disownedUntil: map[keyspace.Epoch]clock.Instant{}, latencies: map[ident.Service]time.Duration{},
+		links: locality.NewLinks(),
 	}
 }
 
@@ -242,6 +257,7 @@
 		return nil
 	case ConfirmedMsg:
 		co.confirmedUntil = ms.Until
+		co.confirmUpstreams(ms.EntriesReadAt)
 		return nil
 	}
 	co.expire(now)
@@ -365,7 +381,9 @@
 	us := ak.upstream
 	delete(us.running, id)
 	answered := us.answered
-	us.observe(now, dn)
+	if co.noteLink(now, ak, us, dn) {
+		us.observe(now, dn)
+	}
 	if us.answered != answered {
 		co.boundSlots(us.Service)
 	}
--- a/internal/serving/permit/queue.go
+++ b/internal/serving/permit/queue.go
@@ -71,6 +71,8 @@
 	switch {
 	case us != nil && us.paused(now, msg.Host):
 		return append(cmds, ak.refuse(now, us.pausedUntil[msg.Host].Sub(now), "upstreamPaused", es))
+	case us != nil && co.refusesCutOff(now, ak, us):
+		return append(cmds, ak.refuse(now, cutOffRetryAfter, "domainUnreached", es))
 	case us != nil && es.Limit.Named && msg.Fallback:
 		return append(cmds, ak.refuse(now, fallbackRetryAfter, "limitHeldElsewhere", es))
 	}
@@ -166,6 +168,9 @@
 			continue
 		}
 		known = true
+		if co.cutOff(ak, us) {
+			continue
+		}
 		lm := co.limitOf(now, us)
 		if lm.Named && ak.Fallback {
 			limitedElsewhere = true
@@ -297,7 +302,7 @@
 // dispatch refuses the overdue asks of a service and issues permits to the
 // others, in queue order, while upstreams are available.
 func (co *Core) dispatch(now clock.Instant, sv ident.Service) []Cmd {
-	cmds := co.refuseOverdue(now, sv)
+	cmds := append(co.takeLinkCmds(), co.refuseOverdue(now, sv)...)
 	if len(co.waiting[sv]) == 0 {
 		return cmds
 	}
@@ -337,6 +342,7 @@
 		us.bucket.Take()
 	}
 	ak.upstream, ak.permittedAt = us, now
+	co.links.Sent(now, ak.linkTo(us))
 	us.running[ak.id] = ak
 	ak.permit = protocol.Permit{Ticket: ak.Ticket, Upstream: us.ID, Asker: ak.Process()}
 	if sh, found := co.table.ShareOf(ak.Service, ak.Key); ak.Keyed && found {
@@ -409,7 +415,7 @@
 // pool counts the requests to one with a limit.
 func (co *Core) mayTake(now clock.Instant, ak *ask, us *upstream) bool {
 	lm := co.limitOf(now, us)
-	return us.available(now, lm) && !(ak.Fallback && lm.Named)
+	return us.available(now, lm) && !(ak.Fallback && lm.Named) && co.links.Allows(now, ak.linkTo(us))
 }
 
 // inPool reports whether an upstream belongs to the ask's service and pool.
--- a/internal/serving/permit/upstream.go
+++ b/internal/serving/permit/upstream.go
@@ -65,6 +65,8 @@
 	otherRequestsUntil clock.Instant
 	// failures counts the failures since the last answer, refusals the refused requests.
 	failures, refusals int
+	// failedAt is when the first of these failures was reported.
+	failedAt clock.Instant
 	// refusalRatio is the moving average of the fraction of refused requests.
 	refusalRatio   float64
 	backoffUntil   clock.Instant
@@ -72,6 +74,10 @@
 	// returning reports that the upstream has not answered since it crashed or could not be
 	// reached.
 	returning bool
+	// unconfirmedUntil is until when the upstream may have restarted unseen, since the domain
+	// unconfirmedFrom was cut off from its own.
+	unconfirmedUntil clock.Instant
+	unconfirmedFrom  ident.Domain
 	// bucket keeps the limit while there is one.
 	bucket rate.Bucket
 	// nextReturn is when the next caller that is refused for the limit may return.
@@ -86,12 +92,12 @@
 
 // cold reports whether the upstream is limited to the service's cold rate.
 func (us *upstream) cold(now clock.Instant) bool {
-	return us.returning || now.Before(us.ColdUntil) || now.Before(us.slowStartUntil)
+	return us.returning || now.Before(us.ColdUntil) || now.Before(us.slowStartUntil) || now < us.unconfirmedUntil
 }
 
 // warmAt returns when the upstream is warm at the earliest.
 func (us *upstream) warmAt(now clock.Instant) clock.Instant {
-	if us.returning {
+	if us.returning || now < us.unconfirmedUntil {
 		return now.Add(slowStartTime)
 	}
 	return max(us.ColdUntil, us.slowStartUntil)
@@ -179,6 +185,7 @@
 		if us.returning {
 			us.returning, us.slowStartUntil = false, now.Add(slowStartTime)
 		}
+		us.unconfirmedUntil = min(us.unconfirmedUntil, now.Add(slowStartTime))
 		us.failures, us.refusals = 0, 0
 		us.refusalRatio -= refusalWeight * us.refusalRatio
 		us.latency += time.Duration(upstreamLatencyWeight * float64(dn.Took-us.latency))
