Ask an old owner again for its keys while its grant lasts

After three attempts to fence the old owner, a move only waits for the old grant to expire: 6.8 s after it was stored.

Change: while the old grant lasts, the first move of each old owner tries again every 0.5 s, the others follow once it answers. Each attempt has an epoch of its own, and none may hold the keys beyond the old grant.

Ruled out: a shorter wait for members that do not acknowledge: one that the leader doesn't hear may have read the table from the store up to the moment of the move.

--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -399,6 +399,14 @@
 		"internal/fleet/gateway/permitclient.go", "if _, suspect := pc.suspectUntil[pa.holder]; suspect {", "if false {",
 		[]string{"-run=TestSilentHolder", "./internal/fleet/gateway"},
 	},
+	"an old owner that is back is not asked for its keys": {
+		"internal/ownership/leader/move.go", "mv.tries >= maxFenceTries+maxLateFenceTries {", "true {",
+		[]string{"-run=TestKeysOfUnreachableOwner", "./internal/ownership/leader"},
+	},
+	"attempts to fence an old owner hold its keys beyond its grant": {
+		"internal/ownership/leader/move.go", "return held <= co.renewalsEndAt(now, mv).Add(maxGrantTime(renewal.GrantTTL))", "return held > 0",
+		[]string{"-run=TestKeysOfUnreachableOwner", "./internal/ownership/leader"},
+	},
 	"the cold rate is not enforced": {
 		"internal/serving/permit/queue.go", "	if us.cold(now) {\n		lm = lm.Tighter(", "	if false {\n		lm = lm.Tighter(",
 		[]string{"./internal/serving/permit"},
--- a/internal/ownership/leader/move.go
+++ b/internal/ownership/leader/move.go
@@ -62,6 +62,12 @@
 	// has its own epoch, so that the old owner refuses an unanswered attempt that
 	// arrives after the next one.
 	maxFenceTries = 3
+	// maxLateFenceTries is how often it tries again while the old grant lasts: the old owner may
+	// be reached again. lateFenceInterval is the time from one of these attempts to the next,
+	// lateFenceTTL the lifetime of their grants.
+	maxLateFenceTries = 9
+	lateFenceInterval = 500 * time.Millisecond
+	lateFenceTTL      = 700 * time.Millisecond
 	// maxGiveTries is how often a move tries to grant the keys to the next owner. After
 	// that the move ends and renewals grant them.
 	maxGiveTries = 3
@@ -133,25 +139,47 @@
 	}
 	var cmds []Cmd
 	co.movesDueAt = now.Add(moveCheckInterval)
+	tried := map[ident.Upstream]bool{}
 	for _, mv := range slices.SortedFunc(maps.Values(co.moves), compareMoves) {
 		if now >= mv.checkAt && mv.step != Finished {
 			co.checkMove(now, mv)
 		}
+		late := mv.step == Fence && mv.tries >= maxFenceTries
+		if late && !co.mayFenceLate(now, mv, tried) {
+			// Wait until the old grant has expired.
+			continue
+		}
 		if !mv.inFlight && !mv.blocked && now < mv.nextCallAt {
 			co.movesDueAt = min(co.movesDueAt, mv.nextCallAt)
 		}
 		if mv.inFlight || mv.blocked || now < mv.nextCallAt || mv.step == Finished {
 			continue
 		}
-		if mv.step == Fence && mv.tries == maxFenceTries {
-			// Wait until the old grant has expired.
-			continue
-		}
 		cmds = append(cmds, mv.startCall(now))
 	}
 	return cmds
 }
 
+// mayFenceLate reports whether an old owner that has not answered is called once more. Of the moves
+// from one owner the first one finds out whether it answers, tried holds those that have one. No
+// attempt may hold the keys for longer than the old grant does.
+func (co *Core) mayFenceLate(now clock.Instant, mv *move, tried map[ident.Upstream]bool) bool {
+	claim := mv.share.Owner
+	up, known := co.upstreams[claim.Upstream]
+	if !known || up.Incarnation != claim.Incarnation || mv.tries >= maxFenceTries+maxLateFenceTries {
+		return false
+	}
+	if tried[claim.Upstream] && !up.reached {
+		return false
+	}
+	tried[claim.Upstream] = true
+	if mv.inFlight || now < mv.nextCallAt {
+		return false
+	}
+	held := now.Add(renewal.CallTimeout).Add(maxGrantTime(lateFenceTTL))
+	return held <= co.renewalsEndAt(now, mv).Add(maxGrantTime(renewal.GrantTTL))
+}
+
 // checkMove finds out whether a move still has to wait for old grants. It looks at
 // every member, so it is not repeated with each of the many messages that arrive while
 // hundreds of keys move.
@@ -181,7 +209,10 @@
 	case Fence:
 		mv.fenceEpoch = mv.share.Fence + keyspace.Epoch(mv.tries-1)
 		cmd.TTL, cmd.Epoch = fenceTTL, mv.fenceEpoch
-		mv.heldUntil = max(mv.heldUntil, now.Add(cmd.Timeout).Add(maxGrantTime(fenceTTL)))
+		if mv.tries > maxFenceTries {
+			cmd.TTL = lateFenceTTL
+		}
+		mv.heldUntil = max(mv.heldUntil, now.Add(cmd.Timeout).Add(maxGrantTime(cmd.TTL)))
 	case Release:
 		cmd.Timeout = releaseTimeout
 	case Give:
@@ -200,7 +231,7 @@
 
 // stalled reports whether the move only waits for time to pass and needs no calls.
 func (mv *move) stalled() bool {
-	return mv.resumed && mv.step == Release || mv.step == Fence && mv.tries == maxFenceTries && !mv.inFlight
+	return mv.resumed && mv.step == Release || mv.step == Fence && (mv.tries > maxFenceTries || mv.tries == maxFenceTries && !mv.inFlight)
 }
 
 // handleStep handles the result of a call.
@@ -221,6 +252,8 @@
 	case Fence:
 		if ms.Result == Taken {
 			mv.enterStep(now, Release)
+		} else if mv.tries >= maxFenceTries {
+			mv.nextCallAt = now.Add(lateFenceInterval)
 		}
 	case Release:
 		if ms.Result == Taken {
--- a/internal/ownership/leader/plan.go
+++ b/internal/ownership/leader/plan.go
@@ -154,7 +154,7 @@
 	sh := &co.draft.Shares[ix]
 	sh.Fence = co.draft.TakeEpoch()
 	// Reserve the epochs of further attempts to fence the owner.
-	for range maxFenceTries - 1 {
+	for range maxFenceTries + maxLateFenceTries - 1 {
 		co.draft.TakeEpoch()
 	}
 	sh.Next = assignment.Claim{Upstream: mv.To, Incarnation: up.Incarnation, Epoch: co.draft.TakeEpoch()}
