Decide when a request leaves its failure domain

Cause: the choice was 10 ms added to the expected latency of an upstream elsewhere (400 ms for downloads), whatever the room at home, the size, the link or how long the caller can wait.

Change: package locality. An upstream elsewhere has to be faster by a share of the request's slack, the larger the more bytes would cross. A full domain sends what does not fit, and only into room beyond what the other keeps for its own callers; one that sends load away takes less. Hosts tell holders the size of the request and the mean of its route's answers. When a host that was cut off hears its leader again, links are taken for up at once.

--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -80,6 +80,7 @@
 // endpoint is where an upstream is reached.
 type endpoint struct {
 	service ident.Service
+	domain  ident.Domain
 	address string
 	// refuseAt is the time from which no new requests are sent there.
 	refuseAt clock.Instant
--- a/internal/fleet/gateway/loop.go
+++ b/internal/fleet/gateway/loop.go
@@ -280,7 +280,7 @@
 		refuseAt := gw.refuseAt(up, sv.Keyed, evacuated, out)
 		domains[up.ID] = up.Domain
 		gw.upstreamCount[up.Service]++
-		endpoints[up.ID] = endpoint{service: up.Service, address: up.Address, refuseAt: refuseAt}
+		endpoints[up.ID] = endpoint{service: up.Service, domain: up.Domain, address: up.Address, refuseAt: refuseAt}
 		// An upstream that refuses new requests gets no permits, but the leader still
 		// has to move its keys.
 		if now < refuseAt {
--- a/internal/fleet/gateway/metrics.go
+++ b/internal/fleet/gateway/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"chervilwalk/internal/base/ident"
 	"chervilwalk/internal/catalog/desired"
 	"chervilwalk/internal/operations/eventlog"
 	"chervilwalk/internal/serving/httpserver"
@@ -30,6 +31,8 @@
 	desiredVersion     prometheus.Gauge
 	crashes            prometheus.Counter
 	suspects           prometheus.Gauge
+	answers            *prometheus.CounterVec
+	answerBytes        *prometheus.CounterVec
 }
 
 // NewMetrics returns metrics that are all zero, in a registry of their own.
@@ -47,8 +50,10 @@
 		desiredVersion:     prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "desired_state_version", Help: "Version of the desired state in force; 0 until the first."}),
 		crashes:            prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "upstream_connections_ended_total", Help: "Connections that upstreams ended while they ran a request."}),
 		suspects:           prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "suspect_requests", Help: "Requests known here under which upstreams may have crashed, or that were cleared lately."}),
+		answers:            prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "upstream_answers_total", Help: "Answers of upstreams that were passed on, by service and whether the upstream is in the host's failure domain (own) or another."}, []string{"service", "domain"}),
+		answerBytes:        prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "upstream_bytes_total", Help: "Bytes of the bodies of these requests and answers."}, []string{"service", "domain"}),
 	}
-	mt.registry.MustRegister(mt.crashes, mt.suspects, mt.requests, mt.durations, mt.unanswered, mt.permitWaits, mt.storeCalls, mt.storeCallDurations, mt.unsentDatagrams, mt.desiredVersion)
+	mt.registry.MustRegister(mt.answers, mt.answerBytes, mt.crashes, mt.suspects, mt.requests, mt.durations, mt.unanswered, mt.permitWaits, mt.storeCalls, mt.storeCallDurations, mt.unsentDatagrams, mt.desiredVersion)
 	return mt
 }
 
@@ -62,6 +67,19 @@
 	mt.permitWaits.WithLabelValues(service).Observe(en.Waited.Seconds())
 }
 
+// answerPassedOn counts an upstream's answer and the bytes of its request and itself.
+func (mt *Metrics) answerPassedOn(service ident.Service, own bool, size int64) {
+	if mt == nil {
+		return
+	}
+	domain := "other"
+	if own {
+		domain = "own"
+	}
+	mt.answers.WithLabelValues(string(service), domain).Inc()
+	mt.answerBytes.WithLabelValues(string(service), domain).Add(float64(size))
+}
+
 func (mt *Metrics) requestUnanswered(un httpserver.Unanswered) {
 	if mt != nil {
 		mt.unanswered.WithLabelValues(string(un.Cause)).Inc()
@@ -144,6 +162,13 @@
 	if en.Attempts > 0 && en.RefusedAfter > 0 {
 		fields["refusedAfterMs"] = en.RefusedAfter.Milliseconds()
 	}
+	if ep, known := (*gw.endpoints.Load())[en.Upstream]; known && en.HasSignature {
+		own, size := ep.domain == gw.self.Domain, en.RequestBytes+en.AnswerBytes
+		gw.config.Metrics.answerPassedOn(en.Service, own, size)
+		if !own {
+			fields["upstreamDomain"], fields["bytes"] = ep.domain, size
+		}
+	}
 	if en.Fingerprint != 0 && !en.HasSignature {
 		fields["fingerprint"] = en.Fingerprint
 	}
--- a/internal/fleet/gateway/peers.go
+++ b/internal/fleet/gateway/peers.go
@@ -80,6 +80,9 @@
 	case protocol.Status:
 		gw.updateAgent(agent.StatusMsg{Status: ms, From: ev.from.String()})
 	case protocol.Heartbeat:
+		if ms.Term >= gw.agent.Term() && ms.Leader != "" {
+			gw.permitClient.noteLeaderHeard(now)
+		}
 		gw.updateFreshness(now, ms)
 		gw.updateAgent(agent.HeartbeatMsg{Heartbeat: ms, From: ev.from.String()})
 	case protocol.Roster:
--- a/internal/fleet/gateway/permitclient.go
+++ b/internal/fleet/gateway/permitclient.go
@@ -258,6 +258,7 @@
 func (pc *permitClient) noteLeaderHeard(now clock.Instant) {
 	if now.Sub(pc.leaderHeardAt) >= leaderSilence {
 		clear(pc.suspectUntil)
+		pc.gw.updatePermits(permit.RestoredMsg{Domain: pc.gw.self.Domain})
 	}
 	pc.leaderHeardAt = now
 }
--- a/internal/fleet/gateway/permitclient_test.go
+++ b/internal/fleet/gateway/permitclient_test.go
@@ -12,6 +12,7 @@
 	"chervilwalk/internal/base/ident"
 	"chervilwalk/internal/catalog/assignment"
 	"chervilwalk/internal/peer/protocol"
+	"chervilwalk/internal/serving/permit"
 	"chervilwalk/internal/serving/quarantine"
 )
 
@@ -146,7 +147,7 @@
 			socket, err := net.ListenUDP("udp", nil)
 			gm.Expect(err).NotTo(HaveOccurred())
 			defer func() { gm.Expect(socket.Close()).To(Succeed()) }()
-			gw := &Gateway{self: assignment.Member{Host: "self"}, socket: socket, upstreamCount: map[ident.Service]int{service: 1}, suspects: suspects{core: quarantine.New()}}
+			gw := &Gateway{self: assignment.Member{Host: "self"}, socket: socket, upstreamCount: map[ident.Service]int{service: 1}, suspects: suspects{core: quarantine.New()}, permits: permit.New()}
 			gw.permitClient = newPermitClient(gw)
 			pc := &gw.permitClient
 			gw.table.Store(&assignment.Table{Members: []assignment.Member{
--- a/internal/fleet/gateway/rostercache.go
+++ b/internal/fleet/gateway/rostercache.go
@@ -269,7 +269,6 @@
 	if hb.Term < gw.agent.Term() || hb.Leader == "" {
 		return
 	}
-	gw.permitClient.noteLeaderHeard(now)
 	if hb.RosterVersion <= rc.version && hb.Echo <= now {
 		// The heartbeat may have been delayed for long. Echo is when this host sent
 		// its status, so the leader read the entries at Echo minus RosterAge or later.
--- a/internal/peer/protocol/permit.go
+++ b/internal/peer/protocol/permit.go
@@ -1,6 +1,7 @@
 package protocol
 
 import (
+	"math"
 	"time"
 
 	"chervilwalk/internal/base/ident"
@@ -48,6 +49,9 @@
 	Avoid ident.Upstream
 	// Fingerprint is 0 in asks of builds that do not send it.
 	Fingerprint ident.Fingerprint
+	// SizeClass is the size of the request and its answer, as package locality counts it; 0 in asks
+	// of builds that do not send it.
+	SizeClass uint8
 }
 
 // Process returns the process that asks.
@@ -139,6 +143,7 @@
 	duration(cd, &ms.TimeLeft)
 	text(cd, &ms.Avoid)
 	addedVarint(cd, &ms.Fingerprint)
+	addedSizeClass(cd, &ms.SizeClass)
 }
 
 func (ms *Permit) code(cd *codec) {
@@ -190,6 +195,13 @@
 	duration(cd, &ms.Left)
 }
 
+// addedSizeClass codes a size class as the last field of a message that earlier builds end without.
+func addedSizeClass(cd *codec, value *uint8) {
+	class := uint64(*value)
+	addedVarint(cd, &class)
+	*value = uint8(min(class, math.MaxUint8))
+}
+
 // addedProcess codes a process as the last fields of a message that earlier builds end without.
 func addedProcess(cd *codec, value *Process) {
 	if cd.reading && len(cd.buf) == 0 {
--- a/internal/peer/protocol/protocol_test.go
+++ b/internal/peer/protocol/protocol_test.go
@@ -46,7 +46,7 @@
 			Base: 1 << 63, Gone: []ident.Upstream{"w"}, Entries: []roster.Entry{{ID: "u", Service: "lookup", Address: "10.0.0.9:80", Domain: "d", Slots: 2, Incarnation: 99}},
 		}},
 		"assignment": protocol.Assignment{Heartbeat: heartbeat, Part: 1, Parts: 2, Body: "{}"},
-		"ask":        protocol.Ask{Host: "a", Incarnation: 4, Ticket: 9, Request: "r", Service: "lookup", Domain: "d", Key: 7, Keyed: true, Pool: 1, Pools: 2, Fallback: true, Large: true, Repeatable: true, Priority: 2, ObjectiveLeft: 0, TimeLeft: time.Second, Avoid: "u", Fingerprint: 1 << 63},
+		"ask":        protocol.Ask{Host: "a", Incarnation: 4, Ticket: 9, Request: "r", Service: "lookup", Domain: "d", Key: 7, Keyed: true, Pool: 1, Pools: 2, Fallback: true, Large: true, Repeatable: true, Priority: 2, ObjectiveLeft: 0, TimeLeft: time.Second, Avoid: "u", Fingerprint: 1 << 63, SizeClass: 3},
 		"suspects": protocol.Suspects{Suspects: []protocol.Suspect{
 			{Fingerprint: 1 << 63, Crashes: []protocol.Crash{{Upstream: "u", Incarnation: 7, Run: 1<<32 - 1, Age: time.Second}, {Upstream: "v", Incarnation: 8}}},
 			{Fingerprint: 3, Crashes: []protocol.Crash{}, Answered: true, AnsweredAge: time.Minute},
@@ -63,8 +63,10 @@
 // endings holds what a message is without its last fields, once for each field at which some
 // earlier build ends the message.
 func endings() map[string][]protocol.Msg {
-	ask := messages()["ask"].(protocol.Ask)
-	ask.Fingerprint = 0
+	noSize := messages()["ask"].(protocol.Ask)
+	noSize.SizeClass = 0
+	noFingerprint := noSize
+	noFingerprint.Fingerprint = 0
 	pm := messages()["permit"].(protocol.Permit)
 	pm.Asker = protocol.Process{}
 	unwatched := pm
@@ -72,7 +74,7 @@
 	rf := messages()["refusal"].(protocol.Refusal)
 	rf.Asker = protocol.Process{}
 	return map[string][]protocol.Msg{
-		"ask": {ask}, "permit": {unwatched, pm}, "refusal": {rf}, "queued": {protocol.Queued{Ticket: 9}}, "doneAck": {protocol.DoneAck{Ticket: 9}},
+		"ask": {noFingerprint, noSize}, "permit": {unwatched, pm}, "refusal": {rf}, "queued": {protocol.Queued{Ticket: 9}}, "doneAck": {protocol.DoneAck{Ticket: 9}},
 	}
 }
 
--- a/internal/serving/locality/links.go
+++ b/internal/serving/locality/links.go
@@ -23,6 +23,8 @@
 	minCutLinks = 2
 	// linkTTL is how long a link counts that carries nothing.
 	linkTTL = 10 * time.Second
+	// excessWeight is the weight of the newest answer in a link's excess.
+	excessWeight = 0.05
 )
 
 // Link is the way from the domain of the hosts that send requests to that of the upstreams.
@@ -42,6 +44,8 @@
 	// upAt is when the link was last found to be up again.
 	upAt    clock.Instant
 	probeAt clock.Instant
+	// excess is the moving average of how much longer than usual for their upstreams answers took.
+	excess time.Duration
 }
 
 // Links holds the state of links. It is not safe for concurrent use.
@@ -69,6 +73,25 @@
 	clear(st.upstreams)
 }
 
+// Answered reports by how much an answer over a link was later than its upstream's usually are.
+func (ls *Links) Answered(lk Link, excess time.Duration) {
+	st := ls.state(lk)
+	st.excess += time.Duration(excessWeight * float64(excess-st.excess))
+}
+
+// Delay returns how much longer answers of a domain take over a link than within the domain.
+func (ls *Links) Delay(lk Link) time.Duration {
+	st, known := ls.states[lk]
+	if !known || lk.From == lk.To {
+		return 0
+	}
+	within := time.Duration(0)
+	if home, known := ls.states[Link{lk.To, lk.To}]; known {
+		within = home.excess
+	}
+	return max(st.excess-within, 0)
+}
+
 // Lost reports that a request got no reply. It returns true if the link counts as down from now on.
 // A request that was sent before the newest reply says nothing of the link.
 func (ls *Links) Lost(now clock.Instant, lk Link, id ident.Upstream, sentAt clock.Instant) bool {
@@ -89,6 +112,19 @@
 	return true
 }
 
+// Restored reports that the hosts of a domain that was cut off hear others again.
+func (ls *Links) Restored(now clock.Instant, from ident.Domain) {
+	if !ls.Isolated(now, from) {
+		return
+	}
+	for lk, st := range ls.states {
+		if lk.From == from && st.down {
+			st.upAt, st.lost, st.down = now, 0, false
+			clear(st.upstreams)
+		}
+	}
+}
+
 // Sent reports that a request is sent over a link.
 func (ls *Links) Sent(now clock.Instant, lk Link) {
 	if st, known := ls.states[lk]; known && st.down {
--- a/internal/serving/permit/cutoff.go
+++ b/internal/serving/permit/cutoff.go
@@ -47,6 +47,9 @@
 			co.linkCmds = append(co.linkCmds, LinkCmd{Link: lk})
 		}
 		co.links.Heard(now, lk)
+		if Outcome(dn.Outcome) == Answered {
+			co.links.Answered(lk, dn.Took-us.latency)
+		}
 	}
 	return true
 }
--- a/internal/serving/permit/cutoff_test.go
+++ b/internal/serving/permit/cutoff_test.go
@@ -93,7 +93,9 @@
 			}
 			gm.Expect(ct.refused["upstreamLimited"]).To(BeZero())
 			ct.lost = func(_, _ ident.Domain) bool { return false }
+			ct.update(permit.RestoredMsg{Domain: "d0"})
 			ct.play(time.Second, "d0")
+			gm.Expect(ct.refused["domainUnreached"]).To(BeZero())
 			// 2.6 a second for each of three upstreams, and one at once for each.
 			gm.Expect(ct.sent["d1"]).To(BeNumerically("<=", 3*2.6+3), "until the entries are known")
 			ct.update(permit.ConfirmedMsg{Until: clock.Never, EntriesReadAt: ct.now})
--- a/internal/serving/permit/permit.go
+++ b/internal/serving/permit/permit.go
@@ -97,6 +97,9 @@
 // this one holds, and when the entries of upstreams were last read.
 type ConfirmedMsg struct{ Until, EntriesReadAt clock.Instant }
 
+// RestoredMsg reports that this host, in a domain, was cut off and hears others again.
+type RestoredMsg struct{ Domain ident.Domain }
+
 // TickMsg reports that time has passed. It expires permits and dispatches
 // waiting asks.
 type TickMsg struct{}
@@ -217,6 +220,9 @@
 	latencies map[ident.Service]time.Duration
 	// links holds which domains are reached from which.
 	links *locality.Links
+	spill *locality.Spill
+	// poolRooms holds the room of pools that the message which is handled has asked for.
+	poolRooms map[poolID]rooms
 	// linkCmds holds the commands about links that the next dispatch returns.
 	linkCmds []Cmd
 }
@@ -226,13 +232,14 @@
 	return &Core{
 		upstreams: map[ident.Upstream]*upstream{}, table: &assignment.Table{}, asks: map[askID]*ask{}, incarnations: map[ident.Host]uint64{},
 		waiting: map[ident.Service][]*ask{}, disownedUntil: map[keyspace.Epoch]clock.Instant{}, latencies: map[ident.Service]time.Duration{},
-		links: locality.NewLinks(),
+		links: locality.NewLinks(), spill: locality.NewSpill(), poolRooms: map[poolID]rooms{},
 	}
 }
 
 // Update handles one message and returns the resulting commands.
 func (co *Core) Update(now clock.Instant, msg any) []Cmd {
 	var cmds []Cmd
+	clear(co.poolRooms)
 	switch ms := msg.(type) {
 	case AskMsg:
 		return co.admit(now, ms.Ask)
@@ -255,6 +262,8 @@
 			us.returning = true
 		}
 		return nil
+	case RestoredMsg:
+		co.links.Restored(now, ms.Domain)
 	case ConfirmedMsg:
 		co.confirmedUntil = ms.Until
 		co.confirmUpstreams(ms.EntriesReadAt)
--- a/internal/serving/permit/queue.go
+++ b/internal/serving/permit/queue.go
@@ -138,7 +138,7 @@
 	if us == nil {
 		return es, false
 	}
-	es = Estimate{Upstream: us.ID, Latency: us.latency, Busy: us.busy(now), Ahead: co.ahead(ak, us), Cold: us.cold(now), Limit: co.limitOf(now, us)}
+	es = Estimate{Upstream: us.ID, Latency: us.latency, Busy: us.busy(now), Ahead: co.ahead(ak, us, false), Cold: us.cold(now), Limit: co.limitOf(now, us)}
 	es.Wait = us.expectedWait(now, es.Ahead, es.Limit)
 	if moving {
 		es.Wait += co.moveTimeLeft(now, ak)
@@ -163,12 +163,14 @@
 func (co *Core) estimatePool(now clock.Instant, ak *ask) (es Estimate, known bool) {
 	// Floats, as upstreams may claim slots whose sum an integer does not hold.
 	perSecond, free, limitedElsewhere := 0.0, 0.0, false
+	co.spill.Asked(now, ak.place(ak.Domain))
+	confined := co.confined(now, ak)
 	for _, us := range co.upstreamsOf[ak.Service] {
 		if !ak.inPool(us) || !us.usable {
 			continue
 		}
 		known = true
-		if co.cutOff(ak, us) {
+		if co.cutOff(ak, us) || confined && us.Domain != ak.Domain {
 			continue
 		}
 		lm := co.limitOf(now, us)
@@ -191,7 +193,7 @@
 			free++
 		}
 	}
-	es.Latency, es.Ahead = co.expectedLatency(ak.Service), co.ahead(ak, nil)
+	es.Latency, es.Ahead = co.expectedLatency(ak.Service), co.ahead(ak, nil, confined)
 	switch {
 	case perSecond > 0:
 		es.Wait = rate.PerSecond(perSecond).Interval(max(float64(es.Ahead+1)-free, 0))
@@ -204,11 +206,11 @@
 }
 
 // ahead counts the waiting asks that are served before this one; with us set,
-// only those whose keys us owns.
-func (co *Core) ahead(ak *ask, us *upstream) int {
+// only those whose keys us owns. Asks that are confined to their domain wait for its asks only.
+func (co *Core) ahead(ak *ask, us *upstream, confined bool) int {
 	count := 0
 	for _, other := range co.waiting[ak.Service] {
-		if other == ak || !other.before(ak) {
+		if other == ak || !other.before(ak) || confined && other.Domain != ak.Domain {
 			continue
 		}
 		if us != nil {
@@ -343,6 +345,7 @@
 	}
 	ak.upstream, ak.permittedAt = us, now
 	co.links.Sent(now, ak.linkTo(us))
+	co.noteRoute(now, ak, us)
 	us.running[ak.id] = ak
 	ak.permit = protocol.Permit{Ticket: ak.Ticket, Upstream: us.ID, Asker: ak.Process()}
 	if sh, found := co.table.ShareOf(ak.Service, ak.Key); ak.Keyed && found {
@@ -399,12 +402,13 @@
 	}
 	var best *upstream
 	var bestCost time.Duration
+	rt := co.route(now, ak)
 	for _, us := range available {
-		if !ak.inPool(us) || us.ID == ak.Avoid || us.paused(now, ak.Host) || !co.mayTake(now, ak, us) {
+		if rt.excludes(us) || !ak.inPool(us) || us.ID == ak.Avoid || us.paused(now, ak.Host) || !co.mayTake(now, ak, us) {
 			continue
 		}
-		cost, ok := ak.cost(now, us)
-		if ok && (best == nil || cost < bestCost || cost == bestCost && us.ID < best.ID) {
+		cost := co.cost(now, rt, us)
+		if best == nil || cost < bestCost || cost == bestCost && us.ID < best.ID {
 			best, bestCost = us, cost
 		}
 	}
--- a/internal/serving/proxy/exchange.go
+++ b/internal/serving/proxy/exchange.go
@@ -149,7 +149,7 @@
 		Request: ex.info.Request, Service: ex.service, Domain: ex.px.cf.Domain, Key: ex.info.Key, Keyed: ex.keyed(),
 		Large: ex.route.Kind == desired.Download, Repeatable: ex.repeatable(), Priority: ex.route.Priority,
 		ObjectiveLeft: time.Until(ex.objective), TimeLeft: time.Until(ex.deadline), Avoid: ex.avoid,
-		Fingerprint: ex.end.Fingerprint,
+		Fingerprint: ex.end.Fingerprint, SizeClass: ex.sizeClass(),
 	})
 	waited := time.Since(began)
 	ex.end.Waited += waited
@@ -195,6 +195,7 @@
 // upstreamResponse returns an upstream's answer as the response to the caller.
 func (ex *exchange) upstreamResponse(an *transport.Answer) *httpserver.Response {
 	ex.end.HasSignature = true
+	ex.noteSize(an)
 	hd := endToEndHeader(an.Header)
 	ex.px.cf.CallerHeaders.RewriteAnswer(hd, ex.info, ex.end.Upstream)
 	return &httpserver.Response{Status: an.Status, Header: hd, Body: an.Body, Rest: an.Rest, Length: an.Length}
--- a/internal/serving/proxy/proxy.go
+++ b/internal/serving/proxy/proxy.go
@@ -141,6 +141,8 @@
 	TimeLimit time.Duration
 	// Fingerprint is 0 if the request has no service.
 	Fingerprint ident.Fingerprint
+	// RequestBytes and AnswerBytes are the sizes of the bodies if an upstream's answer is passed on.
+	RequestBytes, AnswerBytes int64
 }
 
 // Config configures a Proxy.
@@ -179,11 +181,12 @@
 	cf     Config
 	splits trafficSplits
 	limits timeLimits
+	sizes  answerSizes
 }
 
 // New makes a Proxy.
 func New(cf Config) *Proxy {
-	return &Proxy{cf: cf, splits: newTrafficSplits(), limits: newTimeLimits()}
+	return &Proxy{cf: cf, splits: newTrafficSplits(), limits: newTimeLimits(), sizes: newAnswerSizes()}
 }
 
 // MayBreakOff reports whether the response to a request may break off after a part of it was passed
