--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -407,6 +407,30 @@
 		"internal/ownership/leader/move.go", "return held <= co.renewalsEndAt(now, mv).Add(maxGrantTime(renewal.GrantTTL))", "return held > 0",
 		[]string{"-run=TestKeysOfUnreachableOwner", "./internal/ownership/leader"},
 	},
+	"a full domain takes the requests of others": {
+		"internal/serving/permit/cost.go", "rt.stays || rt.rooms.in(us.Domain).guests == 0", "rt.stays",
+		[]string{"-run=TestSpill", "./internal/serving/permit"},
+	},
+	"requests leave a domain that has room": {
+		"internal/serving/permit/cost.go", "return cost + rt.leave + co", "return cost + co",
+		[]string{"-run=TestSpill", "./internal/serving/permit"},
+	},
+	"requests leave a domain that will have room in a moment": {
+		"internal/serving/permit/cost.go", "home.Free == 0 && now < rq.StayUntil()", "home.Free == 0 && now < 0",
+		[]string{"-run=TestSpill", "./internal/serving/permit"},
+	},
+	"asks that may not leave their domain count on the room of others": {
+		"internal/serving/permit/queue.go", " || confined && us.Domain != ak.Domain", "",
+		[]string{"-run=TestSpill", "./internal/serving/permit"},
+	},
+	"load goes on to a domain that is cut off": {
+		"internal/serving/permit/queue.go", " && co.links.Allows(now, ak.linkTo(us))", "",
+		[]string{"-run=TestCutOffDomain", "./internal/serving/permit"},
+	},
+	"two full domains send each other their load": {
+		"internal/serving/locality/spill.go", "reserve = busyGuestReserve", "reserve = guestReserve",
+		[]string{"-run=TestGuestRoom", "./internal/serving/locality"},
+	},
 	"the cold rate is not enforced": {
 		"internal/serving/permit/queue.go", "	if us.cold(now) {\n		lm = lm.Tighter(", "	if false {\n		lm = lm.Tighter(",
 		[]string{"./internal/serving/permit"},
