Forgive what a cut-off domain held against the first domain that it missed

Cause: the first of two links that go down makes the other domain pass for dark, and all its upstreams for restarted, also those without a failure; only those with failures were forgiven when the second link showed where the cut is.

--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -388,7 +388,7 @@
 		[]string{"-run=TestCutOffDomain", "./internal/serving/permit"},
 	},
 	"upstreams of a dark domain that got no request pass for warm": {
-		"internal/serving/permit/cutoff.go", "us.returning = us.returning || us.Domain == to", "us.returning = us.returning || false && us.Domain == to",
+		"internal/serving/permit/cutoff.go", "us.Domain == to && !us.returning {", "false {",
 		[]string{"-run=TestDarkDomain", "./internal/serving/permit"},
 	},
 	"a dark domain passes for one that this one is cut off from": {
@@ -431,6 +431,10 @@
 		"internal/serving/locality/spill.go", "reserve = busyGuestReserve", "reserve = guestReserve",
 		[]string{"-run=TestGuestRoom", "./internal/serving/locality"},
 	},
+	"a domain that was cut off takes all upstreams of the first one that it missed for restarted": {
+		"internal/serving/permit/cutoff.go", "us.failedAt >= co.links.HeardAt(lk)", "false",
+		[]string{"-run=TestCutOffDomain", "./internal/serving/permit"},
+	},
 	"the cold rate is not enforced": {
 		"internal/serving/permit/queue.go", "	if us.cold(now) {\n		lm = lm.Tighter(", "	if false {\n		lm = lm.Tighter(",
 		[]string{"./internal/serving/permit"},
--- a/internal/serving/permit/cutoff.go
+++ b/internal/serving/permit/cutoff.go
@@ -35,7 +35,7 @@
 			return !co.links.Down(lk)
 		}
 		if down && co.links.Silent(lk.To) {
-			co.noteSilent(lk.To)
+			co.noteSilent(now, lk.To)
 		}
 	case Broken:
 		// A connection that was reset on the way, one that the upstream closed and an
@@ -77,7 +77,7 @@
 			continue
 		}
 		us.unconfirmedFrom, us.unconfirmedUntil = from, clock.Never
-		if us.failures > 0 && us.failedAt >= co.links.HeardAt(lk) {
+		if us.failedAt >= co.links.HeardAt(lk) {
 			us.failures, us.returning, us.backoffUntil, us.slowStartUntil = 0, false, 0, 0
 		}
 	}
@@ -85,9 +85,12 @@
 
 // noteSilent handles that nothing is heard of a domain: its upstreams may all have crashed, also
 // those that got no request.
-func (co *Core) noteSilent(to ident.Domain) {
+func (co *Core) noteSilent(now clock.Instant, to ident.Domain) {
 	for _, us := range co.upstreams {
-		us.returning = us.returning || us.Domain == to
+		if us.Domain == to && !us.returning {
+			us.returning = true
+			us.noteFailure(now)
+		}
 	}
 }
 
--- a/internal/serving/permit/upstream.go
+++ b/internal/serving/permit/upstream.go
@@ -65,7 +65,8 @@
 	otherRequestsUntil clock.Instant
 	// failures counts the failures since the last answer, refusals the refused requests.
 	failures, refusals int
-	// failedAt is when the first of these failures was reported.
+	// failedAt is when the first of these failures was reported, or when its whole domain was
+	// taken for silent.
 	failedAt clock.Instant
 	// refusalRatio is the moving average of the fraction of refused requests.
 	refusalRatio   float64
