Take a holder whose host alone is cut off for cut off, not all domains for dark

Found by reading: a host that is cut off by itself loses requests to all domains, its own too. That passed for domains that are silent, so it held all upstreams of its pools to the cold rate when it was back. And a domain where few requests are sent is silent only after 0.3 s without a reply: an upstream that works may be idle between two that crash.

--- a/internal/serving/locality/links.go
+++ b/internal/serving/locality/links.go
@@ -21,6 +21,9 @@
 	// minCutLinks is how many links to other domains must be down, and none of them up, before
 	// the cause is taken to be on the near side. With one, either side may be cut off.
 	minCutLinks = 2
+	// silentDelay is how long after the first lost request was reported nothing must have been
+	// heard of a domain. Where few requests are sent, an upstream that works may be idle meanwhile.
+	silentDelay = 300 * time.Millisecond
 	// linkTTL is how long a link counts that carries nothing.
 	linkTTL = 10 * time.Second
 	// excessWeight is the weight of the newest answer in a link's excess.
@@ -151,8 +154,9 @@
 	return !known || !st.down || now >= st.probeAt
 }
 
-// Isolated reports whether a domain is cut off from all others, and not they from it: it hears its
-// own upstreams, and none of the several others that it heard before.
+// Isolated reports whether a domain, or the host that sends from there, is cut off from all others,
+// and not they from it: none of several other domains is heard any more. The own domain is, or it is
+// lost too and the host alone is cut off.
 func (ls *Links) Isolated(now clock.Instant, from ident.Domain) bool {
 	down := 0
 	since := clock.Never
@@ -169,11 +173,11 @@
 		}
 	}
 	home, known := ls.states[Link{from, from}]
-	return down >= minCutLinks && known && !home.down && home.heardAt > since
+	return down >= minCutLinks && known && (home.down || home.heardAt > since)
 }
 
 // Silent reports whether nothing was heard of a domain since requests over a link to it were lost.
-func (ls *Links) Silent(to ident.Domain) bool {
+func (ls *Links) Silent(now clock.Instant, to ident.Domain) bool {
 	lostAt, heardAt := clock.Never, clock.Instant(0)
 	for lk, st := range ls.states {
 		switch {
@@ -184,5 +188,5 @@
 			heardAt = max(heardAt, st.heardAt)
 		}
 	}
-	return lostAt != clock.Never && heardAt < lostAt
+	return lostAt != clock.Never && heardAt < lostAt && now.Sub(lostAt) >= silentDelay
 }
--- a/internal/serving/locality/links_test.go
+++ b/internal/serving/locality/links_test.go
@@ -33,7 +33,8 @@
 		"a domain goes dark":               {steps: append(reached[:3:3], step{to: "b", lost: 4, upstreams: 2}, step{to: "a", heard: true}), down: true, silent: true},
 		"it is back":                       {steps: append(reached[:3:3], step{to: "b", lost: 4, upstreams: 2}, step{to: "b", heard: true})},
 		"all other domains are lost":       {steps: append(reached[:3:3], step{to: "b", lost: 4, upstreams: 2}, step{to: "c", lost: 4, upstreams: 2}, step{to: "a", heard: true}), down: true, isolated: true, silent: true},
-		"its own is lost too":              {steps: append(reached[:3:3], step{to: "b", lost: 4, upstreams: 2}, step{to: "c", lost: 4, upstreams: 2}), down: true, silent: true},
+		"its own is not heard since":       {steps: append(reached[:3:3], step{to: "b", lost: 4, upstreams: 2}, step{to: "c", lost: 4, upstreams: 2}), down: true, silent: true},
+		"the host alone is cut off":        {steps: append(reached[:3:3], step{to: "b", lost: 4, upstreams: 2}, step{to: "c", lost: 4, upstreams: 2}, step{to: "a", lost: 4, upstreams: 2}), down: true, isolated: true, silent: true},
 		"one of the others is back":        {steps: append(reached[:3:3], step{to: "b", lost: 4, upstreams: 2}, step{to: "c", lost: 4, upstreams: 2}, step{to: "a", heard: true}, step{to: "c", heard: true}), down: true, silent: true},
 		"the only other domain goes dark":  {steps: []step{{to: "a", heard: true}, {to: "b", lost: 4, upstreams: 2}, {to: "a", heard: true}}, down: true, silent: true},
 		"another domain hears its replies": {steps: append(reached[:3:3], step{to: "b", lost: 4, upstreams: 2}, step{to: "from c", heard: true}), down: true},
@@ -58,7 +59,7 @@
 			lk := locality.Link{From: "a", To: "b"}
 			gm.Expect(ls.Down(lk)).To(Equal(tc.down))
 			gm.Expect(ls.Isolated(now, "a")).To(Equal(tc.isolated))
-			gm.Expect(ls.Silent("b")).To(Equal(tc.silent))
+			gm.Expect(ls.Silent(now.Add(time.Second), "b")).To(Equal(tc.silent))
 			gm.Expect(ls.Allows(now, lk)).To(BeTrue(), "a probe")
 			ls.Sent(now, lk)
 			gm.Expect(ls.Allows(now.Add(time.Millisecond), lk)).To(Equal(!tc.down))
--- a/internal/serving/permit/cutoff.go
+++ b/internal/serving/permit/cutoff.go
@@ -19,7 +19,7 @@
 }
 
 // noteLink notes what the end of a request says of the link that it took. It returns false if it
-// says nothing of the upstream, since the domain of the host is cut off.
+// says nothing of the upstream, since the host or its domain is cut off.
 func (co *Core) noteLink(now clock.Instant, ak *ask, us *upstream, dn protocol.Done) bool {
 	lk, sentAt := ak.linkTo(us), now.Add(-dn.Took)
 	switch Outcome(dn.Outcome) {
@@ -34,7 +34,7 @@
 			co.noteIsolated(lk.From)
 			return !co.links.Down(lk)
 		}
-		if down && co.links.Silent(lk.To) {
+		if co.links.Down(lk) && co.links.Silent(now, lk.To) {
 			co.noteSilent(now, lk.To)
 		}
 	case Broken:
@@ -73,7 +73,7 @@
 func (co *Core) noteIsolated(from ident.Domain) {
 	for _, us := range co.upstreams {
 		lk := locality.Link{From: from, To: us.Domain}
-		if us.Domain == from || us.unconfirmedFrom == from || !co.links.Down(lk) {
+		if us.unconfirmedFrom == from || !co.links.Down(lk) {
 			continue
 		}
 		us.unconfirmedFrom, us.unconfirmedUntil = from, clock.Never
