--- a/internal/serving/permit/cutoff.go
+++ b/internal/serving/permit/cutoff.go
@@ -77,6 +77,7 @@
 			continue
 		}
 		us.unconfirmedFrom, us.unconfirmedUntil = from, clock.Never
+		co.unconfirmed = true
 		if us.failedAt >= co.links.HeardAt(lk) {
 			us.failures, us.returning, us.backoffUntil, us.slowStartUntil = 0, false, 0, 0
 		}
@@ -97,11 +98,16 @@
 // confirmUpstreams handles that the entries of upstreams were read. What is there of the domains
 // that are reached again tells which upstreams have restarted.
 func (co *Core) confirmUpstreams(readAt clock.Instant) {
+	if !co.unconfirmed {
+		return
+	}
+	co.unconfirmed = false
 	for _, us := range co.upstreams {
 		lk := locality.Link{From: us.unconfirmedFrom, To: us.Domain}
 		if us.unconfirmedFrom != "" && !co.links.Down(lk) && readAt > co.links.UpAt(lk) {
 			us.unconfirmedFrom, us.unconfirmedUntil = "", 0
 		}
+		co.unconfirmed = co.unconfirmed || us.unconfirmedFrom != ""
 	}
 }
 
--- a/internal/serving/permit/permit.go
+++ b/internal/serving/permit/permit.go
@@ -220,7 +220,9 @@
 	latencies map[ident.Service]time.Duration
 	// links holds which domains are reached from which.
 	links *locality.Links
-	spill *locality.Spill
+	// unconfirmed reports that some upstream has an unconfirmedFrom.
+	unconfirmed bool
+	spill       *locality.Spill
 	// poolRooms holds the room of pools that the message which is handled has asked for.
 	poolRooms map[poolID]rooms
 	// linkCmds holds the commands about links that the next dispatch returns.
