--- a/internal/serving/permit/cutoff.go
+++ b/internal/serving/permit/cutoff.go
@@ -117,5 +117,5 @@
 // refusesCutOff reports whether an ask for the key of an upstream that its domain does not reach
 // is refused at once: its request would wait for a connection in vain. Probes are let through.
 func (co *Core) refusesCutOff(now clock.Instant, ak *ask, us *upstream) bool {
-	return us.unconfirmedFrom == ak.Domain && co.cutOff(ak, us) && !co.mayTake(now, ak, us)
+	return (us.returning || us.unconfirmedFrom == ak.Domain) && co.cutOff(ak, us) && !co.mayTake(now, ak, us)
 }
