--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -408,7 +408,7 @@
 		[]string{"-run=TestKeysOfUnreachableOwner", "./internal/ownership/leader"},
 	},
 	"a full domain takes the requests of others": {
-		"internal/serving/permit/cost.go", "rt.stays || rt.rooms.in(us.Domain).guests == 0", "rt.stays",
+		"internal/serving/permit/cost.go", " && rt.rooms.in(us.Domain).guests == 0", " && false",
 		[]string{"-run=TestSpill", "./internal/serving/permit"},
 	},
 	"requests leave a domain that has room": {
--- a/internal/serving/permit/cost.go
+++ b/internal/serving/permit/cost.go
@@ -53,7 +53,7 @@
 	rooms rooms
 	// leave is the cost of leaving the caller's domain.
 	leave time.Duration
-	// stays means that the ask waits for an upstream in its own domain.
+	// stays means that the ask waits for an upstream in its own domain, of which none is free.
 	stays bool
 }
 
@@ -83,10 +83,9 @@
 	return cost + rt.leave + co.links.Delay(rt.ak.linkTo(us))
 }
 
-// excludes reports whether an upstream is in another domain that has no room for the ask, or while
-// the ask waits for one in its own.
+// excludes reports whether an upstream is in another domain that has no room for the ask.
 func (rt *route) excludes(us *upstream) bool {
-	return us.Domain != rt.ak.Domain && (rt.stays || rt.rooms.in(us.Domain).guests == 0)
+	return us.Domain != rt.ak.Domain && rt.rooms.in(us.Domain).guests == 0
 }
 
 // roomsOf returns the room of the ask's pool. An upstream with a limit counts with one slot, one
--- a/internal/serving/permit/queue.go
+++ b/internal/serving/permit/queue.go
@@ -403,6 +403,9 @@
 	var best *upstream
 	var bestCost time.Duration
 	rt := co.route(now, ak)
+	if rt.stays {
+		return nil
+	}
 	for _, us := range available {
 		if rt.excludes(us) || !ak.inPool(us) || us.ID == ak.Avoid || us.paused(now, ak.Host) || !co.mayTake(now, ak, us) {
 			continue
