--- a/internal/serving/locality/spill.go
+++ b/internal/serving/locality/spill.go
@@ -28,8 +28,8 @@
 	// guestReserve is the fraction of a domain's slots that is kept for its own callers,
 	// busyGuestReserve that of a domain which lately had to send requests away. The difference
 	// keeps two domains from sending each other their load.
-	guestReserve     = 1.0 / 8
-	busyGuestReserve = 1.0 / 4
+	guestReserve     = 1.0 / 16
+	busyGuestReserve = 1.0 / 8
 	// recent is how long a domain counts as one that sends requests away, or whose callers ask.
 	recent = time.Second
 	// maxPlaces bounds the state, whatever services and pools asks name.
