--- a/internal/serving/locality/spill.go
+++ b/internal/serving/locality/spill.go
@@ -25,13 +25,11 @@
 	// its slack to stay. Each class below uses one part less.
 	wholeShareClass SizeClass = 3
 	maxSlackShare             = 0.5
-	// guestReserve is the fraction of a domain's slots that is kept for its own callers,
-	// busyGuestReserve that of a domain which lately had to send requests away. The difference
-	// keeps two domains from sending each other their load.
-	guestReserve     = 1.0 / 16
-	busyGuestReserve = 1.0 / 8
-	// recent is how long a domain counts as one that sends requests away, or whose callers ask.
-	recent = time.Second
+	// slotsPerReserved is for how many slots a domain that had to send requests away keeps one
+	// for its own callers, until reserveTTL after the last. What is freed while it has no more
+	// than it keeps goes to them, so that two full domains do not send each other their load.
+	slotsPerReserved = 16
+	reserveTTL       = time.Second
 	// maxPlaces bounds the state, whatever services and pools asks name.
 	maxPlaces = 4096
 )
@@ -95,47 +93,28 @@
 	Domain      ident.Domain
 }
 
-// placeState says when a place was last short of room, and when its domain's callers last asked.
-type placeState struct{ sentAwayAt, askedAt clock.Instant }
-
 // Spill decides how much load a domain takes from others. It is not safe for concurrent use.
-type Spill struct{ places map[Place]placeState }
+type Spill struct {
+	// sentAwayAt is when a request of a place's own domain last left it for lack of room.
+	sentAwayAt map[Place]clock.Instant
+}
 
 // NewSpill returns a Spill that has seen no requests.
-func NewSpill() *Spill { return &Spill{places: map[Place]placeState{}} }
-
-// Asked reports a request of a caller in the place's own domain.
-func (sp *Spill) Asked(now clock.Instant, pl Place) {
-	st := sp.places[pl]
-	st.askedAt = now
-	sp.set(pl, st)
-}
+func NewSpill() *Spill { return &Spill{sentAwayAt: map[Place]clock.Instant{}} }
 
 // SentAway reports that a request of the place's own domain left it, since it had no room.
 func (sp *Spill) SentAway(now clock.Instant, pl Place) {
-	st := sp.places[pl]
-	st.sentAwayAt = now
-	sp.set(pl, st)
-}
-
-func (sp *Spill) set(pl Place, st placeState) {
-	if len(sp.places) >= maxPlaces {
-		clear(sp.places)
+	if len(sp.sentAwayAt) >= maxPlaces {
+		clear(sp.sentAwayAt)
 	}
-	sp.places[pl] = st
+	sp.sentAwayAt[pl] = now
 }
 
-// GuestRoom returns how many more requests of other domains a place takes. What it keeps for its
-// own callers is kept only while there are some.
+// GuestRoom returns how many more requests of other domains a place takes.
 func (sp *Spill) GuestRoom(now clock.Instant, pl Place, rm Room) int {
-	st := sp.places[pl]
-	reserve := 0.0
-	switch {
-	case st.askedAt == 0 || now.Sub(st.askedAt) >= recent:
-	case st.sentAwayAt > 0 && now.Sub(st.sentAwayAt) < recent:
-		reserve = busyGuestReserve
-	default:
-		reserve = guestReserve
+	at, known := sp.sentAwayAt[pl]
+	if !known || now.Sub(at) >= reserveTTL {
+		return rm.Free
 	}
-	return max(rm.Free-int(reserve*float64(rm.Slots)), 0)
+	return max(rm.Free-max(rm.Slots/slotsPerReserved, 1), 0)
 }
--- a/internal/serving/permit/queue.go
+++ b/internal/serving/permit/queue.go
@@ -163,7 +163,6 @@
 func (co *Core) estimatePool(now clock.Instant, ak *ask) (es Estimate, known bool) {
 	// Floats, as upstreams may claim slots whose sum an integer does not hold.
 	perSecond, free, limitedElsewhere := 0.0, 0.0, false
-	co.spill.Asked(now, ak.place(ak.Domain))
 	confined := co.confined(now, ak)
 	for _, us := range co.upstreamsOf[ak.Service] {
 		if !ak.inPool(us) || !us.usable {
