--- a/internal/serving/locality/spill.go
+++ b/internal/serving/locality/spill.go
@@ -116,5 +116,5 @@
 	if !known || now.Sub(at) >= reserveTTL {
 		return rm.Free
 	}
-	return max(rm.Free-max(rm.Slots/slotsPerReserved, 1), 0)
+	return max(rm.Free-(rm.Slots+slotsPerReserved-1)/slotsPerReserved, 0)
 }
