--- a/internal/fleet/gateway/permitclient_test.go
+++ b/internal/fleet/gateway/permitclient_test.go
@@ -174,3 +174,29 @@
 		})
 	}
 }
+
+// TestLimitHeldElsewhere guards against callers who are refused as a holder that was cut off takes an
+// upstream for cold, though another holder uses it, and against asks that go on from holder to holder.
+func TestLimitHeldElsewhere(t *testing.T) {
+	gm := NewWithT(t)
+	socket, err := net.ListenUDP("udp", nil)
+	gm.Expect(err).NotTo(HaveOccurred())
+	defer func() { gm.Expect(socket.Close()).To(Succeed()) }()
+	gw := &Gateway{self: assignment.Member{Host: "self"}, socket: socket, upstreamCount: map[ident.Service]int{"files": 1}, suspects: suspects{core: quarantine.New()}}
+	gw.permitClient = newPermitClient(gw)
+	pc := &gw.permitClient
+	gw.table.Store(&assignment.Table{Members: []assignment.Member{
+		{Host: "h0", Address: "127.0.0.1:9", Fitness: 20, Alive: true}, {Host: "h1", Address: "127.0.0.1:9", Fitness: 20, Alive: true},
+	}})
+	pa := &pendingAcquire{ask: protocol.Ask{Service: "files", Ticket: 7}, deadline: gw.clock.Now().Add(time.Second), reply: make(chan acquireResult, 1)}
+	pc.pending[7] = pa
+	pc.tryNextHolder(gw.clock.Now(), pa)
+	first := pa.holder
+	refusal := protocol.Refusal{Ticket: 7, Reason: permit.LimitHeldElsewhere}
+	pc.handleRefusal(pa.address, refusal)
+	gm.Expect(pa.holder).NotTo(Equal(first))
+	gm.Expect(pa.ask.Fallback).To(BeTrue())
+	gm.Expect(pc.pending).To(HaveKey(protocol.Ticket(7)))
+	pc.handleRefusal(pa.address, refusal)
+	gm.Expect(pc.pending).To(BeEmpty())
+}
--- a/internal/fleet/gateway/permitreplies.go
+++ b/internal/fleet/gateway/permitreplies.go
@@ -78,9 +78,17 @@
 	if !pc.isOwn(from, "refusal", rf.Asker, rf.Ticket) {
 		return
 	}
-	if pa, ok := pc.pendingFrom(from, rf.Ticket); ok {
-		pc.finish(pa, acquireResult{refusal: &rf})
+	pa, ok := pc.pendingFrom(from, rf.Ticket)
+	if !ok {
+		return
+	}
+	if rf.Reason == permit.LimitHeldElsewhere && len(pa.skipped) == 0 {
+		// A holder that was cut off until now takes upstreams for cold that others use.
+		pa.skipped = append(pa.skipped, pa.holder)
+		pc.tryNextHolder(pc.gw.clock.Now(), pa)
+		return
 	}
+	pc.finish(pa, acquireResult{refusal: &rf})
 }
 
 func (pc *permitClient) handleQueued(now clock.Instant, from string, qd protocol.Queued) {
--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -435,6 +435,10 @@
 		"internal/serving/permit/cutoff.go", "us.failedAt >= co.links.HeardAt(lk)", "false",
 		[]string{"-run=TestCutOffDomain", "./internal/serving/permit"},
 	},
+	"a holder that was cut off refuses what others would serve": {
+		"internal/fleet/gateway/permitreplies.go", "if rf.Reason == permit.LimitHeldElsewhere && ", "if false && ",
+		[]string{"-run=TestLimitHeldElsewhere", "./internal/fleet/gateway"},
+	},
 	"the cold rate is not enforced": {
 		"internal/serving/permit/queue.go", "	if us.cold(now) {\n		lm = lm.Tighter(", "	if false {\n		lm = lm.Tighter(",
 		[]string{"./internal/serving/permit"},
--- a/internal/serving/permit/cutoff.go
+++ b/internal/serving/permit/cutoff.go
@@ -13,6 +13,10 @@
 // not reach: a cut is over or known to the leader in some seconds, not at once.
 const cutOffRetryAfter = time.Second
 
+// LimitHeldElsewhere is the reason of a refusal by a holder that is not the regular one, or does not
+// know that it is, for an upstream that it takes for limited or cold.
+const LimitHeldElsewhere = "limitHeldElsewhere"
+
 // linkTo returns the link over which an ask's request reaches an upstream.
 func (ak *ask) linkTo(us *upstream) locality.Link {
 	return locality.Link{From: ak.Domain, To: us.Domain}
--- a/internal/serving/permit/queue.go
+++ b/internal/serving/permit/queue.go
@@ -74,7 +74,7 @@
 	case us != nil && co.refusesCutOff(now, ak, us):
 		return append(cmds, ak.refuse(now, cutOffRetryAfter, "domainUnreached", es))
 	case us != nil && es.Limit.Named && msg.Fallback:
-		return append(cmds, ak.refuse(now, fallbackRetryAfter, "limitHeldElsewhere", es))
+		return append(cmds, ak.refuse(now, fallbackRetryAfter, LimitHeldElsewhere, es))
 	}
 	ak.refuseAt = ak.deadline.Add(-es.Latency)
 	if es.Wait+time.Duration(latencyMargin*float64(es.Latency)) > msg.ObjectiveLeft {
