--- a/internal/fleet/gateway/loop.go
+++ b/internal/fleet/gateway/loop.go
@@ -281,7 +281,7 @@
 		refuseAt := gw.refuseAt(up, sv.Keyed, evacuated, out)
 		domains[up.ID] = up.Domain
 		gw.upstreamCount[up.Service]++
-		endpoints[up.ID] = endpoint{service: up.Service, address: up.Address, refuseAt: refuseAt}
+		endpoints[up.ID] = endpoint{service: up.Service, domain: up.Domain, address: up.Address, refuseAt: refuseAt}
 		// An upstream that refuses new requests gets no permits, but the leader still
 		// has to move its keys.
 		if now < refuseAt {
@@ -408,6 +408,8 @@
 			})
 		case permit.QueuedCmd:
 			gw.sendToHost(cmd.Host, cmd.Queued)
+		case permit.LinkCmd:
+			gw.config.Log.Event("domainLink", eventlog.Fields{"from": cmd.From, "to": cmd.To, "down": cmd.Down, "isolated": cmd.Isolated})
 		}
 	}
 }
--- a/internal/fleet/gateway/peers.go
+++ b/internal/fleet/gateway/peers.go
@@ -81,6 +81,9 @@
 		gw.updateAgent(agent.StatusMsg{Status: ms, From: ev.from.String()})
 		gw.answerStatus(now, ms, ev.from)
 	case protocol.Heartbeat:
+		if ms.Term >= gw.agent.Term() && ms.Leader != "" {
+			gw.permitClient.noteLeaderHeard(now)
+		}
 		if ms.Term >= gw.agent.Term() && gw.leaderSendsRows.Swap(ms.SendsOperatorRows) != ms.SendsOperatorRows {
 			wake(gw.rowsWake)
 		}
--- a/internal/fleet/gateway/permitreplies.go
+++ b/internal/fleet/gateway/permitreplies.go
@@ -35,7 +35,11 @@
 // that was skipped may still reply; its permit is released.
 func (pc *permitClient) pendingFrom(from string, ticket protocol.Ticket) (*pendingAcquire, bool) {
 	pa, known := pc.pending[ticket]
-	return pa, known && pa.address == from
+	if !known || pa.address != from {
+		return pa, false
+	}
+	delete(pc.suspectUntil, pa.holder)
+	return pa, true
 }
 
 // handlePermit handles a permit from another host.
@@ -74,9 +78,17 @@
 	if !pc.isOwn(from, "refusal", rf.Asker, rf.Ticket) {
 		return
 	}
-	if pa, ok := pc.pendingFrom(from, rf.Ticket); ok {
-		pc.finish(pa, acquireResult{refusal: &rf})
+	pa, ok := pc.pendingFrom(from, rf.Ticket)
+	if !ok {
+		return
+	}
+	if rf.Reason == permit.LimitHeldElsewhere && len(pa.skipped) == 0 {
+		// A holder that was cut off until now takes upstreams for cold that others use.
+		pa.skipped = append(pa.skipped, pa.holder)
+		pc.tryNextHolder(pc.gw.clock.Now(), pa)
+		return
 	}
+	pc.finish(pa, acquireResult{refusal: &rf})
 }
 
 func (pc *permitClient) handleQueued(now clock.Instant, from string, qd protocol.Queued) {
--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -459,6 +459,66 @@
 		"internal/serving/permit/upstream.go", "us.returning, us.slowStartUntil = false, now.Add(slowStartTime)", "us.returning = false",
 		[]string{"-run=TestReturnAfterCrash", "./internal/serving/permit"},
 	},
+	"a domain that is cut off takes its lost requests for failures of upstreams": {
+		"internal/serving/permit/cutoff.go", "return !co.links.Down(lk)", "return true",
+		[]string{"-run=TestCutOffDomain", "./internal/serving/permit"},
+	},
+	"upstreams pass for warm before their entries are read after a cut": {
+		"internal/serving/permit/cutoff.go", "us.unconfirmedUntil = from, clock.Never", "us.unconfirmedUntil = from, 0",
+		[]string{"-run=TestCutOffDomain", "./internal/serving/permit"},
+	},
+	"upstreams of a dark domain that got no request pass for warm": {
+		"internal/serving/permit/cutoff.go", "us.Domain == to && !us.returning {", "false {",
+		[]string{"-run=TestDarkDomain", "./internal/serving/permit"},
+	},
+	"a dark domain passes for one that this one is cut off from": {
+		"internal/serving/locality/links.go", "return down >= minCutLinks && ", "return down >= 1 && ",
+		[]string{"-run=TestLinks", "./internal/serving/locality"},
+	},
+	"all asks wait for a holder that is tried again": {
+		"internal/fleet/gateway/permitclient.go", "if _, suspect := pc.suspectUntil[pa.holder]; suspect {", "if false {",
+		[]string{"-run=TestSilentHolder", "./internal/fleet/gateway"},
+	},
+	"an old owner that is back is not asked for its keys": {
+		"internal/ownership/leader/move.go", "mv.tries >= maxFenceTries+maxLateFenceTries {", "true {",
+		[]string{"-run=TestKeysOfUnreachableOwner", "./internal/ownership/leader"},
+	},
+	"attempts to fence an old owner hold its keys beyond its grant": {
+		"internal/ownership/leader/move.go", "return held <= co.renewalsEndAt(now, mv).Add(maxGrantTime(renewal.GrantTTL))", "return held > 0",
+		[]string{"-run=TestKeysOfUnreachableOwner", "./internal/ownership/leader"},
+	},
+	"a full domain takes the requests of others": {
+		"internal/serving/permit/cost.go", " && rt.rooms.in(us.Domain).guests == 0", " && false",
+		[]string{"-run=TestSpill", "./internal/serving/permit"},
+	},
+	"requests leave a domain that has room": {
+		"internal/serving/permit/cost.go", "return cost + rt.leave + co", "return cost + co",
+		[]string{"-run=TestSpill", "./internal/serving/permit"},
+	},
+	"requests leave a domain that will have room in a moment": {
+		"internal/serving/permit/cost.go", "home.Free == 0 && now < rq.StayUntil()", "home.Free == 0 && now < 0",
+		[]string{"-run=TestSpill", "./internal/serving/permit"},
+	},
+	"asks that may not leave their domain count on the room of others": {
+		"internal/serving/permit/queue.go", " || confined && us.Domain != ak.Domain", "",
+		[]string{"-run=TestSpill", "./internal/serving/permit"},
+	},
+	"load goes on to a domain that is cut off": {
+		"internal/serving/permit/queue.go", " && co.links.Allows(now, ak.linkTo(us))", "",
+		[]string{"-run=TestCutOffDomain", "./internal/serving/permit"},
+	},
+	"two full domains send each other their load": {
+		"internal/serving/locality/spill.go", "if !known || now.Sub(at) >= reserveTTL {", "if !known || now.Sub(at) >= 0 {",
+		[]string{"-run=TestGuestRoom", "./internal/serving/locality"},
+	},
+	"a domain that was cut off takes all upstreams of the first one that it missed for restarted": {
+		"internal/serving/permit/cutoff.go", "us.failedAt >= co.links.HeardAt(lk)", "false",
+		[]string{"-run=TestCutOffDomain", "./internal/serving/permit"},
+	},
+	"a holder that was cut off refuses what others would serve": {
+		"internal/fleet/gateway/permitreplies.go", "if rf.Reason == permit.LimitHeldElsewhere && ", "if false && ",
+		[]string{"-run=TestLimitHeldElsewhere", "./internal/fleet/gateway"},
+	},
 	"the cold rate is not enforced": {
 		"internal/serving/permit/queue.go", "	if us.cold(now) {\n		lm = lm.Tighter(", "	if false {\n		lm = lm.Tighter(",
 		[]string{"./internal/serving/permit"},
--- a/internal/serving/permit/capacity.go
+++ b/internal/serving/permit/capacity.go
@@ -18,14 +18,18 @@
 	limited, limitedElsewhere bool
 }
 
-// poolCapacity returns the capacity of the ask's pool; known is false if it has no upstreams.
-func (co *Core) poolCapacity(now clock.Instant, ak *ask) (pc poolCapacity, known bool) {
+// poolCapacity returns the capacity of the ask's pool, or with confined that of the part in the
+// ask's domain; known is false if the pool has no upstreams.
+func (co *Core) poolCapacity(now clock.Instant, ak *ask, confined bool) (pc poolCapacity, known bool) {
 	unlimited := false
 	for _, us := range co.upstreamsOf[ak.Service] {
 		if !ak.inPool(us) || !us.usable {
 			continue
 		}
 		known = true
+		if co.cutOff(ak, us) || confined && us.Domain != ak.Domain {
+			continue
+		}
 		lm := co.limitOf(now, us)
 		pc.limited, unlimited = pc.limited || lm.Named, unlimited || !lm.Named
 		if lm.Named && ak.Fallback {
--- a/internal/serving/permit/patience.go
+++ b/internal/serving/permit/patience.go
@@ -85,9 +85,10 @@
 
 // isBetterLater reports whether an ask of a pool is on time at an upstream that has no room yet.
 func (co *Core) isBetterLater(now clock.Instant, ak *ask) bool {
+	rt := co.route(now, ak)
 	for _, us := range co.upstreamsOf[ak.Service] {
 		lm := co.limitOf(now, us)
-		if !ak.inPool(us) || !us.usable || us.ID == ak.Avoid || us.paused(now, ak.Host) || lm.Named {
+		if !ak.inPool(us) || !us.usable || us.ID == ak.Avoid || us.paused(now, ak.Host) || lm.Named || co.cutOff(ak, us) || rt.excludes(us) {
 			continue
 		}
 		wait := us.expectedWait(now, 0, lm, &ak.work.shape)
@@ -145,7 +146,7 @@
 			wait += co.moveTimeLeft(now, ak)
 		}
 	} else {
-		pc, known := co.poolCapacity(now, ak)
+		pc, known := co.poolCapacity(now, ak, false)
 		if !known || pc.limited {
 			return false
 		}
@@ -154,18 +155,12 @@
 	return now.Add(co.lateWait(now, ak, wait)) > ak.refuseAt
 }
 
-// poolOf identifies the pool of a service that an ask is for.
-type poolOf struct {
-	service     ident.Service
-	pool, pools int
-}
-
 // demandOf returns the on-time demand that the ask belongs to: for its owner or its pool.
 func (co *Core) demandOf(ak *ask) *demand {
 	if us, _ := co.owner(ak); ak.Keyed && us != nil {
 		return &us.demand
 	}
-	id := poolOf{ak.Service, ak.Pool, ak.Pools}
+	id := ak.poolID()
 	if co.demands[id] == nil {
 		co.demands[id] = &demand{}
 	}
@@ -204,7 +199,7 @@
 	if us, _ := co.owner(ak); ak.Keyed && us != nil {
 		capacity = float64(us.slots) / us.latency.Seconds()
 	} else {
-		pc, _ := co.poolCapacity(now, ak)
+		pc, _ := co.poolCapacity(now, ak, false)
 		capacity = pc.perSecond
 	}
 	share := maxOnTimeShare
--- a/internal/serving/permit/permit.go
+++ b/internal/serving/permit/permit.go
@@ -23,6 +23,7 @@
 	"chervilwalk/internal/catalog/desired"
 	"chervilwalk/internal/catalog/roster"
 	"chervilwalk/internal/peer/protocol"
+	"chervilwalk/internal/serving/locality"
 )
 
 // Outcome is the result of a permit: what happened to the request.
@@ -93,8 +94,11 @@
 }
 
 // ConfirmedMsg reports until when no other host can have become the holder of the pools that
-// this one holds.
-type ConfirmedMsg struct{ Until clock.Instant }
+// this one holds, and when the entries of upstreams were last read.
+type ConfirmedMsg struct{ Until, EntriesReadAt clock.Instant }
+
+// RestoredMsg reports that this host, in a domain, was cut off and hears others again.
+type RestoredMsg struct{ Domain ident.Domain }
 
 // TickMsg reports that time has passed. It expires permits and dispatches
 // waiting asks.
@@ -155,7 +159,16 @@
 	Queued protocol.Queued
 }
 
-// Cmd is an IssueCmd, RefuseCmd or QueuedCmd.
+// LinkCmd reports that hosts of a domain do not reach the upstreams of another any more, or do
+// again.
+type LinkCmd struct {
+	locality.Link
+	Down bool
+	// Isolated means that they reach those of no other domain.
+	Isolated bool
+}
+
+// Cmd is an IssueCmd, RefuseCmd, QueuedCmd or LinkCmd.
 type Cmd any
 
 // askID identifies an ask across all hosts.
@@ -222,10 +235,19 @@
 	// initialShape is the distribution of kinds that have not been answered yet.
 	initialShape latencyShape
 	// demands holds the on-time demand of each pool.
-	demands map[poolOf]*demand
+	demands map[poolID]*demand
 	// reviewAt is when each service's waiting asks are next checked for those that wait
 	// in vain.
 	reviewAt map[ident.Service]clock.Instant
+	// links holds which domains are reached from which.
+	links *locality.Links
+	// unconfirmed reports that some upstream has an unconfirmedFrom.
+	unconfirmed bool
+	spill       *locality.Spill
+	// poolRooms holds the room of pools that the message which is handled has asked for.
+	poolRooms map[poolID]rooms
+	// linkCmds holds the commands about links that the next dispatch returns.
+	linkCmds []Cmd
 }
 
 // New returns a core without upstreams; UpstreamsMsg sets them.
@@ -233,13 +255,15 @@
 	return &Core{
 		upstreams: map[ident.Upstream]*upstream{}, table: &assignment.Table{}, asks: map[askID]*ask{}, incarnations: map[ident.Host]uint64{},
 		waiting: map[ident.Service][]*ask{}, disownedUntil: map[keyspace.Epoch]clock.Instant{}, latencies: map[ident.Service]time.Duration{},
-		kinds: map[ident.Service]map[kind]*work{}, initialShape: newLatencyShape(), moves: newMoveShape(), demands: map[poolOf]*demand{}, reviewAt: map[ident.Service]clock.Instant{},
+		kinds: map[ident.Service]map[kind]*work{}, initialShape: newLatencyShape(), moves: newMoveShape(), demands: map[poolID]*demand{}, reviewAt: map[ident.Service]clock.Instant{},
+		links: locality.NewLinks(), spill: locality.NewSpill(), poolRooms: map[poolID]rooms{},
 	}
 }
 
 // Update handles one message and returns the resulting commands.
 func (co *Core) Update(now clock.Instant, msg any) []Cmd {
 	var cmds []Cmd
+	clear(co.poolRooms)
 	switch ms := msg.(type) {
 	case AskMsg:
 		return co.admit(now, ms.Ask)
@@ -262,8 +286,11 @@
 			us.returning = true
 		}
 		return nil
+	case RestoredMsg:
+		co.links.Restored(now, ms.Domain)
 	case ConfirmedMsg:
 		co.confirmedUntil = ms.Until
+		co.confirmUpstreams(ms.EntriesReadAt)
 		return nil
 	}
 	co.expire(now)
@@ -371,7 +398,9 @@
 	us := ak.upstream
 	delete(us.running, id)
 	answered := us.answered
-	us.observe(now, dn, ak.usual)
+	if co.noteLink(now, ak, us, dn) {
+		us.observe(now, dn, ak.usual)
+	}
 	if us.answered != answered {
 		co.boundSlots(us.Service)
 	}
--- a/internal/serving/permit/queue.go
+++ b/internal/serving/permit/queue.go
@@ -54,8 +54,10 @@
 	switch {
 	case us != nil && us.paused(now, msg.Host):
 		return append(cmds, ak.refuse(now, us.pausedUntil[msg.Host].Sub(now), "upstreamPaused", es))
+	case us != nil && co.refusesCutOff(now, ak, us):
+		return append(cmds, ak.refuse(now, cutOffRetryAfter, "domainUnreached", es))
 	case us != nil && es.Limit.Named && msg.Fallback:
-		return append(cmds, ak.refuse(now, fallbackRetryAfter, "limitHeldElsewhere", es))
+		return append(cmds, ak.refuse(now, fallbackRetryAfter, LimitHeldElsewhere, es))
 	}
 	if !co.isLate(now, ak, 0, es.Latency) {
 		co.demandOf(ak).count(now)
@@ -126,7 +128,7 @@
 	if us == nil {
 		return es, false
 	}
-	es = Estimate{Upstream: us.ID, Busy: us.busy(now), Ahead: co.ahead(ak, us), Cold: us.cold(now), Limit: co.limitOf(now, us), Disturbance: us.disturbance.factor(now)}
+	es = Estimate{Upstream: us.ID, Busy: us.busy(now), Ahead: co.ahead(ak, us, false), Cold: us.cold(now), Limit: co.limitOf(now, us), Disturbance: us.disturbance.factor(now)}
 	es.Wait = us.expectedWait(now, es.Ahead, es.Limit, &ak.work.shape)
 	if moving {
 		es.Wait += co.moveTimeLeft(now, ak)
@@ -150,19 +152,20 @@
 
 // estimatePool is estimate for an ask that any upstream of its pool can serve.
 func (co *Core) estimatePool(now clock.Instant, ak *ask) (es Estimate, known bool) {
-	pc, known := co.poolCapacity(now, ak)
-	es.Busy, es.Latency, es.Ahead = pc.busy, co.expectedLatencyFor(now, ak), co.ahead(ak, nil)
+	confined := co.confined(now, ak)
+	pc, known := co.poolCapacity(now, ak, confined)
+	es.Busy, es.Latency, es.Ahead = pc.busy, co.expectedLatencyFor(now, ak), co.ahead(ak, nil, confined)
 	es.Limit.Named = pc.limited
 	es.Wait = pc.wait(es.Ahead)
 	return es, known
 }
 
 // ahead counts the waiting asks that are served before this one; with us set,
-// only those whose keys us owns.
-func (co *Core) ahead(ak *ask, us *upstream) int {
+// only those whose keys us owns. Asks that are confined to their domain wait for its asks only.
+func (co *Core) ahead(ak *ask, us *upstream, confined bool) int {
 	higher, same := 0, 0
 	for _, other := range co.waiting[ak.Service] {
-		if other == ak || !other.before(ak) {
+		if other == ak || !other.before(ak) || confined && other.Domain != ak.Domain {
 			continue
 		}
 		if us != nil {
@@ -248,7 +251,7 @@
 // dispatch refuses the overdue asks of a service and issues permits to the
 // others, in queue order, while upstreams are available.
 func (co *Core) dispatch(now clock.Instant, sv ident.Service) []Cmd {
-	cmds := co.refuseOverdue(now, sv)
+	cmds := append(co.takeLinkCmds(), co.refuseOverdue(now, sv)...)
 	if len(co.waiting[sv]) == 0 {
 		return cmds
 	}
@@ -302,6 +305,8 @@
 	ak.upstream, ak.permittedAt = us, now
 	ak.expected = co.latencyOf(now, ak, us)
 	ak.usual = ratio(ak.expected, us.latency)
+	co.links.Sent(now, ak.linkTo(us))
+	co.noteRoute(now, ak, us)
 	us.running[ak.id] = ak
 	if !ak.late {
 		co.demandOf(ak).countShare(now, ak)
@@ -360,12 +365,16 @@
 	}
 	var best *upstream
 	var bestCost time.Duration
+	rt := co.route(now, ak)
+	if rt.stays {
+		return nil
+	}
 	for _, us := range available {
-		if !ak.inPool(us) || us.ID == ak.Avoid || us.paused(now, ak.Host) || !co.mayTake(now, ak, us) {
+		if rt.excludes(us) || !ak.inPool(us) || us.ID == ak.Avoid || us.paused(now, ak.Host) || !co.mayTake(now, ak, us) {
 			continue
 		}
-		cost, ok := ak.cost(now, us)
-		if ok && (best == nil || cost < bestCost || cost == bestCost && us.ID < best.ID) {
+		cost := co.cost(now, rt, us)
+		if best == nil || cost < bestCost || cost == bestCost && us.ID < best.ID {
 			best, bestCost = us, cost
 		}
 	}
@@ -376,7 +385,7 @@
 // pool counts the requests to one with a limit.
 func (co *Core) mayTake(now clock.Instant, ak *ask, us *upstream) bool {
 	lm := co.limitOf(now, us)
-	return us.available(now, lm) && !(ak.Fallback && lm.Named)
+	return us.available(now, lm) && !(ak.Fallback && lm.Named) && co.links.Allows(now, ak.linkTo(us))
 }
 
 // inPool reports whether an upstream belongs to the ask's service and pool.
