Divide the room of a hot key among its callers

Cause: of a key that asks for twenty times what its owner can run, nearly all callers were refused twice, half of them after waiting, and the other keys of that owner got one place in twenty.

The holder counts asks by key in leaky buckets and decides on those for a hot key at their arrival: other keys first, then classes by urgency, domains, hosts and callers by their parts; callers told to return within their time go before new ones.

Limited and cold owners keep the schedule of their limit.

--- a/internal/operations/explain/explain.go
+++ b/internal/operations/explain/explain.go
@@ -46,6 +46,7 @@
 	"noDesiredState":     "the host had no desired state yet; nothing was sent",
 	"stopping":           "it arrived when the host had stopped taking requests; nothing was sent",
 	"noRoomInTime":       "the holder expected no free slot for it in time and refused at once; it did not run",
+	"keyTooBusy":         "its key alone was asked for more than the key's owner can run; it was refused at once and did not run",
 	"waitedTooLong":      "it waited for a slot until it could no longer be answered in time; it did not run",
 	"noUpstream":         "no upstream could run it: none is listed, or its key had no owner; it did not run",
 	"noAnswerFromHolder": "no holder answered the request for a permit; it did not run",
@@ -64,7 +65,7 @@
 
 // notRunCauses are the causes that say of the last attempt that it did not run.
 var notRunCauses = map[string]bool{
-	"noRoomInTime": true, "waitedTooLong": true, "noUpstream": true, "noAnswerFromHolder": true, "unreached": true, "refused": true, "disowned": true,
+	"noRoomInTime": true, "keyTooBusy": true, "waitedTooLong": true, "noUpstream": true, "noAnswerFromHolder": true, "unreached": true, "refused": true, "disowned": true,
 	"upstreamPaused": true, "outOfTime": true, "requestQuarantined": true, "requestSuspected": true,
 }
 
--- /dev/null
+++ b/internal/serving/hotkey/hotkey.go
@@ -0,0 +1,256 @@
+// Package hotkey divides what the owner of a key can run among those who ask for the key, if it is asked
+// for more than that. It decides at the arrival of each ask, so that nobody waits for a refusal.
+//
+//	co := hotkey.New()
+//	if co.Count(now, id, owner) {
+//		dc := co.Decide(now, ask, owner)
+//	}
+package hotkey
+
+import (
+	"math"
+	"time"
+
+	"chervilwalk/internal/base/clock"
+	"chervilwalk/internal/base/ident"
+	"chervilwalk/internal/base/keyspace"
+)
+
+const (
+	// latencyMargin is the factor on the owner's latency that must be left after the wait of an ask
+	// that is admitted to meet its objective.
+	latencyMargin = 1.1
+	// minRoom is the fraction of the owner that counts as left for the key beside others at least.
+	minRoom = 1.0 / 8
+	// enoughAsks is how many asks must come until a slot becomes free for those to be refused that have
+	// had their part: then others take the slot.
+	enoughAsks = 4
+	// maxHot limits the hot keys: one for each upstream of a pool, and some of other services.
+	maxHot = 64
+)
+
+// ID identifies a key among all services.
+type ID struct {
+	Service ident.Service
+	Key     keyspace.Key
+}
+
+// Ask is what a decision needs of a request for a permit.
+type Ask struct {
+	ID          ID
+	Host        ident.Host
+	Domain      ident.Domain
+	Priority    int
+	Fingerprint ident.Fingerprint
+	// ObjectiveLeft and TimeLeft are the times left to the objective and the deadline.
+	ObjectiveLeft, TimeLeft time.Duration
+}
+
+// Owner is the state of a key's owner at the arrival of an ask.
+type Owner struct {
+	// PerSecond is how many requests a second it can run, Slots how many at once.
+	PerSecond float64
+	Slots     int
+	Latency   time.Duration
+	// Running and Waiting count the requests for the key, Others those for other keys that run or wait.
+	Running, Waiting, Others int
+}
+
+// Decision is the decision on an ask for a hot key.
+type Decision struct {
+	Admitted bool
+	// Returning reports that the caller came back when it was told to.
+	Returning bool
+	// RetryAfter is when the owner has room for a caller that is refused. After the caller's deadline
+	// it has none.
+	RetryAfter time.Duration
+}
+
+// Core decides on asks. It is not safe for concurrent use.
+type Core struct {
+	counts counts
+	hot    map[ID]*hotKey
+}
+
+// New returns a core that knows of no asks.
+func New() *Core { return &Core{counts: counts{}, hot: map[ID]*hotKey{}} }
+
+// Len returns the number of hot keys.
+func (co *Core) Len() int { return len(co.hot) }
+
+// Count counts an ask for a key and reports whether the key is hot: whether it has been asked for more
+// than its owner can run, and has not been asked for less since.
+func (co *Core) Count(now clock.Instant, id ID, ow Owner) bool {
+	if ow.PerSecond <= 0 || ow.Slots <= 0 {
+		return false
+	}
+	excess, most := co.counts.add(now, id, ow.PerSecond, float64(ow.Slots)), excessLatencies*float64(ow.Slots)
+	_, hot := co.hot[id]
+	switch {
+	case !hot && excess > most:
+		co.makeRoom()
+		co.hot[id] = newHotKey(now)
+	case hot && excess <= 1:
+		delete(co.hot, id)
+	default:
+		return hot
+	}
+	return !hot
+}
+
+// makeRoom forgets the hot keys that are no longer asked for, or all if there are too many: they are
+// found again within a moment.
+func (co *Core) makeRoom() {
+	if len(co.hot) < maxHot {
+		return
+	}
+	for id := range co.hot {
+		if _, counted := co.counts[id]; !counted {
+			delete(co.hot, id)
+		}
+	}
+	if len(co.hot) >= maxHot {
+		clear(co.hot)
+	}
+}
+
+// Decide decides on an ask for which Count has reported that its key is hot.
+func (co *Core) Decide(now clock.Instant, ask Ask, ow Owner) Decision {
+	hk, hot := co.hot[ask.ID]
+	if !hot {
+		return Decision{Admitted: true}
+	}
+	hk.parts.ask(now, ask)
+	rm := hk.room(now, ask, ow)
+	rt, told := hk.returns.find(now, ask.Fingerprint)
+	fair := hk.parts.mayTake(now, ask)
+	switch {
+	case told && rm.inTime && rt.dueAt <= now.Add(earlyReturn):
+		hk.returns.remove(rt)
+		return Decision{Admitted: true, Returning: true}
+	case rm.admits(fair):
+		if told {
+			hk.returns.remove(rt)
+		} else {
+			hk.parts.take(now, ask)
+		}
+		return Decision{Admitted: true}
+	case told && rt.dueAt > now:
+		return Decision{RetryAfter: rt.dueAt.Sub(now)}
+	}
+	if at := hk.returns.next(now, rm); fair && rm.admitsReturn(at.Sub(now), ask) && hk.returns.add(ask.Fingerprint, at, rm) {
+		hk.parts.take(now, ask)
+		return Decision{RetryAfter: at.Sub(now)}
+	}
+	return Decision{RetryAfter: hk.returns.afterDeadline(now, ask.TimeLeft, rm)}
+}
+
+// hotKey is the state of a hot key.
+type hotKey struct {
+	hotAt clock.Instant
+	// others is the average of Owner.Others.
+	others average
+	// punctualAt is when the last ask came that could still meet its objective.
+	punctualAt clock.Instant
+	parts      division
+	returns    returns
+}
+
+func newHotKey(now clock.Instant) *hotKey { return &hotKey{hotAt: now, parts: newDivision()} }
+
+// room returns the room that the owner has for an ask.
+func (hk *hotKey) room(now clock.Instant, ask Ask, ow Owner) room {
+	left := 1 - hk.others.add(now, float64(ow.Others))/float64(ow.Slots)
+	rm := room{
+		perSecond: ow.PerSecond * max(left, minRoom), latency: ow.Latency, free: max(ow.Slots-ow.Running-ow.Others, 0), waiting: ow.Waiting,
+		asks: hk.parts.perSecond(now) / ow.PerSecond, burst: now.Sub(hk.hotAt) < ow.Latency,
+	}
+	work := time.Duration(latencyMargin * float64(ow.Latency))
+	rm.punctual = work <= ask.ObjectiveLeft
+	if rm.punctual {
+		hk.punctualAt = now
+	}
+	rm.yields = !rm.punctual && now.Sub(hk.punctualAt) < ow.Latency
+	ahead := max(ow.Waiting+1-rm.free, 0)
+	for _, rt := range hk.returns.list {
+		if rt.dueAt > now.Add(rm.timeFor(float64(ahead))) {
+			break
+		}
+		ahead++
+	}
+	rm.wait = rm.timeFor(float64(ahead))
+	rm.inTime = rm.wait+ow.Latency <= ask.TimeLeft
+	rm.meetsObjective = rm.wait+work <= ask.ObjectiveLeft
+	return rm
+}
+
+// room is the room that an owner has for one ask.
+type room struct {
+	// perSecond is how many requests a second the owner can run for the key beside those for others.
+	perSecond float64
+	latency   time.Duration
+	// free counts the unused slots, waiting the asks for the key that wait.
+	free, waiting int
+	// wait is how long the ask waits behind those that wait and those that return before it would run.
+	wait time.Duration
+	// inTime asks are answered before their deadline, those that meetsObjective before their objective;
+	// punctual ones would be if they did not have to wait.
+	inTime, meetsObjective, punctual bool
+	// yields reports that the ask cannot meet its objective, but others that come can.
+	yields bool
+	// asks is how many asks for the key come until a slot becomes free.
+	asks float64
+	// burst reports that the key has been hot for a moment only.
+	burst bool
+}
+
+// admits reports whether the ask may wait for its permit. The owner is not left idle for the sake of
+// a fair division.
+func (rm room) admits(fair bool) bool {
+	switch {
+	case !rm.inTime:
+		return false
+	case rm.free > rm.waiting:
+		return true
+	case rm.yields:
+		return false
+	default:
+		return rm.waiting == 0 && (fair || rm.asks < enoughAsks) || fair && rm.meetsObjective
+	}
+}
+
+// admitsReturn reports whether the caller of an ask can be answered if it returns after a time. All room
+// is for those who return while the requests may be a burst that is over soon. Later it is for those
+// who can be answered before their objective, if there are any.
+func (rm room) admitsReturn(after time.Duration, ask Ask) bool {
+	if after > time.Duration(patience*float64(ask.TimeLeft)) || after+rm.timeFor(1)+rm.latency > ask.TimeLeft {
+		return false
+	}
+	return rm.burst || !rm.yields && (!rm.punctual || after+time.Duration(latencyMargin*float64(rm.latency)) <= ask.ObjectiveLeft)
+}
+
+// timeFor returns how long the owner takes for some requests for the key.
+func (rm room) timeFor(count float64) time.Duration { return seconds(count / rm.perSecond) }
+
+func seconds(count float64) time.Duration {
+	return time.Duration(min(count, float64(maxRetryAfter/time.Second)) * float64(time.Second))
+}
+
+// average is a moving average over averageTime.
+type average struct {
+	value float64
+	at    clock.Instant
+	known bool
+}
+
+const averageTime = time.Second
+
+func (av *average) add(now clock.Instant, value float64) float64 {
+	if !av.known {
+		*av = average{value, now, true}
+		return value
+	}
+	av.value += (value - av.value) * (1 - math.Exp(-now.Sub(av.at).Seconds()/averageTime.Seconds()))
+	av.at = now
+	return av.value
+}
--- a/internal/serving/permit/permit.go
+++ b/internal/serving/permit/permit.go
@@ -23,6 +23,7 @@
 	"chervilwalk/internal/catalog/desired"
 	"chervilwalk/internal/catalog/roster"
 	"chervilwalk/internal/peer/protocol"
+	"chervilwalk/internal/serving/hotkey"
 )
 
 // Outcome is the result of a permit: what happened to the request.
@@ -175,6 +176,9 @@
 	// late asks can no longer meet their objective; they get only slots that
 	// no other ask needs.
 	late bool
+	// byKey asks are for a hot key and were admitted by its own rules; returning ones came back when
+	// they were told to.
+	byKey, returning bool
 	// upstream is nil until the ask gets a permit.
 	upstream    *upstream
 	permit      protocol.Permit
@@ -205,6 +209,8 @@
 	confirmedUntil clock.Instant
 	// latencies is the moving average of each service's time to answer.
 	latencies map[ident.Service]time.Duration
+	// hotKeys decides on asks for keys that ask for more than their owner can run.
+	hotKeys *hotkey.Core
 }
 
 // New returns a core without upstreams; UpstreamsMsg sets them.
@@ -212,6 +218,7 @@
 	return &Core{
 		upstreams: map[ident.Upstream]*upstream{}, table: &assignment.Table{}, asks: map[askID]*ask{}, incarnations: map[ident.Host]uint64{},
 		waiting: map[ident.Service][]*ask{}, disownedUntil: map[keyspace.Epoch]clock.Instant{}, latencies: map[ident.Service]time.Duration{},
+		hotKeys: hotkey.New(),
 	}
 }
 
--- a/internal/serving/permit/permit_test.go
+++ b/internal/serving/permit/permit_test.go
@@ -44,7 +44,12 @@
 	latency map[ident.Upstream]time.Duration
 	// refusing is the fraction of requests that each upstream refuses at once, though it
 	// has room.
-	refusing  float64
+	refusing float64
+	// slots is the number of slots of each upstream.
+	slots int
+	// onRefuse and onEnd are called for each refusal and each end at an upstream, if set.
+	onRefuse  func(permit.RefuseCmd)
+	onEnd     func(protocol.Ticket, permit.Outcome, time.Duration)
 	startedAt map[protocol.Ticket]clock.Instant
 	running   map[ident.Upstream]int
 	// maxRunning is the highest number of concurrent requests at each upstream.
@@ -87,7 +92,7 @@
 // evenly among them.
 func newSimulation(seed int64, keyed bool, latencies ...time.Duration) *simulation {
 	sm := &simulation{
-		now: clock.Instant(time.Hour), rng: rand.New(rand.NewSource(seed)), core: permit.New(), keyed: keyed,
+		now: clock.Instant(time.Hour), rng: rand.New(rand.NewSource(seed)), core: permit.New(), keyed: keyed, slots: 2,
 		latency: map[ident.Upstream]time.Duration{}, startedAt: map[protocol.Ticket]clock.Instant{},
 		running: map[ident.Upstream]int{}, maxRunning: map[ident.Upstream]int{}, sentPerSecond: map[ident.Upstream]map[int64]int{},
 	}
@@ -107,7 +112,7 @@
 	ms := permit.UpstreamsMsg{Services: map[ident.Service]desired.Service{service: {Name: service, ColdRate: 2.6, Keyed: sm.keyed}}, Table: &assignment.Table{}}
 	count := len(sm.latency)
 	for ix := range count {
-		up := permit.Upstream{ID: upstreamName(ix), Service: service, Domain: ident.Domain(fmt.Sprintf("d%d", ix%3)), Slots: 2}
+		up := permit.Upstream{ID: upstreamName(ix), Service: service, Domain: ident.Domain(fmt.Sprintf("d%d", ix%3)), Slots: sm.slots}
 		if ix < coldCount {
 			up.ColdUntil = sm.now.Add(time.Minute)
 		}
@@ -150,6 +155,9 @@
 			if cmd.Waited > refusedAtOnce {
 				sm.refusedLate++
 			}
+			if sm.onRefuse != nil {
+				sm.onRefuse(cmd)
+			}
 		}
 	}
 	next := max(sm.core.Next(sm.now), sm.now.Add(time.Millisecond))
@@ -193,6 +201,9 @@
 	}
 	sm.schedule(took, func() {
 		sm.running[id]--
+		if sm.onEnd != nil {
+			sm.onEnd(cmd.Permit.Ticket, outcome, took)
+		}
 		latency := sm.now.Sub(sm.startedAt[cmd.Permit.Ticket])
 		switch {
 		case outcome == permit.Refused:
@@ -206,7 +217,7 @@
 			sm.late++
 		}
 		sm.update(permit.DoneMsg{Done: protocol.Done{
-			Host: "a", Ticket: cmd.Permit.Ticket, Service: service, Upstream: id, Outcome: uint8(outcome), Took: took,
+			Host: cmd.Host, Ticket: cmd.Permit.Ticket, Service: service, Upstream: id, Outcome: uint8(outcome), Took: took,
 			Reported: true, Running: sm.running[id] + 1,
 		}})
 	})
--- a/internal/serving/permit/queue.go
+++ b/internal/serving/permit/queue.go
@@ -75,6 +75,13 @@
 		return append(cmds, ak.refuse(now, fallbackRetryAfter, "limitHeldElsewhere", es))
 	}
 	ak.refuseAt = ak.deadline.Add(-es.Latency)
+	if dc, hot := co.admitByKey(now, ak, us, es); hot {
+		if !dc.Admitted {
+			return append(cmds, ak.refuse(now, dc.RetryAfter, "keyTooBusy", es))
+		}
+		ak.byKey, ak.returning = true, dc.Returning
+		return append(cmds, co.enqueue(now, ak)...)
+	}
 	if es.Wait+time.Duration(latencyMargin*float64(es.Latency)) > msg.ObjectiveLeft {
 		ak.late = true
 		ak.refuseAt = min(ak.refuseAt, now.Add(co.lateWait(now, ak)))
@@ -86,11 +93,16 @@
 		}
 		return append(cmds, ak.refuse(now, co.retryAfter(now, ak, es), reason, es))
 	}
-	co.asks[id] = ak
-	co.waiting[msg.Service] = append(co.waiting[msg.Service], ak)
-	cmds = append(cmds, co.dispatch(now, msg.Service)...)
-	if ak.upstream == nil && co.asks[id] == ak {
-		cmds = append(cmds, QueuedCmd{msg.Host, protocol.Queued{Ticket: msg.Ticket, Asker: msg.Process()}})
+	return append(cmds, co.enqueue(now, ak)...)
+}
+
+// enqueue lets an ask wait for its permit, which it may get at once.
+func (co *Core) enqueue(now clock.Instant, ak *ask) []Cmd {
+	co.asks[ak.id] = ak
+	co.waiting[ak.Service] = append(co.waiting[ak.Service], ak)
+	cmds := co.dispatch(now, ak.Service)
+	if ak.upstream == nil && co.asks[ak.id] == ak {
+		cmds = append(cmds, QueuedCmd{ak.Host, protocol.Queued{Ticket: ak.Ticket, Asker: ak.Process()}})
 	}
 	return cmds
 }
@@ -220,6 +232,9 @@
 // first, late ones last. Both are ordered by priority, then on-time asks by
 // objective and late ones by deadline.
 func (ak *ask) before(other *ask) bool {
+	if ak.byKey || other.byKey {
+		return ak.beforeByKey(other)
+	}
 	if ak.late != other.late {
 		return !ak.late
 	}
@@ -361,7 +376,7 @@
 	var overdue []*ask
 	kept := co.waiting[sv][:0]
 	for _, ak := range co.waiting[sv] {
-		if !ak.late && ak.objective.Before(now.Add(time.Duration(minLatencyFraction*float64(co.expectedLatencyFor(ak))))) {
+		if !ak.late && !ak.byKey && ak.objective.Before(now.Add(time.Duration(minLatencyFraction*float64(co.expectedLatencyFor(ak))))) {
 			ak.late = true
 			ak.refuseAt = min(ak.refuseAt, now.Add(co.lateWait(now, ak)))
 		}
