Reject a Retry-After that no build tells

Cause: a refusal of another build could tell callers to wait for up to a year: longer durations were cut off to that.

--- a/internal/peer/protocol/codec.go
+++ b/internal/peer/protocol/codec.go
@@ -121,6 +121,17 @@
 	}
 }
 
+// maxRetryAfter bounds how long callers are told to wait. No build tells them more than an hour.
+const maxRetryAfter = 24 * time.Hour
+
+// retryAfter is duration, but a longer one than maxRetryAfter is malformed.
+func retryAfter(cd *codec, value *time.Duration) {
+	duration(cd, value)
+	if cd.reading && *value > maxRetryAfter {
+		*value, cd.err, cd.buf = 0, errMalformed, nil
+	}
+}
+
 // list codes the number of values, then each value with element.
 func list[T any](cd *codec, values *[]T, element func(*T)) {
 	count := len(*values)
--- a/internal/peer/protocol/permit.go
+++ b/internal/peer/protocol/permit.go
@@ -151,7 +151,7 @@
 
 func (ms *Refusal) code(cd *codec) {
 	varint(cd, &ms.Ticket)
-	duration(cd, &ms.RetryAfter)
+	retryAfter(cd, &ms.RetryAfter)
 	text(cd, &ms.Reason)
 	addedProcess(cd, &ms.Asker)
 }
--- a/internal/peer/protocol/range_test.go
+++ b/internal/peer/protocol/range_test.go
@@ -35,6 +35,7 @@
 		"parts without end":       protocol.Report{Part: 0, Parts: 1 << 31},
 		"negative pool":           protocol.Ask{Pool: -1, Pools: 2},
 		"pools without end":       protocol.Ask{Pools: 1 << 31},
+		"return after weeks":      protocol.Refusal{Ticket: 1, RetryAfter: 1000 * time.Hour},
 		"highest epoch of permit": protocol.Permit{Epoch: math.MaxUint64},
 	} {
 		t.Run(name, func(t *testing.T) {
