--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -27,6 +27,42 @@
 const mutantTimeout = 3 * time.Minute
 
 var mutants = map[string]mutant{
+	"callers who return when told go behind new ones": {
+		"internal/serving/hotkey/hotkey.go", "case told && rm.inTime && rt.dueAt <= now.Add(earlyReturn):", "case false:",
+		[]string{"-run=TestReturnInOrder", "./internal/serving/hotkey"},
+	},
+	"a place is used twice": {
+		"internal/serving/hotkey/returns.go", "rs.list = slices.Delete(rs.list, ix, ix+1)", "_ = ix",
+		[]string{"-run=TestReturnInOrder", "./internal/serving/hotkey"},
+	},
+	"a key is given to whoever asks first": {
+		"internal/serving/hotkey/hotkey.go", "fair := hk.parts.mayTake(now, ask)", "fair := true",
+		[]string{"-run=TestParts", "./internal/serving/hotkey"},
+	},
+	"hot keys are kept when nobody asks for them": {
+		"internal/serving/hotkey/hotkey.go", "		if co.counts[id].excessAt(now) <= 0 {", "		if false {",
+		[]string{"-run=TestCalmKeys", "./internal/serving/hotkey"},
+	},
+	"counts grow with the keys that are asked for": {
+		"internal/serving/hotkey/counts.go", "delete(cs, least)", "_ = least",
+		[]string{"-run=TestStateIsBounded", "./internal/serving/hotkey"},
+	},
+	"a hot key goes before the other keys of its owner": {
+		"internal/serving/permit/keyadmission.go", "return ak.byKey != (ak.yields || other.yields)", "return ak.byKey",
+		[]string{"-run=TestKeyBeyondItsOwner", "./internal/serving/permit"},
+	},
+	"asks for a hot key on the move wait as if it were there": {
+		"internal/serving/permit/keyadmission.go", "ow.Delay = co.moveTimeLeft(now, ak)", "return hotkey.Decision{}, false",
+		[]string{"-run=TestHotKeyDisturbed", "./internal/serving/permit"},
+	},
+	"refused callers return at once": {
+		"internal/serving/permit/retryafter.go", "		rt.nextAt = at.Add(interval)\n", "",
+		[]string{"-run=TestRefusedCallersReturnToRoom", "./internal/serving/permit"},
+	},
+	"a refusal tells a time of years": {
+		"internal/peer/protocol/codec.go", "if cd.reading && *value > maxRetryAfter {", "if false {",
+		[]string{"-run=TestValuesOutOfRange", "./internal/peer/protocol"},
+	},
 	"a reply to another process is taken for one to this process": {
 		"internal/fleet/gateway/permitreplies.go", "if asker == pc.gw.process() || asker == (protocol.Process{}) {", "if true {",
 		[]string{"-run=TestRepliesToKilledProcess|TestForeignReplies", "./internal/fleet/gateway"},
