--- a/internal/serving/permit/retryafter.go
+++ b/internal/serving/permit/retryafter.go
@@ -9,6 +9,8 @@
 const (
 	// minRetryAfter prevents an immediate retry of a refused request.
 	minRetryAfter = 100 * time.Millisecond
+	// returnWait is how long a caller that has come back may still wait.
+	returnWait = 100 * time.Millisecond
 	// maxRetryAfter is the time over which callers are spread for whom there is no room before their
 	// deadline.
 	maxRetryAfter = 30 * time.Second
@@ -46,7 +48,7 @@
 	case us != nil && es.Limit.Named:
 		return us.returnAfter(now, max(es.Wait, minRetryAfter), es.Limit)
 	case us != nil && us.slots > 0:
-		return us.returns.next(now, es.Wait, ak.deadline.Add(-es.Latency), us.latency/time.Duration(us.slots)).Sub(now)
+		return us.returns.next(now, es.Wait-returnWait, ak.deadline.Add(-es.Latency), us.latency/time.Duration(us.slots)).Sub(now)
 	case now > ak.arrivedAt:
 		return minRetryAfter
 	default:
