--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -28,7 +28,7 @@
 
 var mutants = map[string]mutant{
 	"callers who return when told go behind new ones": {
-		"internal/serving/hotkey/hotkey.go", "case told && rm.inTime && rt.dueAt <= now.Add(earlyReturn):", "case false:",
+		"internal/serving/hotkey/hotkey.go", "case told && rm.meetsDeadline && rt.dueAt <= now.Add(earlyReturn):", "case false:",
 		[]string{"-run=TestReturnInOrder", "./internal/serving/hotkey"},
 	},
 	"a place is used twice": {
--- a/internal/serving/permit/retryafter_test.go
+++ b/internal/serving/permit/retryafter_test.go
@@ -27,7 +27,7 @@
 			Host: "b", Ticket: ticket, Service: service, Domain: "d0", Key: keyspace.Key(ticket), Keyed: true, ObjectiveLeft: objective, TimeLeft: limit,
 		}}) {
 			if refusal, refused := cmd.(permit.RefuseCmd); refused {
-				gm.Expect(refusal.Refusal.RetryAfter+returnWait).To(BeNumerically(">=", refusal.Estimate.Wait))
+				gm.Expect(refusal.Refusal.RetryAfter + returnWait).To(BeNumerically(">=", refusal.Estimate.Wait))
 				told = append(told, sm.now.Add(refusal.Refusal.RetryAfter))
 			}
 		}
