Leave refused callers the chance to be answered in time

Times begin earlier by half of what is left of the objective, as before, and are still spread. A key is hot from eight asks more than its owner can run, not four.

--- a/internal/serving/hotkey/counts.go
+++ b/internal/serving/hotkey/counts.go
@@ -6,6 +6,8 @@
 	// excessLatencies is how many times its slots a key must be asked for, beyond what its owner has
 	// run since, to be hot: the last ask would wait for as long as a request runs.
 	excessLatencies = 2
+	// minExcess is the least excess of a hot key: a few asks at once are no load.
+	minExcess = 8
 	// maxCounts limits the keys that are counted. Those of calm keys are dropped once their owner
 	// can have run all of them.
 	maxCounts = 512
@@ -26,6 +28,9 @@
 // counts holds the counts of the keys that are asked for most.
 type counts map[ID]count
 
+// hotExcess is the excess above which a key is hot.
+func hotExcess(slots float64) float64 { return max(excessLatencies*slots, minExcess) }
+
 // add counts an ask and returns its key's excess. The excess is bounded, so that a key that is no longer
 // asked for is calm again after a few latencies.
 func (cs counts) add(now clock.Instant, id ID, perSecond, slots float64) float64 {
@@ -33,7 +38,7 @@
 	if !known {
 		cs.makeRoom(now)
 	}
-	excess := min(ct.excessAt(now)+1, 2*excessLatencies*slots)
+	excess := min(ct.excessAt(now)+1, 2*hotExcess(slots))
 	cs[id] = count{excess, perSecond, now}
 	return excess
 }
--- a/internal/serving/hotkey/hotkey.go
+++ b/internal/serving/hotkey/hotkey.go
@@ -85,7 +85,7 @@
 	if ow.PerSecond <= 0 || ow.Slots <= 0 {
 		return false
 	}
-	excess, most := co.counts.add(now, id, ow.PerSecond, float64(ow.Slots)), excessLatencies*float64(ow.Slots)
+	excess, most := co.counts.add(now, id, ow.PerSecond, float64(ow.Slots)), hotExcess(float64(ow.Slots))
 	_, hot := co.hot[id]
 	switch {
 	case !hot && excess > most:
--- a/internal/serving/permit/retryafter.go
+++ b/internal/serving/permit/retryafter.go
@@ -9,8 +9,6 @@
 const (
 	// minRetryAfter prevents an immediate retry of a refused request.
 	minRetryAfter = 100 * time.Millisecond
-	// returnWait is how long a caller that has come back may still wait.
-	returnWait = 100 * time.Millisecond
 	// maxRetryAfter is the time over which callers are spread for whom there is no room before their
 	// deadline.
 	maxRetryAfter = 30 * time.Second
@@ -44,14 +42,16 @@
 // late for an answer, it is after the caller's deadline.
 func (co *Core) retryAfter(now clock.Instant, ak *ask, es Estimate) time.Duration {
 	us := co.upstreams[es.Upstream]
+	// With half of its objective left for it, a short wait is no reason to refuse.
+	acceptedWait := max(ak.objective.Sub(now)/2, 0)
 	switch {
 	case us != nil && es.Limit.Named:
 		return us.returnAfter(now, max(es.Wait, minRetryAfter), es.Limit)
 	case us != nil && us.slots > 0:
-		return us.returns.next(now, es.Wait-returnWait, ak.deadline.Add(-es.Latency), us.latency/time.Duration(us.slots)).Sub(now)
+		return us.returns.next(now, es.Wait-acceptedWait, ak.deadline.Add(-es.Latency), us.latency/time.Duration(us.slots)).Sub(now)
 	case now > ak.arrivedAt:
 		return minRetryAfter
 	default:
-		return max(es.Wait-ak.ObjectiveLeft/2, minRetryAfter)
+		return max(es.Wait-acceptedWait, minRetryAfter)
 	}
 }
