--- a/internal/fleet/gateway/loop.go
+++ b/internal/fleet/gateway/loop.go
@@ -410,6 +410,8 @@
 			gw.sendToHost(cmd.Host, cmd.Queued)
 		case permit.LinkCmd:
 			gw.config.Log.Event("domainLink", eventlog.Fields{"from": cmd.From, "to": cmd.To, "down": cmd.Down, "isolated": cmd.Isolated})
+		case permit.HotKeyCmd:
+			gw.noteHotKey(cmd.Change)
 		}
 	}
 }
--- a/internal/fleet/gateway/metrics.go
+++ b/internal/fleet/gateway/metrics.go
@@ -34,6 +34,8 @@
 	receivedRows       prometheus.Counter
 	answers            *prometheus.CounterVec
 	answerBytes        *prometheus.CounterVec
+	hotKeys            prometheus.Gauge
+	hotKeyRefusals     prometheus.Counter
 }
 
 // NewMetrics returns metrics that are all zero, in a registry of their own.
@@ -54,8 +56,10 @@
 		receivedRows:       prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "operator_rows_received_total", Help: "Newer operator rows that another host has sent."}),
 		answers:            prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "upstream_answers_total", Help: "Answers of upstreams that were passed on, by service and whether the upstream is in the host's failure domain (own) or another."}, []string{"service", "domain"}),
 		answerBytes:        prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "upstream_bytes_total", Help: "Bytes of the bodies of these requests and answers."}, []string{"service", "domain"}),
+		hotKeys:            prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "hot_keys", Help: "Keys whose permits this host issues and that are asked for more than their owner can run."}),
+		hotKeyRefusals:     prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "hot_key_refusals_total", Help: "Requests refused since their key was asked for more than its owner can run."}),
 	}
-	mt.registry.MustRegister(mt.receivedRows, mt.answers, mt.answerBytes, mt.crashes, mt.suspects, mt.requests, mt.durations, mt.unanswered, mt.permitWaits, mt.storeCalls, mt.storeCallDurations, mt.unsentDatagrams, mt.desiredVersion)
+	mt.registry.MustRegister(mt.receivedRows, mt.hotKeys, mt.hotKeyRefusals, mt.answers, mt.answerBytes, mt.crashes, mt.suspects, mt.requests, mt.durations, mt.unanswered, mt.permitWaits, mt.storeCalls, mt.storeCallDurations, mt.unsentDatagrams, mt.desiredVersion)
 	return mt
 }
 
@@ -205,3 +209,11 @@
 	}
 	gw.config.Log.Event("requestUnanswered", fields)
 }
+
+// hotKeyChanged counts the hot keys, and the requests that were refused while one was hot.
+func (mt *Metrics) hotKeyChanged(count, refused int) {
+	if mt != nil {
+		mt.hotKeys.Set(float64(count))
+		mt.hotKeyRefusals.Add(float64(refused))
+	}
+}
--- a/internal/serving/permit/permit.go
+++ b/internal/serving/permit/permit.go
@@ -23,6 +23,7 @@
 	"chervilwalk/internal/catalog/desired"
 	"chervilwalk/internal/catalog/roster"
 	"chervilwalk/internal/peer/protocol"
+	"chervilwalk/internal/serving/hotkey"
 	"chervilwalk/internal/serving/locality"
 )
 
@@ -168,7 +169,10 @@
 	Isolated bool
 }
 
-// Cmd is an IssueCmd, RefuseCmd, QueuedCmd or LinkCmd.
+// HotKeyCmd reports that a key has become hot or calm.
+type HotKeyCmd struct{ Change hotkey.Change }
+
+// Cmd is an IssueCmd, RefuseCmd, QueuedCmd, LinkCmd or HotKeyCmd.
 type Cmd any
 
 // askID identifies an ask across all hosts.
@@ -192,6 +196,12 @@
 	// late asks can no longer meet their objective; they get only slots that
 	// no other ask needs.
 	late bool
+	// byKey asks are for a hot key and were admitted by its own rules; returning ones came back when
+	// they were told to.
+	byKey, returning bool
+	// yieldUntil is until when a byKey ask waits behind those for other keys; yields is unset then.
+	yieldUntil clock.Instant
+	yields     bool
 	// upstream is nil until the ask gets a permit.
 	upstream    *upstream
 	permit      protocol.Permit
@@ -248,6 +258,8 @@
 	poolRooms map[poolID]rooms
 	// linkCmds holds the commands about links that the next dispatch returns.
 	linkCmds []Cmd
+	// hotKeys decides on asks for keys that ask for more than their owner can run.
+	hotKeys *hotkey.Core
 }
 
 // New returns a core without upstreams; UpstreamsMsg sets them.
@@ -257,6 +269,7 @@
 		waiting: map[ident.Service][]*ask{}, disownedUntil: map[keyspace.Epoch]clock.Instant{}, latencies: map[ident.Service]time.Duration{},
 		kinds: map[ident.Service]map[kind]*work{}, initialShape: newLatencyShape(), moves: newMoveShape(), demands: map[poolID]*demand{}, reviewAt: map[ident.Service]clock.Instant{},
 		links: locality.NewLinks(), spill: locality.NewSpill(), poolRooms: map[poolID]rooms{},
+		hotKeys: hotkey.New(),
 	}
 }
 
@@ -266,7 +279,7 @@
 	clear(co.poolRooms)
 	switch ms := msg.(type) {
 	case AskMsg:
-		return co.admit(now, ms.Ask)
+		return co.reportHotKeys(co.admit(now, ms.Ask))
 	case DoneMsg:
 		return co.dispatch(now, co.finish(now, ms.Done))
 	case PauseMsg:
@@ -297,7 +310,7 @@
 	for sv := range co.waiting {
 		cmds = append(cmds, co.dispatch(now, sv)...)
 	}
-	return cmds
+	return co.reportHotKeys(cmds)
 }
 
 // Next returns when the core needs a TickMsg if no other message arrives.
@@ -429,6 +442,7 @@
 // expire drops permits that their host did not release in time, and disowned
 // epochs whose delay is over.
 func (co *Core) expire(now clock.Instant) {
+	co.hotKeys.Expire(now)
 	for epoch, until := range co.disownedUntil {
 		if until.Before(now) {
 			delete(co.disownedUntil, epoch)
--- a/internal/serving/permit/permit_test.go
+++ b/internal/serving/permit/permit_test.go
@@ -56,8 +56,12 @@
 	onRefused func(cmd permit.RefuseCmd)
 	// refusing is the fraction of requests that each upstream refuses at once, though it
 	// has room.
-	refusing  float64
+	refusing float64
+	// onEnd, if set, is called for each end at an upstream.
+	onEnd     func(protocol.Ticket, permit.Outcome, time.Duration)
 	startedAt map[protocol.Ticket]clock.Instant
+	// permitted holds the tickets that got a permit.
+	permitted map[protocol.Ticket]bool
 	running   map[ident.Upstream]int
 	// maxRunning is the highest number of concurrent requests at each upstream.
 	maxRunning map[ident.Upstream]int
@@ -101,7 +105,7 @@
 	sm := &simulation{
 		now: clock.Instant(time.Hour), rng: rand.New(rand.NewSource(seed)), core: permit.New(), keyed: keyed,
 		slots: 2, objective: objective, limit: limit,
-		latency: map[ident.Upstream]time.Duration{}, startedAt: map[protocol.Ticket]clock.Instant{},
+		latency: map[ident.Upstream]time.Duration{}, startedAt: map[protocol.Ticket]clock.Instant{}, permitted: map[protocol.Ticket]bool{},
 		running: map[ident.Upstream]int{}, maxRunning: map[ident.Upstream]int{}, sentPerSecond: map[ident.Upstream]map[int64]int{},
 	}
 	for ix, mean := range latencies {
@@ -200,6 +204,7 @@
 // send runs a request at its upstream and releases the permit when it ends.
 func (sm *simulation) send(cmd permit.IssueCmd) {
 	id := cmd.Permit.Upstream
+	sm.permitted[cmd.Permit.Ticket] = true
 	sm.running[id]++
 	sm.maxRunning[id] = max(sm.maxRunning[id], sm.running[id])
 	sm.sentPerSecond[id][int64(sm.now)/int64(time.Second)]++
@@ -217,6 +222,9 @@
 	}
 	sm.schedule(took, func() {
 		sm.running[id]--
+		if sm.onEnd != nil {
+			sm.onEnd(cmd.Permit.Ticket, outcome, took)
+		}
 		latency := sm.now.Sub(sm.startedAt[cmd.Permit.Ticket])
 		switch {
 		case outcome == permit.Refused:
@@ -234,7 +242,7 @@
 			percent = sm.percentAt(id)
 		}
 		sm.update(permit.DoneMsg{Done: protocol.Done{
-			Host: "a", Ticket: cmd.Permit.Ticket, Service: service, Upstream: id, Outcome: uint8(outcome), Took: took,
+			Host: cmd.Host, Ticket: cmd.Permit.Ticket, Service: service, Upstream: id, Outcome: uint8(outcome), Took: took,
 			Reported: true, Running: sm.running[id] + 1, LatencyPercent: percent,
 		}})
 	})
--- a/internal/serving/permit/queue.go
+++ b/internal/serving/permit/queue.go
@@ -59,6 +59,14 @@
 	case us != nil && es.Limit.Named && msg.Fallback:
 		return append(cmds, ak.refuse(now, fallbackRetryAfter, LimitHeldElsewhere, es))
 	}
+	ak.refuseAt = co.lastStart(now, ak, es)
+	if dc, hot := co.admitByKey(now, ak, us, es); hot {
+		if !dc.Admitted {
+			return append(cmds, ak.refuse(now, dc.RetryAfter, "keyTooBusy", es))
+		}
+		ak.admittedByKey(now, dc, es)
+		return append(cmds, co.enqueue(now, ak)...)
+	}
 	if !co.isLate(now, ak, 0, es.Latency) {
 		co.demandOf(ak).count(now)
 	}
@@ -77,11 +85,16 @@
 		}
 		return append(cmds, ak.refuse(now, co.retryAfter(now, ak, es), reason, es))
 	}
-	co.asks[id] = ak
-	co.waiting[msg.Service] = append(co.waiting[msg.Service], ak)
-	cmds = append(cmds, co.dispatch(now, msg.Service)...)
-	if ak.upstream == nil && co.asks[id] == ak {
-		cmds = append(cmds, QueuedCmd{msg.Host, protocol.Queued{Ticket: msg.Ticket, Asker: msg.Process()}})
+	return append(cmds, co.enqueue(now, ak)...)
+}
+
+// enqueue lets an ask wait for its permit, which it may get at once.
+func (co *Core) enqueue(now clock.Instant, ak *ask) []Cmd {
+	co.asks[ak.id] = ak
+	co.waiting[ak.Service] = append(co.waiting[ak.Service], ak)
+	cmds := co.dispatch(now, ak.Service)
+	if ak.upstream == nil && co.asks[ak.id] == ak {
+		cmds = append(cmds, QueuedCmd{ak.Host, protocol.Queued{Ticket: ak.Ticket, Asker: ak.Process()}})
 	}
 	return cmds
 }
@@ -189,6 +202,9 @@
 // first, late ones last. Both are ordered by priority, apart from the share of lower ones,
 // then on-time asks by objective and late ones by deadline.
 func (ak *ask) before(other *ask) bool {
+	if ak.byKey || other.byKey {
+		return ak.beforeByKey(other)
+	}
 	if ak.late != other.late {
 		return !ak.late
 	}
@@ -334,7 +350,8 @@
 	var overdue []*ask
 	kept := co.waiting[sv][:0]
 	for _, ak := range co.waiting[sv] {
-		if !ak.late && co.isLate(now, ak, 0, co.expectedLatencyFor(now, ak)) {
+		ak.yields = ak.byKey && now < ak.yieldUntil
+		if !ak.late && !ak.byKey && co.isLate(now, ak, 0, co.expectedLatencyFor(now, ak)) {
 			ak.late = true
 		}
 		if now < ak.refuseAt {
