Learn what an upstream bears from what it tells and beside its service

The leader took an upstream's speed from 20 of its answers, each upstream from 200 ms on, and its success from the last three, squared.

A status now carries the lowest processing time that an upstream told, after all fields of earlier builds. Work time is that figure times the service's usual time times what this upstream's own answers correct, so that one that lies does not keep keys. Success counts beside the service's and less 1.5 standard deviations.

Ruled out: dividing each answer's time by its own figure.

The test of truncated messages takes what builds without the figure send, as for other added fields; a status cut within the figures stays an error.

--- a/internal/fleet/gateway/loadcounter.go
+++ b/internal/fleet/gateway/loadcounter.go
@@ -57,6 +57,9 @@
 	if outcome == permit.Answered || outcome == permit.TimedOut {
 		ul.Answers++
 		ul.WorkTime += max(dn.Took, time.Millisecond)
+		if percent := min(dn.LatencyPercent, protocol.MaxLatencyPercent); dn.Reported && percent > 0 && (ul.LatencyPercent == 0 || percent < ul.LatencyPercent) {
+			ul.LatencyPercent = percent
+		}
 		return
 	}
 	ul.Failures++
--- a/internal/ownership/leader/leader.go
+++ b/internal/ownership/leader/leader.go
@@ -66,6 +66,7 @@
 	upstreams          map[ident.Upstream]*upstream
 	upstreamsChangedAt clock.Instant
 	loads              map[ident.Service]*balance.Load
+	workTimes          map[ident.Service]*workTimes
 	moves              map[MoveID]*move
 	// movesDueAt is when startDueCalls has to look at the moves again.
 	movesDueAt clock.Instant
@@ -95,7 +96,7 @@
 func New(now clock.Instant, tb *assignment.Table, previous election.Row, er era.Era, opts ...Option) *Core {
 	co := &Core{
 		startedAt: now, previous: previous, previousGone: previous.Host == "", members: map[ident.Host]*member{}, upstreams: map[ident.Upstream]*upstream{},
-		loads: map[ident.Service]*balance.Load{}, moves: map[MoveID]*move{}, upstreamsChangedAt: now, era: er,
+		loads: map[ident.Service]*balance.Load{}, workTimes: map[ident.Service]*workTimes{}, moves: map[MoveID]*move{}, upstreamsChangedAt: now, era: er,
 	}
 	for _, opt := range opts {
 		opt(co)
--- a/internal/ownership/leader/upstream.go
+++ b/internal/ownership/leader/upstream.go
@@ -27,25 +27,20 @@
 	reportLag = 1500 * time.Millisecond
 	// limitedCapacityRatio is the fraction of a limited upstream's rate that planning uses.
 	limitedCapacityRatio = 0.6
-	// defaultWorkTime is the expected time per answer before any was measured.
-	defaultWorkTime = 200 * time.Millisecond
-	// workWeight is the weight of one answer in an upstream's mean time per answer.
-	// maxWorkStep limits how far the logarithm of one status can be from the mean's.
-	workWeight  = 0.06
-	maxWorkStep = 1.5
-	// meanOverMedian is the ratio of the mean time per answer to the median. A few
-	// answers take very long, and the average of logarithms is close to the median.
-	meanOverMedian = 1.6
 	// successWeight is the weight of one answer or failure in an upstream's success
 	// ratio.
-	successWeight = 0.3
+	successWeight = 0.06
+	// successDeviations is by how many standard deviations the ratio may be below that of the
+	// service.
+	successDeviations = 1.5
+	// minSuccess is the least success ratio of a service.
+	minSuccess = 0.1
 )
 
 // upstream is the leader's state of one upstream.
 type upstream struct {
 	Upstream
-	// workTime is the average time per answer, computed from logarithms.
-	workTime     time.Duration
+	workTime     workTime
 	successRatio float64
 	// avoidUntil is when an upstream that was unreachable may own keys again.
 	avoidUntil clock.Instant
@@ -84,7 +79,7 @@
 	if !up.proven(now) {
 		count = min(count, unprovenSlots)
 	}
-	capacity := float64(count) / (meanOverMedian * up.workTime.Seconds()) * up.successRatio * up.successRatio
+	capacity := float64(count) / up.workTime.mean().Seconds() * up.success()
 	lm := rate.Limit{}
 	if now < up.LimitUntil {
 		lm = up.Limit
@@ -98,6 +93,14 @@
 	return capacity
 }
 
+// success returns the factor by which failures lower an upstream's capacity. While all fail
+// alike, to move keys helps nobody; a few failures more may be chance.
+func (up *upstream) success() float64 {
+	deviation := math.Sqrt(up.successRatio * (1 - up.successRatio) * successWeight / (2 - successWeight))
+	relative := (up.successRatio + successDeviations*deviation) / max(up.workTime.service.success, minSuccess)
+	return min(relative*relative, 1)
+}
+
 // handleLoad updates an upstream from a member's report of answers, failures and
 // failed renewals.
 func (co *Core) handleLoad(now clock.Instant, ul protocol.UpstreamLoad) {
@@ -109,11 +112,13 @@
 		up.reached = true
 	}
 	if ul.Answers > 0 {
-		up.updateWorkTime(ul)
+		up.workTime.update(now, ul)
 	}
 	if total := ul.Answers + ul.Failures; total > 0 {
-		weight := min(successWeight*float64(total), 0.8)
-		up.successRatio += weight * (float64(ul.Answers)/float64(total) - up.successRatio)
+		success := float64(ul.Answers) / float64(total)
+		up.successRatio += min(successWeight*float64(total), 0.8) * (success - up.successRatio)
+		sv := up.workTime.service
+		sv.success += min(serviceWeight*float64(total), 0.8) * (success - sv.success)
 	}
 	if ul.UnreachedFor >= unreachedTimeout && up.avoidUntil <= now {
 		up.avoidUntil = now.Add(min(avoidBackoff<<up.avoidCount, maxAvoidBackoff))
@@ -133,16 +138,6 @@
 	return ul.Answers == 0 && ul.Failures == 0 && ul.UnreachedFor == 0
 }
 
-// updateWorkTime updates the average time per answer. Single answers differ far more
-// than upstreams do, so it averages logarithms, each with a small weight.
-func (up *upstream) updateWorkTime(ul protocol.UpstreamLoad) {
-	mean := ul.WorkTime / time.Duration(ul.Answers)
-	step := math.Log(float64(mean) / float64(up.workTime))
-	step = max(min(step, maxWorkStep), -maxWorkStep)
-	weight := 1 - math.Pow(1-workWeight, float64(ul.Answers))
-	up.workTime = time.Duration(float64(up.workTime) * math.Exp(weight*step))
-}
-
 // raiseEpochs gives the keys of an upstream higher epochs after it refused the
 // current one, because it had seen a grant of a table that was never in force.
 func (co *Core) raiseEpochs(id ident.Upstream) {
@@ -164,7 +159,7 @@
 		listed[up.ID] = true
 		us, known := co.upstreams[up.ID]
 		if !known || us.Incarnation != up.Incarnation {
-			us = &upstream{workTime: co.meanWorkTime(up.Service), successRatio: 1}
+			us = &upstream{workTime: workTime{service: co.workTimesOf(up.Service)}, successRatio: 1}
 			if known {
 				us.reportsFrom = now.Add(reportLag)
 			}
@@ -194,16 +189,12 @@
 	})
 }
 
-// meanWorkTime returns the mean time per answer over all upstreams of a service.
-func (co *Core) meanWorkTime(sv ident.Service) time.Duration {
-	sum, count := time.Duration(0), 0
-	for _, up := range co.upstreams {
-		if up.Service == sv {
-			sum, count = sum+up.workTime, count+1
-		}
-	}
-	if count == 0 {
-		return defaultWorkTime
+// workTimesOf returns what is known of the time per answer of a service.
+func (co *Core) workTimesOf(sv ident.Service) *workTimes {
+	wt, known := co.workTimes[sv]
+	if !known {
+		wt = newWorkTimes()
+		co.workTimes[sv] = wt
 	}
-	return sum / time.Duration(count)
+	return wt
 }
--- a/internal/peer/protocol/protocol_test.go
+++ b/internal/peer/protocol/protocol_test.go
@@ -23,8 +23,11 @@
 	return map[string]protocol.Msg{
 		"status": protocol.Status{
 			Member: assignment.Member{Host: "a", Domain: "d", Address: "10.0.0.1:7540", Incarnation: 1 << 60, Fitness: 80, Alive: true}, Term: 3, Revision: 9, Stopping: true, RosterVersion: 5, RosterDigest: 1 << 63, SentAt: 1 << 40,
-			Keys:      []protocol.KeyLoad{{Service: "lookup", Key: 65535, Count: 3}},
-			Upstreams: []protocol.UpstreamLoad{{Upstream: "u", Answers: 2, WorkTime: 300 * time.Millisecond, Failures: 1, UnreachedFor: time.Second, Superseded: true}},
+			Keys: []protocol.KeyLoad{{Service: "lookup", Key: 65535, Count: 3}},
+			Upstreams: []protocol.UpstreamLoad{
+				{Upstream: "u", Answers: 2, WorkTime: 300 * time.Millisecond, Failures: 1, LatencyPercent: 140, UnreachedFor: time.Second, Superseded: true},
+				{Upstream: "v", Answers: 1, WorkTime: 100 * time.Millisecond, LatencyPercent: 60},
+			},
 		},
 		"heartbeat":           heartbeat,
 		"recoveringHeartbeat": protocol.Heartbeat{Term: 1 << 33, Leader: "a", Revision: 9, RowVersion: 1 << 44, Recovering: true},
@@ -63,6 +66,10 @@
 // endings holds what a message is without its last fields, once for each field at which some
 // earlier build ends the message.
 func endings() map[string][]protocol.Msg {
+	status := messages()["status"].(protocol.Status)
+	for ix := range status.Upstreams {
+		status.Upstreams[ix].LatencyPercent = 0
+	}
 	ask := messages()["ask"].(protocol.Ask)
 	ask.Fingerprint = 0
 	pm := messages()["permit"].(protocol.Permit)
@@ -72,7 +79,7 @@
 	rf := messages()["refusal"].(protocol.Refusal)
 	rf.Asker = protocol.Process{}
 	return map[string][]protocol.Msg{
-		"ask": {ask}, "permit": {unwatched, pm}, "refusal": {rf}, "queued": {protocol.Queued{Ticket: 9}}, "doneAck": {protocol.DoneAck{Ticket: 9}},
+		"status": {status}, "ask": {ask}, "permit": {unwatched, pm}, "refusal": {rf}, "queued": {protocol.Queued{Ticket: 9}}, "doneAck": {protocol.DoneAck{Ticket: 9}},
 	}
 }
 
@@ -120,6 +127,17 @@
 	})
 }
 
+// TestMalformedLatency guards against a processing time by which a leader would take an
+// upstream for one that answers nothing.
+func TestMalformedLatency(t *testing.T) {
+	for name, percent := range map[string]int{"negative": -1, "too high": protocol.MaxLatencyPercent + 1} {
+		t.Run(name, func(t *testing.T) {
+			_, err := protocol.Decode(protocol.Encode(protocol.Status{Upstreams: []protocol.UpstreamLoad{{Upstream: "u", LatencyPercent: percent}}}))
+			NewWithT(t).Expect(err).To(HaveOccurred())
+		})
+	}
+}
+
 // TestMalformedLimits guards against a rate that no bucket can be filled by.
 func TestMalformedLimits(t *testing.T) {
 	for name, number := range map[string]float64{"negative": -1, "not a number": math.NaN(), "infinite": math.Inf(1)} {
--- a/internal/peer/protocol/status.go
+++ b/internal/peer/protocol/status.go
@@ -27,12 +27,18 @@
 	// WorkTime is the sum of the times that the answers took.
 	WorkTime time.Duration
 	Failures int
+	// LatencyPercent is the lowest processing time that its answers told, in percent of the
+	// usual one; zero if none did.
+	LatencyPercent int
 	// UnreachedFor is how long the renewals of the upstream's grants have failed.
 	UnreachedFor time.Duration
 	// Superseded means that the upstream saw a higher epoch than the renewed one.
 	Superseded bool
 }
 
+// MaxLatencyPercent is the highest processing time of an upstream that counts.
+const MaxLatencyPercent = 10000
+
 // minWorkTime is the least time that one answer counts for.
 const minWorkTime = 10 * time.Microsecond
 
@@ -124,6 +130,21 @@
 			ul.WorkTime = max(ul.WorkTime, time.Duration(ul.Answers)*minWorkTime)
 		}
 	})
+	if cd.reading && len(cd.buf) == 0 {
+		// Earlier builds end here.
+		return
+	}
+	for ix := range ms.Upstreams {
+		latencyPercent(cd, &ms.Upstreams[ix].LatencyPercent)
+	}
+}
+
+// latencyPercent codes a processing time in percent of the usual one.
+func latencyPercent(cd *codec, percent *int) {
+	count(cd, percent)
+	if cd.reading && *percent > MaxLatencyPercent {
+		*percent, cd.err, cd.buf = 0, errMalformed, nil
+	}
 }
 
 func (ms *Heartbeat) code(cd *codec) {
