Move narrow ranges by the load of the last seconds, a hot key to the fastest

Keyed services refused a quarter of their requests at half their utilisation. Moves were few and took a median of 104 ms, so neither their number nor their time was to blame, but what they went by: a load of 12 seconds without smoothing, so that in the first second noise hid everything, and moves of a quarter of an owner's load or none.

Ranges of up to 0.15 of an owner's capacity move first, half as many at once as there are targets, none to a full target, each weighed against the requests that wait for its release. A hot key goes to the fastest upstream if that pays, and the other keys of that one leave in the same step. movePlanned says why.

Two existing tests caught versions on the way: targets that are full must get nothing, and the last keys of a slow target stay. The mutant without isolateHotKeys is now noticed by TestNeighborsLeaveAtOnce, as narrow moves alone empty the owner within the time of TestHotKeyStays.

--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -559,9 +559,29 @@
 		"internal/ownership/renewal/renewal.go", "	if st.startedAt < last {", "	if false {",
 		[]string{"-run=TestLastRenewal", "./internal/ownership/renewal"},
 	},
+	"a hot key stays with an owner that answers few of its requests": {
+		"internal/ownership/balance/hotkey.go", "owner := pl.fastest(from)", "owner := from",
+		[]string{"-run=TestHotKeyGoesToTheFastest", "./internal/ownership/balance"},
+	},
+	"wide ranges move, whose releases take long": {
+		"internal/ownership/balance/balance.go", "pl.bestMoveOf(from, maxMoveFraction*from.Capacity, utilization-minGain)", "pl.bestMoveOf(from, math.Inf(1), utilization*maxRemaining)",
+		[]string{"-run=TestHeaviestDays", "./internal/ownership/leader"},
+	},
+	"the leader learns by answers alone which upstreams are slow": {
+		"internal/ownership/leader/worktime.go", "wt.latency.add(now, ul.LatencyPercent)", "wt.latency.add(now, 0)",
+		[]string{"-run=TestExpectedWorkTime", "./internal/ownership/leader"},
+	},
+	"the load follows the spread of the last seconds alone": {
+		"internal/ownership/balance/load.go", "total = (recentCount + totalSamples) / (recentSpan + totalSamples/steady)", "total = steady + 0*recentCount",
+		[]string{"-run=TestHeaviestDays", "./internal/ownership/leader"},
+	},
+	"an upstream that tells nonsense is taken for one that answers nothing": {
+		"internal/peer/protocol/status.go", "*percent > MaxLatencyPercent", "false",
+		[]string{"-run=TestMalformedLatency", "./internal/peer/protocol"},
+	},
 	"keys stay beside a hot key": {
 		"internal/ownership/balance/balance.go", "	pl.isolateHotKeys()\n", "",
-		[]string{"-run=TestHotKeyStays", "./internal/ownership/balance"},
+		[]string{"-run=TestHotKeyStays|TestNeighborsLeaveAtOnce", "./internal/ownership/balance"},
 	},
 	"keys leave a hot key for upstreams without room": {
 		"internal/ownership/balance/hotkey.go", " && to.utilizationAt(to.rate+pl.load.Rate(piece)) < 1 {", " {",
--- a/internal/ownership/balance/balance.go
+++ b/internal/ownership/balance/balance.go
@@ -8,7 +8,9 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
+	"time"
 
 	"chervilwalk/internal/base/ident"
 	"chervilwalk/internal/base/keyspace"
@@ -24,9 +26,18 @@
 	// maxRemaining is the cost, as a fraction of the utilization before the move,
 	// below which a move is made.
 	maxRemaining = 0.85
-	// moveCost is the fraction of a range's own utilization that is added to the
-	// cost of moving it, because its requests wait during the move.
-	moveCost = 0.3
+	// minGain is by how much the cost of moving a narrow range must be below the utilization
+	// before the move.
+	minGain = 0.05
+	// paybackTime is how long a move lasts at least. The requests that wait for a release are
+	// weighed against those that its keys get in that time.
+	paybackTime = 3 * time.Second
+	// minMoveCost is the least fraction of a range's own utilization that is added to the cost
+	// of moving it, maxMoveCost the highest one.
+	minMoveCost, maxMoveCost = 0.1, 0.5
+	// maxMoveFraction is the fraction of its owner's capacity up to which keys move at once. A
+	// release waits for their running requests, of which narrow ranges have few.
+	maxMoveFraction = 0.15
 	// idleUtilization is the mean utilization below which a service counts as
 	// idle. Moves then disturb no caller, and keys are balanced by their number.
 	idleUtilization = 0.03
@@ -73,15 +84,35 @@
 	ID ident.Upstream
 	// Capacity is the number of requests per second that it can answer.
 	Capacity float64
+	// ReleaseTime is how long a release of its keys is expected to take: until the requests
+	// that run on them have ended.
+	ReleaseTime time.Duration
 	// Unreached targets have not answered yet. They get only orphaned shares, and only if
 	// all targets are unreached.
 	Unreached bool
 }
 
+// Reason is why keys move, for logs.
+type Reason string
+
+const (
+	// Orphaned keys have no owner that may keep them.
+	Orphaned Reason = "orphaned"
+	// HotKey moves a key with many requests to the fastest target.
+	HotKey Reason = "hotKey"
+	// Neighbor moves the other keys of a hot key's target away.
+	Neighbor Reason = "neighborOfHotKey"
+	// NewTarget gives a target without keys its first ones.
+	NewTarget Reason = "newTarget"
+	// Uneven load moves keys to a less utilized target.
+	Uneven Reason = "uneven"
+)
+
 // Move assigns a range of keys to another upstream.
 type Move struct {
-	Keys keyspace.Range
-	To   ident.Upstream
+	Keys   keyspace.Range
+	To     ident.Upstream
+	Reason Reason
 }
 
 // target is a Target with its shares and its load, in requests per second.
@@ -100,6 +131,12 @@
 // utilizationAt returns the utilization at a rate; 1 is full capacity.
 func (tg *target) utilizationAt(rate float64) float64 { return rate/tg.Capacity + tg.penalty }
 
+// moveCost returns what is added to the cost of moving a range away, as a fraction of the
+// range's own utilization, because its requests wait for the release.
+func (tg *target) moveCost() float64 {
+	return min(max(tg.ReleaseTime.Seconds()/paybackTime.Seconds(), minMoveCost), maxMoveCost)
+}
+
 // Option configures Plan.
 type Option func(*plan)
 
@@ -206,7 +243,7 @@
 			return cmp.Or(cmp.Compare(left.utilizationAt(left.rate+rate), right.utilizationAt(right.rate+rate)),
 				cmp.Compare(len(left.shares), len(right.shares)), cmp.Compare(left.ID, right.ID))
 		})
-		pl.assign(rg, best)
+		pl.assign(rg, best, Orphaned)
 	}
 }
 
@@ -229,8 +266,8 @@
 }
 
 // assign adds a move and its load to the plan.
-func (pl *plan) assign(rg keyspace.Range, to *target) {
-	pl.moves = append(pl.moves, Move{Keys: rg, To: to.ID})
+func (pl *plan) assign(rg keyspace.Range, to *target, reason Reason) {
+	pl.moves = append(pl.moves, Move{Keys: rg, To: to.ID, Reason: reason})
 	to.rate += pl.load.Rate(rg)
 	// Fixed, so that the same plan doesn't move the range again.
 	to.shares = append(to.shares, Share{Range: rg, Owner: to.ID, Fixed: true})
@@ -249,7 +286,7 @@
 			return false
 		}
 		if best := pl.bestMove(from); best.to != nil {
-			pl.move(best.rg, from, best.to)
+			pl.move(best.rg, from, best.to, Uneven)
 			return true
 		}
 	}
@@ -271,21 +308,32 @@
 		return tg.rate/tg.Capacity > maxIdleImbalance*pl.load.Total()/pl.totalCapacity
 	}
 	// Random variation of an even load is no reason to move keys.
-	noise := noiseDeviations * pl.load.Deviation(pl.load.Total()/float64(len(pl.targets))) / tg.Capacity
+	noise := noiseDeviations * pl.load.Deviation(tg.rate) / tg.Capacity
 	return tg.utilization() >= minUtilization && tg.utilization() >= pl.meanUtilization+max(minExcess, noise)
 }
 
-// bestMove returns the cheapest move away from a target. Its to is nil if no
-// move costs less than maxRemaining of the target's utilization.
+// bestMove returns the cheapest move away from a target, of a narrow range if there is a
+// worthwhile one. Its to is nil if there is none.
 func (pl *plan) bestMove(from *target) candidate {
-	best := candidate{cost: from.utilization() * maxRemaining}
+	utilization := from.utilization()
+	if best := pl.bestMoveOf(from, maxMoveFraction*from.Capacity, utilization-minGain); best.to != nil {
+		return best
+	}
+	return pl.bestMoveOf(from, math.Inf(1), utilization*maxRemaining)
+}
+
+// bestMoveOf returns the cheapest move of about a rate or less that costs less than a maximum.
+func (pl *plan) bestMoveOf(from *target, maxRate, maxCost float64) candidate {
+	best := candidate{cost: maxCost}
 	for _, to := range pl.receivers(from) {
 		for _, sh := range from.shares {
 			if sh.Fixed {
 				continue
 			}
-			for _, rg := range pl.pieces(sh.Range, from, to) {
-				best = best.better(pl.evaluate(rg, from, to))
+			for _, rg := range pl.pieces(sh.Range, from, to, maxRate) {
+				if from.rate-pl.load.Rate(rg) >= pl.initialRate(from) {
+					best = best.better(pl.evaluate(rg, from, to))
+				}
 			}
 		}
 	}
@@ -293,7 +341,7 @@
 }
 
 // move splits a range off one of from's shares and assigns it to another target.
-func (pl *plan) move(rg keyspace.Range, from, to *target) {
+func (pl *plan) move(rg keyspace.Range, from, to *target, reason Reason) {
 	for ix, sh := range from.shares {
 		if !sh.Contains(rg.From) || !sh.Contains(rg.To) || sh.Fixed {
 			continue
@@ -309,7 +357,7 @@
 		break
 	}
 	from.rate -= pl.load.Rate(rg)
-	pl.assign(rg, to)
+	pl.assign(rg, to, reason)
 }
 
 // receivers returns the targets to evaluate for a move: the least utilized ones,
@@ -320,6 +368,10 @@
 		if tg == from || tg.Unreached {
 			continue
 		}
+		if tg.utilization() >= 1 {
+			// Its callers would lose what those of from gain.
+			continue
+		}
 		others = append(others, tg)
 		if tg.Capacity > from.Capacity {
 			faster = append(faster, tg)
@@ -335,13 +387,17 @@
 
 // pieces returns the parts of a share to evaluate for a move: the whole, and the
 // prefix and suffix that would equalize the utilization of both targets.
-func (pl *plan) pieces(rg keyspace.Range, from, to *target) []keyspace.Range {
+func (pl *plan) pieces(rg keyspace.Range, from, to *target, maxRate float64) []keyspace.Range {
 	// Moving this rate equalizes the utilization of both targets.
 	ideal := (from.utilization() - to.utilization()) * from.Capacity * to.Capacity / (from.Capacity + to.Capacity)
 	pieces := []keyspace.Range{rg}
 	if pl.wholeShares {
 		return pieces
 	}
+	if pl.load.Rate(rg) > 2*maxRate {
+		pieces = nil
+	}
+	ideal = min(ideal, maxRate)
 	if left, ok := pl.load.prefix(rg, ideal); ok && left != rg {
 		pieces = append(pieces, left)
 	}
@@ -352,7 +408,7 @@
 }
 
 // candidate is a possible move with its cost: the higher utilization of the two
-// targets after it, plus moveCost.
+// targets after it, plus the cost of the move itself.
 type candidate struct {
 	rg   keyspace.Range
 	to   *target
@@ -363,7 +419,7 @@
 func (pl *plan) evaluate(rg keyspace.Range, from, to *target) candidate {
 	rate := pl.load.Rate(rg)
 	peak := max(from.utilizationAt(from.rate-rate), to.utilizationAt(to.rate+rate))
-	return candidate{rg: rg, to: to, cost: peak + moveCost*rate/from.Capacity}
+	return candidate{rg: rg, to: to, cost: peak + from.moveCost()*rate/from.Capacity}
 }
 
 func (cd candidate) better(other candidate) candidate {
--- a/internal/ownership/balance/balance_test.go
+++ b/internal/ownership/balance/balance_test.go
@@ -154,6 +154,12 @@
 	gm.Expect(width).To(BeNumerically("<", keyspace.Count/100), "number of keys that %s owns with the hot one", owner)
 }
 
+// ownerOf returns the owner of a key.
+func (sim *simulation) ownerOf(ky keyspace.Key) ident.Upstream {
+	ix := slices.IndexFunc(sim.shares, func(sh balance.Share) bool { return sh.Contains(ky) })
+	return sim.shares[ix].Owner
+}
+
 // owners returns the owners that a key has had while the load of a few seconds ran.
 func (sim *simulation) owners(ky keyspace.Key, seconds, budget int, second func() []keyspace.Key) []ident.Upstream {
 	var owners []ident.Upstream
@@ -229,6 +235,82 @@
 	}
 }
 
+// TestHotKeyGoesToTheFastest guards against a hot key whose owner answers few of its requests
+// while another could answer more, and against one that goes on from target to target.
+func TestHotKeyGoesToTheFastest(t *testing.T) {
+	const hot = 30007
+	for name, tc := range map[string]struct {
+		fast    float64
+		release time.Duration
+		owner   ident.Upstream
+	}{
+		"twice as fast":                     {20, 300 * time.Millisecond, "u8"},
+		"hardly faster":                     {11, 300 * time.Millisecond, "u4"},
+		"a release longer than it pays for": {14, 2 * time.Second, "u4"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			gm := NewWithT(t)
+			rng := rand.New(rand.NewSource(1))
+			sim := newSimulation(10, 10)
+			sim.targets[8].Capacity = tc.fast
+			for ix := range sim.targets {
+				sim.targets[ix].ReleaseTime = tc.release
+			}
+			second := func() []keyspace.Key {
+				requests := make([]keyspace.Key, 150)
+				for ix := range requests {
+					requests[ix] = hot
+					if ix < 50 {
+						requests[ix] = keyspace.Key(rng.Intn(keyspace.Count))
+					}
+				}
+				return requests
+			}
+			owners := sim.owners(hot, 4, 3, second)
+			gm.Expect(owners).To(Equal([]ident.Upstream{tc.owner}), "owners of the hot key")
+			width := 0
+			for _, sh := range sim.shares {
+				if sh.Owner == tc.owner {
+					width += sh.Len()
+				}
+			}
+			gm.Expect(width).To(BeNumerically("<", keyspace.Count/100), "number of keys beside the hot one")
+		})
+	}
+}
+
+// TestNeighborsLeaveAtOnce guards against neighbours of a hot key that leave one after the
+// other, and wait in its queue until then.
+func TestNeighborsLeaveAtOnce(t *testing.T) {
+	const hot = 30007
+	gm := NewWithT(t)
+	rng := rand.New(rand.NewSource(1))
+	sim := newSimulation(40, 10)
+	second := func(hotCount int) []keyspace.Key {
+		requests := make([]keyspace.Key, 160+hotCount)
+		for ix := range requests {
+			requests[ix] = keyspace.Key(rng.Intn(keyspace.Count))
+			if ix >= 160 {
+				requests[ix] = hot
+			}
+		}
+		return requests
+	}
+	for range 5 {
+		sim.runSecond(second(0), 8)
+	}
+	requests := second(100)
+	rng.Shuffle(len(requests), func(left, right int) { requests[left], requests[right] = requests[right], requests[left] })
+	sim.runQuarter(requests, 0, 1)
+	width := 0
+	for _, sh := range sim.shares {
+		if sh.Owner == sim.ownerOf(hot) {
+			width += sh.Len()
+		}
+	}
+	gm.Expect(width).To(BeNumerically("<", keyspace.Count/400), "number of keys beside the hot one after one plan")
+}
+
 // TestHotKeyHidesNoOtherLoad sends one key ten times what a target can answer and a
 // range of another target twice as much. The range must be spread all the same.
 func TestHotKeyHidesNoOtherLoad(t *testing.T) {
--- a/internal/ownership/balance/hotkey.go
+++ b/internal/ownership/balance/hotkey.go
@@ -1,12 +1,19 @@
 package balance
 
 import (
+	"slices"
+
 	"chervilwalk/internal/base/keyspace"
 )
 
-// isolateHotKeys moves the keys that share their owner with a hot key to targets that
-// can answer them. Their requests would wait in its queue. To move the hot key instead
-// would make its own requests wait and only shift the problem.
+// minSpeedup is how many times as many requests another target must answer for a hot key
+// to move there.
+const minSpeedup = 1.25
+
+// isolateHotKeys gives each hot key a target of its own: the fastest one if that answers so
+// many more of its requests that its callers get back what the release costs them, else the
+// one that has it. The other keys of that target move to targets that can answer them, as
+// their requests would wait in its queue.
 func (pl *plan) isolateHotKeys() {
 	if pl.wholeShares || len(pl.targets) < 2 {
 		return
@@ -19,16 +26,40 @@
 		if !found {
 			continue
 		}
-		for _, rg := range from.rangesWithout(hot) {
+		owner := pl.fastest(from)
+		if owner != from {
+			pl.move(keyspace.Range{From: hot, To: hot}, from, owner, HotKey)
+		}
+		for _, rg := range owner.rangesWithout(hot) {
 			for _, piece := range pl.split(rg) {
-				if to := pl.leastUtilized(piece, from); to != from && to.utilizationAt(to.rate+pl.load.Rate(piece)) < 1 {
-					pl.move(piece, from, to)
+				if to := pl.leastUtilized(piece, owner); to != owner && to.utilizationAt(to.rate+pl.load.Rate(piece)) < 1 {
+					pl.move(piece, owner, to, Neighbor)
 				}
 			}
 		}
 	}
 }
 
+// fastest returns the reached target with the highest capacity that has no hot key, or from
+// if a hot key had better stay there.
+func (pl *plan) fastest(from *target) *target {
+	best, capacity := from, from.Capacity*max(minSpeedup, 1+from.ReleaseTime.Seconds()/paybackTime.Seconds())
+	for _, tg := range pl.targets {
+		if tg.Unreached || tg.Capacity < capacity || best != from && tg.Capacity == capacity {
+			continue
+		}
+		if _, found := pl.hotKey(tg); !found && !tg.receives() {
+			best, capacity = tg, tg.Capacity
+		}
+	}
+	return best
+}
+
+// receives reports whether keys are on their way to the target, one of which may be hot.
+func (tg *target) receives() bool {
+	return slices.ContainsFunc(tg.shares, func(sh Share) bool { return sh.Fixed })
+}
+
 // rangesWithout returns the target's ranges, less those on the move and one key.
 func (tg *target) rangesWithout(ky keyspace.Key) []keyspace.Range {
 	var ranges []keyspace.Range
--- a/internal/ownership/leader/plan.go
+++ b/internal/ownership/leader/plan.go
@@ -17,7 +17,7 @@
 	initialAssignDelay = 1800 * time.Millisecond
 	// movesPerTarget limits the concurrent moves for load, per upstream that may own
 	// keys, because requests wait while their keys move. minMoves are always allowed.
-	movesPerTarget = 0.2
+	movesPerTarget = 0.5
 	minMoves       = 3
 	// sharesPerTarget limits into how many shares the keys of a service are split,
 	// per upstream that may own keys.
@@ -68,7 +68,7 @@
 	unproven := co.unprovenSlots(now, sv)
 	for _, up := range co.upstreams {
 		if up.Service == sv && co.mayOwn(now, up) {
-			targets = append(targets, balance.Target{ID: up.ID, Capacity: up.capacity(now, unproven), Unreached: !up.reached})
+			targets = append(targets, balance.Target{ID: up.ID, Capacity: up.capacity(now, unproven), ReleaseTime: up.workTime.mean(), Unreached: !up.reached})
 		}
 	}
 	slices.SortFunc(targets, func(left, right balance.Target) int {
@@ -161,6 +161,6 @@
 	co.dirty = true
 	co.logEvent("movePlanned", map[string]any{
 		"service": sv, "from": sh.From, "to": sh.To, "owner": sh.Owner.Upstream, "next": mv.To, "epoch": sh.Next.Epoch,
-		"ratePerS": co.loads[sv].Rate(sh.Range),
+		"ratePerS": co.loads[sv].Rate(sh.Range), "reason": mv.Reason, "workMs": up.workTime.mean().Milliseconds(), "latencyPercent": up.workTime.latency.percent(),
 	})
 }
