Join neighbouring shares of one owner

Shares were split by moves and never joined.

Ruled out: the higher epoch of the two, of which a grant may still be on its way.

--- a/internal/catalog/assignment/assignment.go
+++ b/internal/catalog/assignment/assignment.go
@@ -151,3 +151,41 @@
 	tb.Shares = slices.Replace(tb.Shares, ix, ix+1, pieces...)
 	return at
 }
+
+// Count returns the number of a service's shares.
+func (tb *Table) Count(sv ident.Service) int {
+	count := 0
+	for ix := range tb.Shares {
+		if tb.Shares[ix].Service == sv {
+			count++
+		}
+	}
+	return count
+}
+
+// Join joins the neighbouring shares of a service that don't move and that one incarnation of
+// an upstream owns. Joined shares have a new epoch, above all that their owner has. It returns
+// how many shares are gone.
+func (tb *Table) Join(sv ident.Service) int {
+	joined, fresh := make([]Share, 0, len(tb.Shares)), false
+	for _, sh := range tb.Shares {
+		last := len(joined) - 1
+		if last < 0 || sh.Service != sv || !joined[last].joins(&sh) {
+			joined, fresh = append(joined, sh), false
+			continue
+		}
+		joined[last].To = sh.To
+		if !fresh {
+			joined[last].Owner.Epoch, fresh = tb.TakeEpoch(), true
+		}
+	}
+	gone := len(tb.Shares) - len(joined)
+	tb.Shares = joined
+	return gone
+}
+
+// joins reports whether the share and the next one can be one.
+func (sh *Share) joins(next *Share) bool {
+	return sh.Service == next.Service && next.From > 0 && sh.To == next.From-1 && !sh.Moving() && !next.Moving() &&
+		sh.Owner.Upstream == next.Owner.Upstream && sh.Owner.Incarnation == next.Owner.Incarnation
+}
--- a/internal/catalog/assignment/assignment_test.go
+++ b/internal/catalog/assignment/assignment_test.go
@@ -5,6 +5,7 @@
 	"compress/flate"
 	"fmt"
 	"math/rand"
+	"slices"
 	"strings"
 	"testing"
 
@@ -182,3 +183,33 @@
 		}
 	})
 }
+
+// TestJoin guards against keys that get another owner, or an epoch that their owner refuses,
+// because shares were joined.
+func TestJoin(t *testing.T) {
+	share := func(sv ident.Service, from, to keyspace.Key, up ident.Upstream, incarnation roster.Incarnation, epoch keyspace.Epoch) assignment.Share {
+		return assignment.Share{Service: sv, Range: keyspace.Range{From: from, To: to}, Owner: assignment.Claim{Upstream: up, Incarnation: incarnation, Epoch: epoch}}
+	}
+	moving := share("a", 10, 19, "u", 1, 6)
+	moving.Next = assignment.Claim{Upstream: "v", Incarnation: 1, Epoch: 8}
+	for name, tc := range map[string]struct{ shares, want []assignment.Share }{
+		"three neighbours":      {[]assignment.Share{share("a", 0, 9, "u", 1, 5), share("a", 10, 19, "u", 1, 6), share("a", 20, 29, "u", 1, 4)}, []assignment.Share{share("a", 0, 29, "u", 1, 21)}},
+		"two pairs":             {[]assignment.Share{share("a", 0, 9, "u", 1, 5), share("a", 10, 19, "u", 1, 6), share("a", 20, 29, "v", 1, 4), share("a", 30, 39, "v", 1, 7)}, []assignment.Share{share("a", 0, 19, "u", 1, 21), share("a", 20, 39, "v", 1, 22)}},
+		"one is moving":         {[]assignment.Share{share("a", 0, 9, "u", 1, 5), moving, share("a", 20, 29, "u", 1, 4)}, nil},
+		"keys between them":     {[]assignment.Share{share("a", 0, 9, "u", 1, 5), share("a", 11, 19, "u", 1, 6)}, nil},
+		"another incarnation":   {[]assignment.Share{share("a", 0, 9, "u", 1, 5), share("a", 10, 19, "u", 2, 6)}, nil},
+		"another service":       {[]assignment.Share{share("b", 0, 9, "u", 1, 5), share("b", 10, 19, "u", 1, 6)}, nil},
+		"the last and the next": {[]assignment.Share{share("a", 0, keyspace.Last, "u", 1, 5), share("b", 0, 9, "u", 1, 6)}, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			gm := NewWithT(t)
+			tb := &assignment.Table{LastEpoch: 20, Shares: slices.Clone(tc.shares)}
+			want := tc.want
+			if want == nil {
+				want = tc.shares
+			}
+			gm.Expect(tb.Join("a")).To(Equal(len(tc.shares) - len(want)))
+			gm.Expect(tb.Shares).To(Equal(want))
+		})
+	}
+}
--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -559,6 +559,14 @@
 		"internal/ownership/renewal/renewal.go", "	if st.startedAt < last {", "	if false {",
 		[]string{"-run=TestLastRenewal", "./internal/ownership/renewal"},
 	},
+	"shares that move are joined with others": {
+		"internal/catalog/assignment/assignment.go", " && !sh.Moving() && !next.Moving()", "",
+		[]string{"-run=TestJoin", "./internal/catalog/assignment"},
+	},
+	"joined shares keep an epoch that their owner may refuse": {
+		"internal/catalog/assignment/assignment.go", "joined[last].Owner.Epoch, fresh = tb.TakeEpoch(), true", "fresh = true",
+		[]string{"-run=TestJoin", "./internal/catalog/assignment"},
+	},
 	"a hot key stays with an owner that answers few of its requests": {
 		"internal/ownership/balance/hotkey.go", "owner := pl.fastest(from)", "owner := from",
 		[]string{"-run=TestHotKeyGoesToTheFastest", "./internal/ownership/balance"},
--- a/internal/ownership/leader/plan.go
+++ b/internal/ownership/leader/plan.go
@@ -46,6 +46,10 @@
 		ld = balance.NewLoad(now)
 		co.loads[sv] = ld
 	}
+	maxShares := min(sharesPerTarget*len(targets), assignment.MaxShares)
+	if co.draft.Count(sv) > maxShares/2 {
+		co.joinShares(sv)
+	}
 	shares, moving := co.balanceShares(now, sv)
 	if len(shares) == 0 {
 		co.assignInitialKeys(now, sv, targets)
@@ -54,7 +58,7 @@
 	ld.Refresh(now)
 	budget := max(minMoves, int(movesPerTarget*float64(len(targets)))) - moving
 	var opts []balance.Option
-	if len(shares) > min(sharesPerTarget*len(targets), assignment.MaxShares) {
+	if len(shares) > maxShares {
 		opts = append(opts, balance.WholeShares())
 	}
 	for _, mv := range balance.Plan(ld, shares, targets, budget, opts...) {
@@ -140,6 +144,14 @@
 	co.logEvent("keysDealt", map[string]any{"service": sv, "upstreams": len(targets)})
 }
 
+// joinShares joins neighbouring shares of one owner, so that there is room to split others.
+func (co *Core) joinShares(sv ident.Service) {
+	if gone := co.draft.Join(sv); gone > 0 {
+		co.dirty = true
+		co.logEvent("sharesJoined", map[string]any{"service": sv, "fewer": gone, "shares": co.draft.Count(sv)})
+	}
+}
+
 // planMove adds a planned move to the draft.
 func (co *Core) planMove(sv ident.Service, mv balance.Move) {
 	ix := co.draft.Index(sv, mv.Keys.From)
