Spread the keys of an idle service again

Narrow moves leave a target what it would get first, which without traffic was more than all that it had, so that one target kept half of all keys until the first requests. Idle services are excepted. A time per answer of zero, which only extreme reports give, no longer makes a capacity infinite.

--- a/internal/ownership/balance/balance.go
+++ b/internal/ownership/balance/balance.go
@@ -304,7 +304,7 @@
 
 // overloaded reports whether the target's utilization justifies a move.
 func (pl *plan) overloaded(tg *target) bool {
-	if pl.load.Total()/pl.totalCapacity < idleUtilization {
+	if pl.idle() {
 		return tg.rate/tg.Capacity > maxIdleImbalance*pl.load.Total()/pl.totalCapacity
 	}
 	// Random variation of an even load is no reason to move keys.
@@ -331,7 +331,7 @@
 				continue
 			}
 			for _, rg := range pl.pieces(sh.Range, from, to, maxRate) {
-				if from.rate-pl.load.Rate(rg) >= pl.initialRate(from) {
+				if from.rate-pl.load.Rate(rg) >= pl.keptRate(from) {
 					best = best.better(pl.evaluate(rg, from, to))
 				}
 			}
@@ -340,6 +340,18 @@
 	return best
 }
 
+// keptRate returns the rate below which a target gives nothing away: with less it would be the
+// next one to receive keys.
+func (pl *plan) keptRate(tg *target) float64 {
+	if pl.idle() {
+		return 0
+	}
+	return initialFraction * pl.meanUtilization * tg.Capacity
+}
+
+// idle reports whether moves disturb no caller.
+func (pl *plan) idle() bool { return pl.load.Total()/pl.totalCapacity < idleUtilization }
+
 // move splits a range off one of from's shares and assigns it to another target.
 func (pl *plan) move(rg keyspace.Range, from, to *target, reason Reason) {
 	for ix, sh := range from.shares {
--- a/internal/ownership/balance/balance_test.go
+++ b/internal/ownership/balance/balance_test.go
@@ -427,6 +427,27 @@
 	gm.Expect(sim.moves).To(BeNumerically("<=", 5))
 }
 
+// TestIdleKeysAreSpread guards against a target that owns most keys of a service without
+// traffic, and gets all of its first requests.
+func TestIdleKeysAreSpread(t *testing.T) {
+	gm := NewWithT(t)
+	sim := newSimulation(6, 60)
+	for _, sh := range slices.Clone(sim.shares[1:3]) {
+		rg := sh.Range
+		sim.apply(balance.Move{Keys: keyspace.Range{From: rg.From + 100, To: rg.To}, To: "u0"})
+	}
+	for range 10 {
+		sim.runSecond(nil, 3)
+	}
+	width := map[ident.Upstream]int{}
+	for _, sh := range sim.shares {
+		width[sh.Owner] += sh.Len()
+	}
+	for id, keys := range width {
+		gm.Expect(keys).To(BeNumerically("<=", keyspace.Count/6*2), "number of keys that %s owns", id)
+	}
+}
+
 // TestNewTargetGetsKeys checks that a target without keys gets some, whatever
 // the load.
 func TestNewTargetGetsKeys(t *testing.T) {
--- a/internal/ownership/balance/seed.go
+++ b/internal/ownership/balance/seed.go
@@ -25,7 +25,7 @@
 // seed returns the range that a target without keys receives first, and its owner, nil
 // if there is no such range.
 func (pl *plan) seed(order []*target, to *target) (best keyspace.Range, owner *target) {
-	wanted := pl.initialRate(to)
+	wanted := initialFraction * max(pl.meanUtilization, 0.01) * to.Capacity
 	highest := 0.0
 	for _, from := range order {
 		if from == to {
@@ -75,8 +75,3 @@
 	}
 	return best.Range, true
 }
-
-// initialRate returns the rate that a target without keys receives first.
-func (pl *plan) initialRate(tg *target) float64 {
-	return initialFraction * max(pl.meanUtilization, 0.01) * tg.Capacity
-}
--- a/internal/ownership/leader/worktime.go
+++ b/internal/ownership/leader/worktime.go
@@ -48,8 +48,8 @@
 }
 
 // workTime is what is known of an upstream's time per answer. What it tells of its current
-// processing time shows a slow upstream with the first answers, and one that turns slow at
-// once. What was measured corrects one that tells it wrongly.
+// processing time shows a slow upstream with its first answer, and one that turns slow within
+// two windows. What was measured corrects one that tells it wrongly.
 type workTime struct {
 	service *workTimes
 	// relative is its usual time per answer in that of the service, as a logarithm.
@@ -58,11 +58,13 @@
 	latency  latencyFloor
 }
 
-// median returns the expected time per answer, mean the mean one.
+// median returns the median time per answer that is expected.
 func (wt *workTime) median() time.Duration {
-	return time.Duration(float64(wt.service.usual) * math.Exp(wt.relative) * float64(wt.latency.percent()) / 100)
+	expected := time.Duration(float64(wt.service.usual) * math.Exp(wt.relative) * float64(wt.latency.percent()) / 100)
+	return max(expected, time.Microsecond)
 }
 
+// mean returns the mean time per answer that is expected.
 func (wt *workTime) mean() time.Duration {
 	return time.Duration(float64(wt.median()) * wt.service.meanOverMedian)
 }
