--- a/internal/ownership/balance/seed.go
+++ b/internal/ownership/balance/seed.go
@@ -15,7 +15,7 @@
 		}
 		pl.seeded[to] = true
 		if rg, from := pl.seed(order, to); from != nil {
-			pl.move(rg, from, to)
+			pl.move(rg, from, to, NewTarget)
 			return true
 		}
 	}
--- a/internal/ownership/leader/plan.go
+++ b/internal/ownership/leader/plan.go
@@ -17,7 +17,7 @@
 	initialAssignDelay = 1800 * time.Millisecond
 	// movesPerTarget limits the concurrent moves for load, per upstream that may own
 	// keys, because requests wait while their keys move. minMoves are always allowed.
-	movesPerTarget = 0.2
+	movesPerTarget = 0.5
 	minMoves       = 3
 	// sharesPerTarget limits into how many shares the keys of a service are split,
 	// per upstream that may own keys.
@@ -46,6 +46,10 @@
 		ld = balance.NewLoad(now)
 		co.loads[sv] = ld
 	}
+	maxShares := min(sharesPerTarget*len(targets), assignment.MaxShares)
+	if co.draft.Count(sv) > maxShares/2 {
+		co.joinShares(sv)
+	}
 	shares, moving := co.balanceShares(now, sv)
 	if len(shares) == 0 {
 		co.assignInitialKeys(now, sv, targets)
@@ -54,7 +58,7 @@
 	ld.Refresh(now)
 	budget := max(minMoves, int(movesPerTarget*float64(len(targets)))) - moving
 	var opts []balance.Option
-	if len(shares) > min(sharesPerTarget*len(targets), assignment.MaxShares) {
+	if len(shares) > maxShares {
 		opts = append(opts, balance.WholeShares())
 	}
 	for _, mv := range balance.Plan(ld, shares, targets, budget, opts...) {
@@ -68,7 +72,7 @@
 	unproven := co.unprovenSlots(now, sv)
 	for _, up := range co.upstreams {
 		if up.Service == sv && co.mayOwn(now, up) {
-			targets = append(targets, balance.Target{ID: up.ID, Capacity: up.capacity(now, unproven), Unreached: !up.reached})
+			targets = append(targets, balance.Target{ID: up.ID, Capacity: up.capacity(now, unproven), ReleaseTime: up.workTime.mean(), Unreached: !up.reached})
 		}
 	}
 	slices.SortFunc(targets, func(left, right balance.Target) int {
@@ -140,6 +144,14 @@
 	co.logEvent("keysDealt", map[string]any{"service": sv, "upstreams": len(targets)})
 }
 
+// joinShares joins neighbouring shares of one owner, so that there is room to split others.
+func (co *Core) joinShares(sv ident.Service) {
+	if gone := co.draft.Join(sv); gone > 0 {
+		co.dirty = true
+		co.logEvent("sharesJoined", map[string]any{"service": sv, "fewer": gone, "shares": co.draft.Count(sv)})
+	}
+}
+
 // planMove adds a planned move to the draft.
 func (co *Core) planMove(sv ident.Service, mv balance.Move) {
 	ix := co.draft.Index(sv, mv.Keys.From)
@@ -161,6 +173,6 @@
 	co.dirty = true
 	co.logEvent("movePlanned", map[string]any{
 		"service": sv, "from": sh.From, "to": sh.To, "owner": sh.Owner.Upstream, "next": mv.To, "epoch": sh.Next.Epoch,
-		"ratePerS": co.loads[sv].Rate(sh.Range),
+		"ratePerS": co.loads[sv].Rate(sh.Range), "reason": mv.Reason, "workMs": up.workTime.mean().Milliseconds(), "latencyPercent": up.workTime.latency.percent(),
 	})
 }
