Tell members of rows that were deleted before the leader read them

Cause, found by reading: the version that a leader's heartbeats name was that of the newest row. One that has read all rows does not see a deletion, so a member that had missed it was not told: an evacuation that was taken back would have held there. A reader that had seen the deletion would have reported it to that leader with each heartbeat.

Change: after a first read, one in a new era, or one in which a row is missing, rows count as changed at the version of the read. Rows are sent with the version of their last change, as heartbeats name it. A reader reports one version three times at most.

--- a/internal/fleet/gateway/followrows.go
+++ b/internal/fleet/gateway/followrows.go
@@ -17,7 +17,7 @@
 	// it, and not before.
 	era       era.Era
 	rewritten map[ident.Domain]bool
-	// changedVersion is the newest version among the changed rows.
+	// changedVersion is the newest version at which the rows may have changed.
 	changedVersion uint64
 	// rows are those that the state was decoded from, as the store had them at version.
 	rows    []platform.Row
--- a/internal/fleet/gateway/leading_test.go
+++ b/internal/fleet/gateway/leading_test.go
@@ -67,7 +67,7 @@
 		t.Run(name, func(t *testing.T) {
 			gm := NewWithT(t)
 			gw, base := leadingGateway(t, 20, 10, 40)
-			gw.source, gw.rowRelay.rows, gw.rowRelay.version = operatorRows{}, []platform.Row{{Key: "config", Version: 5}}, 6
+			gw.source, gw.rowRelay.rows, gw.rowRelay.version, gw.cache.operatorVersion = operatorRows{}, []platform.Row{{Key: "config", Version: 5}}, 6, 6
 			mb := base.Members[3]
 			st := protocol.Status{Member: mb, Term: gw.agent.Term(), SentAt: gw.clock.Now(), OperatorRows: tc.operatorRows}
 			gw.handleDatagram(datagramEvent{st, netip.MustParseAddrPort(mb.Address)})
--- a/internal/fleet/gateway/rowfeed_test.go
+++ b/internal/fleet/gateway/rowfeed_test.go
@@ -126,17 +126,19 @@
 	deleted := row("evacuate/a", 0, 5)
 	deleted.Deleted = true
 	known := rowSet{}.update(rowAnswer{[]platform.Row{row("config", 0, 3), row("evacuate/a", 0, 4)}, 4, true})
+	NewWithT(t).Expect(rowSet{}.update(rowAnswer{[]platform.Row{row("config", 0, 3)}, 8, true}).changedVersion).To(BeEquivalentTo(8), "a row may have been deleted before")
 	cases := map[string]struct {
-		answer  rowAnswer
-		rows    []platform.Row
-		version platform.Version
+		answer           rowAnswer
+		rows             []platform.Row
+		version, changed platform.Version
 	}{
-		"a watch with a change":                      {rowAnswer{[]platform.Row{row("config", 0, 6)}, 7, false}, []platform.Row{row("config", 0, 6), row("evacuate/a", 0, 4)}, 7},
-		"a watch with a deletion":                    {rowAnswer{[]platform.Row{deleted}, 5, false}, []platform.Row{row("config", 0, 3)}, 5},
-		"a watch without a change":                   {rowAnswer{nil, 9, false}, []platform.Row{row("config", 0, 3), row("evacuate/a", 0, 4)}, 9},
-		"a watch that was overtaken by another host": {rowAnswer{[]platform.Row{row("config", 0, 2)}, 2, false}, []platform.Row{row("config", 0, 3), row("evacuate/a", 0, 4)}, 4},
-		"all rows, one deleted":                      {rowAnswer{[]platform.Row{row("config", 0, 3)}, 6, true}, []platform.Row{row("config", 0, 3)}, 6},
-		"all rows of a new era":                      {rowAnswer{[]platform.Row{row("config", 1, 2)}, era.Position[platform.Version](1, 2), true}, []platform.Row{row("config", 1, 2)}, era.Position[platform.Version](1, 2)},
+		"a watch with a change":                      {rowAnswer{[]platform.Row{row("config", 0, 6)}, 7, false}, []platform.Row{row("config", 0, 6), row("evacuate/a", 0, 4)}, 7, 6},
+		"a watch with a deletion":                    {rowAnswer{[]platform.Row{deleted}, 5, false}, []platform.Row{row("config", 0, 3)}, 5, 5},
+		"a watch without a change":                   {rowAnswer{nil, 9, false}, []platform.Row{row("config", 0, 3), row("evacuate/a", 0, 4)}, 9, 0},
+		"a watch that was overtaken by another host": {rowAnswer{[]platform.Row{row("config", 0, 2)}, 2, false}, []platform.Row{row("config", 0, 3), row("evacuate/a", 0, 4)}, 4, 0},
+		"all rows, one deleted":                      {rowAnswer{[]platform.Row{row("config", 0, 3)}, 6, true}, []platform.Row{row("config", 0, 3)}, 6, 6},
+		"all rows again":                             {rowAnswer{[]platform.Row{row("config", 0, 3), row("evacuate/a", 0, 4)}, 9, true}, []platform.Row{row("config", 0, 3), row("evacuate/a", 0, 4)}, 9, 4},
+		"all rows of a new era":                      {rowAnswer{[]platform.Row{row("config", 1, 2)}, era.Position[platform.Version](1, 3), true}, []platform.Row{row("config", 1, 2)}, era.Position[platform.Version](1, 3), era.Position[platform.Version](1, 3)},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -144,6 +146,7 @@
 			next := known.update(tc.answer)
 			gm.Expect(next.all()).To(Equal(tc.rows))
 			gm.Expect(next.version).To(Equal(tc.version))
+			gm.Expect(next.changedVersion).To(Equal(tc.changed), "hosts that know less are told")
 		})
 	}
 }
@@ -191,7 +194,7 @@
 		// It must not fit into one datagram.
 		config.Value[ix] = byte(ident.Weight("value", fmt.Sprint(ix)))
 	}
-	leader.rowRelay.rows, leader.rowRelay.version = []platform.Row{config}, 6
+	leader.rowRelay.rows, leader.rowRelay.version, leader.cache.operatorVersion = []platform.Row{config}, 8, 6
 	leader.sendOperatorRows(leader.clock.Now(), netip.MustParseAddrPort("10.0.0.2:1"), true)
 	gm.Expect(len(nw.inFlight)).To(BeNumerically(">", 2))
 	nw.deliver()
@@ -202,3 +205,20 @@
 	nw.deliver()
 	gm.Expect(starts.relayedRows).NotTo(Receive(), "they are known")
 }
+
+// TestReportsOfNewerRows guards against a leader that keeps an older desired state although a
+// domain's reader knows a newer one, and against a reader that reports without end.
+func TestReportsOfNewerRows(t *testing.T) {
+	gm := NewWithT(t)
+	nw := &testNetwork{t: t, gateways: map[netip.AddrPort]*Gateway{}}
+	reader := nw.startProcess("a", "10.0.0.1:1", 1)
+	reader.source, reader.rowRelay.version, reader.cache.operatorVersion = operatorRows{}, 6, 6
+	reader.operatorVersion.Store(6)
+	reader.leaderSendsRows.Store(true)
+	now := clock.Instant(time.Hour)
+	for range 20 {
+		reader.compareOperatorRows(now, protocol.Heartbeat{Freshness: protocol.Freshness{OperatorVersion: 5}}, netip.MustParseAddrPort("10.0.0.2:1"))
+		now = now.Add(400 * time.Millisecond)
+	}
+	gm.Expect(nw.inFlight).To(HaveLen(maxRowReports))
+}
--- a/internal/fleet/gateway/rowrelay.go
+++ b/internal/fleet/gateway/rowrelay.go
@@ -27,8 +27,11 @@
 	// encoded is the row set that was encoded last, without suspects.
 	encoded        []byte
 	encodedVersion platform.Version
-	// leaderBehindSince is since when this host knows newer rows than the leader.
+	// leaderBehindSince is since when the leader's heartbeats name older rows than this host knows.
+	// reports is how often it was told of those of reportedVersion.
 	leaderBehindSince clock.Instant
+	reportedVersion   platform.Version
+	reports           int
 	pending           bodyParts
 }
 
@@ -122,7 +125,8 @@
 	}
 }
 
-// sendOperatorRows sends the operator rows to a host, with the suspects if it starts.
+// sendOperatorRows sends the operator rows to a host, with the suspects if it starts. Their version
+// is that of their last change, as in heartbeats.
 func (gw *Gateway) sendOperatorRows(now clock.Instant, to netip.AddrPort, starts bool) {
 	rl := &gw.rowRelay
 	if rl.version == 0 {
@@ -137,12 +141,12 @@
 	}
 	chunks := assignmentChunks(string(body))
 	for part, chunk := range chunks {
-		gw.sendMessageTo(to, protocol.OperatorRows{Version: uint64(rl.version), Part: part, Parts: len(chunks), Body: chunk})
+		gw.sendMessageTo(to, protocol.OperatorRows{Version: gw.cache.operatorVersion, Part: part, Parts: len(chunks), Body: chunk})
 	}
 }
 
 func (gw *Gateway) rowSetMessage(now clock.Instant, starts bool) protocol.RowSet {
-	set := protocol.RowSet{Table: gw.source.table(), Version: uint64(gw.rowRelay.version)}
+	set := protocol.RowSet{Table: gw.source.table(), Version: gw.cache.operatorVersion}
 	for _, rw := range gw.rowRelay.rows {
 		set.Rows = append(set.Rows, protocol.OperatorRow{Key: rw.Key, Value: string(rw.Value), Version: uint64(rw.Version)})
 	}
@@ -190,16 +194,8 @@
 // compareOperatorRows compares this host's operator rows with those of the leader, by its
 // heartbeat: rows that stay older are read, newer ones of a domain's reader are sent to it.
 func (gw *Gateway) compareOperatorRows(now clock.Instant, hb protocol.Heartbeat, from netip.AddrPort) {
-	rc, rl := &gw.cache, &gw.rowRelay
-	if hb.OperatorVersion >= rc.operatorVersion {
-		rl.leaderBehindSince = 0
-	} else if rl.leaderBehindSince == 0 {
-		rl.leaderBehindSince = now
-	}
-	if rl.leaderBehindSince != 0 && now.Sub(rl.leaderBehindSince) >= maxWatchLag && gw.leaderSendsRows.Load() && gw.domainRank.Load() == 0 {
-		gw.config.Log.Event("operatorRowsReported", eventlog.Fields{"leader": from.String(), "version": rc.operatorVersion, "leaderHas": hb.OperatorVersion})
-		gw.sendOperatorRows(now, from, false)
-	}
+	rc := &gw.cache
+	gw.reportOperatorRows(now, hb, from)
 	known := gw.operatorVersion.Load()
 	if hb.OperatorVersion <= known || known == 0 {
 		// Without any, the first read is due at its own time.
@@ -215,6 +211,31 @@
 	}
 }
 
+// maxRowReports limits how often a leader is told of one version. One that has read all rows
+// does not know of a deletion, and names an older version although it knows the newest.
+const maxRowReports = 3
+
+// reportOperatorRows sends the leader newer operator rows, if this host reads for its domain.
+func (gw *Gateway) reportOperatorRows(now clock.Instant, hb protocol.Heartbeat, from netip.AddrPort) {
+	rl := &gw.rowRelay
+	if hb.OperatorVersion >= gw.cache.operatorVersion || !gw.leaderSendsRows.Load() || gw.domainRank.Load() != 0 {
+		rl.leaderBehindSince = 0
+		return
+	}
+	if rl.leaderBehindSince == 0 {
+		rl.leaderBehindSince = now
+	}
+	if rl.reportedVersion != rl.version {
+		rl.reportedVersion, rl.reports = rl.version, 0
+	}
+	if now.Sub(rl.leaderBehindSince) < maxWatchLag || rl.reports >= maxRowReports {
+		return
+	}
+	rl.reports++
+	gw.config.Log.Event("operatorRowsReported", eventlog.Fields{"leader": from.String(), "version": rl.version, "leaderHas": hb.OperatorVersion})
+	gw.sendOperatorRows(now, from, false)
+}
+
 // checkSilentLeader requests a read if this host relies on a leader for changes that has not
 // had an answer of the store lately.
 func (gw *Gateway) checkSilentLeader() {
--- a/internal/fleet/gateway/rowset.go
+++ b/internal/fleet/gateway/rowset.go
@@ -16,7 +16,8 @@
 	// rewritten holds the domains whose rows were written in the era of version, and not
 	// before.
 	rewritten map[ident.Domain]bool
-	// changedVersion is the newest version among the rows that have changed.
+	// changedVersion is the newest version at which the last answer has changed the rows, as far
+	// as it tells, or 0.
 	changedVersion platform.Version
 }
 
@@ -45,6 +46,10 @@
 		maps.Copy(next.rewritten, rs.rewritten)
 		noteRewritten(next.rewritten, rs.rows, changed, !ra.whole)
 	}
+	if ra.whole && rs.mayLose(ra) {
+		// All rows do not say when one was deleted.
+		next.changedVersion = ra.version
+	}
 	for _, rw := range changed {
 		next.changedVersion = max(next.changedVersion, rw.Version)
 		if rw.Deleted {
@@ -56,6 +61,20 @@
 	return next
 }
 
+// mayLose reports whether rows may have been deleted between the set and all rows of an answer.
+func (rs rowSet) mayLose(ra rowAnswer) bool {
+	listed := make(map[string]bool, len(ra.rows))
+	for _, rw := range ra.rows {
+		listed[rw.Key] = true
+	}
+	for key := range rs.rows {
+		if !listed[key] {
+			return true
+		}
+	}
+	return rs.version == 0 || ra.version.Era() != rs.version.Era()
+}
+
 // accepts reports whether rows that another host has sent are newer than the set. newest is the
 // newest era that the store has named to this host.
 func (rs rowSet) accepts(ra rowAnswer, newest era.Era) bool {
--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -359,6 +359,10 @@
 		"internal/fleet/gateway/firstread.go", "case rank >= 0 && rank < firstReaders:", "case false:",
 		[]string{"-run=TestRowSources", "./internal/fleet/gateway"},
 	},
+	"a deletion that the leader has not seen is told to nobody": {
+		"internal/fleet/gateway/rowset.go", "if ra.whole && rs.mayLose(ra) {", "if false {",
+		[]string{"-run=TestRowSetUpdates", "./internal/fleet/gateway"},
+	},
 	"a host waits for rows of a leader that sends none": {
 		"internal/fleet/gateway/rowfeed.go", "return rc.sends && rc.fresh", "return rc.fresh",
 		[]string{"-run=TestRowSources", "./internal/fleet/gateway"},
