--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -56,7 +56,7 @@
 		[]string{"-run=TestHotKeyDisturbed", "./internal/serving/permit"},
 	},
 	"refused callers return at once": {
-		"internal/serving/permit/retryafter.go", "		rt.nextAt = at.Add(interval)\n", "",
+		"internal/serving/permit/retryafter.go", "		rt.nextAt = turnAt.Add(interval)\n", "",
 		[]string{"-run=TestRefusedCallersReturnToRoom", "./internal/serving/permit"},
 	},
 	"a refusal tells a time of years": {
--- a/internal/serving/permit/retryafter.go
+++ b/internal/serving/permit/retryafter.go
@@ -9,6 +9,8 @@
 const (
 	// minRetryAfter prevents an immediate retry of a refused request.
 	minRetryAfter = 100 * time.Millisecond
+	// maxBacklog is how long the upstream may need for those who return without telling them apart.
+	maxBacklog = 500 * time.Millisecond
 	// maxRetryAfter is the time over which callers are spread for whom there is no room before their
 	// deadline.
 	maxRetryAfter = 30 * time.Second
@@ -16,17 +18,22 @@
 
 // returnTimes spreads callers that were refused, one after the other as the upstream has room for them.
 type returnTimes struct {
-	// nextAt is when the next caller may return, nextLateAt the same for those who are told a time
-	// after their deadline: they take no room.
+	// nextAt is when the upstream would have run the requests of those who were told to return,
+	// nextLateAt the same for those who are told a time after their deadline: they take no room.
 	nextAt, nextLateAt clock.Instant
 }
 
-// next returns when a caller may return that has to wait now and must be back by a time, behind those who
-// were told before.
+// next returns when a caller may return that has to wait now and must be back by a time. Callers that
+// were refused go in turn once there are more than the upstream can run in a while. Before that each is
+// told its own wait: a slot may be free sooner, in time for its objective.
 func (rt *returnTimes) next(now clock.Instant, wait time.Duration, by clock.Instant, interval time.Duration) clock.Instant {
-	at := max(now.Add(max(wait, minRetryAfter)), rt.nextAt)
+	turnAt := max(rt.nextAt, now)
+	at := now.Add(max(wait, minRetryAfter))
+	if turnAt > now.Add(maxBacklog) {
+		at = max(at, turnAt)
+	}
 	if at <= by {
-		rt.nextAt = at.Add(interval)
+		rt.nextAt = turnAt.Add(interval)
 		return at
 	}
 	if rt.nextLateAt > now.Add(maxRetryAfter) {
