--- a/internal/serving/permit/retryafter_test.go
+++ b/internal/serving/permit/retryafter_test.go
@@ -31,9 +31,9 @@
 	}
 	gm.Expect(len(told)).To(BeNumerically(">", 20))
 	// The owner runs ten a second.
-	const atOnce = 6
-	gm.Expect(told[atOnce]).To(BeNumerically(">", sm.now.Add(objective/2)), "those in the first half second come back at once")
-	told = told[atOnce:]
+	const inHalfSecond = 6
+	gm.Expect(told[inHalfSecond]).To(BeNumerically(">", sm.now.Add(objective/2)), "those told their own wait are few")
+	told = told[inHalfSecond:]
 	for ix := range told[1:] {
 		gm.Expect(told[ix+1].Sub(told[ix])).To(BeNumerically(">=", 100*time.Millisecond))
 	}
