--- a/internal/serving/permit/retryafter_test.go
+++ b/internal/serving/permit/retryafter_test.go
@@ -41,9 +41,9 @@
 	gm.Expect(len(places) + len(later)).To(BeNumerically(">", 20))
 	gm.Expect(later).NotTo(BeEmpty())
 	// The owner runs ten a second.
-	const atOnce = 6
-	gm.Expect(places[atOnce]).To(BeNumerically(">", sm.now.Add(objective/2)), "those in the first half second come back at once")
-	for _, told := range [][]clock.Instant{places[atOnce:], later} {
+	const inHalfSecond = 6
+	gm.Expect(places[inHalfSecond]).To(BeNumerically(">", sm.now.Add(objective/2)), "those told their own wait are few")
+	for _, told := range [][]clock.Instant{places[inHalfSecond:], later} {
 		for ix := range told[1:] {
 			gm.Expect(told[ix+1].Sub(told[ix])).To(BeNumerically(">=", 100*time.Millisecond))
 		}
