Let the mutants of three guards be noticed again

Two lost the test that noticed them: with old owners fenced again, a host that returns ends a move before a late acknowledgement could prolong it, and requests that wait in their domain hide how long asks of a pool wait.

Change: TestKeysOfUnreachableOwner plays a member that acknowledges late; TestSpill is added to the tests of the third. No check was taken away.

--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -81,7 +81,7 @@
 	},
 	"asks of a pool wait until their answer is as likely late as in time": {
 		"internal/serving/permit/patience.go", "minPoolChance  = 0.9", "minPoolChance  = 0.5",
-		[]string{"-run=TestAnswersInTimeUnderLoad", "./internal/serving/permit"},
+		[]string{"-run=TestAnswersInTimeUnderLoad|TestSpill", "./internal/serving/permit"},
 	},
 	"a kind of request gets nothing beside more urgent ones": {
 		"internal/serving/permit/share.go", "if dm.owed > 0 {", "if false {",
@@ -540,7 +540,7 @@
 		[]string{"-run=TestSpill", "./internal/serving/permit"},
 	},
 	"asks that may not leave their domain count on the room of others": {
-		"internal/serving/permit/queue.go", " || confined && us.Domain != ak.Domain", "",
+		"internal/serving/permit/capacity.go", " || confined && us.Domain != ak.Domain", "",
 		[]string{"-run=TestSpill", "./internal/serving/permit"},
 	},
 	"load goes on to a domain that is cut off": {
@@ -777,7 +777,7 @@
 	},
 	"a member that acknowledges late prolongs old grants": {
 		"internal/ownership/leader/move.go", "end = max(end, min(at, unackedEnd))", "end = max(end, at)",
-		[]string{"-run=TestDisturbances", "./internal/ownership/agent"},
+		[]string{"-run=TestDisturbances|TestKeysOfUnreachableOwner", "./internal/ownership/agent", "./internal/ownership/leader"},
 	},
 	"entries that were dropped stay": {
 		"internal/fleet/gateway/entryreader.go", "			delete(er.rows, rw.Key)\n", "",
--- a/internal/ownership/leader/move_test.go
+++ b/internal/ownership/leader/move_test.go
@@ -26,11 +26,13 @@
 	cases := map[string]struct {
 		acknowledges bool
 		earliest     time.Duration
-		// backAfter is when the old owner answers again, 0 if it does not.
-		backAfter time.Duration
+		// backAfter is when the old owner answers again, 0 if it does not, acknowledgesAfter when
+		// the member acknowledges that did not at once.
+		backAfter, acknowledgesAfter time.Duration
 	}{
 		"all members acknowledge":             {acknowledges: true, earliest: expires},
 		"a member does not acknowledge it":    {earliest: renewal.ConfirmTTL + expires},
+		"a member acknowledges late":          {earliest: renewal.ConfirmTTL + expires, acknowledgesAfter: renewal.ConfirmTTL + 1700*time.Millisecond},
 		"the old owner is back":               {acknowledges: true, earliest: 2 * time.Second, backAfter: 2 * time.Second},
 		"the old owner is back, its host not": {earliest: 4 * time.Second, backAfter: 4 * time.Second},
 		"it is back when its grant expires":   {acknowledges: true, earliest: expires, backAfter: expires - 100*time.Millisecond},
@@ -77,7 +79,7 @@
 				if step%10 == 0 {
 					handle(co.Update(now, leader.StatusMsg{Status: protocol.Status{Member: members[0], Revision: co.Table().Revision}, Follows: true}))
 					revision := assignment.Revision(1)
-					if tc.acknowledges {
+					if tc.acknowledges || tc.acknowledgesAfter > 0 && storedAt > 0 && now.Sub(storedAt) >= tc.acknowledgesAfter {
 						revision = co.Table().Revision
 					}
 					handle(co.Update(now, leader.StatusMsg{Status: protocol.Status{Member: members[1], Revision: revision}, Follows: true}))
