--- /dev/null
+++ b/review/drive/upstream.go
@@ -0,0 +1,197 @@
+package drive
+
+import (
+	"fmt"
+	"hash/crc32"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// UpstreamConfig configures a stand-in for an upstream.
+type UpstreamConfig struct {
+	ID, Service, Zone string
+	Slots             int
+	// Work is how long a request takes, LongWork one with the header field "Work: long".
+	Work, LongWork time.Duration
+	// AnswerBytes is the size of an answer.
+	AnswerBytes int
+	// TruncateEvery breaks off each such answer in its second half; with 0 none.
+	TruncateEvery int
+	// Early makes the upstream begin to work as soon as the header of a request has arrived.
+	Early bool
+}
+
+// Run is a request that an upstream began to work on.
+type Run struct {
+	Upstream, Request  string
+	StartedAt, EndedAt time.Time
+	// Truncated reports whether its answer was broken off by the upstream, Dropped whether its
+	// connection or body ended before.
+	Truncated, Dropped bool
+}
+
+// queuePerSlot is how many requests wait for each slot.
+const queuePerSlot = 4
+
+// Upstream is a stand-in for an upstream.
+type Upstream struct {
+	cf        UpstreamConfig
+	record    *Record
+	listener  net.Listener
+	server    *http.Server
+	startedAt time.Time
+	slots     chan struct{}
+	queue     chan struct{}
+
+	mu      sync.Mutex
+	runs    []*Run
+	answers int
+}
+
+func startUpstream(dp *Deployment, cf UpstreamConfig) (*Upstream, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	up := &Upstream{
+		cf: cf, record: dp.Record, listener: ln, startedAt: time.Now(), slots: make(chan struct{}, cf.Slots), queue: make(chan struct{}, cf.Slots*(1+queuePerSlot)),
+	}
+	up.server = &http.Server{Handler: up, ReadHeaderTimeout: 5 * time.Second}
+	dp.group.Go(func() {
+		// It ends when the listener is closed.
+		_ = up.server.Serve(ln)
+	})
+	return up, nil
+}
+
+func (up *Upstream) close() { _ = up.server.Close() }
+
+func (up *Upstream) entry(sequence int) string {
+	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":"ready","cold-left-s":0,"sequence":%d,"born":%d}`,
+		up.cf.Service, up.listener.Addr(), up.cf.Zone, up.cf.Slots, sequence, up.startedAt.UnixMilli())
+}
+
+// Runs returns the requests that ran so far.
+func (up *Upstream) Runs() []Run {
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	runs := make([]Run, 0, len(up.runs))
+	for _, run := range up.runs {
+		runs = append(runs, *run)
+	}
+	return runs
+}
+
+// ServeHTTP implements http.Handler.
+func (up *Upstream) ServeHTTP(rw http.ResponseWriter, rq *http.Request) {
+	id := rq.Header.Get("Request-Id")
+	rw.Header().Set("Request-Id", id)
+	if rq.Header.Get("Expected-Instance") != up.cf.ID {
+		rw.Header().Set("Not-Executed", "1")
+		rw.Header().Set("Instance-Id", up.cf.ID)
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if !up.cf.Early {
+		if _, err := io.Copy(io.Discard, rq.Body); err != nil {
+			return
+		}
+	}
+	select {
+	case up.queue <- struct{}{}:
+		defer func() { <-up.queue }()
+	default:
+		rw.Header().Set("Not-Executed", "1")
+		rw.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	select {
+	case up.slots <- struct{}{}:
+		defer func() { <-up.slots }()
+	case <-rq.Context().Done():
+		return
+	}
+	run := up.begin(id)
+	if _, err := io.Copy(io.Discard, rq.Body); err != nil {
+		up.end(run, false, true)
+		return
+	}
+	work, status := up.cf.Work, http.StatusOK
+	if rq.Header.Get("Work") == "long" {
+		work = up.cf.LongWork
+	}
+	if limit, err := strconv.Atoi(rq.Header.Get("Request-Deadline")); err == nil && time.Duration(limit)*time.Millisecond < work {
+		work, status = time.Duration(limit)*time.Millisecond, http.StatusGatewayTimeout
+	}
+	select {
+	case <-time.After(work):
+	case <-rq.Context().Done():
+		up.end(run, false, true)
+		return
+	}
+	up.answer(rw, run, status)
+}
+
+// begin records that a request begins to run.
+func (up *Upstream) begin(id string) *Run {
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	run := &Run{Upstream: up.cf.ID, Request: id, StartedAt: time.Now()}
+	up.runs = append(up.runs, run)
+	up.record.Printf("%s runs %s", up.cf.ID, id)
+	return run
+}
+
+func (up *Upstream) end(run *Run, truncated, dropped bool) {
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	run.EndedAt, run.Truncated, run.Dropped = time.Now(), truncated, dropped
+	how := "answered"
+	switch {
+	case truncated:
+		how = "broke the answer off"
+	case dropped:
+		how = "dropped it, as its connection ended"
+	}
+	up.record.Printf("%s ended %s: %s", up.cf.ID, run.Request, how)
+}
+
+// answer answers a request that has run.
+func (up *Upstream) answer(rw http.ResponseWriter, run *Run, status int) {
+	body := Body(run.Request, up.cf.AnswerBytes)
+	up.mu.Lock()
+	up.answers++
+	truncates := up.cf.TruncateEvery > 0 && up.answers%up.cf.TruncateEvery == 0
+	running := len(up.slots)
+	up.mu.Unlock()
+	rw.Header().Set("Response-Seal", Seal(run.Request, body))
+	rw.Header().Set("Server-Load", fmt.Sprintf("%d,%d,%d,100", running, max(len(up.queue)-running, 0), up.cf.Slots))
+	rw.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	rw.WriteHeader(status)
+	if truncates {
+		_, _ = rw.Write(body[:len(body)*3/4])
+		up.end(run, true, false)
+		// The connection is closed, as the length was not reached.
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = rw.Write(body)
+	up.end(run, false, false)
+}
+
+// Body returns the body of the answer to a request.
+func Body(request string, size int) []byte {
+	body := make([]byte, size)
+	for ix := range body {
+		body[ix] = request[ix%len(request)]
+	}
+	return body
+}
+
+// Seal returns the seal of an answer.
+func Seal(request string, body []byte) string {
+	return fmt.Sprintf("%08x.%x.%08x", crc32.ChecksumIEEE([]byte(request)), len(body), crc32.ChecksumIEEE(body))
+}
