--- a/review/6/main.go
+++ b/review/6/main.go
@@ -29,8 +29,12 @@
 	// size of the body of each.
 	crowd     = 2000
 	bodyBytes = 120_000
+	// spacing is the time between two of them: 320 Mbit/s of the link's 700. stay is how long
+	// each stays.
+	spacing = 3 * time.Millisecond
+	stay    = 9 * time.Second
 	// duration is how long the crowd comes.
-	duration    = 60 * time.Second
+	duration    = 90 * time.Second
 	callerLimit = 3 * time.Second
 	contactTime = 3 * time.Second
 )
@@ -147,7 +151,12 @@
 		var group sync.WaitGroup
 		var sent atomic.Int64
 		starts := ho.Starts()
+		began := time.Now()
 		for number := range crowd {
+			time.Sleep(time.Until(began.Add(time.Duration(number) * spacing)))
+			if ho.Starts() != starts {
+				break
+			}
 			group.Go(func() {
 				id := fmt.Sprintf("crowd-%s-%d-%d", ho.Name, round, number)
 				cl, err := drive.Dial(ho.Callers)
@@ -155,14 +164,14 @@
 					return
 				}
 				defer func() { _ = cl.Close() }()
-				head := drive.Head("POST", "/order/"+id, "glue.example", id, callerLimit, "Content-Length: "+strconv.Itoa(bodyBytes)+"\r\n")
-				_ = cl.SetWriteDeadline(time.Now().Add(callerLimit))
+				head := drive.Head("POST", "/order/"+id, "glue.example", id, stay, "Content-Length: "+strconv.Itoa(bodyBytes)+"\r\n")
+				_ = cl.SetWriteDeadline(time.Now().Add(stay))
 				if _, err := cl.Write(append([]byte(head), body...)); err != nil {
 					return
 				}
 				sent.Add(1)
-				// It leaves at its time limit, or when the host has answered or ended.
-				_, _ = cl.Receive("POST", time.Now().Add(callerLimit))
+				// It leaves when the host has answered or ended.
+				_, _ = cl.Receive("POST", time.Now().Add(stay))
 			})
 		}
 		group.Wait()
