Case 6: keys with two owners after a drill of the store

The case shows that a third and more of the keys have two owners for some three seconds when the store comes back from a copy a few seconds old, all hosts are killed at that moment, and two upstreams that are cut off from the store have started again under their ids.

The new leader knows that members have forgotten and that an assignment may be lost; it freezes moves, but has the older grants renewed at once, and an upstream that has started again takes them.

--- a/review/6/main.go
+++ b/review/6/main.go
@@ -1,5 +1,5 @@
-// Command 6 lets a crowd of callers send bodies of legal size that stop just short of their end,
-// and checks that the hosts stay within the memory of their machines.
+// Command 6 lets the store come back from an older copy while all hosts are killed, and checks that
+// no key has two owners afterwards.
 package main
 
 import (
@@ -9,40 +9,39 @@
 	"path/filepath"
 	"strconv"
 	"sync"
-	"sync/atomic"
+	"syscall"
 	"time"
 
 	"chervilwalk/review/drive"
 )
 
 const (
-	// memoryMB is the figure memory-mb of the settings.
-	memoryMB = 206
-	// hosts and attacked are how many hosts there are and how many the crowd comes to.
-	hosts    = 3
-	attacked = 2
-	// endsPerHost and endedHosts are the bounds of the rule: a tenth of the machines, two at
-	// least, whose processes end three times.
-	endsPerHost = 3
-	endedHosts  = 2
-	// crowd is how many callers come to a host, below its max-fds of 2,870; bodyBytes is the
-	// size of the body of each.
-	crowd     = 2000
-	bodyBytes = 120_000
-	// spacing is the time between two of them: 320 Mbit/s of the link's 700. stay is how long
-	// each stays.
-	spacing = 3 * time.Millisecond
-	stay    = 9 * time.Second
-	// duration is how long the crowd comes.
-	duration    = 90 * time.Second
-	callerLimit = 3 * time.Second
-	contactTime = 3 * time.Second
+	hosts = 3
+	// upstreams is how many upstreams there are, cutOff how many of them are cut off: 0.22.
+	upstreams = 9
+	cutOff    = 2
+	// dealTime is how long the keys take to be dealt.
+	dealTime = 5 * time.Second
+	// cutTime is how long the upstreams are cut off.
+	cutTime = 10 * time.Second
+	// moveTime bounds how long their keys take to move.
+	moveTime = 8 * time.Second
+	// away is how long the store is away.
+	away = 300 * time.Millisecond
+	// calm is the time from the end of one drill to the next, in which frozen keys may move again.
+	calm   = 14 * time.Second
+	rounds = 3
+	// maxOverlap is how long two upstreams may hold a key.
+	maxOverlap  = 500 * time.Millisecond
+	callerLimit = 2500 * time.Millisecond
+	// keyStep is the distance of the keys that are checked.
+	keyStep = 64
 )
 
 // desired is the operators' desired state.
-const desired = `{"version":"r7","services":[{"name":"gluebook","health-path":"/health","max-conns":295,"protocol":"h1","tls":false,"cold-start-s":3.0,"cold-per-s":20}],` +
+const desired = `{"version":"r7","services":[{"name":"tinlook","health-path":"/health","max-conns":295,"protocol":"h1","tls":false,"cold-start-s":3.0,"cold-per-s":2.6,"sharded":true,"warm-s":3.0,"grants":"call"}],` +
 	`"limits":{"max-header-bytes":16384,"max-body-bytes":67108864,"header-timeout-s":3,"idle-timeout-s":15},` +
-	`"virtual-hosts":[{"host":"glue.example","path-rules":[{"name":"r-order","prefix":"/order/","kind":"non_idempotent","timeout-s":1.5,"slo-latency-s":0.8,"priority":1,"service":"gluebook","max-attempts":2}]}]}`
+	`"virtual-hosts":[{"host":"glue.example","path-rules":[{"name":"r-check","prefix":"/check/","kind":"idempotent","timeout-s":1.2,"slo-latency-s":0.6,"priority":2,"service":"tinlook","max-attempts":2}]}]}`
 
 func main() {
 	status, err := run(os.Args[1], os.Getenv("TROUBLE") != "0")
@@ -59,130 +58,215 @@
 		return drive.Failed, err
 	}
 	defer func() { _ = record.Close() }()
-	var upstreams []drive.UpstreamConfig
-	for number := range 3 {
-		upstreams = append(upstreams, drive.UpstreamConfig{ID: "i-book-" + strconv.Itoa(number), Service: "gluebook", Zone: "arusha-a", Slots: 2, Work: 100 * time.Millisecond, AnswerBytes: 5000})
+	zones := []string{"arusha-a", "arusha-b", "arusha-c"}
+	var configs []drive.UpstreamConfig
+	for number := range upstreams {
+		configs = append(configs, drive.UpstreamConfig{
+			ID: "i-tin-" + strconv.Itoa(number), Service: "tinlook", Zone: zones[number%len(zones)], Slots: 2, Work: 20 * time.Millisecond, AnswerBytes: 500, Keyed: true,
+		})
 	}
-	dp, err := drive.Start(drive.Config{Hosts: hosts, Record: record, Desired: desired, GraceSeconds: 6, MemoryMB: memoryMB, Upstreams: upstreams})
+	dp, err := drive.Start(drive.Config{Hosts: hosts, Record: record, Desired: desired, GraceSeconds: 6, MemoryMB: 206, Upstreams: configs})
 	if err != nil {
 		return drive.Failed, err
 	}
 	defer dp.Close()
-	time.Sleep(contactTime)
-	limit := drive.LimitMemory(dp, memoryMB)
 	stop := make(chan struct{})
 	var group sync.WaitGroup
 	for _, ho := range dp.Hosts {
-		group.Go(func() { order(record, ho, stop) })
+		group.Go(func() { check(record, ho, stop) })
 	}
-	if trouble {
-		for _, ho := range dp.Hosts[:attacked] {
-			group.Go(func() { press(record, ho, stop) })
-		}
-	}
-	for end := time.Now().Add(duration); time.Now().Before(end) && !ended(dp.Hosts[:attacked]); {
-		time.Sleep(100 * time.Millisecond)
-		if !trouble && time.Until(end) < duration-10*time.Second {
-			break
+	time.Sleep(dealTime)
+	for round := range rounds {
+		if trouble {
+			if err := drill(dp, round); err != nil {
+				return drive.Failed, err
+			}
 		}
+		time.Sleep(calm)
 	}
 	close(stop)
 	group.Wait()
-	ended, peak := limit.Close(endsPerHost)
-	record.Printf("%d hosts ended %d times or more for their memory, the most was %.0f MB", ended, endsPerHost, peak)
-	if ended >= endedHosts {
-		return drive.Broken, nil
+	return judge(dp)
+}
+
+// drill cuts upstreams off from the store until their keys have other owners, and lets them crash and
+// start again behind the cut. Then the store comes back from a copy of before, and all hosts are
+// killed.
+func drill(dp *drive.Deployment, round int) error {
+	down := dp.Upstreams[round*cutOff : (round+1)*cutOff]
+	cutAt := time.Now()
+	for _, up := range down {
+		dp.Cut(up)
 	}
-	return drive.Held, nil
+	if !moved(dp, down) {
+		dp.Record.Printf("round %d: the keys have not moved", round)
+	}
+	for _, up := range down {
+		if err := dp.Reborn(up); err != nil {
+			return err
+		}
+	}
+	if err := dp.Control(http.MethodPut, "faults", `{"down":true}`); err != nil {
+		return err
+	}
+	time.Sleep(away)
+	for _, ho := range dp.Hosts {
+		ho.Signal(syscall.SIGKILL)
+	}
+	if err := dp.Return(time.Since(cutAt)); err != nil {
+		return err
+	}
+	if err := dp.Control(http.MethodPut, "faults", `{}`); err != nil {
+		return err
+	}
+	time.Sleep(time.Until(cutAt.Add(cutTime)))
+	for _, up := range down {
+		if err := dp.Heal(up); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// moved waits until other upstreams hold all keys.
+func moved(dp *drive.Deployment, down []*drive.Upstream) bool {
+	for end := time.Now().Add(moveTime); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		now := time.Now()
+		var held [drive.KeyCount]bool
+		for _, up := range dp.Upstreams {
+			if contains(down, up) {
+				continue
+			}
+			for _, ho := range up.Holds() {
+				if !ho.Expires.After(now) {
+					continue
+				}
+				for key := ho.From; key <= ho.To; key++ {
+					held[key] = true
+				}
+			}
+		}
+		all := true
+		for _, is := range held {
+			all = all && is
+		}
+		if all {
+			return true
+		}
+	}
+	return false
 }
 
-// ended reports whether all of the hosts have been started once more than the rule allows them to
-// end.
-func ended(list []*drive.Host) bool {
-	for _, ho := range list {
-		if ho.Starts() <= endsPerHost {
-			return false
+func contains(list []*drive.Upstream, up *drive.Upstream) bool {
+	for _, other := range list {
+		if other == up {
+			return true
 		}
 	}
-	return true
+	return false
 }
 
-// order sends an ordinary request now and then and records what came of it.
-func order(record *drive.Record, ho *drive.Host, stop <-chan struct{}) {
+// check sends lookups of keys to a host.
+func check(record *drive.Record, ho *drive.Host, stop <-chan struct{}) {
 	for number := 0; ; number++ {
 		select {
 		case <-stop:
 			return
-		case <-time.After(200 * time.Millisecond):
+		case <-time.After(50 * time.Millisecond):
 		}
-		id := fmt.Sprintf("order-%s-%d", ho.Name, number)
+		id := fmt.Sprintf("check-%s-%d", ho.Name, number)
 		cl, err := drive.Dial(ho.Callers)
 		if err != nil {
-			record.Printf("%s: not connected: %v", id, err)
 			continue
 		}
-		_, err = cl.Write([]byte(drive.Head("POST", "/order/"+id, "glue.example", id, callerLimit, "Content-Length: 4\r\n") + "tins"))
-		var an *drive.Answer
+		key := (number * 7919) % drive.KeyCount
+		_, err = cl.Write([]byte(drive.Head("GET", "/check/"+id, "glue.example", id, callerLimit, "Shard-Key: "+strconv.Itoa(key)+"\r\n")))
 		if err == nil {
-			an, err = cl.Receive("POST", time.Now().Add(callerLimit))
+			var an *drive.Answer
+			if an, err = cl.Receive("GET", time.Now().Add(callerLimit)); err == nil && an.Status != http.StatusOK {
+				record.Printf("%s, key %d: status %d", id, key, an.Status)
+			}
 		}
 		_ = cl.Close()
-		switch {
-		case err != nil:
-			record.Printf("%s: no answer: %v", id, err)
-		case an.Status != http.StatusOK:
-			record.Printf("%s: status %d", id, an.Status)
-		}
 	}
 }
 
-// press keeps a crowd of callers at a host. Each sends all of a body but its last byte and stays.
-func press(record *drive.Record, ho *drive.Host, stop <-chan struct{}) {
-	body := make([]byte, bodyBytes-1)
-	for round := 0; ; round++ {
-		for !ho.IsReady() {
-			select {
-			case <-stop:
-				return
-			case <-time.After(100 * time.Millisecond):
+// owners are two upstreams, in one of their lives each, that held keys together.
+type owners struct {
+	first, second         string
+	firstLife, secondLife int
+}
+
+// judge applies the rule OWNER to every keyStep-th key.
+func judge(dp *drive.Deployment) (int, error) {
+	broken := 0
+	var longest time.Duration
+	seen := map[owners]int{}
+	for key := 0; key < drive.KeyCount; key += keyStep {
+		var holds []drive.Hold
+		for _, up := range dp.Upstreams {
+			for _, ho := range up.Holds() {
+				if ho.From <= key && key <= ho.To {
+					holds = append(holds, ho)
+				}
 			}
 		}
-		record.Printf("a crowd of %d callers comes to %s", crowd, ho.Name)
-		var group sync.WaitGroup
-		var sent atomic.Int64
-		starts := ho.Starts()
-		began := time.Now()
-		for number := range crowd {
-			time.Sleep(time.Until(began.Add(time.Duration(number) * spacing)))
-			if ho.Starts() != starts {
-				break
-			}
-			group.Go(func() {
-				id := fmt.Sprintf("crowd-%s-%d-%d", ho.Name, round, number)
-				cl, err := drive.Dial(ho.Callers)
-				if err != nil {
-					return
-				}
-				defer func() { _ = cl.Close() }()
-				head := drive.Head("POST", "/order/"+id, "glue.example", id, stay, "Content-Length: "+strconv.Itoa(bodyBytes)+"\r\n")
-				_ = cl.SetWriteDeadline(time.Now().Add(stay))
-				if _, err := cl.Write(append([]byte(head), body...)); err != nil {
-					return
-				}
-				sent.Add(1)
-				// It leaves when the host has answered or ended.
-				_, _ = cl.Receive("POST", time.Now().Add(stay))
-			})
+		overlap, first, second := overlapOf(holds)
+		longest = max(longest, overlap)
+		if overlap <= maxOverlap {
+			continue
 		}
-		group.Wait()
-		record.Printf("%d of the crowd at %s had sent all but the last byte", sent.Load(), ho.Name)
-		if ho.Starts() == starts {
-			time.Sleep(time.Second)
+		broken++
+		ow := owners{first.Upstream, second.Upstream, first.Life, second.Life}
+		if seen[ow]++; seen[ow] == 1 {
+			dp.Record.Printf("key %d: OWNER, %s life %d (epoch %d) and %s life %d (epoch %d) held it together for %v", key,
+				first.Upstream, first.Life, first.Fence, second.Upstream, second.Life, second.Fence, overlap.Round(time.Millisecond))
 		}
-		select {
-		case <-stop:
-			return
-		default:
+	}
+	dp.Record.Printf("%d of %d keys checked had two owners for over %v, the longest for %v", broken, drive.KeyCount/keyStep, maxOverlap, longest.Round(time.Millisecond))
+	if broken > 0 {
+		return drive.Broken, nil
+	}
+	return drive.Held, nil
+}
+
+// overlapOf returns how long two upstreams held a key together without a break, and their holds at the
+// beginning. Renewals follow each other.
+func overlapOf(holds []drive.Hold) (longest time.Duration, first, second drive.Hold) {
+	type pair struct{ left, right string }
+	type span struct{ from, to time.Time }
+	spans := map[pair]span{}
+	for _, left := range holds {
+		for _, right := range holds {
+			if left.Upstream >= right.Upstream {
+				continue
+			}
+			from, to := left.At, left.Expires
+			if right.At.After(from) {
+				from = right.At
+			}
+			if right.Expires.Before(to) {
+				to = right.Expires
+			}
+			if !to.After(from) {
+				continue
+			}
+			pr := pair{left.Upstream + strconv.Itoa(left.Life), right.Upstream + strconv.Itoa(right.Life)}
+			sp, known := spans[pr]
+			if !known || from.After(sp.to.Add(10*time.Millisecond)) || to.Before(sp.from.Add(-10*time.Millisecond)) {
+				sp = span{from, to}
+			}
+			if from.Before(sp.from) {
+				sp.from = from
+			}
+			if to.After(sp.to) {
+				sp.to = to
+			}
+			spans[pr] = sp
+			if length := sp.to.Sub(sp.from); length > longest {
+				longest, first, second = length, left, right
+			}
 		}
 	}
+	return longest, first, second
 }
--- a/review/drive/drive.go
+++ b/review/drive/drive.go
@@ -88,6 +88,7 @@
 
 	directory string
 	store     string
+	desired   string
 	stand     *exec.Cmd
 	done      chan struct{}
 	group     sync.WaitGroup
@@ -114,7 +115,7 @@
 	if err != nil {
 		return nil, err
 	}
-	dp := &Deployment{Record: cf.Record, directory: directory, done: make(chan struct{})}
+	dp := &Deployment{Record: cf.Record, directory: directory, desired: cf.Desired, done: make(chan struct{})}
 	if err := dp.start(cf); err != nil {
 		dp.Close()
 		return nil, err
@@ -149,7 +150,7 @@
 		own := ports[1+4*number:]
 		ho.Callers, ho.Ready = "127.0.0.1:"+strconv.Itoa(own[0]), "127.0.0.1:"+strconv.Itoa(own[1])
 		ho.settings = filepath.Join(dp.directory, ho.Name+".yaml")
-		if err := os.WriteFile(ho.settings, []byte(settingsText(cf, ho, dp.store, number, own[2])), 0o600); err != nil {
+		if err := os.WriteFile(ho.settings, []byte(settingsText(cf, ho, dp.store, number, own[2], true)), 0o600); err != nil {
 			return err
 		}
 		dp.Hosts = append(dp.Hosts, ho)
@@ -157,21 +158,25 @@
 			return err
 		}
 	}
-	for _, ho := range dp.Hosts {
+	for number, ho := range dp.Hosts {
 		if err := waitFor(startTimeout, ho.IsReady); err != nil {
 			return fmt.Errorf("%s: %w", ho.Name, err)
 		}
+		// Further starts are not the first one of the whole system.
+		if err := os.WriteFile(ho.settings, []byte(settingsText(cf, ho, dp.store, number, ports[3+4*number], false)), 0o600); err != nil {
+			return err
+		}
 	}
 	return nil
 }
 
 // settingsText returns the settings file of a host, with the figures of a small installation.
-func settingsText(cf Config, ho *Host, store string, number, port int) string {
+func settingsText(cf Config, ho *Host, store string, number, port int, first bool) string {
 	zones := []string{"arusha-a", "arusha-b", "arusha-c"}
 	lines := []string{
 		"node: " + strconv.Quote(ho.Name), `role: "front"`, `node-class: "front"`, `serves: ["front"]`, `ip: "127.0.0.1"`,
 		"zone: " + strconv.Quote(zones[number%len(zones)]), `region: "arusha"`, `zones: {arusha-a: "arusha", arusha-b: "arusha", arusha-c: "arusha"}`,
-		fmt.Sprintf("listen: {front: %q, ready: %q}", ho.Callers, ho.Ready), fmt.Sprintf("port-range: [%d, %d]", port, port+1), "bootstrap: true", "loss-counts: false",
+		fmt.Sprintf("listen: {front: %q, ready: %q}", ho.Callers, ho.Ready), fmt.Sprintf("port-range: [%d, %d]", port, port+1), "bootstrap: " + strconv.FormatBool(first), "loss-counts: false",
 		fmt.Sprintf("limits: {cpu-share: 0.224, cpu-cores: 1, memory-mb: %d, max-fds: 2870, link-mbps: 700.0, disk-mb: 0}", cf.MemoryMB),
 		"data-dir: null", `discovery: "platform"`, `entry: "vip"`, "beat-interval-s: 0.87", `contracts: ["base", "drain", "config", "cost", "retry", "recover", "own", "places", "platform"]`,
 		"fault-tolerance: {machines: 2, zones: 1, regions: 0}",
@@ -197,10 +202,77 @@
 	return rs.Body.Close()
 }
 
+// Control sends a request to the control of the store's stand-in.
+func (dp *Deployment) Control(method, path, body string) error {
+	rq, err := http.NewRequest(method, "http://"+dp.store+"/_stand/"+path, strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+	rs, err := http.DefaultClient.Do(rq)
+	if err != nil {
+		return err
+	}
+	return rs.Body.Close()
+}
+
+// Return makes the store come back from a copy of some age. The operators write their row again at
+// once, the upstreams theirs with their next beat.
+func (dp *Deployment) Return(age time.Duration) error {
+	dp.Record.Printf("the store comes back from a copy %v old", age.Round(time.Millisecond))
+	if err := dp.Control(http.MethodPost, "return", age.String()); err != nil {
+		return err
+	}
+	for _, up := range dp.Upstreams {
+		if up.isCut() {
+			dp.lapse(up)
+		}
+	}
+	return dp.Put("op", "config", dp.desired)
+}
+
+// Cut partitions an upstream from the store, but not from the hosts. Its entry lapses after three
+// beats, and again after a return of the store.
+func (dp *Deployment) Cut(up *Upstream) {
+	dp.Record.Printf("%s is cut off from the store", up.cf.ID)
+	up.setCut(true)
+	dp.lapse(up)
+}
+
+// lapse removes the entry of an upstream that is cut off, after three beats.
+func (dp *Deployment) lapse(up *Upstream) {
+	dp.group.Go(func() {
+		select {
+		case <-dp.done:
+		case <-time.After(3 * beatInterval):
+			if up.isCut() {
+				dp.Record.Printf("the entry of %s lapses", up.cf.ID)
+				_ = dp.Control(http.MethodDelete, "rows/servers/"+up.cf.ID, "")
+			}
+		}
+	})
+}
+
+// Reborn lets an upstream crash and start again at once under its id.
+func (dp *Deployment) Reborn(up *Upstream) error {
+	dp.Record.Printf("%s crashes and starts again", up.cf.ID)
+	up.close()
+	return up.start(dp)
+}
+
+// Heal ends the cut of an upstream, which writes its entry at once.
+func (dp *Deployment) Heal(up *Upstream) error {
+	dp.Record.Printf("%s reaches the store again", up.cf.ID)
+	up.setCut(false)
+	return dp.Put("servers", up.cf.ID, up.entry(1))
+}
+
 // beat writes the entries of the upstreams until the deployment is closed.
 func (dp *Deployment) beat() {
-	for sequence := 1; ; sequence++ {
+	for sequence := 2; ; sequence++ {
 		for _, up := range dp.Upstreams {
+			if up.isCut() {
+				continue
+			}
 			if err := dp.Put("servers", up.cf.ID, up.entry(sequence)); err != nil {
 				dp.Record.Printf("entry of %s not written: %v", up.cf.ID, err)
 			}
--- a/review/drive/upstream.go
+++ b/review/drive/upstream.go
@@ -21,6 +21,8 @@
 	AnswerBytes int
 	// TruncateEvery breaks off each such answer in its second half; with 0 none.
 	TruncateEvery int
+	// Keyed makes the upstream run only requests whose keys were granted to it.
+	Keyed bool
 	// Early makes the upstream begin to work as soon as the header of a request has arrived.
 	Early bool
 }
@@ -39,40 +41,81 @@
 
 // Upstream is a stand-in for an upstream.
 type Upstream struct {
-	cf        UpstreamConfig
-	record    *Record
-	listener  net.Listener
+	cf      UpstreamConfig
+	record  *Record
+	address string
+	slots   chan struct{}
+	queue   chan struct{}
+	keys    keyTable
+
+	mu sync.Mutex
+	// server is nil once the upstream has ended.
 	server    *http.Server
 	startedAt time.Time
-	slots     chan struct{}
-	queue     chan struct{}
-
-	mu      sync.Mutex
+	// cut reports whether it is cut off from the store.
+	cut     bool
 	runs    []*Run
 	answers int
 }
 
 func startUpstream(dp *Deployment, cf UpstreamConfig) (*Upstream, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
 	up := &Upstream{
-		cf: cf, record: dp.Record, listener: ln, startedAt: time.Now(), slots: make(chan struct{}, cf.Slots), queue: make(chan struct{}, cf.Slots*(1+queuePerSlot)),
+		cf: cf, record: dp.Record, address: "127.0.0.1:0", slots: make(chan struct{}, cf.Slots), queue: make(chan struct{}, cf.Slots*(1+queuePerSlot)),
+	}
+	return up, up.start(dp)
+}
+
+// start begins a life of the upstream, after the first one at the same address.
+func (up *Upstream) start(dp *Deployment) error {
+	ln, err := net.Listen("tcp", up.address)
+	if err != nil {
+		return err
 	}
-	up.server = &http.Server{Handler: up, ReadHeaderTimeout: 5 * time.Second}
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	up.address, up.startedAt = ln.Addr().String(), time.Now()
+	server := &http.Server{Handler: up, ReadHeaderTimeout: 5 * time.Second}
+	up.server = server
 	dp.group.Go(func() {
-		// It ends when the listener is closed.
-		_ = up.server.Serve(ln)
+		// It ends when the server is closed.
+		_ = server.Serve(ln)
 	})
-	return up, nil
+	return nil
+}
+
+// close ends the upstream's life at once.
+func (up *Upstream) close() {
+	up.mu.Lock()
+	server := up.server
+	up.server = nil
+	up.mu.Unlock()
+	if server != nil {
+		_ = server.Close()
+		up.keys.endLife()
+	}
 }
 
-func (up *Upstream) close() { _ = up.server.Close() }
+// Config returns the upstream's configuration.
+func (up *Upstream) Config() UpstreamConfig { return up.cf }
+
+// isCut reports whether the upstream is cut off from the store.
+func (up *Upstream) isCut() bool {
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	return up.cut
+}
+
+func (up *Upstream) setCut(cut bool) {
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	up.cut = cut
+}
 
 func (up *Upstream) entry(sequence int) string {
+	up.mu.Lock()
+	defer up.mu.Unlock()
 	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":"ready","cold-left-s":0,"sequence":%d,"born":%d}`,
-		up.cf.Service, up.listener.Addr(), up.cf.Zone, up.cf.Slots, sequence, up.startedAt.UnixMilli())
+		up.cf.Service, up.address, up.cf.Zone, up.cf.Slots, sequence, up.startedAt.UnixMilli())
 }
 
 // Runs returns the requests that ran so far.
@@ -96,6 +139,18 @@
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	switch {
+	case rq.URL.Path == "/api/grant":
+		up.grant(rw, rq)
+		return
+	case rq.URL.Path == "/api/release":
+		up.release(rw, rq)
+		return
+	case up.cf.Keyed && !up.holdsKey(rq):
+		rw.Header().Set("Not-Executed", "1")
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	if !up.cf.Early {
 		if _, err := io.Copy(io.Discard, rq.Body); err != nil {
 			return
