--- a/review/drive/drive.go
+++ b/review/drive/drive.go
@@ -252,6 +252,15 @@
 	})
 }
 
+// Leave removes the entry of an upstream, which serves on and says in its answers that it leaves.
+func (dp *Deployment) Leave(up *Upstream) error {
+	dp.Record.Printf("%s leaves and serves on", up.cf.ID)
+	up.mu.Lock()
+	up.cut, up.leaving = true, true
+	up.mu.Unlock()
+	return dp.Control(http.MethodDelete, "rows/servers/"+up.cf.ID, "")
+}
+
 // Reborn lets an upstream crash and start again at once under its id.
 func (dp *Deployment) Reborn(up *Upstream) error {
 	dp.Record.Printf("%s crashes and starts again", up.cf.ID)
--- a/review/drive/upstream.go
+++ b/review/drive/upstream.go
@@ -52,8 +52,9 @@
 	// server is nil once the upstream has ended.
 	server    *http.Server
 	startedAt time.Time
-	// cut reports whether it is cut off from the store.
-	cut     bool
+	// cut reports whether it is cut off from the store, leaving whether it says that it leaves.
+	cut, leaving bool
+
 	runs    []*Run
 	answers int
 }
@@ -111,6 +112,12 @@
 	up.cut = cut
 }
 
+func (up *Upstream) isLeaving() bool {
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	return up.leaving
+}
+
 func (up *Upstream) entry(sequence int) string {
 	up.mu.Lock()
 	defer up.mu.Unlock()
@@ -133,6 +140,9 @@
 func (up *Upstream) ServeHTTP(rw http.ResponseWriter, rq *http.Request) {
 	id := rq.Header.Get("Request-Id")
 	rw.Header().Set("Request-Id", id)
+	if up.isLeaving() {
+		rw.Header().Set("Server-Leaving", "1")
+	}
 	if rq.Header.Get("Expected-Instance") != up.cf.ID {
 		rw.Header().Set("Not-Executed", "1")
 		rw.Header().Set("Instance-Id", up.cf.ID)
