Cases 6, 7, 8 and 10, read once more

The shared stand-ins move into review/6/drive, and each case names its loopback address. Upstreams answer a release when running work has ended, take requests that name no instance, and answer the health path, as PROTOCOL.md has it. Case 7 uses connections that were open before the SIGTERM: after two seconds the platform may send a host no new ones. Case 10 counts memory in MiB.

--- a/review/drive/drive.go
+++ b/review/6/drive/drive.go
@@ -73,6 +73,8 @@
 type Config struct {
 	Hosts  int
 	Record *Record
+	// Address is the loopback address that everything listens on.
+	Address string
 	// Desired is the operators' desired state, as JSON.
 	Desired   string
 	Upstreams []UpstreamConfig
@@ -124,11 +126,11 @@
 }
 
 func (dp *Deployment) start(cf Config) error {
-	ports, err := freePorts(1 + 4*cf.Hosts)
+	ports, err := freePorts(cf.Address, 1+4*cf.Hosts)
 	if err != nil {
 		return err
 	}
-	dp.store = "127.0.0.1:" + strconv.Itoa(ports[0])
+	dp.store = net.JoinHostPort(cf.Address, strconv.Itoa(ports[0]))
 	dp.stand = exec.Command(standProgram, "store", "--listen", dp.store)
 	if err := dp.stand.Start(); err != nil {
 		dp.stand = nil
@@ -138,7 +140,7 @@
 		return fmt.Errorf("store: %w", err)
 	}
 	for _, uc := range cf.Upstreams {
-		up, err := startUpstream(dp, uc)
+		up, err := startUpstream(dp, cf.Address, uc)
 		if err != nil {
 			return err
 		}
@@ -148,7 +150,7 @@
 	for number := range cf.Hosts {
 		ho := &Host{Name: "front-" + strconv.Itoa(number+1), deployment: dp}
 		own := ports[1+4*number:]
-		ho.Callers, ho.Ready = "127.0.0.1:"+strconv.Itoa(own[0]), "127.0.0.1:"+strconv.Itoa(own[1])
+		ho.Callers, ho.Ready = net.JoinHostPort(cf.Address, strconv.Itoa(own[0])), net.JoinHostPort(cf.Address, strconv.Itoa(own[1]))
 		ho.settings = filepath.Join(dp.directory, ho.Name+".yaml")
 		if err := os.WriteFile(ho.settings, []byte(settingsText(cf, ho, dp.store, number, own[2], true)), 0o600); err != nil {
 			return err
@@ -174,7 +176,7 @@
 func settingsText(cf Config, ho *Host, store string, number, port int, first bool) string {
 	zones := []string{"arusha-a", "arusha-b", "arusha-c"}
 	lines := []string{
-		"node: " + strconv.Quote(ho.Name), `role: "front"`, `node-class: "front"`, `serves: ["front"]`, `ip: "127.0.0.1"`,
+		"node: " + strconv.Quote(ho.Name), `role: "front"`, `node-class: "front"`, `serves: ["front"]`, "ip: " + strconv.Quote(cf.Address),
 		"zone: " + strconv.Quote(zones[number%len(zones)]), `region: "arusha"`, `zones: {arusha-a: "arusha", arusha-b: "arusha", arusha-c: "arusha"}`,
 		fmt.Sprintf("listen: {front: %q, ready: %q}", ho.Callers, ho.Ready), fmt.Sprintf("port-range: [%d, %d]", port, port+1), "bootstrap: " + strconv.FormatBool(first), "loss-counts: false",
 		fmt.Sprintf("limits: {cpu-share: 0.224, cpu-cores: 1, memory-mb: %d, max-fds: 2870, link-mbps: 700.0, disk-mb: 0}", cf.MemoryMB),
@@ -252,15 +254,6 @@
 	})
 }
 
-// Leave removes the entry of an upstream, which serves on and says in its answers that it leaves.
-func (dp *Deployment) Leave(up *Upstream) error {
-	dp.Record.Printf("%s leaves and serves on", up.cf.ID)
-	up.mu.Lock()
-	up.cut, up.leaving = true, true
-	up.mu.Unlock()
-	return dp.Control(http.MethodDelete, "rows/servers/"+up.cf.ID, "")
-}
-
 // Reborn lets an upstream crash and start again at once under its id.
 func (dp *Deployment) Reborn(up *Upstream) error {
 	dp.Record.Printf("%s crashes and starts again", up.cf.ID)
@@ -377,7 +370,7 @@
 	return ho.starts
 }
 
-// ResidentMB returns the resident memory of the host's process in megabytes, or 0 without one.
+// ResidentMB returns the resident memory of the host's process in MiB, or 0 without one.
 func (ho *Host) ResidentMB() float64 {
 	ho.mu.Lock()
 	pid := ho.command.Process.Pid
@@ -389,7 +382,7 @@
 	for line := range strings.SplitSeq(string(body), "\n") {
 		if value, found := strings.CutPrefix(line, "VmRSS:"); found {
 			kb, _ := strconv.ParseFloat(strings.Fields(value)[0], 64)
-			return kb * 1024 / 1e6
+			return kb / 1024
 		}
 	}
 	return 0
@@ -417,10 +410,10 @@
 }
 
 // freePorts returns ports that nothing listens on, in ascending order without gaps.
-func freePorts(count int) ([]int, error) {
+func freePorts(address string, count int) ([]int, error) {
 	for first := 20000 + os.Getpid()%8000; first < 32000; first += count {
 		ports := make([]int, 0, count)
-		for port := first; port < first+count && isFree(port); port++ {
+		for port := first; port < first+count && isFree(address, port); port++ {
 			ports = append(ports, port)
 		}
 		if len(ports) == count {
@@ -430,8 +423,8 @@
 	return nil, fmt.Errorf("no %d free ports", count)
 }
 
-func isFree(port int) bool {
-	address := "127.0.0.1:" + strconv.Itoa(port)
+func isFree(ip string, port int) bool {
+	address := net.JoinHostPort(ip, strconv.Itoa(port))
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return false
--- a/review/drive/keyed.go
+++ b/review/6/drive/keyed.go
@@ -12,6 +12,9 @@
 // KeyCount is the number of keys of a service.
 const KeyCount = 1 << 16
 
+// maxHold is the bound max-hold-s in seconds.
+const maxHold = 10
+
 // Hold is the time for which an upstream holds keys by one grant. Life is the one in which it took
 // it.
 type Hold struct {
@@ -42,7 +45,7 @@
 
 func decodeGrant(rw http.ResponseWriter, rq *http.Request) (wireGrant, bool) {
 	var gt wireGrant
-	if err := json.NewDecoder(rq.Body).Decode(&gt); err != nil || gt.From < 0 || gt.From > gt.To || gt.To >= KeyCount {
+	if err := json.NewDecoder(rq.Body).Decode(&gt); err != nil || gt.From < 0 || gt.From > gt.To || gt.To >= KeyCount || gt.Hold > maxHold {
 		rw.WriteHeader(http.StatusBadRequest)
 		return gt, false
 	}
@@ -77,29 +80,34 @@
 	rw.WriteHeader(http.StatusOK)
 }
 
-// release gives keys up.
+// release gives keys up and answers when the work that was running has ended.
 func (up *Upstream) release(rw http.ResponseWriter, rq *http.Request) {
 	gt, ok := decodeGrant(rw, rq)
 	if !ok {
 		return
 	}
-	kt := &up.keys
+	if up.keys.giveUp(gt) {
+		up.work.Lock()
+		rw.Header().Set("Handover", fmt.Sprintf("%s-%d", up.cf.ID, gt.From))
+		up.work.Unlock()
+	}
+	rw.WriteHeader(http.StatusOK)
+}
+
+// giveUp gives keys up. It returns false if a newer grant has replaced the one to be released.
+func (kt *keyTable) giveUp(gt wireGrant) bool {
 	kt.mu.Lock()
 	defer kt.mu.Unlock()
-	now := time.Now()
 	for key := gt.From; key <= gt.To; key++ {
 		if kt.epochs[key] > gt.Fence {
-			// A release of a grant that a newer one has replaced.
-			rw.WriteHeader(http.StatusOK)
-			return
+			return false
 		}
 	}
-	kt.cut(gt.From, gt.To, now)
+	kt.cut(gt.From, gt.To, time.Now())
 	for key := gt.From; key <= gt.To; key++ {
 		kt.heldUntil[key] = time.Time{}
 	}
-	rw.Header().Set("Handover", fmt.Sprintf("%s-%d", up.cf.ID, gt.From))
-	rw.WriteHeader(http.StatusOK)
+	return true
 }
 
 // cut ends what is held of a range. What remains of a hold beside the range stays.
--- a/review/drive/upstream.go
+++ b/review/6/drive/upstream.go
@@ -47,21 +47,24 @@
 	slots   chan struct{}
 	queue   chan struct{}
 	keys    keyTable
+	// work is held for reading by each request that runs: a release is answered when those that
+	// were running have ended.
+	work sync.RWMutex
 
 	mu sync.Mutex
 	// server is nil once the upstream has ended.
 	server    *http.Server
 	startedAt time.Time
-	// cut reports whether it is cut off from the store, leaving whether it says that it leaves.
-	cut, leaving bool
+	// cut reports whether it is cut off from the store.
+	cut bool
 
 	runs    []*Run
 	answers int
 }
 
-func startUpstream(dp *Deployment, cf UpstreamConfig) (*Upstream, error) {
+func startUpstream(dp *Deployment, address string, cf UpstreamConfig) (*Upstream, error) {
 	up := &Upstream{
-		cf: cf, record: dp.Record, address: "127.0.0.1:0", slots: make(chan struct{}, cf.Slots), queue: make(chan struct{}, cf.Slots*(1+queuePerSlot)),
+		cf: cf, record: dp.Record, address: net.JoinHostPort(address, "0"), slots: make(chan struct{}, cf.Slots), queue: make(chan struct{}, cf.Slots*(1+queuePerSlot)),
 	}
 	return up, up.start(dp)
 }
@@ -112,12 +115,6 @@
 	up.cut = cut
 }
 
-func (up *Upstream) isLeaving() bool {
-	up.mu.Lock()
-	defer up.mu.Unlock()
-	return up.leaving
-}
-
 func (up *Upstream) entry(sequence int) string {
 	up.mu.Lock()
 	defer up.mu.Unlock()
@@ -140,10 +137,11 @@
 func (up *Upstream) ServeHTTP(rw http.ResponseWriter, rq *http.Request) {
 	id := rq.Header.Get("Request-Id")
 	rw.Header().Set("Request-Id", id)
-	if up.isLeaving() {
-		rw.Header().Set("Server-Leaving", "1")
+	if rq.URL.Path == "/health" {
+		rw.Header().Set("Instance-Id", up.cf.ID)
+		return
 	}
-	if rq.Header.Get("Expected-Instance") != up.cf.ID {
+	if expected := rq.Header.Get("Expected-Instance"); expected != "" && expected != up.cf.ID {
 		rw.Header().Set("Not-Executed", "1")
 		rw.Header().Set("Instance-Id", up.cf.ID)
 		rw.WriteHeader(http.StatusMisdirectedRequest)
@@ -180,6 +178,14 @@
 	case <-rq.Context().Done():
 		return
 	}
+	// The key may have been given up while the request waited.
+	up.work.RLock()
+	defer up.work.RUnlock()
+	if up.cf.Keyed && !up.holdsKey(rq) {
+		rw.Header().Set("Not-Executed", "1")
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	run := up.begin(id)
 	if _, err := io.Copy(io.Discard, rq.Body); err != nil {
 		up.end(run, false, true)
--- a/review/6/main.go
+++ b/review/6/main.go
@@ -12,7 +12,7 @@
 	"syscall"
 	"time"
 
-	"chervilwalk/review/drive"
+	"chervilwalk/review/6/drive"
 )
 
 const (
@@ -38,6 +38,9 @@
 	keyStep = 64
 )
 
+// loopback is the address that hosts, store and upstreams listen on.
+const loopback = "127.0.0.1"
+
 // desired is the operators' desired state.
 const desired = `{"version":"r7","services":[{"name":"tinlook","health-path":"/health","max-conns":295,"protocol":"h1","tls":false,"cold-start-s":3.0,"cold-per-s":2.6,"sharded":true,"warm-s":3.0,"grants":"call"}],` +
 	`"limits":{"max-header-bytes":16384,"max-body-bytes":67108864,"header-timeout-s":3,"idle-timeout-s":15},` +
@@ -65,7 +68,7 @@
 			ID: "i-tin-" + strconv.Itoa(number), Service: "tinlook", Zone: zones[number%len(zones)], Slots: 2, Work: 20 * time.Millisecond, AnswerBytes: 500, Keyed: true,
 		})
 	}
-	dp, err := drive.Start(drive.Config{Hosts: hosts, Record: record, Desired: desired, GraceSeconds: 6, MemoryMB: 206, Upstreams: configs})
+	dp, err := drive.Start(drive.Config{Address: loopback, Hosts: hosts, Record: record, Desired: desired, GraceSeconds: 6, MemoryMB: 206, Upstreams: configs})
 	if err != nil {
 		return drive.Failed, err
 	}
--- a/review/7/main.go
+++ b/review/7/main.go
@@ -11,7 +11,7 @@
 	"syscall"
 	"time"
 
-	"chervilwalk/review/drive"
+	"chervilwalk/review/6/drive"
 )
 
 const (
@@ -29,6 +29,9 @@
 	slots     = 2
 )
 
+// loopback is the address that hosts, store and upstreams listen on.
+const loopback = "127.0.0.1"
+
 // desired is the operators' desired state.
 const desired = `{"version":"r7","services":[{"name":"files","health-path":"/health","max-conns":590,"protocol":"h1","tls":false,"cold-start-s":3.0,"cold-per-s":20}],` +
 	`"limits":{"max-header-bytes":16384,"max-body-bytes":67108864,"header-timeout-s":3,"idle-timeout-s":15},` +
@@ -58,7 +61,7 @@
 	}
 	defer func() { _ = record.Close() }()
 	dp, err := drive.Start(drive.Config{
-		Hosts: 2, Record: record, Desired: desired, GraceSeconds: graceSeconds, MemoryMB: 206,
+		Address: loopback, Hosts: 2, Record: record, Desired: desired, GraceSeconds: graceSeconds, MemoryMB: 206,
 		Upstreams: []drive.UpstreamConfig{{ID: "i-files-1", Service: "files", Zone: "arusha-a", Slots: slots, Work: shortWork, LongWork: longWork, AnswerBytes: 1500}},
 	})
 	if err != nil {
@@ -72,6 +75,17 @@
 			record.Printf("calm request failed: %+v", calm)
 		}
 	}
+	// Connections that are open and in use when the host is stopped stay with it.
+	kept := make([]*drive.Client, 2*slots)
+	for number := range kept {
+		if kept[number], err = drive.Dial(host.Callers); err != nil {
+			return drive.Failed, err
+		}
+		defer func() { _ = kept[number].Close() }()
+		if first := sendOn(record, kept[number], "first-"+strconv.Itoa(number), ""); first.err != nil {
+			return drive.Failed, first.err
+		}
+	}
 	stoppedAt := time.Now()
 	if trouble {
 		host.Signal(syscall.SIGTERM)
@@ -81,12 +95,12 @@
 	at := func(after time.Duration, number int, id, fields string) {
 		group.Go(func() {
 			time.Sleep(time.Until(stoppedAt.Add(after)))
-			requests[number] = send(record, host.Callers, id, fields)
+			requests[number] = sendOn(record, kept[number], id, fields)
 		})
 	}
 	for number := range slots {
-		at(time.Second, number, "long-"+strconv.Itoa(number), "Work: long\r\n")
-		at(2*time.Second, slots+number, "short-"+strconv.Itoa(number), "")
+		at(500*time.Millisecond, number, "long-"+strconv.Itoa(number), "Work: long\r\n")
+		at(1500*time.Millisecond, slots+number, "short-"+strconv.Itoa(number), "")
 	}
 	group.Wait()
 	return judge(dp, stoppedAt, requests)
@@ -94,14 +108,18 @@
 
 // send sends a request on a connection of its own and waits for the answer.
 func send(record *drive.Record, address, id, fields string) *request {
-	rq := &request{id: id}
 	cl, err := drive.Dial(address)
 	if err != nil {
-		rq.err = fmt.Errorf("not connected: %w", err)
-		return rq
+		return &request{id: id, err: fmt.Errorf("not connected: %w", err)}
 	}
 	defer func() { _ = cl.Close() }()
-	_, err = cl.Write([]byte(drive.Head("GET", "/view/"+id, "desk.example", id, callerLimit, fields)))
+	return sendOn(record, cl, id, fields)
+}
+
+// sendOn is send on an open connection.
+func sendOn(record *drive.Record, cl *drive.Client, id, fields string) *request {
+	rq := &request{id: id}
+	_, err := cl.Write([]byte(drive.Head("GET", "/view/"+id, "desk.example", id, callerLimit, fields)))
 	rq.sentAt = time.Now()
 	record.Printf("sent %s", id)
 	if err == nil {
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,6 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins and the drivers of the cases in review/6 to review/10, and of the findings in
-# review/found-2, into target/review-2/.
+# Builds the stand-ins and the drivers of the cases in review/6 to review/10 into target/review-2/.
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
@@ -8,6 +7,3 @@
 for number in 6 7 8 9 10; do
 	go build -o "target/review-2/case-$number" "./review/$number"
 done
-for name in gone left ahead; do
-	go build -o "target/review-2/found-$name" "./review/found-2/$name"
-done
