Case 9: uploads are run for callers that have left

The case shows that uploads above 128 KB that wait for an upstream are sent to it, and run, after their callers have closed the connection.

--- a/review/9/main.go
+++ b/review/9/main.go
@@ -1,38 +1,47 @@
-// Command 9 sends requests ahead on kept connections while one of two upstreams breaks off some of
-// its answers, and checks that those which the other upstream runs are answered.
+// Command 9 lets callers leave while their uploads wait for an upstream, and checks that few of
+// them reach one later than half a second after that.
 package main
 
 import (
 	"fmt"
 	"os"
 	"path/filepath"
-	"strings"
+	"strconv"
 	"sync"
 	"time"
 
-	"chervilwalk/review/drive"
+	"chervilwalk/review/6/drive"
 )
 
 const (
 	// contactTime is the bound contact-s.
 	contactTime = 3 * time.Second
-	// maxLost is how many requests the rule allows to be lost.
-	maxLost = 3
-	// callers and ahead are how many callers there are and how many requests each sends ahead,
-	// rounds how often.
-	callers     = 8
-	ahead       = 4
-	rounds      = 120
-	callerLimit = 2500 * time.Millisecond
-	answerBytes = 300_000
-	// truncateEvery makes the faulty upstream break off one answer in 50.
-	truncateEvery = 50
+	// lateAfter is how long after its caller has left a request may reach an upstream, maxLate how
+	// many may do so later.
+	lateAfter   = 500 * time.Millisecond
+	maxLate     = 5
+	callerLimit = 5 * time.Second
+	// callers is how many callers there are, each with one upload at a time; bodyBytes is the size
+	// of a body.
+	callers   = 14
+	bodyBytes = 160_000
+	work      = 500 * time.Millisecond
+	// One upload in leaveEvery is left after stay, in windows that last leaving, as long as a
+	// give_up of the site file, with pause between them.
+	leaveEvery = 4
+	stay       = 300 * time.Millisecond
+	leaving    = 5500 * time.Millisecond
+	pause      = 4 * time.Second
+	windows    = 3
 )
 
+// loopback is the address that hosts, store and upstreams listen on.
+const loopback = "127.0.0.1"
+
 // desired is the operators' desired state.
-const desired = `{"version":"r7","services":[{"name":"tinlook","health-path":"/health","max-conns":295,"protocol":"h1","tls":false,"cold-start-s":3.0,"cold-per-s":20}],` +
+const desired = `{"version":"r7","services":[{"name":"files","health-path":"/health","max-conns":590,"protocol":"h1","tls":false,"cold-start-s":3.0,"cold-per-s":20}],` +
 	`"limits":{"max-header-bytes":16384,"max-body-bytes":67108864,"header-timeout-s":3,"idle-timeout-s":15},` +
-	`"virtual-hosts":[{"host":"glue.example","path-rules":[{"name":"r-check","prefix":"/check/","kind":"idempotent","timeout-s":2.4,"slo-latency-s":1.5,"priority":2,"service":"tinlook","max-attempts":2}]}]}`
+	`"virtual-hosts":[{"host":"desk.example","path-rules":[{"name":"r-upload","prefix":"/upload/","kind":"upload","timeout-s":5,"slo-latency-s":4.5,"priority":1,"service":"files","max-attempts":2}]}]}`
 
 func main() {
 	status, err := run(os.Args[1], os.Getenv("TROUBLE") != "0")
@@ -49,99 +58,77 @@
 		return drive.Failed, err
 	}
 	defer func() { _ = record.Close() }()
-	faulty := drive.UpstreamConfig{ID: "i-tin-1", Service: "tinlook", Zone: "arusha-a", Slots: 8, Work: 60 * time.Millisecond, AnswerBytes: answerBytes}
-	sound := faulty
-	sound.ID = "i-tin-2"
-	if trouble {
-		faulty.TruncateEvery = truncateEvery
-	}
-	dp, err := drive.Start(drive.Config{Hosts: 1, Record: record, Desired: desired, GraceSeconds: 6, MemoryMB: 206, Upstreams: []drive.UpstreamConfig{faulty, sound}})
+	dp, err := drive.Start(drive.Config{
+		Address: loopback, Hosts: 1, Record: record, Desired: desired, GraceSeconds: 6, MemoryMB: 206,
+		Upstreams: []drive.UpstreamConfig{{ID: "i-files-1", Service: "files", Zone: "arusha-a", Slots: 4, Work: work, AnswerBytes: 1500}},
+	})
 	if err != nil {
 		return drive.Failed, err
 	}
 	defer dp.Close()
-	time.Sleep(contactTime)
-	unanswered := map[string]bool{}
+	began := time.Now().Add(contactTime)
+	left := map[string]time.Time{}
+	sent := 0
 	var mu sync.Mutex
 	var group sync.WaitGroup
 	for caller := range callers {
 		group.Go(func() {
-			for _, id := range call(record, dp.Hosts[0].Callers, caller) {
+			for number := 0; time.Since(began) < windows*(leaving+pause); number++ {
+				phase := time.Since(began)
+				inWindow := phase >= 0 && phase%(leaving+pause) < leaving
+				leaves := trouble && inWindow && (caller+number)%leaveEvery == 0
+				id := fmt.Sprintf("upload-%d-%d", caller, number)
+				at := upload(record, dp.Hosts[0].Callers, id, leaves)
 				mu.Lock()
-				unanswered[id] = true
+				sent++
+				if !at.IsZero() && leaves {
+					left[id] = at
+				}
 				mu.Unlock()
 			}
 		})
 	}
 	group.Wait()
-	return judge(dp, unanswered)
-}
-
-// call sends requests ahead on a connection that it keeps for as long as the host does, and
-// returns those without a whole answer.
-func call(record *drive.Record, address string, caller int) []string {
-	var unanswered []string
-	var cl *drive.Client
-	for round := range rounds {
-		if cl == nil {
-			var err error
-			if cl, err = drive.Dial(address); err != nil {
-				record.Printf("caller %d: not connected: %v", caller, err)
-				continue
-			}
-		}
-		var ids []string
-		var heads strings.Builder
-		for number := range ahead {
-			id := fmt.Sprintf("check-%d-%d-%d", caller, round, number)
-			ids = append(ids, id)
-			heads.WriteString(drive.Head("GET", "/check/"+id, "glue.example", id, callerLimit, ""))
-		}
-		_, err := cl.Write([]byte(heads.String()))
-		until := time.Now().Add(callerLimit)
-		for _, id := range ids {
-			var an *drive.Answer
-			if err == nil {
-				an, err = cl.Receive("GET", until)
-			}
-			switch {
-			case err != nil:
-				record.Printf("%s got no whole answer: %v", id, err)
-				unanswered = append(unanswered, id)
-			case !an.IsWhole(id):
-				record.Printf("%s got status %d", id, an.Status)
-			}
-		}
-		if err != nil {
-			_ = cl.Close()
-			cl = nil
+	time.Sleep(callerLimit)
+	record.Printf("%d uploads sent, %d of them left", sent, len(left))
+	late := 0
+	for _, run := range dp.Upstreams[0].Runs() {
+		if at, gone := left[run.Request]; gone && run.StartedAt.Sub(at) > lateAfter {
+			record.Printf("%s: GONE, it reached %s %v after its caller had left", run.Request, run.Upstream, run.StartedAt.Sub(at).Round(time.Millisecond))
+			late++
 		}
 	}
-	if cl != nil {
-		_ = cl.Close()
+	record.Printf("%d requests reached an upstream late, %d allowed", late, maxLate)
+	if late > maxLate {
+		return drive.Broken, nil
 	}
-	return unanswered
+	return drive.Held, nil
 }
 
-// judge applies the rule LOST: requests that were passed on to the sound upstream, which did not
-// break their answers off, and whose connection was closed without an answer.
-func judge(dp *drive.Deployment, unanswered map[string]bool) (int, error) {
-	broken := map[string]bool{}
-	for _, up := range dp.Upstreams {
-		for _, run := range up.Runs() {
-			broken[run.Request] = broken[run.Request] || run.Truncated
-		}
+// upload sends an upload and returns when its caller left, or zero if it waited.
+func upload(record *drive.Record, address, id string, leaves bool) time.Time {
+	cl, err := drive.Dial(address)
+	if err != nil {
+		record.Printf("%s: not connected: %v", id, err)
+		return time.Time{}
 	}
-	lost := 0
-	for _, run := range dp.Upstreams[1].Runs() {
-		if unanswered[run.Request] && !broken[run.Request] {
-			dp.Record.Printf("%s: LOST, it was passed on to the sound %s and its connection closed without an answer", run.Request, run.Upstream)
-			lost++
-		}
+	defer func() { _ = cl.Close() }()
+	head := drive.Head("POST", "/upload/"+id, "desk.example", id, callerLimit, "Content-Length: "+strconv.Itoa(bodyBytes)+"\r\n")
+	if _, err := cl.Write(append([]byte(head), make([]byte, bodyBytes)...)); err != nil {
+		record.Printf("%s: not sent: %v", id, err)
+		return time.Time{}
 	}
-	dp.Record.Printf("%d requests lost, %d allowed", lost, maxLost)
-	if lost > maxLost {
-		return drive.Broken, nil
+	record.Printf("sent %s", id)
+	wait := callerLimit
+	if leaves {
+		wait = stay
 	}
-	return drive.Held, nil
+	an, err := cl.Receive("POST", time.Now().Add(wait))
+	if err == nil {
+		record.Printf("%s got status %d", id, an.Status)
+		return time.Time{}
+	}
+	_ = cl.Close()
+	record.Printf("the caller of %s left: %v", id, err)
+	return time.Now()
 }
