Transport: an answer whose reset the request's writer was told of is broken

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still written. The caller got that part as a whole answer.

Cause: Send writes a long request in one goroutine and reads the answer in another. A socket reports a reset once, to whichever call comes first. When that was the write, the read after it returned an ordinary end, which is where an answer without a length is complete; of the write's error only "do not use the connection again" was kept.

Evidence: TestEndDuringUpload makes the order certain: the answer's body is read only once the writer has met the reset.

Why this works: the writer has ended before Send decides, so its error is known. If the body ends where the connection does and a write was told that the connection is lost, the request has failed like any whose answer breaks off: it may have run, so an order is not sent again and its caller gets 502. Answers with a length or chunks show by themselves whether they are whole. EPIPE is left out: the kernel reports it for a reset behind an end in order, behind which the answer is whole; a case for that and a mutant each.

--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -719,6 +719,14 @@
 		"internal/serving/httpserver/connection.go", "if status := cn.readBody(pr, hr, lm); status != 0 {", "if status := cn.readBody(pr, hr, lm); false && status != 0 {",
 		[]string{"./internal/serving/httpserver"},
 	},
+	"an answer whose connection was lost to the writer of its request is whole": {
+		"internal/serving/transport/transport.go", "case an.endsWithConn && isConnLost(werr):", "case false:",
+		[]string{"-run=TestEndDuringUpload", "./internal/serving/transport"},
+	},
+	"an end in order counts as a lost connection": {
+		"internal/serving/transport/transport.go", " && !errors.Is(err, syscall.EPIPE)\n}", "\n}",
+		[]string{"-run=TestEndDuringUpload", "./internal/serving/transport"},
+	},
 	"the head of an answer has no limit": {
 		"internal/serving/transport/answer.go", "cn.source.Remaining = maxHeadBytes", "cn.source.Remaining = maxUnstatedBytes",
 		[]string{"-run=TestBytesWithoutEnd", "./internal/serving/transport"},
--- a/internal/serving/transport/answer.go
+++ b/internal/serving/transport/answer.go
@@ -21,6 +21,9 @@
 	Took time.Duration
 	// Reused reports whether the connection had been used before.
 	Reused bool
+	// endsWithConn reports whether the body ends where its connection does, since the header
+	// states neither a length nor chunks.
+	endsWithConn bool
 }
 
 const (
@@ -118,7 +121,8 @@
 // readBody reads the body of an answer up to BufferBytes and reports whether the
 // connection can be reused.
 func readBody(cn *conn, rs *http.Response) (*Answer, bool, error) {
-	an := &Answer{Status: rs.StatusCode, Header: rs.Header, Length: rs.ContentLength}
+	framed := rs.ContentLength >= 0 || len(rs.TransferEncoding) > 0
+	an := &Answer{Status: rs.StatusCode, Header: rs.Header, Length: rs.ContentLength, endsWithConn: !framed && rs.Request.Method != http.MethodHead}
 	body, whole, err := readUpTo(rs.Body, rs.ContentLength, BufferBytes)
 	if err != nil {
 		return nil, false, err
@@ -133,7 +137,6 @@
 		return nil, false, io.ErrUnexpectedEOF
 	}
 	an.Length = count
-	framed := rs.ContentLength >= 0 || len(rs.TransferEncoding) > 0
 	return an, framed && !rs.Close, nil
 }
 
--- a/internal/serving/transport/transport.go
+++ b/internal/serving/transport/transport.go
@@ -284,11 +284,21 @@
 	if rq.Rest != nil {
 		rq.Rest.Stop()
 	}
-	if werr := <-written; werr != nil {
-		reusable = false
-	}
-	if err != nil {
+	werr := <-written
+	switch {
+	case err != nil:
 		return nil, false, err
+	case an.endsWithConn && isConnLost(werr):
+		return nil, false, werr
+	default:
+		return an, reusable && werr == nil, nil
 	}
-	return an, reusable, nil
+}
+
+// isConnLost reports whether an error of a write means that the connection was lost, such as by a
+// reset. A socket reports that once, to the first call that comes, and a read after it returns an
+// ordinary end. EPIPE is no such error: the upstream had ended its side in order before.
+func isConnLost(err error) bool {
+	var oe *net.OpError
+	return errors.As(err, &oe) && oe.Op == "write" && !oe.Timeout() && !errors.Is(err, syscall.EPIPE)
 }
