Transport: an answer whose status is outside 100 to 599 is malformed

What callers saw: behind an upstream's answer with status 000 or 099 its body was read as the next answer, and a whole answer inside of it came to the caller as 200. Statuses 600 and 999 were passed on as they were; 000 with an ordinary body that kept its connection held the order until its time limit (504).

Cause: readHead takes every status below 200 for that of an interim answer, and http.ReadResponse accepts any three digits, also "+20". No library that we know checks the range: net/http and fasthttp accept up to 999 and from 000.

Why this works: internal/base/httphead checks the head as the upstream sent it, each one that is read, so also behind interim answers and answers to other requests. RFC 9110, section 15: statuses outside 100 to 599 are invalid. Such an answer is one that broke: 502 for an order, which is not sent again; another attempt for a request that may be repeated. Statuses that are only unknown, such as 299, are passed on.

--- /dev/null
+++ b/internal/base/httphead/httphead.go
@@ -0,0 +1,44 @@
+// Package httphead checks the head of an HTTP/1 response as it came from the peer. Parsers repair or
+// drop a part of what is wrong with one, which then looks like a sound answer.
+//
+//	status, err := httphead.Check(raw)
+package httphead
+
+import (
+	"bufio"
+	"bytes"
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+
+	"github.com/rotisserie/eris"
+)
+
+// Statuses outside of these are no HTTP (RFC 9110, section 15).
+const (
+	minStatus = http.StatusContinue
+	maxStatus = 599
+)
+
+// Check returns the status of a response, or an error if its head is malformed. raw begins with the
+// status line and ends with the empty line.
+func Check(raw []byte) (status int, err error) {
+	rd := textproto.NewReader(bufio.NewReaderSize(bytes.NewReader(raw), len(raw)))
+	line, err := rd.ReadLine()
+	if err != nil {
+		return 0, eris.Wrap(err, "status line")
+	}
+	return checkStatus(line)
+}
+
+// checkStatus returns the status of a status line.
+func checkStatus(line string) (int, error) {
+	_, rest, _ := strings.Cut(line, " ")
+	code, _, _ := strings.Cut(strings.TrimLeft(rest, " "), " ")
+	status, err := strconv.ParseUint(code, 10, 16)
+	if err != nil || len(code) != 3 || status < minStatus || status > maxStatus {
+		return 0, eris.Errorf("status %.20q, want %d to %d", code, minStatus, maxStatus)
+	}
+	return int(status), nil
+}
--- /dev/null
+++ b/internal/base/httphead/httphead_test.go
@@ -0,0 +1,43 @@
+package httphead_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"chervilwalk/internal/base/httphead"
+)
+
+// TestCheck guards against heads that are no HTTP and pass for those of answers.
+func TestCheck(t *testing.T) {
+	cases := map[string]struct {
+		raw string
+		// status is that of a sound head, or 0.
+		status int
+	}{
+		"usual":                 {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", 200},
+		"no reason":             {"HTTP/1.1 200\r\n\r\n", 200},
+		"empty reason":          {"HTTP/1.1 200 \r\n\r\n", 200},
+		"interim":               {"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n", 103},
+		"largest status":        {"HTTP/1.1 599 Odd\r\n\r\n", 599},
+		"unknown status":        {"HTTP/1.1 299 Odd\r\n\r\n", 299},
+		"status 000":            {"HTTP/1.1 000 OK\r\n\r\n", 0},
+		"status 099":            {"HTTP/1.1 099 OK\r\n\r\n", 0},
+		"status 600":            {"HTTP/1.1 600 OK\r\n\r\n", 0},
+		"status 999":            {"HTTP/1.1 999 OK\r\n\r\n", 0},
+		"status with a sign":    {"HTTP/1.1 +20 OK\r\n\r\n", 0},
+		"status of two digits":  {"HTTP/1.1 20 OK\r\n\r\n", 0},
+		"status of four digits": {"HTTP/1.1 0200 OK\r\n\r\n", 0},
+		"no status":             {"HTTP/1.1\r\n\r\n", 0},
+		"two blanks":            {"HTTP/1.1  200 OK\r\n\r\n", 200},
+		"empty":                 {"", 0},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			gm := NewWithT(t)
+			status, err := httphead.Check([]byte(tc.raw))
+			gm.Expect(err != nil).To(Equal(tc.status == 0), "%v", err)
+			gm.Expect(status).To(Equal(tc.status))
+		})
+	}
+}
--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -727,6 +727,14 @@
 		"internal/serving/transport/transport.go", " && !errors.Is(err, syscall.EPIPE)\n}", "\n}",
 		[]string{"-run=TestEndDuringUpload", "./internal/serving/transport"},
 	},
+	"the head of an answer is not checked": {
+		"internal/serving/transport/answer.go", "if _, err := httphead.Check(raw); err != nil {", "if _, err := httphead.Check(raw); false && err != nil {",
+		[]string{"-run=TestAnswers", "./internal/serving/transport"},
+	},
+	"any number is a status": {
+		"internal/base/httphead/httphead.go", " || status < minStatus || status > maxStatus", "",
+		[]string{"-run=TestCheck", "./internal/base/httphead"},
+	},
 	"the head of an answer has no limit": {
 		"internal/serving/transport/answer.go", "cn.source.Remaining = maxHeadBytes", "cn.source.Remaining = maxUnstatedBytes",
 		[]string{"-run=TestBytesWithoutEnd", "./internal/serving/transport"},
--- a/internal/serving/transport/answer.go
+++ b/internal/serving/transport/answer.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"chervilwalk/internal/base/httphead"
 )
 
 // Answer is the HTTP response of an upstream. What the router sends to a caller is
@@ -94,10 +96,15 @@
 func readHead(cn *conn, rq *Request) (*http.Response, error) {
 	cn.source.Remaining = maxHeadBytes
 	for range maxInterim {
+		cn.head.start(cn.reader)
 		rs, err := http.ReadResponse(cn.reader, &http.Request{Method: rq.Method})
+		raw := cn.head.stop(cn.reader)
 		if err != nil {
 			return nil, err
 		}
+		if _, err := httphead.Check(raw); err != nil {
+			return nil, err
+		}
 		if rs.StatusCode >= http.StatusOK {
 			cn.source.Remaining = maxUnstatedBytes
 			if rs.ContentLength >= 0 {
--- a/internal/serving/transport/transport.go
+++ b/internal/serving/transport/transport.go
@@ -72,6 +72,7 @@
 	net.Conn
 	// source limits what reader takes from the connection.
 	source *socket.LimitedReader
+	head   *headRecorder
 	reader *bufio.Reader
 	// reuseUntil is when the connection stops being reusable.
 	reuseUntil time.Time
@@ -255,7 +256,8 @@
 		}
 	}
 	source := &socket.LimitedReader{Conn: raw, Remaining: socket.Unlimited}
-	return &conn{Conn: raw, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}, nil
+	head := &headRecorder{source: source}
+	return &conn{Conn: raw, source: source, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}, nil
 }
 
 // exchange writes the request and reads its answer. It also reports whether the
--- a/internal/serving/transport/transport_test.go
+++ b/internal/serving/transport/transport_test.go
@@ -101,6 +101,11 @@
 		"connection closes without an answer":  {[]string{""}, "", true, false},
 		"not HTTP":                             {[]string{"hello\r\n\r\n…"}, "", true, false},
 		"no answer before the deadline":        {[]string{"silence"}, "", true, true},
+		"status 000, whole answer inside":      {[]string{"HTTP/1.1 000 Odd\r\nId: r1\r\nContent-Length: 60\r\n\r\n" + whole}, "", true, false},
+		"status 000, behind an interim answer": {[]string{"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 Odd\r\nId: r1\r\n\r\n" + whole}, "", true, false},
+		"status 099, whole answer inside":      {[]string{"HTTP/1.1 099 Odd\r\nId: r1\r\nContent-Length: 60\r\n\r\n" + whole}, "", true, false},
+		"status 600":                           {[]string{strings.Replace(whole, "200", "600", 1)}, "", true, false},
+		"status 999, behind a stray answer":    {[]string{"HTTP/1.1 200 OK\r\nId: r0\r\nContent-Length: 5\r\n\r\nstray" + strings.Replace(whole, "200", "999", 1)}, "", true, false},
 		"only answers to other requests":       {[]string{strings.Repeat("HTTP/1.1 200 OK\r\nId: r0\r\nContent-Length: 5\r\n\r\nstray", 4)}, "", true, false},
 	}
 	for name, tc := range cases {
