Transport: an answer with a blank in a field's name is malformed

What callers saw: an answer in whose head the name of a field held a blank came to them as 200. With "Content-Length : 3" before five bytes all bytes up to the end of the connection were the body.

Cause: http.ReadResponse keeps a name with blanks as it is, "Content-Length " too, which is then no length; it leaves the check of names to its callers, as net/http's server does it.

Evidence: TestBrokenAnswers, "blank in a field's name" and "blank behind a field's name", failed before in their first orders (200). Names with a control byte or a tab were refused before (502), and are kept as cases.

Why this works: httphead parses the head as it came and checks each name and value with httpguts (golang.org/x/net), which net/http uses as well. It does so for interim answers and those to other requests too.

--- a/internal/base/httphead/httphead.go
+++ b/internal/base/httphead/httphead.go
@@ -13,6 +13,7 @@
 	"strings"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/net/http/httpguts"
 )
 
 // Statuses outside of these are no HTTP (RFC 9110, section 15).
@@ -29,7 +30,32 @@
 	if err != nil {
 		return 0, eris.Wrap(err, "status line")
 	}
-	return checkStatus(line)
+	if status, err = checkStatus(line); err != nil {
+		return 0, err
+	}
+	hd, err := rd.ReadMIMEHeader()
+	if err != nil {
+		return 0, eris.Wrap(err, "header")
+	}
+	if err := CheckFields(hd); err != nil {
+		return 0, err
+	}
+	return status, nil
+}
+
+// CheckFields returns an error if the name or a value of a field in a header or trailer is malformed.
+func CheckFields(fields map[string][]string) error {
+	for name, values := range fields {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return eris.Errorf("field name %.40q", name)
+		}
+		for _, value := range values {
+			if !httpguts.ValidHeaderFieldValue(value) {
+				return eris.Errorf("value of field %.40q: %.40q", name, value)
+			}
+		}
+	}
+	return nil
 }
 
 // checkStatus returns the status of a status line.
--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -735,6 +735,10 @@
 		"internal/base/httphead/httphead.go", " || status < minStatus || status > maxStatus", "",
 		[]string{"-run=TestCheck", "./internal/base/httphead"},
 	},
+	"a field of an answer has any name": {
+		"internal/base/httphead/httphead.go", "if !httpguts.ValidHeaderFieldName(name) {", "if !httpguts.ValidHeaderFieldName(name) && false {",
+		[]string{"-run=TestAnswers", "./internal/serving/transport"},
+	},
 	"the head of an answer has no limit": {
 		"internal/serving/transport/answer.go", "cn.source.Remaining = maxHeadBytes", "cn.source.Remaining = maxUnstatedBytes",
 		[]string{"-run=TestBytesWithoutEnd", "./internal/serving/transport"},
--- a/internal/serving/transport/transport_test.go
+++ b/internal/serving/transport/transport_test.go
@@ -106,6 +106,11 @@
 		"status 099, whole answer inside":      {[]string{"HTTP/1.1 099 Odd\r\nId: r1\r\nContent-Length: 60\r\n\r\n" + whole}, "", true, false},
 		"status 600":                           {[]string{strings.Replace(whole, "200", "600", 1)}, "", true, false},
 		"status 999, behind a stray answer":    {[]string{"HTTP/1.1 200 OK\r\nId: r0\r\nContent-Length: 5\r\n\r\nstray" + strings.Replace(whole, "200", "999", 1)}, "", true, false},
+		"blank in a field's name":              {[]string{strings.Replace(whole, "Id", "Odd Name: x\r\nId", 1)}, "", true, false},
+		"blank behind a field's name":          {[]string{"HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length : 3\r\n\r\nwhole…"}, "", true, false},
+		"blank in an interim answer":           {[]string{"HTTP/1.1 103 Early Hints\r\nOdd Name: x\r\n\r\n" + whole}, "", true, false},
+		"blank in a stray answer":              {[]string{"HTTP/1.1 200 OK\r\nOdd Name: x\r\nId: r0\r\nContent-Length: 5\r\n\r\nstray" + whole}, "", true, false},
+		"control byte in a field's name":       {[]string{strings.Replace(whole, "Id", "Odd\x01Name: x\r\nId", 1)}, "", true, false},
 		"only answers to other requests":       {[]string{strings.Repeat("HTTP/1.1 200 OK\r\nId: r0\r\nContent-Length: 5\r\n\r\nstray", 4)}, "", true, false},
 	}
 	for name, tc := range cases {
--- a/internal/stand/deployment/brokenanswer_test.go
+++ b/internal/stand/deployment/brokenanswer_test.go
@@ -100,6 +100,10 @@
 		"status 099, whole answer inside":           {rawupstream.Answer{Text: "HTTP/1.1 099 Odd\r\n" + signed + "Content-Length: 200\r\n\r\n" + whole}, 10, ""},
 		"status 600":                                {rawupstream.Answer{Text: replace("200", "600")}, 10, ""},
 		"status 999":                                {rawupstream.Answer{Text: replace("200", "999")}, 10, ""},
+		"blank in a field's name":                   {rawupstream.Answer{Text: replace("Request-Id", "Odd Name: x\r\nRequest-Id")}, 10, ""},
+		"blank behind a field's name":               {rawupstream.Answer{Text: replace("Content-Length: 5", "Content-Length : 3"), End: rawupstream.Finish}, 10, ""},
+		"control byte in a field's name":            {rawupstream.Answer{Text: replace("Request-Id", "Odd\x01Name: x\r\nRequest-Id")}, 10, ""},
+		"tab behind a field's name":                 {rawupstream.Answer{Text: replace("Content-Length: 5", "Content-Length\t: 3"), End: rawupstream.Finish}, 10, ""},
 	}
 	dp, ups := startRawUpstreams(t, 199, upstreams)
 	orders := 0
