Transport: an answer of another version than HTTP/1 is malformed

What callers saw: an answer that began with "HTTP/2.0 200 OK", or whose reason held a control byte, came to them as 200.

Cause: http.ReadResponse accepts each version of the form HTTP/digit.digit and any reason.

Evidence: TestBrokenAnswers, "HTTP/2.0" and "control byte in the reason", failed before (200). HTTP/1.0 is passed on before and after.

Why this works: what is parsed and framed here is HTTP/1; a status line of anything else says that the bytes behind it are not understood. The reason is checked as httpguts checks values. After it all cases passed.

--- a/internal/base/httphead/httphead.go
+++ b/internal/base/httphead/httphead.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		return 0, eris.Wrap(err, "status line")
 	}
-	if status, err = checkStatus(line); err != nil {
+	if status, err = checkStatusLine(line); err != nil {
 		return 0, err
 	}
 	hd, err := rd.ReadMIMEHeader()
@@ -58,13 +58,19 @@
 	return nil
 }
 
-// checkStatus returns the status of a status line.
-func checkStatus(line string) (int, error) {
-	_, rest, _ := strings.Cut(line, " ")
-	code, _, _ := strings.Cut(strings.TrimLeft(rest, " "), " ")
+// checkStatusLine returns the status of a status line.
+func checkStatusLine(line string) (int, error) {
+	version, rest, _ := strings.Cut(line, " ")
+	if major, _, ok := http.ParseHTTPVersion(version); !ok || major != 1 {
+		return 0, eris.Errorf("version %.20q, want HTTP/1", version)
+	}
+	code, reason, _ := strings.Cut(strings.TrimLeft(rest, " "), " ")
 	status, err := strconv.ParseUint(code, 10, 16)
 	if err != nil || len(code) != 3 || status < minStatus || status > maxStatus {
 		return 0, eris.Errorf("status %.20q, want %d to %d", code, minStatus, maxStatus)
 	}
+	if !httpguts.ValidHeaderFieldValue(reason) {
+		return 0, eris.Errorf("reason %.40q", reason)
+	}
 	return int(status), nil
 }
--- a/internal/stand/deployment/brokenanswer_test.go
+++ b/internal/stand/deployment/brokenanswer_test.go
@@ -104,6 +104,9 @@
 		"blank behind a field's name":               {rawupstream.Answer{Text: replace("Content-Length: 5", "Content-Length : 3"), End: rawupstream.Finish}, 10, ""},
 		"control byte in a field's name":            {rawupstream.Answer{Text: replace("Request-Id", "Odd\x01Name: x\r\nRequest-Id")}, 10, ""},
 		"tab behind a field's name":                 {rawupstream.Answer{Text: replace("Content-Length: 5", "Content-Length\t: 3"), End: rawupstream.Finish}, 10, ""},
+		"HTTP/1.0":                                  {rawupstream.Answer{Text: replace("HTTP/1.1", "HTTP/1.0"), End: rawupstream.Finish}, 10, "whole"},
+		"HTTP/2.0":                                  {rawupstream.Answer{Text: replace("HTTP/1.1", "HTTP/2.0")}, 10, ""},
+		"control byte in the reason":                {rawupstream.Answer{Text: replace("OK", "O\x01K")}, 10, ""},
 	}
 	dp, ups := startRawUpstreams(t, 199, upstreams)
 	orders := 0
