Transport: an answer that says in two ways where it ends is malformed

What callers saw, each as 200: an answer in chunks that also had a length; the chunks' sizes as a part of the body where an answer of HTTP/1.0 had chunks; a whole answer out of the body that an interim answer (103) stated; and an answer 204, which has no body, that stated a length of 5.

Cause: http.ReadResponse drops the length beside chunks, drops Transfer-Encoding in HTTP/1.0, and ignores both where a status has no body. Its caller cannot see any of that any more.

Evidence: these four cases of TestBrokenAnswers failed before; those of two different lengths, chunks without their end and a malformed size were handled before (502) and are kept.

Why this works: the head is checked as it came (RFC 9112, section 6.1 and 6.3; RFC 9110, section 8.6).

--- a/internal/base/httphead/httphead.go
+++ b/internal/base/httphead/httphead.go
@@ -30,7 +30,8 @@
 	if err != nil {
 		return 0, eris.Wrap(err, "status line")
 	}
-	if status, err = checkStatusLine(line); err != nil {
+	status, minor, err := checkStatusLine(line)
+	if err != nil {
 		return 0, err
 	}
 	hd, err := rd.ReadMIMEHeader()
@@ -40,6 +41,9 @@
 	if err := CheckFields(hd); err != nil {
 		return 0, err
 	}
+	if err := checkFraming(status, minor, hd); err != nil {
+		return 0, err
+	}
 	return status, nil
 }
 
@@ -58,19 +62,38 @@
 	return nil
 }
 
-// checkStatusLine returns the status of a status line.
-func checkStatusLine(line string) (int, error) {
+// checkStatusLine returns the status of a status line and the minor version of HTTP/1.
+func checkStatusLine(line string) (status, minor int, err error) {
 	version, rest, _ := strings.Cut(line, " ")
-	if major, _, ok := http.ParseHTTPVersion(version); !ok || major != 1 {
-		return 0, eris.Errorf("version %.20q, want HTTP/1", version)
+	major, minor, ok := http.ParseHTTPVersion(version)
+	if !ok || major != 1 {
+		return 0, 0, eris.Errorf("version %.20q, want HTTP/1", version)
 	}
 	code, reason, _ := strings.Cut(strings.TrimLeft(rest, " "), " ")
-	status, err := strconv.ParseUint(code, 10, 16)
-	if err != nil || len(code) != 3 || status < minStatus || status > maxStatus {
-		return 0, eris.Errorf("status %.20q, want %d to %d", code, minStatus, maxStatus)
+	number, err := strconv.ParseUint(code, 10, 16)
+	if err != nil || len(code) != 3 || number < minStatus || number > maxStatus {
+		return 0, 0, eris.Errorf("status %.20q, want %d to %d", code, minStatus, maxStatus)
 	}
 	if !httpguts.ValidHeaderFieldValue(reason) {
-		return 0, eris.Errorf("reason %.40q", reason)
+		return 0, 0, eris.Errorf("reason %.40q", reason)
+	}
+	return int(number), minor, nil
+}
+
+// checkFraming returns an error if the header says in two ways where the body ends (RFC 9112, section
+// 6). That lengths are numbers and do not differ is checked by parsers.
+func checkFraming(status, minor int, hd textproto.MIMEHeader) error {
+	_, encoded := hd["Transfer-Encoding"]
+	lengths, stated := hd["Content-Length"]
+	bodiless := status < http.StatusOK || status == http.StatusNoContent
+	switch {
+	case encoded && stated:
+		return eris.New("Transfer-Encoding beside Content-Length")
+	case encoded && minor == 0:
+		return eris.New("Transfer-Encoding in HTTP/1.0")
+	case bodiless && (encoded || stated && lengths[0] != "0"):
+		return eris.Errorf("body of an answer with status %d", status)
+	default:
+		return nil
 	}
-	return int(status), nil
 }
--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -739,6 +739,10 @@
 		"internal/base/httphead/httphead.go", "if !httpguts.ValidHeaderFieldName(name) {", "if !httpguts.ValidHeaderFieldName(name) && false {",
 		[]string{"-run=TestAnswers", "./internal/serving/transport"},
 	},
+	"an answer may say in two ways where it ends": {
+		"internal/base/httphead/httphead.go", "case encoded && stated:", "case false:",
+		[]string{"-run=TestCheck", "./internal/base/httphead"},
+	},
 	"the head of an answer has no limit": {
 		"internal/serving/transport/answer.go", "cn.source.Remaining = maxHeadBytes", "cn.source.Remaining = maxUnstatedBytes",
 		[]string{"-run=TestBytesWithoutEnd", "./internal/serving/transport"},
--- a/internal/stand/deployment/brokenanswer_test.go
+++ b/internal/stand/deployment/brokenanswer_test.go
@@ -77,9 +77,10 @@
 		upstreams = 6
 		tries     = 6
 		// upload is a body that hosts pass on while they read it.
-		upload = 900_000
-		open   = "HTTP/1.1 200 OK\r\n" + signed + "\r\n"
-		whole  = "HTTP/1.1 200 OK\r\n" + signed + "Content-Length: 5\r\n\r\nwhole"
+		upload  = 900_000
+		open    = "HTTP/1.1 200 OK\r\n" + signed + "\r\n"
+		whole   = "HTTP/1.1 200 OK\r\n" + signed + "Content-Length: 5\r\n\r\nwhole"
+		chunked = "HTTP/1.1 200 OK\r\n" + signed + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n"
 	)
 	part := strings.Repeat("p", 100_000)
 	replace := func(old, replacement string) string { return strings.Replace(whole, old, replacement, 1) }
@@ -91,22 +92,31 @@
 	}{
 		"no length, ends with its connection":                   {rawupstream.Answer{Text: open + part, End: rawupstream.Finish}, 10, part},
 		"no length, ends with its connection during the upload": {rawupstream.Answer{Text: open + part, Early: true, End: rawupstream.FinishUnread}, upload, part},
-		"no length, reset":                          {rawupstream.Answer{Text: open + part, End: rawupstream.Reset}, 10, ""},
-		"no length, reset during the upload":        {rawupstream.Answer{Text: open + part, Early: true, End: rawupstream.Reset}, upload, ""},
-		"no length, large, reset during the upload": {rawupstream.Answer{Text: open + part + part + part, Early: true, End: rawupstream.Reset}, upload, ""},
-		"unknown status":                            {rawupstream.Answer{Text: replace("200", "299")}, 10, "whole"},
-		"status 000, whole answer inside":           {rawupstream.Answer{Text: "HTTP/1.1 000 Odd\r\n" + signed + "Content-Length: 200\r\n\r\n" + whole}, 10, ""},
-		"status 000, ordinary body":                 {rawupstream.Answer{Text: replace("200", "000")}, 10, ""},
-		"status 099, whole answer inside":           {rawupstream.Answer{Text: "HTTP/1.1 099 Odd\r\n" + signed + "Content-Length: 200\r\n\r\n" + whole}, 10, ""},
-		"status 600":                                {rawupstream.Answer{Text: replace("200", "600")}, 10, ""},
-		"status 999":                                {rawupstream.Answer{Text: replace("200", "999")}, 10, ""},
-		"blank in a field's name":                   {rawupstream.Answer{Text: replace("Request-Id", "Odd Name: x\r\nRequest-Id")}, 10, ""},
-		"blank behind a field's name":               {rawupstream.Answer{Text: replace("Content-Length: 5", "Content-Length : 3"), End: rawupstream.Finish}, 10, ""},
-		"control byte in a field's name":            {rawupstream.Answer{Text: replace("Request-Id", "Odd\x01Name: x\r\nRequest-Id")}, 10, ""},
-		"tab behind a field's name":                 {rawupstream.Answer{Text: replace("Content-Length: 5", "Content-Length\t: 3"), End: rawupstream.Finish}, 10, ""},
-		"HTTP/1.0":                                  {rawupstream.Answer{Text: replace("HTTP/1.1", "HTTP/1.0"), End: rawupstream.Finish}, 10, "whole"},
-		"HTTP/2.0":                                  {rawupstream.Answer{Text: replace("HTTP/1.1", "HTTP/2.0")}, 10, ""},
-		"control byte in the reason":                {rawupstream.Answer{Text: replace("OK", "O\x01K")}, 10, ""},
+		"no length, reset":                                {rawupstream.Answer{Text: open + part, End: rawupstream.Reset}, 10, ""},
+		"no length, reset during the upload":              {rawupstream.Answer{Text: open + part, Early: true, End: rawupstream.Reset}, upload, ""},
+		"no length, large, reset during the upload":       {rawupstream.Answer{Text: open + part + part + part, Early: true, End: rawupstream.Reset}, upload, ""},
+		"unknown status":                                  {rawupstream.Answer{Text: replace("200", "299")}, 10, "whole"},
+		"status 000, whole answer inside":                 {rawupstream.Answer{Text: "HTTP/1.1 000 Odd\r\n" + signed + "Content-Length: 200\r\n\r\n" + whole}, 10, ""},
+		"status 000, ordinary body":                       {rawupstream.Answer{Text: replace("200", "000")}, 10, ""},
+		"status 099, whole answer inside":                 {rawupstream.Answer{Text: "HTTP/1.1 099 Odd\r\n" + signed + "Content-Length: 200\r\n\r\n" + whole}, 10, ""},
+		"status 600":                                      {rawupstream.Answer{Text: replace("200", "600")}, 10, ""},
+		"status 999":                                      {rawupstream.Answer{Text: replace("200", "999")}, 10, ""},
+		"blank in a field's name":                         {rawupstream.Answer{Text: replace("Request-Id", "Odd Name: x\r\nRequest-Id")}, 10, ""},
+		"blank behind a field's name":                     {rawupstream.Answer{Text: replace("Content-Length: 5", "Content-Length : 3"), End: rawupstream.Finish}, 10, ""},
+		"control byte in a field's name":                  {rawupstream.Answer{Text: replace("Request-Id", "Odd\x01Name: x\r\nRequest-Id")}, 10, ""},
+		"tab behind a field's name":                       {rawupstream.Answer{Text: replace("Content-Length: 5", "Content-Length\t: 3"), End: rawupstream.Finish}, 10, ""},
+		"HTTP/1.0":                                        {rawupstream.Answer{Text: replace("HTTP/1.1", "HTTP/1.0"), End: rawupstream.Finish}, 10, "whole"},
+		"HTTP/2.0":                                        {rawupstream.Answer{Text: replace("HTTP/1.1", "HTTP/2.0")}, 10, ""},
+		"control byte in the reason":                      {rawupstream.Answer{Text: replace("OK", "O\x01K")}, 10, ""},
+		"chunks":                                          {rawupstream.Answer{Text: chunked + "0\r\n\r\n"}, 10, "whole"},
+		"chunks without their end":                        {rawupstream.Answer{Text: chunked, End: rawupstream.Finish}, 10, ""},
+		"chunks of a malformed size":                      {rawupstream.Answer{Text: chunked + "-1\r\n\r\n"}, 10, ""},
+		"chunks and a length":                             {rawupstream.Answer{Text: strings.Replace(chunked, "Transfer", "Content-Length: 3\r\nTransfer", 1) + "0\r\n\r\n"}, 10, ""},
+		"chunks in HTTP/1.0":                              {rawupstream.Answer{Text: strings.Replace(chunked, "HTTP/1.1", "HTTP/1.0", 1) + "0\r\n\r\n", End: rawupstream.Finish}, 10, ""},
+		"two lengths":                                     {rawupstream.Answer{Text: replace("Content-Length: 5", "Content-Length: 5\r\nContent-Length: 3")}, 10, ""},
+		"204 with a length":                               {rawupstream.Answer{Text: replace("200 OK", "204 No Content")}, 10, ""},
+		"interim answer":                                  {rawupstream.Answer{Text: "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + whole}, 10, "whole"},
+		"interim answer with a body, whole answer inside": {rawupstream.Answer{Text: "HTTP/1.1 103 Early Hints\r\nContent-Length: 200\r\n\r\n" + whole}, 10, ""},
 	}
 	dp, ups := startRawUpstreams(t, 199, upstreams)
 	orders := 0
