Transport: an upstream that switches to another protocol has not answered

What callers saw: behind "101 Switching Protocols", which nobody had asked for, the bytes that followed were read as HTTP/1 and a whole answer in them came to the caller as 200.

Cause: 101 passed for one of the interim answers, which it isn't: what follows it is another protocol. Upgrade is not passed on to upstreams, so none may switch (RFC 9110, section 15.2.2).

Evidence: TestBrokenAnswers, "other protocol, whole answer behind", failed before (200), after it 502.

--- a/internal/base/httphead/httphead.go
+++ b/internal/base/httphead/httphead.go
@@ -22,8 +22,8 @@
 	maxStatus = 599
 )
 
-// Check returns the status of a response, or an error if its head is malformed. raw begins with the
-// status line and ends with the empty line.
+// Check returns the status of a response to a request that asks for no other protocol, or an error if
+// its head is malformed. raw begins with the status line and ends with the empty line.
 func Check(raw []byte) (status int, err error) {
 	rd := textproto.NewReader(bufio.NewReaderSize(bytes.NewReader(raw), len(raw)))
 	line, err := rd.ReadLine()
@@ -74,6 +74,9 @@
 	if err != nil || len(code) != 3 || number < minStatus || number > maxStatus {
 		return 0, 0, eris.Errorf("status %.20q, want %d to %d", code, minStatus, maxStatus)
 	}
+	if number == http.StatusSwitchingProtocols {
+		return 0, 0, eris.New("the peer switches to a protocol that was not asked for")
+	}
 	if !httpguts.ValidHeaderFieldValue(reason) {
 		return 0, 0, eris.Errorf("reason %.40q", reason)
 	}
--- a/internal/base/httphead/httphead_test.go
+++ b/internal/base/httphead/httphead_test.go
@@ -62,6 +62,7 @@
 		"interim with length 0":               {"HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\n", 100},
 		"interim with a length":               {"HTTP/1.1 103 Early Hints\r\nContent-Length: 5\r\n\r\n", 0},
 		"interim with chunks":                 {"HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n", 0},
+		"other protocol":                      {"HTTP/1.1 101 Switching Protocols\r\nUpgrade: odd\r\n\r\n", 0},
 		"no status":                           {"HTTP/1.1\r\n\r\n", 0},
 		"two blanks":                          {"HTTP/1.1  200 OK\r\n\r\n", 200},
 		"empty":                               {"", 0},
--- a/internal/stand/deployment/brokenanswer_test.go
+++ b/internal/stand/deployment/brokenanswer_test.go
@@ -117,6 +117,7 @@
 		"204 with a length":                               {rawupstream.Answer{Text: replace("200 OK", "204 No Content")}, 10, ""},
 		"interim answer":                                  {rawupstream.Answer{Text: "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + whole}, 10, "whole"},
 		"interim answer with a body, whole answer inside": {rawupstream.Answer{Text: "HTTP/1.1 103 Early Hints\r\nContent-Length: 200\r\n\r\n" + whole}, 10, ""},
+		"other protocol, whole answer behind":             {rawupstream.Answer{Text: "HTTP/1.1 101 Switching Protocols\r\nUpgrade: odd\r\nConnection: upgrade\r\n\r\n" + whole}, 10, ""},
 	}
 	dp, ups := startRawUpstreams(t, 199, upstreams)
 	orders := 0
