Transport: an answer with a malformed trailer breaks off

What callers saw: an answer in chunks, behind which came a line with a blank in its name, reached them as a whole one, also a large one that is passed on while it is read.

Cause: net/http accepts blanks in the names of a trailer as it does in a header, and nothing looked at the trailer, which is not passed on.

Why this works: such a line is not HTTP, so the "0" before it may have been no last chunk but bytes of a body. The body then ends with an error: 502, or an answer that breaks off where a part was passed on.

--- a/internal/serving/transport/answer.go
+++ b/internal/serving/transport/answer.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"net/http"
@@ -110,12 +111,29 @@
 			if rs.ContentLength >= 0 {
 				cn.source.Remaining = rs.ContentLength + readBufferBytes
 			}
+			rs.Body = trailedBody{rs.Body, rs}
 			return rs, nil
 		}
 	}
 	return nil, errNoFinalAnswer
 }
 
+// trailedBody is the body of an answer. It ends with an error if its trailer is malformed: the chunk
+// before it may not have been the last one.
+type trailedBody struct {
+	io.ReadCloser
+	answer *http.Response
+}
+
+// Read implements io.Reader.
+func (tb trailedBody) Read(buf []byte) (int, error) {
+	count, err := tb.ReadCloser.Read(buf)
+	if errors.Is(err, io.EOF) {
+		err = cmp.Or(httphead.CheckFields(tb.answer.Trailer), err)
+	}
+	return count, err
+}
+
 // restReader reads the remainder of a large answer from its connection.
 type restReader struct {
 	io.Reader
--- a/internal/stand/deployment/brokenanswer_test.go
+++ b/internal/stand/deployment/brokenanswer_test.go
@@ -118,6 +118,9 @@
 		"interim answer":                                  {rawupstream.Answer{Text: "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + whole}, 10, "whole"},
 		"interim answer with a body, whole answer inside": {rawupstream.Answer{Text: "HTTP/1.1 103 Early Hints\r\nContent-Length: 200\r\n\r\n" + whole}, 10, ""},
 		"other protocol, whole answer behind":             {rawupstream.Answer{Text: "HTTP/1.1 101 Switching Protocols\r\nUpgrade: odd\r\nConnection: upgrade\r\n\r\n" + whole}, 10, ""},
+		"chunks and a trailer":                            {rawupstream.Answer{Text: chunked + "0\r\nA: b\r\n\r\n"}, 10, "whole"},
+		"blank in a trailer's name":                       {rawupstream.Answer{Text: chunked + "0\r\nOdd Name: x\r\n\r\n"}, 10, ""},
+		"blank in a trailer's name, large":                {rawupstream.Answer{Text: chunked + "493e0\r\n" + part + part + part + "\r\n0\r\nOdd Name: x\r\n\r\n"}, 10, ""},
 	}
 	dp, ups := startRawUpstreams(t, 199, upstreams)
 	orders := 0
