Tests: answers to HEAD, and large ones that break off, which were handled

Neither needed a change: TestAnswersWithoutBody passes on the code before this series too, as do the two cases of large answers, which break off at the caller.

--- a/internal/serving/transport/transport_test.go
+++ b/internal/serving/transport/transport_test.go
@@ -136,6 +136,43 @@
 	}
 }
 
+// TestAnswersWithoutBody guards against answers that have no body whatever their header states, and
+// that are waited for, or taken for broken; and against bytes behind one that pass for the next answer.
+func TestAnswersWithoutBody(t *testing.T) {
+	cases := map[string]struct {
+		method, answer string
+		status         int
+		conns          int32
+	}{
+		"HEAD, length":             {"HEAD", "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 5\r\n\r\n", 200, 1},
+		"HEAD, chunks":             {"HEAD", "HTTP/1.1 200 OK\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n", 200, 1},
+		"HEAD, neither":            {"HEAD", "HTTP/1.1 200 OK\r\nId: r1\r\n\r\n", 200, 2},
+		"HEAD, and a body":         {"HEAD", whole, 200, 2},
+		"HEAD, and another answer": {"HEAD", "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 5\r\n\r\n" + whole, 200, 2},
+		"204":                      {"GET", "HTTP/1.1 204 No Content\r\nId: r1\r\n\r\n", 204, 1},
+		"204, and a body":          {"GET", "HTTP/1.1 204 No Content\r\nId: r1\r\n\r\nwhole", 204, 2},
+		"304, length":              {"GET", "HTTP/1.1 304 Not Modified\r\nId: r1\r\nContent-Length: 5\r\n\r\n", 304, 1},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			gm := NewWithT(t)
+			up := startUpstream(t, tc.answer, tc.answer)
+			pl := transport.New(requestID)
+			t.Cleanup(pl.Close)
+			for range 2 {
+				rq := request()
+				rq.Method = tc.method
+				an, err := pl.Send(t.Context(), transport.Target{ID: "u", Address: up.address}, rq)
+				gm.Expect(err).NotTo(HaveOccurred())
+				gm.Expect(an.Status).To(Equal(tc.status))
+				gm.Expect(an.Body).To(BeEmpty())
+				gm.Expect(an.Rest).To(BeNil())
+			}
+			gm.Expect(up.conns.Load()).To(Equal(tc.conns))
+		})
+	}
+}
+
 // TestRefusedConnectionSentNothing checks that the failure of a refused connection
 // states that nothing was sent.
 func TestRefusedConnectionSentNothing(t *testing.T) {
--- a/internal/stand/deployment/brokenanswer_test.go
+++ b/internal/stand/deployment/brokenanswer_test.go
@@ -121,6 +121,8 @@
 		"chunks and a trailer":                            {rawupstream.Answer{Text: chunked + "0\r\nA: b\r\n\r\n"}, 10, "whole"},
 		"blank in a trailer's name":                       {rawupstream.Answer{Text: chunked + "0\r\nOdd Name: x\r\n\r\n"}, 10, ""},
 		"blank in a trailer's name, large":                {rawupstream.Answer{Text: chunked + "493e0\r\n" + part + part + part + "\r\n0\r\nOdd Name: x\r\n\r\n"}, 10, ""},
+		"length, large, ends before it":                   {rawupstream.Answer{Text: replace("Content-Length: 5", "Content-Length: 300001") + part + part + part[5:], End: rawupstream.Finish}, 10, ""},
+		"chunks, large, malformed size":                   {rawupstream.Answer{Text: chunked + "493e0\r\n" + part + part + part + "\r\nodd\r\n\r\n"}, 10, ""},
 	}
 	dp, ups := startRawUpstreams(t, 199, upstreams)
 	orders := 0
