--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -743,6 +743,14 @@
 		"internal/base/httphead/httphead.go", "case encoded && stated:", "case false:",
 		[]string{"-run=TestCheck", "./internal/base/httphead"},
 	},
+	"answers of the store and to grants are not checked": {
+		"platform/conn.go", "if err := cc.checkHeads(); err != nil {", "if err := cc.checkHeads(); false && err != nil {",
+		[]string{"-run=TestBrokenAnswers", "./platform"},
+	},
+	"a trailer of an answer is not checked": {
+		"internal/serving/transport/answer.go", "rs.Body = trailedBody{rs.Body, rs}", "",
+		[]string{"-run=TestAnswers", "./internal/serving/transport"},
+	},
 	"the head of an answer has no limit": {
 		"internal/serving/transport/answer.go", "cn.source.Remaining = maxHeadBytes", "cn.source.Remaining = maxUnstatedBytes",
 		[]string{"-run=TestBytesWithoutEnd", "./internal/serving/transport"},
