Tests: the watch on a failed connection is noticed each time

Beside them one host, whose connections go silent as its watch begins, which the proxy sees: nobody reads the rows for it, and the watch is trusted for its whole time. What is compared is the time measured, so that a machine that is slow makes the mutant's 3.7 s longer, not shorter.

--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -137,7 +137,7 @@
 	},
 	"a watch on a connection that has failed is trusted for longer": {
 		"internal/fleet/gateway/store.go", "leaderWatchWait = 1500 * time.Millisecond", "leaderWatchWait = 3 * time.Second",
-		[]string{"-run=TestChangeBehindSilentConnections", "./internal/stand/deployment"},
+		[]string{"-run=TestChangeBehindSilentConnections/of_a_leader", "./internal/stand/deployment"},
 	},
 	"the tickets of all processes begin with the same number": {
 		"internal/fleet/gateway/permitclient.go", "return xxhash.Sum64String(fmt.Sprint(ps.Host, \" \", ps.Incarnation)) >> (64 - ticketBits)", "return xxhash.Sum64String(fmt.Sprint()) >> (64 - ticketBits)",
--- a/internal/stand/faultproxy/faultproxy.go
+++ b/internal/stand/faultproxy/faultproxy.go
@@ -7,6 +7,7 @@
 package faultproxy
 
 import (
+	"bytes"
 	"errors"
 	"net"
 	"sync"
@@ -34,8 +35,11 @@
 	mu     sync.Mutex
 	faults Faults
 	// conns holds the open connections, true for those that are silent for good.
-	conns  map[net.Conn]bool
-	closed bool
+	conns map[net.Conn]bool
+	// trigger is the text that makes them silent, nil without one. triggered is closed then.
+	trigger   []byte
+	triggered chan struct{}
+	closed    bool
 }
 
 // Start listens on an address and forwards to the target, both IP:PORT.
@@ -65,6 +69,20 @@
 func (px *Proxy) Silence() {
 	px.mu.Lock()
 	defer px.mu.Unlock()
+	px.silence()
+}
+
+// SilenceAt calls Silence as soon as a caller sends a block of bytes that holds a text, which is not
+// forwarded any more. The returned channel is closed then.
+func (px *Proxy) SilenceAt(text string) <-chan struct{} {
+	px.mu.Lock()
+	defer px.mu.Unlock()
+	px.trigger, px.triggered = []byte(text), make(chan struct{})
+	return px.triggered
+}
+
+// silence makes all open connections silent. px.mu must be held.
+func (px *Proxy) silence() {
 	for conn := range px.conns {
 		px.conns[conn] = true
 	}
@@ -177,6 +195,11 @@
 	for {
 		count, err := from.Read(buf)
 		px.mu.Lock()
+		if px.trigger != nil && bytes.Contains(buf[:count], px.trigger) {
+			px.silence()
+			px.trigger = nil
+			close(px.triggered)
+		}
 		fl, silent := px.faults, px.conns[from]
 		px.mu.Unlock()
 		time.Sleep(fl.Delay)
