--- a/internal/base/httphead/httphead_test.go
+++ b/internal/base/httphead/httphead_test.go
@@ -1,9 +1,13 @@
 package httphead_test
 
 import (
+	"bufio"
+	"bytes"
+	"net/http"
 	"testing"
 
 	. "github.com/onsi/gomega"
+	"golang.org/x/net/http/httpguts"
 
 	"chervilwalk/internal/base/httphead"
 )
@@ -76,3 +80,30 @@
 		})
 	}
 }
+
+// FuzzCheck guards against heads that end the process, and against a status that parsers of the same
+// head do not see.
+func FuzzCheck(f *testing.F) {
+	for _, raw := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", "HTTP/1.0 404 \r\n\r\n", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n",
+		"HTTP/1.1 000 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nOdd Name: x\r\n\r\n", "HTTP/1.1 200 OK\nTransfer-Encoding: chunked\n\n",
+	} {
+		f.Add([]byte(raw))
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		status, err := httphead.Check(raw)
+		if err != nil {
+			return
+		}
+		rs, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(raw)), nil)
+		if err != nil {
+			return
+		}
+		gm := NewWithT(t)
+		gm.Expect(rs.StatusCode).To(Equal(status))
+		gm.Expect(status).To(And(BeNumerically(">=", 100), BeNumerically("<=", 599)))
+		for name := range rs.Header {
+			gm.Expect(httpguts.ValidHeaderFieldName(name)).To(BeTrue(), "%q", name)
+		}
+	})
+}
--- a/internal/serving/transport/answer.go
+++ b/internal/serving/transport/answer.go
@@ -1,8 +1,8 @@
 package transport
 
 import (
-	"cmp"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -104,7 +104,7 @@
 			return nil, err
 		}
 		if _, err := httphead.Check(raw); err != nil {
-			return nil, err
+			return nil, fmt.Errorf("malformed head of an answer: %w", err)
 		}
 		if rs.StatusCode >= http.StatusOK {
 			cn.source.Remaining = maxUnstatedBytes
@@ -128,8 +128,11 @@
 // Read implements io.Reader.
 func (tb trailedBody) Read(buf []byte) (int, error) {
 	count, err := tb.ReadCloser.Read(buf)
-	if errors.Is(err, io.EOF) {
-		err = cmp.Or(httphead.CheckFields(tb.answer.Trailer), err)
+	if !errors.Is(err, io.EOF) {
+		return count, err
+	}
+	if err := httphead.CheckFields(tb.answer.Trailer); err != nil {
+		return count, fmt.Errorf("malformed trailer of an answer: %w", err)
 	}
 	return count, err
 }
--- a/internal/serving/transport/transport.go
+++ b/internal/serving/transport/transport.go
@@ -10,6 +10,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -291,7 +292,7 @@
 	case err != nil:
 		return nil, false, err
 	case an.endsWithConn && isConnLost(werr):
-		return nil, false, werr
+		return nil, false, fmt.Errorf("the connection was lost, and with it the end of an answer without a length: %w", werr)
 	default:
 		return an, reusable && werr == nil, nil
 	}
