httphead: heads are checked as net/http has parsed them

The check parsed each head a second time: 3.1 us and 17 allocations an answer.

All tests of broken answers and the mutants of the series pass as before; FuzzCheck found nothing in 20 s. The errors quote the whole status line now.

--- a/internal/base/httphead/httphead.go
+++ b/internal/base/httphead/httphead.go
@@ -9,8 +9,6 @@
 	"bytes"
 	"net/http"
 	"net/textproto"
-	"strconv"
-	"strings"
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/net/http/httpguts"
@@ -25,26 +23,32 @@
 // Check returns the status of a response to a request that asks for no other protocol, or an error if
 // its head is malformed. raw begins with the status line and ends with the empty line.
 func Check(raw []byte) (status int, err error) {
-	rd := textproto.NewReader(bufio.NewReaderSize(bytes.NewReader(raw), len(raw)))
-	line, err := rd.ReadLine()
+	rs, err := http.ReadResponse(newReader(raw), nil)
 	if err != nil {
-		return 0, eris.Wrap(err, "status line")
+		return 0, eris.Wrap(err, "head")
 	}
-	status, minor, err := checkStatusLine(line)
-	if err != nil {
+	if err := CheckParsed(rs, raw); err != nil {
 		return 0, err
 	}
-	hd, err := rd.ReadMIMEHeader()
-	if err != nil {
-		return 0, eris.Wrap(err, "header")
-	}
-	if err := CheckFields(hd); err != nil {
-		return 0, err
+	return rs.StatusCode, nil
+}
+
+// CheckParsed is Check for a head that http.ReadResponse has parsed.
+func CheckParsed(rs *http.Response, raw []byte) error {
+	switch {
+	case rs.ProtoMajor != 1:
+		return eris.Errorf("version %.20q, want HTTP/1", rs.Proto)
+	case rs.StatusCode < minStatus || rs.StatusCode > maxStatus:
+		return eris.Errorf("status %.40q, want %d to %d", rs.Status, minStatus, maxStatus)
+	case rs.StatusCode == http.StatusSwitchingProtocols:
+		return eris.New("the peer switches to a protocol that was not asked for")
+	case !httpguts.ValidHeaderFieldValue(rs.Status):
+		return eris.Errorf("status %.40q", rs.Status)
 	}
-	if err := checkFraming(status, minor, hd); err != nil {
-		return 0, err
+	if err := CheckFields(rs.Header); err != nil {
+		return err
 	}
-	return status, nil
+	return checkFraming(rs, raw)
 }
 
 // CheckFields returns an error if the name or a value of a field in a header or trailer is malformed.
@@ -62,41 +66,37 @@
 	return nil
 }
 
-// checkStatusLine returns the status of a status line and the minor version of HTTP/1.
-func checkStatusLine(line string) (status, minor int, err error) {
-	version, rest, _ := strings.Cut(line, " ")
-	major, minor, ok := http.ParseHTTPVersion(version)
-	if !ok || major != 1 {
-		return 0, 0, eris.Errorf("version %.20q, want HTTP/1", version)
-	}
-	code, reason, _ := strings.Cut(strings.TrimLeft(rest, " "), " ")
-	number, err := strconv.ParseUint(code, 10, 16)
-	if err != nil || len(code) != 3 || number < minStatus || number > maxStatus {
-		return 0, 0, eris.Errorf("status %.20q, want %d to %d", code, minStatus, maxStatus)
+// checkFraming returns an error if the header says in two ways where the body ends (RFC 9112, section
+// 6). That lengths are numbers and do not differ is checked by http.ReadResponse.
+func checkFraming(rs *http.Response, raw []byte) error {
+	bodiless := rs.StatusCode < http.StatusOK || rs.StatusCode == http.StatusNoContent
+	http10 := !rs.ProtoAtLeast(1, 1)
+	if !bodiless && !http10 && len(rs.TransferEncoding) == 0 {
+		return nil
 	}
-	if number == http.StatusSwitchingProtocols {
-		return 0, 0, eris.New("the peer switches to a protocol that was not asked for")
+	// http.ReadResponse drops the fields that it does not follow.
+	rd := newReader(raw)
+	if _, _, err := rd.ReadLine(); err != nil {
+		return eris.Wrap(err, "status line")
 	}
-	if !httpguts.ValidHeaderFieldValue(reason) {
-		return 0, 0, eris.Errorf("reason %.40q", reason)
+	hd, err := textproto.NewReader(rd).ReadMIMEHeader()
+	if err != nil {
+		return eris.Wrap(err, "header")
 	}
-	return int(number), minor, nil
-}
-
-// checkFraming returns an error if the header says in two ways where the body ends (RFC 9112, section
-// 6). That lengths are numbers and do not differ is checked by parsers.
-func checkFraming(status, minor int, hd textproto.MIMEHeader) error {
 	_, encoded := hd["Transfer-Encoding"]
 	lengths, stated := hd["Content-Length"]
-	bodiless := status < http.StatusOK || status == http.StatusNoContent
 	switch {
 	case encoded && stated:
 		return eris.New("Transfer-Encoding beside Content-Length")
-	case encoded && minor == 0:
+	case encoded && http10:
 		return eris.New("Transfer-Encoding in HTTP/1.0")
 	case bodiless && (encoded || stated && lengths[0] != "0"):
-		return eris.Errorf("body of an answer with status %d", status)
+		return eris.Errorf("body of an answer with status %d", rs.StatusCode)
 	default:
 		return nil
 	}
 }
+
+func newReader(raw []byte) *bufio.Reader {
+	return bufio.NewReaderSize(bytes.NewReader(raw), len(raw))
+}
--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -728,11 +728,11 @@
 		[]string{"-run=TestEndDuringUpload", "./internal/serving/transport"},
 	},
 	"the head of an answer is not checked": {
-		"internal/serving/transport/answer.go", "if _, err := httphead.Check(raw); err != nil {", "if _, err := httphead.Check(raw); false && err != nil {",
+		"internal/serving/transport/answer.go", "if err := httphead.CheckParsed(rs, raw); err != nil {", "if err := httphead.CheckParsed(rs, raw); false && err != nil {",
 		[]string{"-run=TestAnswers", "./internal/serving/transport"},
 	},
 	"any number is a status": {
-		"internal/base/httphead/httphead.go", " || status < minStatus || status > maxStatus", "",
+		"internal/base/httphead/httphead.go", "case rs.StatusCode < minStatus || rs.StatusCode > maxStatus:", "case false:",
 		[]string{"-run=TestCheck", "./internal/base/httphead"},
 	},
 	"a field of an answer has any name": {
--- a/internal/serving/transport/answer.go
+++ b/internal/serving/transport/answer.go
@@ -103,7 +103,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if _, err := httphead.Check(raw); err != nil {
+		if err := httphead.CheckParsed(rs, raw); err != nil {
 			return nil, fmt.Errorf("malformed head of an answer: %w", err)
 		}
 		if rs.StatusCode >= http.StatusOK {
