--- a/internal/base/httphead/httphead.go
+++ b/internal/base/httphead/httphead.go
@@ -33,7 +33,7 @@
 	return rs.StatusCode, nil
 }
 
-// CheckParsed is Check for a head that http.ReadResponse has parsed.
+// CheckParsed is Check for a head that http.ReadResponse has parsed from raw.
 func CheckParsed(rs *http.Response, raw []byte) error {
 	switch {
 	case rs.ProtoMajor != 1:
--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -748,7 +748,7 @@
 		[]string{"-run=TestBrokenAnswers", "./platform"},
 	},
 	"a trailer of an answer is not checked": {
-		"internal/serving/transport/answer.go", "rs.Body = trailedBody{rs.Body, rs}", "",
+		"internal/serving/transport/answer.go", "rs.Body = checkedBody{rs.Body, rs}", "",
 		[]string{"-run=TestAnswers", "./internal/serving/transport"},
 	},
 	"the head of an answer has no limit": {
--- a/internal/serving/transport/answer.go
+++ b/internal/serving/transport/answer.go
@@ -111,22 +111,22 @@
 			if rs.ContentLength >= 0 {
 				cn.source.Remaining = rs.ContentLength + readBufferBytes
 			}
-			rs.Body = trailedBody{rs.Body, rs}
+			rs.Body = checkedBody{rs.Body, rs}
 			return rs, nil
 		}
 	}
 	return nil, errNoFinalAnswer
 }
 
-// trailedBody is the body of an answer. It ends with an error if its trailer is malformed: the chunk
+// checkedBody is the body of an answer, which ends with an error if its trailer is malformed: the chunk
 // before it may not have been the last one.
-type trailedBody struct {
+type checkedBody struct {
 	io.ReadCloser
 	answer *http.Response
 }
 
 // Read implements io.Reader.
-func (tb trailedBody) Read(buf []byte) (int, error) {
+func (tb checkedBody) Read(buf []byte) (int, error) {
 	count, err := tb.ReadCloser.Read(buf)
 	if !errors.Is(err, io.EOF) {
 		return count, err
--- a/internal/serving/transport/transport.go
+++ b/internal/serving/transport/transport.go
@@ -71,7 +71,7 @@
 // conn is one connection to an upstream.
 type conn struct {
 	net.Conn
-	// source limits what reader takes from the connection.
+	// source limits what reader takes from the connection, head records the heads of answers.
 	source *socket.LimitedReader
 	head   *headRecorder
 	reader *bufio.Reader
--- a/internal/stand/rawupstream/rawupstream.go
+++ b/internal/stand/rawupstream/rawupstream.go
@@ -19,7 +19,7 @@
 // idPlace stands in an answer's text for the id of its request.
 const idPlace = "{id}"
 
-// resetDelay is when a connection is reset after an end in order: the client has all bytes by then.
+// resetDelay passes between an end in order and a reset, so that the client has all bytes by then.
 const resetDelay = 50 * time.Millisecond
 
 // End is what follows an answer.
@@ -42,8 +42,6 @@
 	Text string
 	// Early answers when the request's head was read, before its body.
 	Early bool
-	// Delay passes between the text and the end.
-	Delay time.Duration
 	End   End
 }
 
@@ -139,7 +137,6 @@
 		if _, err := io.WriteString(conn, strings.ReplaceAll(an.Text, idPlace, id)); err != nil {
 			return
 		}
-		time.Sleep(an.Delay)
 		if an.End != KeepOpen {
 			end(conn, an.End)
 			return
