LOST: what waits at a planned stop is answered before its connection closes

Cause: only the closing of connections told a request that its host ends. Its context then ended as if its caller had left, for which no answer is due, and holders kept its ask by the request's own time limit. The logs said cause=callerLeft.

The server ends contexts with a cause of their own before connections close, and the proxy answers from it: 503 if no byte was sent, else 502 or 504. A stopping host gives upstreams no more time than it has, and repeats waiting asks with that time, which holders take over: they refuse as late as an answer can still be expected, so that what gets room during the stop is served. Refusal and permit are decided in the event loop; a permit that comes after the refusal goes back.

New: event endingRequests, cause stopping.

--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -67,6 +67,9 @@
 	// stopMargin is how long before the end of its grace period a process must
 	// have finished.
 	stopMargin = 700 * time.Millisecond
+	// lastResponsesTimeout is how long a stopping process still writes the responses to the
+	// requests that it has ended.
+	lastResponsesTimeout = 200 * time.Millisecond
 	// stopPollInterval is how often a stopping process checks whether it has
 	// finished.
 	stopPollInterval = 40 * time.Millisecond
@@ -133,9 +136,11 @@
 	rowsWake, entriesWake chan struct{}
 	isReady               atomic.Bool
 	stopping              atomic.Bool
-	events                chan any
-	done                  chan struct{}
-	tasks                 sync.WaitGroup
+	// requestsEndAt is when a stopping process ends its requests, nil before that.
+	requestsEndAt atomic.Pointer[time.Time]
+	events        chan any
+	done          chan struct{}
+	tasks         sync.WaitGroup
 	// bounds holds those of the newest settings.
 	bounds atomic.Pointer[platform.Bounds]
 
@@ -222,7 +227,7 @@
 		Budget: proxy.NewBudget(st.Bounds.RetryRatio, gw.retryAllowance),
 		OnEnd:  gw.observeRequest, OnKeyedRequest: gw.loads.countArrival,
 		OnLeaving: gw.onLeaving, OnPause: gw.onPause, OnLimit: gw.onLimit,
-		OnCrash: gw.onCrash, OnAnswer: gw.onAnswer, OnAbandoned: gw.onAbandoned, Suspect: gw.suspects.suspect,
+		OnCrash: gw.onCrash, OnAnswer: gw.onAnswer, OnAbandoned: gw.onAbandoned, Suspect: gw.suspects.suspect, EndsAt: gw.endsAt,
 	})
 	gw.callerServer = httpserver.New(gw.proxy.Serve, gw.limits, httpserver.OnPanic(gw.logPanic), httpserver.OnUnanswered(gw.observeUnanswered), httpserver.MayBreakOff(gw.proxy.MayBreakOff))
 	gw.readyServer = httpserver.New(gw.serveReady, gw.limits)
@@ -304,6 +309,8 @@
 	gw.callerServer.Drain()
 	gw.send(agent.StopMsg{})
 	end := began.Add(gw.bounds.Load().Grace - stopMargin)
+	gw.requestsEndAt.Store(&end)
+	gw.send(stopEvent{gw.clock.Now().Add(time.Until(end))})
 	for time.Now().Before(end) {
 		if time.Since(began) > stopAcceptTimeout {
 			// What came now might not be finished in time.
@@ -315,10 +322,34 @@
 		}
 		time.Sleep(stopPollInterval)
 	}
+	gw.endRequests()
 	gw.config.Log.Event("stop", eventlog.Fields{"tookMs": time.Since(began).Milliseconds(), "connections": gw.callerServer.Connections()})
 	gw.Close()
 }
 
+// endsAt returns when this process ends its requests, or the zero time if it is not stopping.
+func (gw *Gateway) endsAt() time.Time {
+	if end := gw.requestsEndAt.Load(); end != nil {
+		return *end
+	}
+	return time.Time{}
+}
+
+// endRequests ends the requests in flight, so that their callers get a response that says whether
+// they may have run, before the connections close.
+func (gw *Gateway) endRequests() {
+	gw.callerServer.StopAccepting()
+	gw.callerServer.StopTaking()
+	if gw.callerServer.Idle() {
+		return
+	}
+	gw.config.Log.Event("endingRequests", eventlog.Fields{"waiting": gw.permitClient.waitingCount.Load(), "open": gw.permitClient.openCount.Load()})
+	gw.callerServer.EndRequests()
+	for end := time.Now().Add(lastResponsesTimeout); !gw.callerServer.Idle() && time.Now().Before(end); {
+		time.Sleep(stopPollInterval)
+	}
+}
+
 // Close stops the process at once, without draining, and waits for its tasks. Calls to
 // the store and to upstreams that are in flight end on their own.
 func (gw *Gateway) Close() {
--- a/internal/fleet/gateway/loop.go
+++ b/internal/fleet/gateway/loop.go
@@ -32,6 +32,9 @@
 // settingsEvent carries reloaded settings.
 type settingsEvent struct{ settings platform.Settings }
 
+// stopEvent says when this process ends its requests.
+type stopEvent struct{ endsAt clock.Instant }
+
 // send queues an event for the loop; it drops the event once the process has
 // been closed.
 func (gw *Gateway) send(ev any) {
@@ -99,6 +102,8 @@
 		gw.handleStoredSuspects(ev)
 	case dumpEvent:
 		ev.reply <- gw.dump()
+	case stopEvent:
+		gw.permitClient.endsAt = ev.endsAt
 	case settingsEvent:
 		gw.bounds.Store(&ev.settings.Bounds)
 	default:
--- a/internal/fleet/gateway/permitclient.go
+++ b/internal/fleet/gateway/permitclient.go
@@ -105,7 +105,11 @@
 	lastTicket atomic.Uint64
 	// openCount is the number of requests that hold a permit or wait for one.
 	openCount atomic.Int64
-	pending   map[protocol.Ticket]*pendingAcquire
+	// waitingCount is the number of those that wait.
+	waitingCount atomic.Int64
+	// endsAt is when this process ends its requests, clock.Never if it is not stopping.
+	endsAt  clock.Instant
+	pending map[protocol.Ticket]*pendingAcquire
 	// held holds the tickets of permits that a request has got and not released yet.
 	held         map[protocol.Ticket]struct{}
 	releases     map[askID]*pendingRelease
@@ -120,7 +124,7 @@
 
 func newPermitClient(gw *Gateway) permitClient {
 	return permitClient{
-		gw: gw, pending: map[protocol.Ticket]*pendingAcquire{}, held: map[protocol.Ticket]struct{}{}, releases: map[askID]*pendingRelease{},
+		gw: gw, endsAt: clock.Never, pending: map[protocol.Ticket]*pendingAcquire{}, held: map[protocol.Ticket]struct{}{}, releases: map[askID]*pendingRelease{},
 		suspectUntil: map[ident.Host]clock.Instant{}, addresses: map[ident.Host]netip.AddrPort{},
 	}
 }
@@ -139,6 +143,8 @@
 	ask.Host, ask.Incarnation = pc.gw.self.Host, pc.gw.self.Incarnation
 	ask.Ticket = protocol.Ticket(pc.lastTicket.Add(1))
 	pc.openCount.Add(1)
+	pc.waitingCount.Add(1)
+	defer pc.waitingCount.Add(-1)
 	reply := make(chan acquireResult, 1)
 	pc.gw.send(acquireEvent{ask, reply})
 	select {
@@ -205,7 +211,7 @@
 func (pc *permitClient) sendAsk(now clock.Instant, pa *pendingAcquire) {
 	pa.tries++
 	pa.nextAt = now.Add(replyTimeout)
-	pa.ask.TimeLeft, pa.ask.ObjectiveLeft = pa.deadline.Sub(now), pa.objectiveAt.Sub(now)
+	pa.ask.TimeLeft, pa.ask.ObjectiveLeft = pc.lastAt(pa).Sub(now), pa.objectiveAt.Sub(now)
 	if pa.holder == pc.gw.self.Host {
 		pa.nextAt = now.Add(queuedCheckInterval)
 		pc.gw.handleAsk(pa.ask)
@@ -214,6 +220,10 @@
 	pc.gw.sendMessage(pa.address, pa.ask)
 }
 
+// lastAt returns until when the request of an acquire can be answered: an ask that waits while the
+// process begins to stop is sent again with less time left.
+func (pc *permitClient) lastAt(pa *pendingAcquire) clock.Instant { return min(pa.deadline, pc.endsAt) }
+
 // choosePool chooses the pool of the service's upstreams that an ask is for: the
 // pool with the key's owner, or each pool in turn for requests without a key that are not suspect.
 func (pc *permitClient) choosePool(pa *pendingAcquire) {
@@ -292,6 +302,8 @@
 			continue
 		}
 		switch {
+		case pc.endsAt < min(pa.deadline, now):
+			pc.refuseStopping(pa)
 		case pa.deadline < now:
 			pc.finish(pa, acquireResult{refusal: &protocol.Refusal{Reason: "noAnswerFromHolder", RetryAfter: unusableRetryDelay}})
 		case pa.holder == pc.gw.self.Host || pa.tries < triesPerHolder:
@@ -315,6 +327,12 @@
 	}
 }
 
+// refuseStopping refuses an acquire that waits for longer than its process serves requests.
+func (pc *permitClient) refuseStopping(pa *pendingAcquire) {
+	pc.finish(pa, acquireResult{refusal: &protocol.Refusal{Reason: "stopping", RetryAfter: unusableRetryDelay}})
+	pc.releaseWaiting(pa)
+}
+
 // nextWake returns when the next resend is due.
 func (pc *permitClient) nextWake() clock.Instant {
 	next := clock.Never
@@ -397,6 +415,11 @@
 		return
 	}
 	delete(pc.pending, pa.ask.Ticket)
+	pc.releaseWaiting(pa)
+}
+
+// releaseWaiting makes the holder forget an ask, or release the permit that it has just issued.
+func (pc *permitClient) releaseWaiting(pa *pendingAcquire) {
 	pc.release(releaseEvent{
 		permit: proxy.Permit{Permit: protocol.Permit{Ticket: pa.ask.Ticket}, Holder: pa.holder},
 		done:   protocol.Done{Service: pa.ask.Service, Outcome: uint8(permit.Withdrawn)},
--- a/internal/fleet/gateway/permitclient_test.go
+++ b/internal/fleet/gateway/permitclient_test.go
@@ -125,6 +125,53 @@
 	gm.Expect(pc.pending).To(BeEmpty())
 }
 
+// TestPermitsAtTheEndOfAStop guards against a request that is sent to an upstream although its caller
+// was told that it is refused, and against permits that nobody gives back, at the time when a stopping
+// host ends its requests.
+func TestPermitsAtTheEndOfAStop(t *testing.T) {
+	const endsAt = clock.Instant(time.Hour)
+	cases := map[string]struct {
+		// deadline is that of the request.
+		deadline clock.Instant
+		// at is when the client looks at what is due.
+		at     clock.Instant
+		reason string
+	}{
+		"before the end":              {deadline: endsAt.Add(time.Second), at: endsAt},
+		"after it":                    {deadline: endsAt.Add(time.Second), at: endsAt.Add(time.Millisecond), reason: "stopping"},
+		"its own time was over first": {deadline: endsAt.Add(-time.Second), at: endsAt.Add(time.Millisecond), reason: "noAnswerFromHolder"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			gm := NewWithT(t)
+			socket, err := net.ListenUDP("udp", nil)
+			gm.Expect(err).NotTo(HaveOccurred())
+			defer func() { gm.Expect(socket.Close()).To(Succeed()) }()
+			gw := &Gateway{self: assignment.Member{Host: "self"}, socket: socket}
+			gw.table.Store(&assignment.Table{Members: []assignment.Member{{Host: "other", Address: "127.0.0.1:9", Alive: true}}})
+			gw.permitClient = newPermitClient(gw)
+			pc := &gw.permitClient
+			gw.handle(stopEvent{endsAt})
+			pa := &pendingAcquire{ask: protocol.Ask{Ticket: 7, Service: "files"}, reply: make(chan acquireResult, 1), holder: "other", address: "127.0.0.1:9", deadline: tc.deadline}
+			pc.pending[7] = pa
+			pc.tick(tc.at)
+			if tc.reason == "" {
+				gm.Expect(pa.ask.TimeLeft).To(Equal(endsAt.Sub(tc.at)))
+				gm.Expect(pa.reply).NotTo(Receive())
+				return
+			}
+			var rs acquireResult
+			gm.Expect(pa.reply).To(Receive(&rs))
+			gm.Expect(rs.refusal).To(HaveField("Reason", tc.reason))
+			// The permit was on its way.
+			pc.handlePermit(tc.at, "127.0.0.1:9", protocol.Permit{Ticket: 7, Upstream: "i-files", Asker: gw.process()})
+			gm.Expect(pa.reply).NotTo(Receive())
+			gm.Expect(pc.held).To(BeEmpty())
+			gm.Expect(pc.releases).To(HaveLen(1))
+		})
+	}
+}
+
 // TestSilentHolder guards against all asks of a host that wait for a holder which it does not reach,
 // each time that it is tried again, and against one that is skipped once it answers.
 func TestSilentHolder(t *testing.T) {
--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -767,6 +767,22 @@
 		"internal/fleet/gateway/gateway.go", "			gw.callerServer.StopAccepting()\n", "",
 		[]string{"-run=TestStopBesideALongRequest", "./internal/stand/deployment"},
 	},
+	"requests that a stop cannot finish get no answer": {
+		"internal/fleet/gateway/gateway.go", "	gw.callerServer.EndRequests()\n", "",
+		[]string{"-run=TestRequestsThatWaitAtStop/behind", "./internal/stand/deployment"},
+	},
+	"orders outlive the stop of their host": {
+		"internal/serving/proxy/attempt.go", "			cancel(httpserver.ErrEnding)\n			return\n", "			return\n",
+		[]string{"-run=TestServerEnds", "./internal/serving/proxy"},
+	},
+	"upstreams get more time than a stopping host has": {
+		"internal/serving/proxy/exchange.go", "!endsAt.IsZero() && last.Before(ex.deadline)", "false",
+		[]string{"-run=TestDeadlineAtStop", "./internal/serving/proxy"},
+	},
+	"a waiting ask does not learn that its host stops": {
+		"internal/serving/permit/queue.go", "		co.bringForward(now, ak, now.Add(msg.TimeLeft))\n", "",
+		[]string{"-run=TestWaitingAskOfStoppingHost", "./internal/serving/permit"},
+	},
 	"grants end a renewal earlier than they may": {
 		"internal/ownership/renewal/renewal.go", "	if st.startedAt < last {", "	if false {",
 		[]string{"-run=TestLastRenewal", "./internal/ownership/renewal"},
--- a/internal/serving/httpserver/connection.go
+++ b/internal/serving/httpserver/connection.go
@@ -41,13 +41,16 @@
 // connection is a connection from a caller. One goroutine reads requests, another
 // writes their responses.
 type connection struct {
-	server   *Server
-	raw      net.Conn
-	reader   *bufio.Reader
-	source   *socket.LimitedReader
-	ctx      context.Context
-	cancel   context.CancelFunc
-	pipeline chan *pendingRequest
+	server *Server
+	raw    net.Conn
+	reader *bufio.Reader
+	source *socket.LimitedReader
+	ctx    context.Context
+	cancel context.CancelFunc
+	// requests is the context of the connection's requests. It ends with ctx, or before.
+	requests    context.Context
+	endRequests context.CancelCauseFunc
+	pipeline    chan *pendingRequest
 	// unsettled holds the responses that may still break off. It belongs to the goroutine that
 	// reads requests.
 	unsettled []unsettledResponse
@@ -78,6 +81,7 @@
 	cn := &connection{server: sv, raw: raw, idleSince: time.Now(), source: &socket.LimitedReader{Conn: raw, Remaining: socket.Unlimited}, pipeline: make(chan *pendingRequest, maxPipelined)}
 	cn.reader = bufio.NewReaderSize(cn.source, readBufferBytes)
 	cn.ctx, cn.cancel = context.WithCancel(context.Background())
+	cn.requests, cn.endRequests = context.WithCancelCause(cn.ctx)
 	cn.changed = sync.NewCond(&cn.mu)
 	return cn
 }
@@ -159,7 +163,7 @@
 		return nil
 	}
 	pr.handled.Store(true)
-	rs := cn.server.handle(cn.ctx, pr.request)
+	rs := cn.server.handle(cn.requests, pr.request)
 	if rs != nil && rs.Rest == nil {
 		close(pr.settled)
 	}
--- a/internal/serving/httpserver/httpserver.go
+++ b/internal/serving/httpserver/httpserver.go
@@ -43,6 +43,9 @@
 	lingerTimeout = time.Second
 )
 
+// ErrEnding is the cause of the end of a request's context when the server is about to close.
+var ErrEnding = errors.New("the server is about to close")
+
 // Limits bounds what callers may send.
 type Limits struct {
 	HeaderBytes int
@@ -89,7 +92,8 @@
 	Length int64
 }
 
-// Handler returns the response to a request. It must be safe for concurrent use.
+// Handler returns the response to a request. It must be safe for concurrent use. The context ends
+// when the caller leaves, and with Server.EndRequests.
 type Handler func(ctx context.Context, rq *Request) *Response
 
 // Server serves callers' connections. It is safe for concurrent use.
@@ -213,6 +217,20 @@
 	}
 }
 
+// EndRequests ends the contexts of all requests, those under way and those that follow, with the
+// cause ErrEnding. Their responses are still written.
+func (sv *Server) EndRequests() {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	for cn := range sv.conns {
+		cn.endRequests(ErrEnding)
+	}
+}
+
+// IsEnding reports whether a request's context has ended since the server is about to close, and
+// not since the caller left: the caller still reads its response.
+func IsEnding(ctx context.Context) bool { return errors.Is(context.Cause(ctx), ErrEnding) }
+
 // Close closes the listener and all connections, and waits for their goroutines.
 func (sv *Server) Close() {
 	sv.StopAccepting()
--- a/internal/serving/httpserver/order.go
+++ b/internal/serving/httpserver/order.go
@@ -45,6 +45,7 @@
 }
 
 // awaitSettled waits until a request may be handled. It returns false if the connection ends first.
+// If the server ends first, the request is late.
 func (cn *connection) awaitSettled(pr *pendingRequest) bool {
 	if pr.turn == nil {
 		return true
@@ -52,7 +53,8 @@
 	select {
 	case <-pr.turn:
 		return true
-	case <-cn.ctx.Done():
-		return false
+	case <-cn.requests.Done():
+		pr.request.Late = IsEnding(cn.requests)
+		return pr.request.Late
 	}
 }
--- a/internal/serving/httpserver/order_test.go
+++ b/internal/serving/httpserver/order_test.go
@@ -169,3 +169,78 @@
 	runtime.ReadMemStats(&ms)
 	return ms.HeapAlloc
 }
+
+// TestServerEndsRequests guards against callers that get no response from a server that is about to
+// close, though their requests wait, and against those of which it says that it ended a request while
+// they had left.
+func TestServerEndsRequests(t *testing.T) {
+	cases := map[string]struct {
+		// paths are sent at once; the handler of "waits" waits for the end of its context. Responses to
+		// those with "/file" may break off.
+		paths []string
+		// statuses are those of the responses. The last one closes the connection.
+		statuses []int
+		// leaves means that the caller has left before.
+		leaves bool
+	}{
+		"a request under way":                   {paths: []string{"/waits"}, statuses: []int{502}},
+		"one behind it":                         {paths: []string{"/waits", "/waits"}, statuses: []int{502, 502}},
+		"one behind it that has not been begun": {paths: []string{"/file/waits", "/a"}, statuses: []int{502, 503}},
+		"one that may not run twice":            {paths: []string{"/waits", "POST /a"}, statuses: []int{502}},
+		"its caller has left":                   {paths: []string{"/waits"}, leaves: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			gm := NewWithT(t)
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			gm.Expect(err).NotTo(HaveOccurred())
+			begun, ended := make(chan struct{}, 8), make(chan bool, 8)
+			handler := func(ctx context.Context, rq *httpserver.Request) *httpserver.Response {
+				if rq.Late {
+					return &httpserver.Response{Status: 503, Header: http.Header{}}
+				}
+				if strings.HasSuffix(rq.URI, "waits") {
+					begun <- struct{}{}
+					<-ctx.Done()
+					ended <- httpserver.IsEnding(ctx)
+				}
+				return &httpserver.Response{Status: 502, Header: http.Header{}}
+			}
+			sv := httpserver.New(handler, limits, httpserver.MayBreakOff(func(_, uri string) bool { return strings.HasPrefix(uri, "/file/") }))
+			go func() { _ = sv.Serve(ln) }()
+			t.Cleanup(sv.Close)
+			conn, err := net.Dial("tcp", ln.Addr().String())
+			gm.Expect(err).NotTo(HaveOccurred())
+			t.Cleanup(func() { _ = conn.Close() })
+			gm.Expect(conn.SetDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+			for _, path := range tc.paths {
+				method := "GET"
+				if before, after, named := strings.Cut(path, " "); named {
+					method, path = before, after
+				}
+				_, err = io.WriteString(conn, method+" "+path+" HTTP/1.1\r\nHost: h\r\n\r\n")
+				gm.Expect(err).NotTo(HaveOccurred())
+			}
+			gm.Eventually(begun, "2s").Should(Receive())
+			time.Sleep(50 * time.Millisecond)
+			if tc.leaves {
+				gm.Expect(conn.Close()).To(Succeed())
+				gm.Eventually(ended, "2s").Should(Receive(BeFalse()))
+				sv.EndRequests()
+				return
+			}
+			sv.Drain()
+			sv.StopTaking()
+			sv.EndRequests()
+			reader := bufio.NewReader(conn)
+			for ix, status := range tc.statuses {
+				rs, _ := readResponse(t, reader)
+				gm.Expect(rs.StatusCode).To(Equal(status))
+				gm.Expect(rs.Close).To(Equal(ix == len(tc.statuses)-1))
+			}
+			gm.Expect(ended).To(Receive(BeTrue()))
+			_, err = reader.ReadByte()
+			gm.Expect(err).To(MatchError(io.EOF))
+		})
+	}
+}
--- a/internal/serving/permit/permit_test.go
+++ b/internal/serving/permit/permit_test.go
@@ -355,6 +355,56 @@
 	gm.Expect(second[0].(permit.IssueCmd).Permit).To(Equal(first[0].(permit.IssueCmd).Permit))
 }
 
+// TestWaitingAskOfStoppingHost guards against asks that wait for longer than their host can still
+// answer them, since it has begun to stop after it asked.
+func TestWaitingAskOfStoppingHost(t *testing.T) {
+	const work = 500 * time.Millisecond
+	cases := map[string]struct {
+		// timeLeft is what the repeated ask says after a second.
+		timeLeft time.Duration
+		// earliest and latest are how long after that the ask is refused; 0 for not within its own
+		// time limit.
+		earliest, latest time.Duration
+	}{
+		"the host stops":                      {timeLeft: 3 * time.Second, earliest: 3*time.Second - work, latest: 3 * time.Second},
+		"it stops at once":                    {timeLeft: 0, latest: time.Millisecond},
+		"its message was fast":                {timeLeft: 8*time.Second - 20*time.Millisecond},
+		"its message was slow":                {timeLeft: 8*time.Second + 20*time.Millisecond},
+		"its time left can't become more now": {timeLeft: time.Minute},
+	}
+	for name, tc := range cases {
+		for _, keyed := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, ", keyed ", keyed), func(t *testing.T) {
+				gm := NewWithT(t)
+				sm := newSimulation(1, keyed, work)
+				ask := protocol.Ask{Host: "a", Service: service, Key: 7, Keyed: keyed, ObjectiveLeft: 9 * time.Second, TimeLeft: 9 * time.Second}
+				// All slots are in use, without an end.
+				for ask.Ticket = 1; ask.Ticket <= 2; ask.Ticket++ {
+					sm.core.Update(sm.now, permit.AskMsg{Ask: ask})
+				}
+				sm.core.Update(sm.now, permit.DoneMsg{Done: protocol.Done{Host: "a", Ticket: 1, Service: service, Upstream: upstreamName(0), Outcome: uint8(permit.Answered), Took: work}})
+				sm.core.Update(sm.now, permit.AskMsg{Ask: ask})
+				ask.Ticket++
+				gm.Expect(sm.core.Update(sm.now, permit.AskMsg{Ask: ask})).To(ConsistOf(BeAssignableToTypeOf(permit.QueuedCmd{})))
+				sm.now = sm.now.Add(time.Second)
+				ask.TimeLeft = tc.timeLeft
+				gm.Expect(sm.core.Update(sm.now, permit.AskMsg{Ask: ask})).To(ConsistOf(BeAssignableToTypeOf(permit.QueuedCmd{})))
+				repeatedAt, refusedAfter := sm.now, time.Duration(0)
+				for refusedAfter == 0 && sm.now.Sub(repeatedAt) < 7*time.Second {
+					sm.now = max(sm.core.Next(sm.now), sm.now.Add(time.Millisecond))
+					for _, cmd := range sm.core.Update(sm.now, permit.TickMsg{}) {
+						if rc, isRefusal := cmd.(permit.RefuseCmd); isRefusal {
+							gm.Expect(rc.Refusal.Ticket).To(Equal(ask.Ticket))
+							refusedAfter = sm.now.Sub(repeatedAt)
+						}
+					}
+				}
+				gm.Expect(refusedAfter).To(And(BeNumerically(">=", tc.earliest), BeNumerically("<=", tc.latest)))
+			})
+		}
+	}
+}
+
 // TestMovingKeyWaitsForNextOwner checks that an owner that is losing a key gets
 // no more requests for it, and that the next owner gets them after the move.
 func TestMovingKeyWaitsForNextOwner(t *testing.T) {
--- a/internal/serving/permit/queue.go
+++ b/internal/serving/permit/queue.go
@@ -15,6 +15,8 @@
 const (
 	// pollInterval is how often the queue is checked while asks wait.
 	pollInterval = 50 * time.Millisecond
+	// minBroughtForward is the least change of a waiting ask's deadline that counts.
+	minBroughtForward = 100 * time.Millisecond
 	// permitSlack is how long after its request's deadline a permit may still be
 	// released.
 	permitSlack = 300 * time.Millisecond
@@ -41,6 +43,7 @@
 		if ak.upstream != nil {
 			return []Cmd{IssueCmd{Host: msg.Host, Permit: ak.permit, Ask: msg}}
 		}
+		co.bringForward(now, ak, now.Add(msg.TimeLeft))
 		return []Cmd{QueuedCmd{msg.Host, protocol.Queued{Ticket: msg.Ticket, Asker: msg.Process()}}}
 	}
 	cmds := co.refuseEarlier(now, msg)
@@ -88,6 +91,20 @@
 	return append(cmds, co.enqueue(now, ak)...)
 }
 
+// bringForward takes over an earlier deadline of a waiting ask: its host has begun to stop. The time
+// that messages take changes the deadline a little with each repetition.
+func (co *Core) bringForward(now clock.Instant, ak *ask, deadline clock.Instant) {
+	if deadline > ak.deadline.Add(-minBroughtForward) {
+		return
+	}
+	es, _ := co.estimate(now, ak)
+	ak.deadline = deadline
+	ak.refuseAt = min(ak.refuseAt, co.lastStart(now, ak, es))
+	if ak.byKey {
+		ak.yieldUntil = min(ak.yieldUntil, now.Add((deadline.Sub(now)-es.Latency)/2))
+	}
+}
+
 // enqueue lets an ask wait for its permit, which it may get at once.
 func (co *Core) enqueue(now clock.Instant, ak *ask) []Cmd {
 	co.asks[ak.id] = ak
--- a/internal/serving/proxy/attempt.go
+++ b/internal/serving/proxy/attempt.go
@@ -18,7 +18,9 @@
 func (ex *exchange) send(ctx context.Context, pm *Permit) (*transport.Answer, error) {
 	if !ex.repeatable() {
 		// A request that may not be repeated is finished even if its caller leaves.
-		ctx = context.WithoutCancel(ctx)
+		kept, cancel := withoutCaller(ctx)
+		defer cancel()
+		ctx = kept
 	}
 	sendCtx, cancel := ctx, context.CancelFunc(func() {})
 	if pm.Watched {
@@ -82,13 +84,30 @@
 	return an, err
 }
 
-// cancelLater returns a context that ends some time after another one.
+// withoutCaller returns a context that does not end when the caller leaves, only when the server does.
+func withoutCaller(ctx context.Context) (context.Context, context.CancelFunc) {
+	return endAfter(ctx, func(func()) {})
+}
+
+// cancelLater returns a context that ends some time after the caller has left, or with the server.
 func cancelLater(ctx context.Context, delay time.Duration) (context.Context, context.CancelFunc) {
-	later, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	stop := context.AfterFunc(ctx, func() { time.AfterFunc(delay, cancel) })
-	return later, func() {
+	return endAfter(ctx, func(end func()) { time.AfterFunc(delay, end) })
+}
+
+// endAfter returns a context that ends with the server. When the caller leaves it calls onLeft with
+// the function that ends the context.
+func endAfter(ctx context.Context, onLeft func(end func())) (context.Context, context.CancelFunc) {
+	kept, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, func() {
+		if httpserver.IsEnding(ctx) {
+			cancel(httpserver.ErrEnding)
+			return
+		}
+		onLeft(func() { cancel(context.Canceled) })
+	})
+	return kept, func() {
 		stop()
-		cancel()
+		cancel(context.Canceled)
 	}
 }
 
@@ -213,6 +232,11 @@
 			ex.end.Err = err
 			return ex.localResponse(status, "bodyRejected", 0), false
 		}
+		if httpserver.IsEnding(ctx) {
+			var fl *transport.Failure
+			ex.end.Err, ex.mayHaveRun = err, ex.mayHaveRun || !errors.As(err, &fl) || fl.Sent
+			return ex.giveUp("stopping"), false
+		}
 		ex.end.Cause = "callerLeft"
 		return nil, false
 	case permit.Unreached:
--- a/internal/serving/proxy/body_test.go
+++ b/internal/serving/proxy/body_test.go
@@ -58,7 +58,7 @@
 				OnEnd:  func(en proxy.End) { ends <- en }, OnKeyedRequest: func(ident.Service, keyspace.Key) {},
 				OnLeaving: func(ident.Upstream) {}, OnPause: func(proxy.Permit, time.Duration) {}, OnLimit: func(proxy.Permit, time.Time, rate.Limit, error) {},
 				OnCrash: func(proxy.Permit, ident.Fingerprint) {}, OnAnswer: func(proxy.Permit, ident.Fingerprint) {}, OnAbandoned: func(proxy.Permit, ident.Fingerprint) {},
-				Suspect: func(ident.Fingerprint) bool { return false },
+				Suspect: func(ident.Fingerprint) bool { return false }, EndsAt: func() time.Time { return time.Time{} },
 			})
 			ln, err := net.Listen("tcp", "127.0.0.1:0")
 			gm.Expect(err).NotTo(HaveOccurred())
--- a/internal/serving/proxy/exchange.go
+++ b/internal/serving/proxy/exchange.go
@@ -119,13 +119,23 @@
 	ex.objective = ex.rq.Arrived.Add(ex.route.Objective - waited)
 }
 
-// callerLeaves reports whether the answer is awaited only until the caller leaves.
+// limitToStop brings the deadline forward if this process ends before it. What the upstream says at
+// the deadline, such as that it has not begun, still reaches the caller then.
+func (ex *exchange) limitToStop() {
+	endsAt := ex.px.cf.EndsAt()
+	if last := endsAt.Add(-stopMargin); !endsAt.IsZero() && last.Before(ex.deadline) {
+		ex.deadline, ex.answerBy = last, endsAt
+	}
+}
+
+// callerLeaves reports whether the answer is awaited only until the caller leaves or this process ends.
 func (ex *exchange) callerLeaves() bool { return ex.answerBy.Before(ex.deadline.Add(answerGrace)) }
 
 // forward sends the request until it is answered or no further attempt is
 // allowed.
 func (ex *exchange) forward(ctx context.Context) *httpserver.Response {
 	for {
+		ex.limitToStop()
 		if time.Until(ex.deadline) < minTimeLeft {
 			return ex.giveUp("outOfTime")
 		}
@@ -133,6 +143,7 @@
 		if pm == nil {
 			return rs
 		}
+		ex.limitToStop()
 		ex.end.Attempts++
 		an, err := ex.send(ctx, pm)
 		rs, again := ex.handleOutcome(ctx, pm, an, err)
@@ -153,6 +164,9 @@
 	})
 	waited := time.Since(began)
 	ex.end.Waited += waited
+	if err != nil && httpserver.IsEnding(ctx) {
+		return nil, ex.giveUp("stopping")
+	}
 	if err != nil {
 		ex.end.Cause = "callerLeft"
 		return nil, nil
--- a/internal/serving/proxy/proxy.go
+++ b/internal/serving/proxy/proxy.go
@@ -174,6 +174,8 @@
 	Suspect func(fp ident.Fingerprint) bool
 	// Domain is the failure domain of this host.
 	Domain ident.Domain
+	// EndsAt returns when this process ends its requests, or the zero time if it is not stopping.
+	EndsAt func() time.Time
 }
 
 // Proxy serves requests. It is safe for concurrent use.
--- a/internal/serving/proxy/proxy_test.go
+++ b/internal/serving/proxy/proxy_test.go
@@ -249,7 +249,7 @@
 				OnEnd:  func(en proxy.End) { end = en }, OnKeyedRequest: func(ident.Service, keyspace.Key) {},
 				OnLeaving: func(ident.Upstream) {}, OnPause: func(proxy.Permit, time.Duration) {}, OnLimit: func(proxy.Permit, time.Time, rate.Limit, error) {},
 				OnCrash: func(proxy.Permit, ident.Fingerprint) {}, OnAnswer: func(proxy.Permit, ident.Fingerprint) {}, OnAbandoned: func(proxy.Permit, ident.Fingerprint) {},
-				Suspect: func(ident.Fingerprint) bool { return false },
+				Suspect: func(ident.Fingerprint) bool { return false }, EndsAt: func() time.Time { return time.Time{} },
 			})
 			rq := &httpserver.Request{Method: http.MethodPost, URI: tc.path, Header: http.Header{"Id": {"r1"}}, Arrived: time.Now()}
 			if tc.path == "/method-large" {
@@ -284,7 +284,7 @@
 		State: func() *desired.State { return st }, Permits: pm, CallerHeaders: testHeaders{}, UpstreamHeaders: testHeaders{},
 		Budget: proxy.NewBudget(1, func() float64 { return 10 }),
 		OnEnd:  func(en proxy.End) { end = en }, OnKeyedRequest: func(ident.Service, keyspace.Key) {},
-		Suspect: func(ident.Fingerprint) bool { return false },
+		Suspect: func(ident.Fingerprint) bool { return false }, EndsAt: func() time.Time { return time.Time{} },
 	})
 	rs := px.Serve(t.Context(), &httpserver.Request{Method: http.MethodPost, URI: "/order", Header: http.Header{"Id": {"r1"}}, Arrived: time.Now(), Late: true})
 	gm.Expect(rs.Status).To(Equal(http.StatusServiceUnavailable))
@@ -294,6 +294,134 @@
 	gm.Expect(pm.issued).To(BeZero())
 }
 
+// TestServerEnds guards against callers whose connections are closed without an answer, as their
+// requests are not done when a stopping host ends, and against answers that promise more than is known.
+func TestServerEnds(t *testing.T) {
+	const notRun, mayHaveRun = "not-run", "may-have-run"
+	cases := map[string]struct {
+		path string
+		// first is what the first upstream does before the request waits for a permit; with hangs it
+		// does not end.
+		first   behavior
+		watched bool
+		status  int
+		verdict string
+		runs    int
+	}{
+		"a lookup waits for a permit":              {"/lookup", refuses, false, 503, notRun, 0},
+		"an order waits for a permit":              {"/order", refuses, false, 503, notRun, 0},
+		"a lookup that has run waits for a permit": {"/lookup", breaks, false, 502, mayHaveRun, 1},
+		"a lookup runs":                            {"/lookup", hangs, false, 502, mayHaveRun, 1},
+		"an order runs":                            {"/order", hangs, false, 502, mayHaveRun, 1},
+		"a watched lookup runs":                    {"/lookup", hangs, true, 502, mayHaveRun, 1},
+		"a watched order runs":                     {"/order", hangs, true, 502, mayHaveRun, 1},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			gm := NewWithT(t)
+			up := startUpstream(t, tc.first)
+			pm := &waitingPermits{permits: permits{addresses: []string{up.server.Listener.Addr().String()}, watched: tc.watched}}
+			var end proxy.End
+			pl := transport.New(func(hd http.Header) ident.Request { return ident.Request(hd.Get("Id")) })
+			defer pl.Close()
+			st := state(t)
+			px := proxy.New(proxy.Config{
+				State: func() *desired.State { return st }, Permits: pm, Connections: pl, CallerHeaders: testHeaders{}, UpstreamHeaders: testHeaders{},
+				Budget: proxy.NewBudget(1, func() float64 { return 10 }),
+				OnEnd:  func(en proxy.End) { end = en }, OnKeyedRequest: func(ident.Service, keyspace.Key) {},
+				OnLeaving: func(ident.Upstream) {}, OnPause: func(proxy.Permit, time.Duration) {}, OnLimit: func(proxy.Permit, time.Time, rate.Limit, error) {},
+				OnCrash: func(proxy.Permit, ident.Fingerprint) {}, OnAnswer: func(proxy.Permit, ident.Fingerprint) {}, OnAbandoned: func(proxy.Permit, ident.Fingerprint) {},
+				Suspect: func(ident.Fingerprint) bool { return false }, EndsAt: func() time.Time { return time.Time{} },
+			})
+			ctx, cancel := context.WithCancelCause(t.Context())
+			const endsAfter = 100 * time.Millisecond
+			time.AfterFunc(endsAfter, func() { cancel(httpserver.ErrEnding) })
+			rq := &httpserver.Request{Method: http.MethodPost, URI: tc.path, Header: http.Header{"Id": {"r1"}}, Arrived: time.Now()}
+			rs := px.Serve(ctx, rq)
+			gm.Expect(time.Since(rq.Arrived)).To(BeNumerically("<", endsAfter+150*time.Millisecond))
+			gm.Expect(rs).NotTo(BeNil())
+			gm.Expect(rs.Status).To(Equal(tc.status))
+			gm.Expect(rs.Header.Get("Verdict")).To(Equal(tc.verdict))
+			gm.Expect(rs.Header.Get("Retry-After") != "").To(Equal(tc.status == http.StatusServiceUnavailable))
+			gm.Expect(end.Cause).To(Equal("stopping"))
+			gm.Expect(up.ran()).To(Equal(tc.runs))
+			gm.Expect(pm.released).To(Equal(1))
+		})
+	}
+}
+
+// TestDeadlineAtStop guards against requests that an upstream begins to run, or keeps in its queue,
+// when the stopping host that has sent them can pass on no answer any more.
+func TestDeadlineAtStop(t *testing.T) {
+	const endsAfter = 200 * time.Millisecond
+	cases := map[string]struct {
+		stopping bool
+		// endsAfter is how long after the request's arrival the host ends its requests.
+		endsAfter time.Duration
+		// most is the most time that the upstream is told to have.
+		most time.Duration
+	}{
+		"the host does not stop":       {most: timeout},
+		"it stops later":               {stopping: true, endsAfter: 2 * timeout, most: timeout},
+		"it stops before the deadline": {stopping: true, endsAfter: endsAfter, most: endsAfter},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			gm := NewWithT(t)
+			left := make(chan time.Duration, 1)
+			server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, rq *http.Request) {
+				span, err := time.ParseDuration(rq.Header.Get("Left"))
+				if err == nil {
+					left <- span
+				}
+				// It has not begun when its time is over.
+				time.Sleep(span)
+				rw.Header().Set("Id", rq.Header.Get("Id"))
+				rw.Header().Set("Not-Run", "1")
+				rw.WriteHeader(http.StatusServiceUnavailable)
+			}))
+			t.Cleanup(server.Close)
+			pl := transport.New(func(hd http.Header) ident.Request { return ident.Request(hd.Get("Id")) })
+			defer pl.Close()
+			st, pm, endsAt := state(t), &permits{addresses: []string{server.Listener.Addr().String()}}, time.Time{}
+			if tc.stopping {
+				endsAt = time.Now().Add(tc.endsAfter)
+			}
+			px := proxy.New(proxy.Config{
+				State: func() *desired.State { return st }, Permits: pm, Connections: pl, CallerHeaders: testHeaders{}, UpstreamHeaders: testHeaders{},
+				Budget: proxy.NewBudget(1, func() float64 { return 10 }),
+				OnEnd:  func(proxy.End) {}, OnKeyedRequest: func(ident.Service, keyspace.Key) {},
+				OnLeaving: func(ident.Upstream) {}, OnPause: func(proxy.Permit, time.Duration) {}, OnLimit: func(proxy.Permit, time.Time, rate.Limit, error) {},
+				OnCrash: func(proxy.Permit, ident.Fingerprint) {}, OnAnswer: func(proxy.Permit, ident.Fingerprint) {}, OnAbandoned: func(proxy.Permit, ident.Fingerprint) {},
+				Suspect: func(ident.Fingerprint) bool { return false }, EndsAt: func() time.Time { return endsAt },
+			})
+			rq := &httpserver.Request{Method: http.MethodPost, URI: "/order", Header: http.Header{"Id": {"r1"}}, Arrived: time.Now()}
+			rs := px.Serve(t.Context(), rq)
+			gm.Expect(rs.Status).To(Equal(http.StatusServiceUnavailable))
+			gm.Expect(rs.Header.Get("Verdict")).To(Equal(verdict.NotRun.String()))
+			gm.Expect(time.Since(rq.Arrived)).To(BeNumerically("<", tc.most+150*time.Millisecond))
+			gm.Expect(<-left).To(And(BeNumerically("<=", tc.most), BeNumerically(">", tc.most-100*time.Millisecond)))
+		})
+	}
+}
+
+// waitingPermits issues its permits and then none, until the context ends.
+type waitingPermits struct{ permits }
+
+// Acquire implements proxy.Permits.
+func (wp *waitingPermits) Acquire(ctx context.Context, ask protocol.Ask) (proxy.Permit, *protocol.Refusal, error) {
+	wp.mu.Lock()
+	none := wp.issued == len(wp.addresses)
+	wp.mu.Unlock()
+	if none {
+		<-ctx.Done()
+		return proxy.Permit{}, nil, ctx.Err()
+	}
+	return wp.permits.Acquire(ctx, ask)
+}
+
 // slowPermits issues the first permit late.
 type slowPermits struct {
 	permits
@@ -330,7 +458,7 @@
 				Connections: pl, CallerHeaders: testHeaders{}, UpstreamHeaders: testHeaders{},
 				Budget: proxy.NewBudget(1, func() float64 { return 10 }),
 				OnEnd:  func(en proxy.End) { end = en }, OnKeyedRequest: func(ident.Service, keyspace.Key) {},
-				Suspect: func(ident.Fingerprint) bool { return false },
+				Suspect: func(ident.Fingerprint) bool { return false }, EndsAt: func() time.Time { return time.Time{} },
 			})
 			rs := px.Serve(t.Context(), &httpserver.Request{Method: http.MethodPost, URI: "/order", Header: http.Header{"Id": {"r1"}}, Arrived: time.Now()})
 			gm.Expect(rs).NotTo(BeNil())
@@ -364,7 +492,7 @@
 		OnEnd:  func(proxy.End) {}, OnKeyedRequest: func(ident.Service, keyspace.Key) {},
 		OnLeaving: func(ident.Upstream) {}, OnPause: func(proxy.Permit, time.Duration) {}, OnLimit: func(proxy.Permit, time.Time, rate.Limit, error) {},
 		OnCrash: func(proxy.Permit, ident.Fingerprint) {}, OnAnswer: func(proxy.Permit, ident.Fingerprint) {}, OnAbandoned: func(proxy.Permit, ident.Fingerprint) {},
-		Suspect: func(ident.Fingerprint) bool { return false },
+		Suspect: func(ident.Fingerprint) bool { return false }, EndsAt: func() time.Time { return time.Time{} },
 	})
 	for range requests {
 		px.Serve(t.Context(), &httpserver.Request{Method: http.MethodGet, URI: "/lookup", Header: http.Header{"Id": {"r"}}, Arrived: time.Now()})
@@ -411,7 +539,7 @@
 				OnLeaving: func(ident.Upstream) { seen = append(seen, "leaving") },
 				OnPause:   func(_ proxy.Permit, pause time.Duration) { seen = append(seen, "pause "+pause.String()) },
 				OnCrash:   func(proxy.Permit, ident.Fingerprint) {}, OnAnswer: func(proxy.Permit, ident.Fingerprint) {}, OnAbandoned: func(proxy.Permit, ident.Fingerprint) {},
-				Suspect: func(ident.Fingerprint) bool { return false },
+				Suspect: func(ident.Fingerprint) bool { return false }, EndsAt: func() time.Time { return time.Time{} },
 				OnLimit: func(_ proxy.Permit, _ time.Time, limit rate.Limit, _ error) {
 					seen = append(seen, "no limit")
 					if limit.Named {
@@ -465,7 +593,7 @@
 				OnEnd:  func(proxy.End) {}, OnKeyedRequest: func(ident.Service, keyspace.Key) {},
 				OnLeaving: func(ident.Upstream) {}, OnPause: func(proxy.Permit, time.Duration) {}, OnLimit: func(proxy.Permit, time.Time, rate.Limit, error) {},
 				OnCrash: func(proxy.Permit, ident.Fingerprint) {}, OnAnswer: func(proxy.Permit, ident.Fingerprint) {}, OnAbandoned: func(proxy.Permit, ident.Fingerprint) {},
-				Suspect: func(ident.Fingerprint) bool { return false },
+				Suspect: func(ident.Fingerprint) bool { return false }, EndsAt: func() time.Time { return time.Time{} },
 			})
 			rs := px.Serve(t.Context(), &httpserver.Request{Method: http.MethodGet, URI: "/lookup", Header: http.Header{"Id": {"r"}}, Arrived: time.Now()})
 			gm.Expect(rs).NotTo(BeNil())
@@ -518,7 +646,7 @@
 				OnEnd:  func(proxy.End) {}, OnKeyedRequest: func(ident.Service, keyspace.Key) {},
 				OnLeaving: func(ident.Upstream) {}, OnPause: func(proxy.Permit, time.Duration) {}, OnLimit: func(proxy.Permit, time.Time, rate.Limit, error) {},
 				OnCrash: note("crash"), OnAnswer: note("answer"), OnAbandoned: note("abandoned"),
-				Suspect: func(ident.Fingerprint) bool { return false },
+				Suspect: func(ident.Fingerprint) bool { return false }, EndsAt: func() time.Time { return time.Time{} },
 			})
 			ctx, leave := context.WithTimeout(t.Context(), crashDelay/3)
 			defer leave()
--- a/internal/serving/proxy/split_test.go
+++ b/internal/serving/proxy/split_test.go
@@ -42,7 +42,7 @@
 					State: func() *desired.State { return st }, Permits: &permits{}, CallerHeaders: testHeaders{}, UpstreamHeaders: testHeaders{},
 					Budget: proxy.NewBudget(0, func() float64 { return 0 }),
 					OnEnd:  func(en proxy.End) { last = en.Service }, OnKeyedRequest: func(ident.Service, keyspace.Key) {},
-					Suspect: func(ident.Fingerprint) bool { return tc.suspect },
+					Suspect: func(ident.Fingerprint) bool { return tc.suspect }, EndsAt: func() time.Time { return time.Time{} },
 				})
 			}
 			all := map[ident.Service]int{}
--- a/internal/serving/proxy/timelimit_test.go
+++ b/internal/serving/proxy/timelimit_test.go
@@ -78,7 +78,7 @@
 					OnEnd:  func(proxy.End) {}, OnKeyedRequest: func(ident.Service, keyspace.Key) {},
 					OnLeaving: func(ident.Upstream) {}, OnPause: func(proxy.Permit, time.Duration) {}, OnLimit: func(proxy.Permit, time.Time, rate.Limit, error) {},
 					OnCrash: func(proxy.Permit, ident.Fingerprint) {}, OnAnswer: func(proxy.Permit, ident.Fingerprint) {}, OnAbandoned: func(proxy.Permit, ident.Fingerprint) {},
-					Suspect: func(ident.Fingerprint) bool { return false },
+					Suspect: func(ident.Fingerprint) bool { return false }, EndsAt: func() time.Time { return time.Time{} },
 				})
 				rq := &httpserver.Request{Method: http.MethodPost, URI: tc.path, Header: http.Header{"Id": {"r1"}, "Time-Limit": {tc.limit.String()}}, Arrived: time.Now()}
 				rs := px.Serve(t.Context(), rq)
@@ -124,7 +124,7 @@
 					OnEnd:  func(proxy.End) {}, OnKeyedRequest: func(ident.Service, keyspace.Key) {},
 					OnLeaving: func(ident.Upstream) {}, OnPause: func(proxy.Permit, time.Duration) {}, OnLimit: func(proxy.Permit, time.Time, rate.Limit, error) {},
 					OnCrash: func(proxy.Permit, ident.Fingerprint) {}, OnAnswer: func(proxy.Permit, ident.Fingerprint) {}, OnAbandoned: func(proxy.Permit, ident.Fingerprint) { abandoned = true },
-					Suspect: func(ident.Fingerprint) bool { return false },
+					Suspect: func(ident.Fingerprint) bool { return false }, EndsAt: func() time.Time { return time.Time{} },
 				})
 				rs := px.Serve(t.Context(), &httpserver.Request{Method: http.MethodPost, URI: path, Header: http.Header{"Id": {"r1"}, "Time-Limit": {tc.limit.String()}}, Arrived: time.Now()})
 				gm.Expect(rs).NotTo(BeNil())
