--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -109,6 +109,7 @@
 	endpoints        atomic.Pointer[map[ident.Upstream]endpoint]
 	table            atomic.Pointer[assignment.Table]
 	tableConfirmedAt atomic.Int64
+	tableCertainAt   atomic.Int64
 	// leadershipConfirmedAt is when the store last confirmed that this host leads.
 	leadershipConfirmedAt atomic.Int64
 	// leaderReadAt is when a leader last read the upstream entries and found no
--- a/internal/fleet/gateway/grantclient.go
+++ b/internal/fleet/gateway/grantclient.go
@@ -88,13 +88,14 @@
 	go func() {
 		result := renewal.ResultMsg{Upstream: cmd.Upstream, Reached: known}
 		for _, sh := range cmd.Shares {
-			if !known || !gw.mayRenew(sh) {
+			if !known || !gw.mayRenew(sh) || gw.clock.Now() >= cmd.Until {
 				break
 			}
 			gt := platform.Grant{Range: sh.Range, Epoch: sh.Owner.Epoch, TTL: renewal.GrantTTL}
 			outcome, err := gw.grantClients.get(grantClientID{cmd.Upstream, true}, ep.address).Grant(gt, time.Now().Add(renewal.CallTimeout))
 			result.Answered = outcome == platform.GrantTaken || outcome == platform.GrantSuperseded
 			if outcome == platform.GrantTaken {
+				result.Taken = append(result.Taken, sh)
 				continue
 			}
 			if errors.Is(err, platform.ErrNewConnection) {
@@ -120,11 +121,11 @@
 	gw.config.Log.Event("renewalFailed", fields)
 }
 
-// mayRenewOn reports whether the assignment was confirmed after a connection was opened.
-// An upstream that restarts under its id forgets that it had to give keys up. It answers
+// mayRenewOn reports whether the assignment was certain to be the newest after a connection was
+// opened. An upstream that restarts under its id forgets that it had to give keys up. It answers
 // on new connections only, and a confirmation since then covers every move before.
 func (gw *Gateway) mayRenewOn(openedAt time.Time) bool {
-	return gw.clock.Now().Add(-time.Since(openedAt)) <= clock.Instant(gw.tableConfirmedAt.Load())
+	return gw.clock.Now().Add(-time.Since(openedAt)) <= clock.Instant(gw.tableCertainAt.Load())
 }
 
 // mayRenew reports whether the newest table still assigns a share to its owner
--- a/internal/fleet/gateway/loop.go
+++ b/internal/fleet/gateway/loop.go
@@ -334,6 +334,7 @@
 	cmds := gw.agent.Update(gw.clock.Now(), msg)
 	gw.leadershipConfirmedAt.Store(int64(gw.agent.LeadershipConfirmed()))
 	gw.tableConfirmedAt.Store(int64(gw.agent.TableConfirmed()))
+	gw.tableCertainAt.Store(int64(gw.agent.TableCertain()))
 	if leads := gw.agent.Leading(); gw.leading.Swap(leads) != leads {
 		wake(gw.rowsWake)
 		wake(gw.entriesWake)
--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -252,7 +252,7 @@
 		[]string{"./internal/catalog/assignment"},
 	},
 	"the first claim of an era does not say that no key may move": {
-		"internal/ownership/election/election.go", "			rw.Frozen = MaxFrozen\n", "",
+		"internal/ownership/election/election.go", "			rw.Frozen, rw.Uncertain = MaxFrozen, true\n", "",
 		[]string{"-run=TestFirstClaimOfEra", "./internal/ownership/election"},
 	},
 	"a number of a message is cut off": {
@@ -680,9 +680,53 @@
 		[]string{"-run=TestDisturbances", "./internal/ownership/agent"},
 	},
 	"keys move while a lost assignment may be in use": {
-		"internal/ownership/leader/recovery.go", "		co.Freeze(rc.startedAt.Add(lostGrantTTL))\n", "",
+		"internal/ownership/leader/recovery.go", "		co.Freeze(expiresAt)\n", "		_ = expiresAt\n",
 		[]string{"-run=TestDisturbances", "./internal/ownership/agent"},
 	},
+	"the first claim of an era does not say that its assignment is uncertain": {
+		"internal/ownership/election/election.go", "rw.Frozen, rw.Uncertain = MaxFrozen, true", "rw.Frozen = MaxFrozen",
+		[]string{"-run=TestFirstClaimOfEra", "./internal/ownership/election"},
+	},
+	"grants are given anew by an uncertain assignment": {
+		"internal/ownership/renewal/renewal.go", "		if co.certainAt < co.confirmedAt {", "		if false {",
+		[]string{"-run=TestDisturbances|TestUncertainTable", "./internal/ownership/agent", "./internal/ownership/renewal"},
+	},
+	"grants are continued that may have run out": {
+		"internal/ownership/renewal/renewal.go", "		if now < end {", "		if end > 0 {",
+		[]string{"-run=TestUncertainTable", "./internal/ownership/renewal"},
+	},
+	"an uncertain assignment is as good as confirmed": {
+		"internal/ownership/renewal/renewal.go", "	if ms.Uncertain {\n		co.certainAt = 0\n	}\n", "",
+		[]string{"-run=TestUncertainTable", "./internal/ownership/renewal"},
+	},
+	"an upstream on a new connection gets grants of an uncertain assignment": {
+		"internal/fleet/gateway/grantclient.go", "clock.Instant(gw.tableCertainAt.Load())", "clock.Instant(gw.tableConfirmedAt.Load())",
+		[]string{"-run=TestRenewalsOnNewConnections", "./internal/fleet/gateway"},
+	},
+	"a leader believes an assignment that nobody remembers": {
+		"internal/ownership/leader/recovery.go", "!rc.doubted && reported > 0 && forgotten+unheard <= 1", "true",
+		[]string{"-run=TestLostAssignments", "./internal/ownership/leader"},
+	},
+	"an assignment that was uncertain is believed in the next era": {
+		"internal/ownership/leader/recovery.go", "			rc.doubted = true\n", "",
+		[]string{"-run=TestLostAssignments", "./internal/ownership/leader"},
+	},
+	"a host that knows only the copy passes for one that was told of a doubt": {
+		"internal/ownership/agent/writes.go", "co.toldUncertain || ms.Row.Uncertain && ms.Table.Revision > co.table.Revision", "true",
+		[]string{"-run=TestDisturbances", "./internal/ownership/agent"},
+	},
+	"keys get epochs below those of a lost assignment": {
+		"internal/ownership/leader/recovery.go", "!slices.ContainsFunc(co.table.Shares,", "true || !slices.ContainsFunc(co.table.Shares,",
+		[]string{"-run=TestLostAssignments|TestUncertainPredecessor", "./internal/ownership/leader"},
+	},
+	"a leader goes on where its predecessor was not sure": {
+		"internal/ownership/leader/leader.go", "	co.recovery.uncertain = previous.Uncertain\n", "",
+		[]string{"-run=TestUncertainPredecessor", "./internal/ownership/leader"},
+	},
+	"only the leader knows who has got keys": {
+		"internal/ownership/leader/move.go", "mv.step == Give && !co.witnessed(mv.revision) || ", "",
+		[]string{"-run=TestMovesWaitForAWitness", "./internal/ownership/leader"},
+	},
 	"a leader of a new era trusts its own assignment": {
 		"internal/ownership/leader/recovery.go", "	if silent > 0 && waited < memberTimeout || len(rc.newer) > 0 && waited < reportTimeout {\n		return false\n	}\n", "",
 		[]string{"-run=TestDisturbances", "./internal/ownership/agent"},
--- a/internal/ownership/agent/agent.go
+++ b/internal/ownership/agent/agent.go
@@ -42,7 +42,9 @@
 	// eraRowVersion is the version of the row that marks the store's era, or 0.
 	eraRowVersion election.Version
 	// confirmedAt is the last time at which table was known to be the newest.
-	confirmedAt  clock.Instant
+	confirmedAt clock.Instant
+	// certainAt is the last time at which it was certain to be: the store had lost no newer one.
+	certainAt    clock.Instant
 	statusSentAt clock.Instant
 	stopping     bool
 	// loggedLeader is the host and address of the leader last logged.
@@ -55,6 +57,10 @@
 
 	// frozenUntil is the end of the freeze of this host's last leadership.
 	frozenUntil clock.Instant
+	// toldUncertain is set if the leader, its row, or this host when it led last, has said that
+	// the assignment in force is uncertain. A host that only knows a copy's assignment was not
+	// told anything.
+	toldUncertain bool
 	// options are those of the leader's core.
 	options []leader.Option
 
@@ -95,6 +101,10 @@
 // to be the newest.
 func (co *Core) TableConfirmed() clock.Instant { return co.confirmedAt }
 
+// TableCertain returns the last time at which the assignment in force was known to be the newest and
+// the store to have lost no newer one.
+func (co *Core) TableCertain() clock.Instant { return co.certainAt }
+
 // Update handles one message and returns the commands to run.
 func (co *Core) Update(now clock.Instant, msg any) []Cmd {
 	if co.startedAt == 0 {
@@ -114,7 +124,7 @@
 	case DeltaMsg:
 		co.handleDelta(now, ms)
 	case ReportMsg:
-		co.adopt(now, ms.Table)
+		co.adopt(now, ms.Table, true)
 		co.updateLeader(now, leader.ReportMsg(ms))
 	case UpstreamsMsg:
 		co.upstreams = ms
@@ -180,14 +190,17 @@
 		co.logEvent("leading", map[string]any{"now": true, "term": co.election.Term(), "revision": co.table.Revision})
 		co.leader, co.takeoverRevision = leader.New(now, co.table, before, co.election.Era(), co.options...), co.table.Revision
 		co.leader.Freeze(co.frozenUntil)
-		if co.election.Uncontested() {
+		switch {
+		case co.toldUncertain:
+			co.leader.DoubtTable()
+		case co.election.Uncontested():
 			co.leader.TrustTable()
 		}
 		co.updateLeader(now, co.upstreams.ForLeader)
 		co.broadcast(now)
 	case !leading && co.leader != nil:
 		co.logEvent("leading", map[string]any{"now": false, "term": co.election.Term(), "revision": co.table.Revision})
-		co.frozenUntil = now.Add(co.leader.FrozenFor(now))
+		co.frozenUntil, co.toldUncertain = now.Add(co.leader.FrozenFor(now)), co.leader.Uncertain()
 		co.leader, co.writes.draft, co.writes.awaitingRead = nil, nil, false
 		clear(co.echoes)
 		if co.stopping {
@@ -209,7 +222,7 @@
 	if co.leader == nil {
 		return
 	}
-	defer func() { co.election.Settle(co.leader.Settled(now), co.leader.FrozenFor(now)) }()
+	defer func() { co.election.Settle(co.leader.Settled(now), co.leader.FrozenFor(now), co.leader.Uncertain()) }()
 	for _, cmd := range co.leader.Update(now, msg) {
 		switch cmd := cmd.(type) {
 		case leader.CommitCmd:
@@ -237,5 +250,5 @@
 	for _, up := range co.upstreams.ForLeader.Upstreams {
 		incarnations[up.ID] = up.Incarnation
 	}
-	co.updateRenewal(now, renewal.TableMsg{Table: co.table, Domains: co.upstreams.Domains, Incarnations: incarnations})
+	co.updateRenewal(now, renewal.TableMsg{Table: co.table, Domains: co.upstreams.Domains, Incarnations: incarnations, Uncertain: co.certainAt == 0})
 }
--- a/internal/ownership/agent/agent_test.go
+++ b/internal/ownership/agent/agent_test.go
@@ -49,6 +49,9 @@
 		// recovery is the platform's limit for serving all keys again once all
 		// hosts are back.
 		recovery = 15 * time.Second
+		// lostGrants is how long keys have no owner after all hosts were killed beside a return: until
+		// the last grant of a host that has ended, 6.83 s, and what hosts need to start and to renew.
+		lostGrants = 10 * time.Second
 	)
 	cases := map[string]struct {
 		disturb func(sim *simulation)
@@ -173,6 +176,41 @@
 			}
 			sim.returnFromCopy(3 * time.Second)
 		}, 15 * time.Second},
+		"all hosts restart as the store returns from a copy, and an owner that gave its keys up has restarted behind a cut": {func(sim *simulation) {
+			sim.cutOff(sim.upstreams[0], isolation)
+			sim.run(entryTTL + 1500*time.Millisecond)
+			sim.crash(sim.upstreams[0], 5*time.Millisecond)
+			sim.run(300 * time.Millisecond)
+			sim.drill(5*time.Second, 0, 300*time.Millisecond, sim.hosts...)
+		}, lostGrants},
+		"the same after an owner was not reached until its grants ran out": {func(sim *simulation) {
+			sim.partitionedDomain = sim.upstreams[0].domain
+			sim.run(11 * time.Second)
+			sim.partitionedDomain, sim.healedAt = "", sim.now
+			sim.run(settleDelay)
+			sim.drill(9*time.Second, 0, 300*time.Millisecond, sim.hosts...)
+		}, lostGrants},
+		"the leader restarts as the store returns from a copy, and an owner that gave its keys up has restarted behind a cut": {func(sim *simulation) {
+			sim.cutOff(sim.upstreams[0], isolation)
+			sim.run(entryTTL + 1500*time.Millisecond)
+			sim.crash(sim.upstreams[0], 5*time.Millisecond)
+			sim.run(300 * time.Millisecond)
+			sim.drill(5*time.Second, 0, 300*time.Millisecond, leaderOf(sim))
+		}, 5 * time.Second},
+		"store returns from a copy as its leader restarts, when its last grants have expired": {func(sim *simulation) {
+			sim.drill(3*time.Second, 0, 150*time.Millisecond, leaderOf(sim))
+		}, 7 * time.Second},
+		"all hosts restart some time after the store has returned from a copy": {func(sim *simulation) {
+			sim.upstreams[0].draining = true
+			sim.run(time.Second)
+			sim.drill(3*time.Second, 100*time.Millisecond, 300*time.Millisecond, sim.hosts...)
+		}, 15 * time.Second},
+		"the store returns from a copy once more while its assignment is uncertain": {func(sim *simulation) {
+			sim.upstreams[0].draining = true
+			sim.run(time.Second)
+			sim.drill(3*time.Second, 0, 300*time.Millisecond, sim.hosts...)
+			sim.after(4*time.Second, func() { sim.returnFromCopy(2 * time.Second) })
+		}, 4*time.Second + 2*recovery},
 		"an upstream restarts at once after its keys have moved, before its renewer hears of it": {func(sim *simulation) {
 			up := sim.upstreams[0]
 			for _, ho := range sim.hosts {
@@ -255,6 +293,104 @@
 	})
 }
 
+// TestRandomDrills lets the store return from a copy, with the leader, some or all hosts killed at that
+// moment or shortly after it, beside upstreams that leave and come back. It guards against owners of an
+// assignment that the store has lost: no key may ever have two owners, and every key must have one
+// 30 s after the last drill.
+func TestRandomDrills(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		sim := newSimulation(rapid.Int64().Draw(rt, "seed"), rapid.IntRange(3, 8).Draw(rt, "hosts"), rapid.IntRange(3, 8).Draw(rt, "upstreams"))
+		// A drill takes place in the middle of a day.
+		sim.run(time.Duration(rapid.IntRange(9000, 14000).Draw(rt, "quietMs")) * time.Millisecond)
+		for range rapid.IntRange(2, 10).Draw(rt, "steps") {
+			sim.disturbDrill(rt)
+			sim.run(time.Duration(rapid.IntRange(0, 4000).Draw(rt, "pauseMs")) * time.Millisecond)
+		}
+		sim.endDisturbances()
+		sim.run(30 * time.Second)
+		keys := sim.unownedFor(time.Second)
+		if len(sim.violations) > 0 {
+			rt.Fatalf("%s\n%s", sim.violations[0], sim.logTail())
+		}
+		if len(keys) > 0 {
+			rt.Fatalf("keys without an owner 30 s after the disturbances: %v\n%s", keys, sim.logTail())
+		}
+	})
+}
+
+// disturbDrill causes a drill, or one of the disturbances beside it.
+func (sim *simulation) disturbDrill(rt *rapid.T) {
+	up := sim.upstreams[rapid.IntRange(0, len(sim.upstreams)-1).Draw(rt, "upstream")]
+	span := time.Duration(rapid.IntRange(200, 9000).Draw(rt, "spanMs")) * time.Millisecond
+	kind := rapid.SampledFrom([]string{"drillLeader", "drillSome", "drillAll", "drill", "cutRestart", "restart", "isolate", "partition", "drain", "hotKey", "slowDatagrams"}).Draw(rt, "kind")
+	sim.logf("DISTURBANCE %s upstream=%s span=%s", kind, up.id, span)
+	var killed []*host
+	for _, ho := range sim.hosts {
+		switch kind {
+		case "drillLeader":
+			if ho.up && ho.core.Leading() {
+				killed = append(killed, ho)
+			}
+		case "drillSome":
+			if rapid.Bool().Draw(rt, "killed") {
+				killed = append(killed, ho)
+			}
+		case "drillAll":
+			killed = append(killed, ho)
+		}
+	}
+	switch kind {
+	case "drillLeader", "drillSome", "drillAll", "drill":
+		age := time.Duration(rapid.IntRange(0, 5000).Draw(rt, "ageMs")) * time.Millisecond
+		killAfter := time.Duration(rapid.IntRange(0, 2000).Draw(rt, "killAfterMs")) * time.Millisecond
+		if rapid.Bool().Draw(rt, "atOnce") {
+			killAfter = 0
+		}
+		restartAfter := time.Duration(rapid.IntRange(50, 2000).Draw(rt, "restartAfterMs")) * time.Millisecond
+		sim.storeDown = true
+		sim.after(time.Duration(rapid.IntRange(0, 1000).Draw(rt, "awayMs"))*time.Millisecond, func() {
+			sim.storeDown = false
+			sim.drill(age, killAfter, restartAfter, killed...)
+		})
+	case "cutRestart":
+		sim.cutOff(up, 10*time.Second)
+		sim.after(entryTTL+span/4, func() { sim.crash(up, 5*time.Millisecond) })
+	case "restart":
+		sim.crash(up, span)
+	case "isolate":
+		sim.isolate(up.domain, span)
+	case "partition":
+		sim.partitionedDomain = up.domain
+		sim.after(span, func() { sim.partitionedDomain, sim.healedAt = "", sim.now })
+	case "drain":
+		up.draining = true
+		sim.after(span, func() { up.draining = false })
+	case "hotKey":
+		sim.hotSample = rapid.IntRange(0, samples-1).Draw(rt, "hotKey")
+	case "slowDatagrams":
+		sim.slowDatagramRate = 0.4
+		sim.after(span, func() { sim.slowDatagramRate = 0 })
+	}
+}
+
+// drill lets the store return from a copy and kills hosts some time after that.
+func (sim *simulation) drill(age, killAfter, restartAfter time.Duration, killed ...*host) {
+	sim.returnFromCopy(age)
+	for _, ho := range killed {
+		sim.after(killAfter, func() {
+			if !ho.up {
+				return
+			}
+			sim.kill(ho)
+			sim.after(restartAfter, func() {
+				if !ho.up {
+					sim.start(ho)
+				}
+			})
+		})
+	}
+}
+
 // disturb causes one random disturbance.
 func (sim *simulation) disturb(rt *rapid.T) {
 	ho := sim.hosts[rapid.IntRange(0, len(sim.hosts)-1).Draw(rt, "host")]
@@ -374,7 +510,10 @@
 	up.up, up.downAt = false, sim.now
 	sim.after(span, func() {
 		incarnation := up.incarnation
-		*up = upstream{id: up.id, domain: up.domain, incarnation: incarnation + 1, up: true}
+		*up = upstream{
+			id: up.id, domain: up.domain, incarnation: incarnation + 1, up: true,
+			cutUntil: up.cutUntil, entryLapsesAt: up.entryLapsesAt, cutIncarnation: up.cutIncarnation,
+		}
 	})
 }
 
--- a/internal/ownership/agent/heartbeat.go
+++ b/internal/ownership/agent/heartbeat.go
@@ -1,7 +1,11 @@
 package agent
 
 import (
+	"slices"
+
 	"chervilwalk/internal/base/clock"
+	"chervilwalk/internal/base/ident"
+	"chervilwalk/internal/catalog/assignment"
 	"chervilwalk/internal/ownership/election"
 	"chervilwalk/internal/ownership/leader"
 	"chervilwalk/internal/peer/protocol"
@@ -17,9 +21,10 @@
 	co.statusSentAt = now
 	cmd := StatusCmd{To: co.election.Leader().Address, Status: protocol.Status{
 		Member: co.self, Term: co.election.Term(), Revision: co.table.Revision, Stopping: co.stopping, SentAt: now, Upstreams: co.renewal.Report(now),
+		Uncertain: co.toldUncertain,
 	}}
 	if co.leader != nil {
-		co.confirm(now, now)
+		co.confirm(now, now, co.leader.Uncertain())
 		cmd.To = ""
 	}
 	if co.leader != nil || cmd.To != "" {
@@ -41,11 +46,13 @@
 		hb.Recovering = true
 		co.emit(HeartbeatCmd{To: ms.From, Heartbeat: hb})
 	case ms.Status.Revision < co.table.Revision:
-		co.emit(AssignmentCmd{To: ms.From, Heartbeat: co.heartbeat(now, ms.From), Table: co.table, Base: co.history.find(ms.Status.Revision)})
+		co.emit(AssignmentCmd{To: ms.From, Heartbeat: co.assignmentHeartbeat(now, ms.From), Table: co.table, Base: co.history.find(ms.Status.Revision)})
 	default:
-		co.emit(HeartbeatCmd{To: ms.From, Heartbeat: co.heartbeat(now, ms.From)})
+		hb := co.heartbeat(now, ms.From)
+		hb.Uncertain = co.leader.Uncertain()
+		co.emit(HeartbeatCmd{To: ms.From, Heartbeat: hb})
 	}
-	co.updateLeader(now, leader.StatusMsg{Status: ms.Status, Follows: ms.From == "" || ms.Status.Term == co.election.Term()})
+	co.updateLeader(now, leader.StatusMsg{Status: ms.Status, Follows: ms.From == "" || ms.Status.Term == co.election.Term(), Own: ms.From == ""})
 }
 
 // heartbeat returns the heartbeat that this host, as the leader, sends to a member.
@@ -56,6 +63,16 @@
 	}
 }
 
+// assignmentHeartbeat returns the heartbeat that goes with an assignment. While the assignment is
+// uncertain it confirms nothing, as it cannot say so.
+func (co *Core) assignmentHeartbeat(now clock.Instant, to string) protocol.Heartbeat {
+	hb := co.heartbeat(now, to)
+	if co.leader.Uncertain() {
+		hb.Echo = 0
+	}
+	return hb
+}
+
 // handleHeartbeat follows a leader of the current or a newer term. A heartbeat
 // of the same revision confirms the table as of the echoed status, unless an
 // earlier process on this host sent that one.
@@ -75,7 +92,7 @@
 		return
 	}
 	if at := ms.Heartbeat.Echo; ms.Heartbeat.Revision == co.table.Revision && ms.Heartbeat.Leader != "" && co.startedAt <= at && at <= now {
-		co.confirm(now, at)
+		co.confirm(now, at, ms.Heartbeat.Uncertain)
 	}
 }
 
@@ -84,8 +101,34 @@
 	if ms.Heartbeat.Term < co.election.Term() {
 		return
 	}
-	co.adopt(now, ms.Table)
+	newer := ms.Table.Revision > co.table.Revision
+	// An uncertain leader sends no echo with it.
+	uncertain := ms.Heartbeat.Echo == 0
+	co.adopt(now, ms.Table, uncertain)
+	co.toldUncertain = co.toldUncertain || newer && uncertain
 	co.handleHeartbeat(now, HeartbeatMsg{Heartbeat: ms.Heartbeat, From: ms.From})
+	if newer && co.leader == nil && isWitness(ms.Table, co.self.Host, ms.Heartbeat.Leader) {
+		// Moves wait for it.
+		co.sendStatus(now)
+	}
+}
+
+// witnesses is how many members acknowledge a table with moves at once.
+const witnesses = 3
+
+// isWitness reports whether a host is one of the members that acknowledge a table at once: it has
+// moves, and the other members need not hurry.
+func isWitness(tb *assignment.Table, host, leading ident.Host) bool {
+	if !slices.ContainsFunc(tb.Shares, func(sh assignment.Share) bool { return sh.Moving() }) {
+		return false
+	}
+	before, weight := 0, ident.Weight("witness", string(host))
+	for _, mb := range tb.Members {
+		if mb.Alive && mb.Host != leading && mb.Host != host && ident.Weight("witness", string(mb.Host)) > weight {
+			before++
+		}
+	}
+	return before < witnesses
 }
 
 // handleDelta applies a delta to the table. If the delta has another base, only
@@ -122,7 +165,7 @@
 	}
 	for _, mb := range co.table.Members {
 		if mb.Host != co.self.Host {
-			co.emit(AssignmentCmd{To: mb.Address, Heartbeat: co.heartbeat(now, mb.Address), Table: co.table, Base: base})
+			co.emit(AssignmentCmd{To: mb.Address, Heartbeat: co.assignmentHeartbeat(now, mb.Address), Table: co.table, Base: base})
 		}
 	}
 	co.sendStatus(now)
--- a/internal/ownership/agent/history.go
+++ b/internal/ownership/agent/history.go
@@ -34,11 +34,15 @@
 	return nil
 }
 
-// adopt puts a table in force if it is newer than the current one.
-func (co *Core) adopt(now clock.Instant, tb *assignment.Table) {
+// adopt puts a table in force if it is newer than the current one. What was certain of the current
+// one is not of an uncertain one.
+func (co *Core) adopt(now clock.Instant, tb *assignment.Table, uncertain bool) {
 	if tb.Revision <= co.table.Revision {
 		return
 	}
+	if uncertain {
+		co.certainAt = 0
+	}
 	size := followerHistorySize
 	if co.leader != nil {
 		size = leaderHistorySize
@@ -56,8 +60,12 @@
 	co.refreshRenewals(now)
 }
 
-// confirm records that the table in force was the newest one at the time at.
-func (co *Core) confirm(now, at clock.Instant) {
-	co.confirmedAt = max(co.confirmedAt, at)
-	co.updateRenewal(now, renewal.ConfirmMsg{At: at})
+// confirm records that the table in force was the newest one at the time at, as far as the store or
+// its leader knows. An uncertain one may be older than one that the store has lost.
+func (co *Core) confirm(now, at clock.Instant, uncertain bool) {
+	co.confirmedAt, co.toldUncertain = max(co.confirmedAt, at), uncertain
+	if !uncertain {
+		co.certainAt = max(co.certainAt, at)
+	}
+	co.updateRenewal(now, renewal.ConfirmMsg{At: at, Uncertain: uncertain})
 }
--- a/internal/ownership/agent/simulation_test.go
+++ b/internal/ownership/agent/simulation_test.go
@@ -89,8 +89,12 @@
 	deadEntry bool
 	draining  bool
 	downAt    clock.Instant
-	epochs    [samples]keyspace.Epoch
-	heldUntil [samples]clock.Instant
+	// Until cutUntil it does not reach the store: its entry stays as it was, and lapses after
+	// entryLapsesAt.
+	cutUntil, entryLapsesAt clock.Instant
+	cutIncarnation          roster.Incarnation
+	epochs                  [samples]keyspace.Epoch
+	heldUntil               [samples]clock.Instant
 }
 
 // storeState is the content of the store. Its versions do not contain the era.
@@ -212,11 +216,14 @@
 	if sim.reachesStore(ho) {
 		ms := agent.UpstreamsMsg{ForLeader: leader.UpstreamsMsg{Keyed: map[ident.Service]bool{service: true}}, Domains: map[ident.Upstream]ident.Domain{}}
 		for _, up := range sim.upstreams {
-			listed := up.up || up.deadEntry || sim.now.Sub(up.downAt) < entryTTL
+			listed, incarnation := up.up || up.deadEntry || sim.now.Sub(up.downAt) < entryTTL, up.incarnation
+			if sim.now < up.cutUntil {
+				listed, incarnation = sim.now < up.entryLapsesAt, up.cutIncarnation
+			}
 			ms.Domains[up.id] = up.domain
 			if listed {
 				ms.ForLeader.Upstreams = append(ms.ForLeader.Upstreams, leader.Upstream{
-					ID: up.id, Service: service, Domain: up.domain, Slots: 2, Incarnation: up.incarnation, Usable: !up.draining, ColdRate: 2,
+					ID: up.id, Service: service, Domain: up.domain, Slots: 2, Incarnation: incarnation, Usable: !up.draining, ColdRate: 2,
 				})
 			}
 		}
@@ -436,6 +443,15 @@
 	// the disturbances may have passed.
 	state.tableOdd = false
 	sim.storeState = state
+	for _, up := range sim.upstreams {
+		// The copy has the entries of those that are cut off, which lapse once more.
+		up.entryLapsesAt = sim.now.Add(entryTTL)
+	}
+}
+
+// cutOff keeps an upstream from the store for span. Hosts still reach it.
+func (sim *simulation) cutOff(up *upstream, span time.Duration) {
+	up.cutUntil, up.entryLapsesAt, up.cutIncarnation = sim.now.Add(span), sim.now.Add(entryTTL), up.incarnation
 }
 
 // findUpstream returns the upstream with an ID, or nil.
@@ -580,13 +596,13 @@
 	// The shares before ix were granted.
 	answered := ix > 0
 	done := func(reached, superseded bool) {
-		sim.deliver(ho, core, agent.RenewedMsg{Upstream: cmd.Upstream, Reached: reached, Answered: answered, Superseded: superseded})
+		sim.deliver(ho, core, agent.RenewedMsg{Upstream: cmd.Upstream, Reached: reached, Answered: answered, Superseded: superseded, Taken: cmd.Shares[:ix]})
 	}
 	if up := sim.findUpstream(cmd.Upstream); ix == 0 && up.up {
 		if cn, known := ho.connections[up.id]; !known || cn.incarnation != up.incarnation {
 			ho.connections[up.id] = connection{up.incarnation, sim.now}
 		}
-		if core.TableConfirmed() < ho.connections[up.id].openedAt {
+		if core.TableCertain() < ho.connections[up.id].openedAt {
 			sim.deliver(ho, core, agent.RenewedMsg{Upstream: cmd.Upstream, Unconfirmed: true})
 			return
 		}
@@ -597,7 +613,7 @@
 	}
 	sh := cmd.Shares[ix]
 	current, found := core.Table().ShareOf(sh.Service, sh.From)
-	if sim.now.Sub(core.TableConfirmed()) > renewal.ConfirmTTL || !found || current.Moving() || current.Owner != sh.Owner || !current.Contains(sh.To) {
+	if sim.now >= cmd.Until || sim.now.Sub(core.TableConfirmed()) > renewal.ConfirmTTL || !found || current.Moving() || current.Owner != sh.Owner || !current.Contains(sh.To) {
 		done(true, false)
 		return
 	}
--- a/internal/ownership/agent/writes.go
+++ b/internal/ownership/agent/writes.go
@@ -36,11 +36,12 @@
 		co.handleLostTable(now, ms)
 		return
 	}
-	co.adopt(now, ms.Table)
+	co.toldUncertain = co.toldUncertain || ms.Row.Uncertain && ms.Table.Revision > co.table.Revision
+	co.adopt(now, ms.Table, ms.Row.Uncertain || era.Of(ms.Table.Revision) < ms.Era)
 	// A table of an earlier era says what was true once: the store may have lost later
 	// ones, so only a leader of this era can confirm it.
 	if ms.Table.Revision == co.table.Revision && era.Of(ms.Table.Revision) == ms.Era {
-		co.confirm(now, ms.StartedAt)
+		co.confirm(now, ms.StartedAt, ms.Row.Uncertain)
 	}
 	otherTable := false
 	if !co.writes.inFlight {
@@ -139,7 +140,7 @@
 			return
 		}
 		co.updateLeader(now, leader.CommittedMsg{Table: ms.Write.Table})
-		co.adopt(now, ms.Write.Table)
+		co.adopt(now, ms.Write.Table, co.leader.Uncertain())
 		co.broadcast(now)
 	case ms.Outcome == NotDone:
 		co.updateLeader(now, leader.CommitFailedMsg{})
--- a/internal/ownership/election/codec.go
+++ b/internal/ownership/election/codec.go
@@ -19,11 +19,12 @@
 	Incarnation uint64 `json:"incarnation"`
 	Settled     bool   `json:"settled"`
 	FrozenMs    int64  `json:"frozenMs,omitempty"`
+	Uncertain   bool   `json:"uncertain,omitempty"`
 }
 
 // Encode returns the JSON form of the leader's row.
 func Encode(rw Row) ([]byte, error) {
-	return json.Marshal(storedRow{uint64(rw.Term), string(rw.Host), rw.Address, rw.Incarnation, rw.Settled, rw.Frozen.Milliseconds()})
+	return json.Marshal(storedRow{uint64(rw.Term), string(rw.Host), rw.Address, rw.Incarnation, rw.Settled, rw.Frozen.Milliseconds(), rw.Uncertain})
 }
 
 // Decode parses the JSON form of the leader's row. A term that is missing or leaves no
@@ -40,5 +41,5 @@
 		return Row{}, errors.New("decode leader row: it has no term")
 	}
 	frozen := time.Duration(min(max(st.FrozenMs, 0), MaxFrozen.Milliseconds())) * time.Millisecond
-	return Row{protocol.Term(st.Term), ident.Host(st.Host), st.Address, st.Incarnation, st.Settled, frozen}, nil
+	return Row{protocol.Term(st.Term), ident.Host(st.Host), st.Address, st.Incarnation, st.Settled, frozen, st.Uncertain}, nil
 }
--- a/internal/ownership/election/codec_test.go
+++ b/internal/ownership/election/codec_test.go
@@ -103,7 +103,38 @@
 	co.Update(now, election.RowMsg{Row: election.Row{Term: 5}, Version: 7, StartedAt: now})
 	row, _ := co.Proposal()
 	gm.Expect(row.Frozen).To(BeZero())
+	gm.Expect(row.Uncertain).To(BeFalse())
 	co.Update(now, election.EraMsg{Era: 1})
 	row, _ = co.Proposal()
 	gm.Expect(row.Frozen).To(Equal(election.MaxFrozen))
+	gm.Expect(row.Uncertain).To(BeTrue())
+}
+
+// TestUncertainRow guards against a successor that does not learn from the row that the assignment is
+// uncertain.
+func TestUncertainRow(t *testing.T) {
+	for name, resigns := range map[string]bool{"of a leader": false, "of one that resigns": true} {
+		t.Run(name, func(t *testing.T) {
+			gm := NewWithT(t)
+			co := election.New("a", "10.0.0.1:1", 1, 0.8)
+			now := clock.Instant(time.Hour)
+			own := election.Row{Term: 5, Host: "a", Address: "10.0.0.1:1", Incarnation: 1}
+			co.Update(now, election.WrittenMsg{Row: own, Version: 7, StartedAt: now})
+			co.Settle(false, 3*time.Second, true)
+			if resigns {
+				co.Update(now, election.ResignMsg{})
+			}
+			row, _ := co.Proposal()
+			gm.Expect(row.Host == "").To(Equal(resigns))
+			body, err := election.Encode(row)
+			gm.Expect(err).NotTo(HaveOccurred())
+			read, err := election.Decode(body)
+			gm.Expect(err).NotTo(HaveOccurred())
+			gm.Expect(read).To(Equal(row))
+			gm.Expect(read.Uncertain).To(BeTrue())
+			co.Settle(false, 0, false)
+			row, _ = co.Proposal()
+			gm.Expect(row.Uncertain).To(BeFalse())
+		})
+	}
 }
--- a/internal/ownership/election/election.go
+++ b/internal/ownership/election/election.go
@@ -62,6 +62,9 @@
 	// Frozen is for how long after writing the row no key may move, because the store
 	// may have lost an assignment whose grants are still valid.
 	Frozen time.Duration
+	// Uncertain reports that the store may have lost a newer assignment and that the
+	// epochs of the one that it has were not raised above those of the lost one yet.
+	Uncertain bool
 }
 
 // Version is the version of the row in the store, 0 if there is no row.
@@ -162,10 +165,11 @@
 	// version, and again after a conflict or after StepDownTimeout without the
 	// store.
 	rowKnown bool
-	// settled and frozen are the values of Row.Settled and Row.Frozen to write while
-	// this host leads.
-	settled bool
-	frozen  time.Duration
+	// settled, frozen and uncertain are the values of the row's fields to write while this host
+	// leads.
+	settled   bool
+	frozen    time.Duration
+	uncertain bool
 	// resigning hosts free the row and never claim it again.
 	resigning bool
 	// claimable is true after a read that found the row free and the claim delay over.
@@ -220,9 +224,11 @@
 // and that started at now.
 func (co *Core) Confirm(now clock.Instant) { co.confirmedAt = max(co.confirmedAt, now) }
 
-// Settle sets whether no earlier leader can still be active and for how long no key
-// may move.
-func (co *Core) Settle(settled bool, frozen time.Duration) { co.settled, co.frozen = settled, frozen }
+// Settle sets whether no earlier leader can still be active, for how long no key may move, and
+// whether the assignment is uncertain.
+func (co *Core) Settle(settled bool, frozen time.Duration, uncertain bool) {
+	co.settled, co.frozen, co.uncertain = settled, frozen, uncertain
+}
 
 // Proposal returns the row to write and the version that it replaces.
 func (co *Core) Proposal() (Row, Version) {
@@ -237,18 +243,18 @@
 			rw.Term = max(rw.Term, era.First[protocol.Term](co.era)+protocol.Term(min(uint64(version), era.MaxCounter))+1)
 		}
 	}
-	rw.Settled, rw.Frozen = co.leading && co.settled, co.frozen
+	rw.Settled, rw.Frozen, rw.Uncertain = co.leading && co.settled, co.frozen, co.uncertain
 	if !co.leading {
-		rw.Frozen = co.row.Frozen
+		rw.Frozen, rw.Uncertain = co.row.Frozen, co.row.Uncertain
 		if era.Of(co.row.Term) < co.era {
 			// The first leader of an era knows only after its claim whether the store has lost
 			// an assignment. Whoever takes over before its next write must assume so.
-			rw.Frozen = MaxFrozen
+			rw.Frozen, rw.Uncertain = MaxFrozen, true
 		}
 	}
 	if co.resigning {
 		// A row without a host is free to take.
-		rw = Row{Term: rw.Term, Settled: rw.Settled, Frozen: rw.Frozen}
+		rw = Row{Term: rw.Term, Settled: rw.Settled, Frozen: rw.Frozen, Uncertain: rw.Uncertain}
 	}
 	return rw, co.version
 }
@@ -351,7 +357,7 @@
 // handleUnreadable handles a row that cannot be decoded. Its last leader and freeze are
 // unknown: it is taken over like that of a leader which stopped, with the longest freeze.
 func (co *Core) handleUnreadable(now clock.Instant) {
-	co.row, co.leading = Row{Term: co.row.Term, Host: unreadableHost, Frozen: MaxFrozen}, false
+	co.row, co.leading = Row{Term: co.row.Term, Host: unreadableHost, Frozen: MaxFrozen, Uncertain: co.era > 0}, false
 	if now.Sub(co.rowChangedAt) < staleTimeout || now.Sub(co.leaderHeardAt) < heartbeatTimeout {
 		co.freeSince, co.claimable = clock.Never, false
 		return
--- a/internal/ownership/leader/leader.go
+++ b/internal/ownership/leader/leader.go
@@ -47,6 +47,8 @@
 // concurrent use.
 type Core struct {
 	startedAt clock.Instant
+	// self is the leader's own host, empty before its first status.
+	self ident.Host
 	// previous is the row of the leader before this one. previousGone is true when
 	// it is known to lead no longer: it resigned or sent a status to this host.
 	previous     election.Row
@@ -60,8 +62,10 @@
 	dirty          bool
 	commitInFlight bool
 	// commitAt is the earliest time of the next commit.
-	commitAt           clock.Instant
-	members            map[ident.Host]*member
+	commitAt clock.Instant
+	members  map[ident.Host]*member
+	// witnessedRevision is the newest that a member other than this host knows.
+	witnessedRevision  assignment.Revision
 	keyed              map[ident.Service]bool
 	upstreams          map[ident.Upstream]*upstream
 	upstreamsChangedAt clock.Instant
@@ -111,6 +115,7 @@
 	if previous.Frozen > 0 {
 		co.Freeze(now.Add(previous.Frozen))
 	}
+	co.recovery.uncertain = previous.Uncertain
 	co.resume(now, tb)
 	return co
 }
@@ -155,9 +160,12 @@
 // Update handles one message and returns the commands to run.
 func (co *Core) Update(now clock.Instant, msg any) []Cmd {
 	var cmds []Cmd
+	movesDue := true
 	switch ms := msg.(type) {
 	case StatusMsg:
-		co.handleStatus(now, ms)
+		// Hundreds of statuses arrive per second. Other moves that depend on them can wait for
+		// the next tick.
+		movesDue = co.handleStatus(now, ms)
 	case UpstreamsMsg:
 		co.handleUpstreams(now, ms)
 	case CommittedMsg:
@@ -176,6 +184,7 @@
 	if co.recovery.active && !co.finishRecovery(now) {
 		return co.takeEvents(nil)
 	}
+	co.endUncertainty(now)
 	if co.settledAt == 0 && co.Settled(now) {
 		co.settledAt = now
 	}
@@ -187,9 +196,7 @@
 		co.plannedAt = now
 		co.plan(now)
 	}
-	if _, isStatus := msg.(StatusMsg); !isStatus && !co.frozen(now) {
-		// Hundreds of statuses arrive per second. The moves that depend on them can
-		// wait for the next tick.
+	if movesDue && !co.frozen(now) {
 		cmds = append(cmds, co.startDueCalls(now)...)
 	}
 	cmds = append(cmds, co.startDueChecks(now)...)
@@ -253,21 +260,25 @@
 }
 
 // handleStatus updates the member that sent a status, the load per key and the
-// upstreams that the status reports on.
-func (co *Core) handleStatus(now clock.Instant, ms StatusMsg) {
+// upstreams that the status reports on. It reports whether moves have waited for the status.
+func (co *Core) handleStatus(now clock.Instant, ms StatusMsg) (witnessed bool) {
 	st := ms.Status
 	mb, known := co.members[st.Member.Host]
 	if !known || mb.latest.Incarnation != st.Member.Incarnation {
 		if known && st.Member.Incarnation < mb.latest.Incarnation {
-			return
+			return false
 		}
 		mb = &member{}
 		co.members[st.Member.Host] = mb
 		co.logEvent("memberJoined", map[string]any{"host": st.Member.Host, "incarnation": st.Member.Incarnation})
 	}
 	mb.heardAt, mb.latest, mb.stopping = now, st.Member, st.Stopping
+	if ms.Own {
+		co.self = st.Member.Host
+	}
 	co.previousGone = co.previousGone || st.Member.Host == co.previous.Host
 	mb.ack(now, st.Revision)
+	witnessed = co.noteWitness(now, st.Member.Host, st.Revision)
 	co.noteRevision(now, ms)
 	for _, kl := range st.Keys {
 		ld, known := co.loads[kl.Service]
@@ -280,4 +291,5 @@
 	for _, ul := range st.Upstreams {
 		co.handleLoad(now, ul)
 	}
+	return witnessed
 }
--- a/internal/ownership/leader/message.go
+++ b/internal/ownership/leader/message.go
@@ -17,6 +17,8 @@
 	Status protocol.Status
 	// Follows reports whether the member has heard of this leader's term.
 	Follows bool
+	// Own reports whether it is the status of the leader's own host.
+	Own bool
 }
 
 // ReportMsg is the assignment that a member remembers from an earlier era.
--- a/internal/ownership/leader/move.go
+++ b/internal/ownership/leader/move.go
@@ -189,7 +189,33 @@
 		mv.enterStep(now, Give)
 	}
 	mv.checkAt = now.Add(moveCheckInterval)
-	mv.blocked = mv.resumed && (mv.step == Give && now < co.resumedGiveAt(now, mv) || mv.step == Release && now < co.renewalsEndAt(now, mv))
+	mv.blocked = mv.step == Give && !co.witnessed(mv.revision) || mv.resumed && (mv.step == Give && now < co.resumedGiveAt(now, mv) || mv.step == Release && now < co.renewalsEndAt(now, mv))
+}
+
+// witnessed reports whether a member other than this host knows the table of a revision, if there are
+// others. Then no single host is the only one that remembers why keys have another owner, should
+// the store lose the table.
+func (co *Core) witnessed(revision assignment.Revision) bool {
+	if revision <= co.witnessedRevision {
+		return true
+	}
+	return !slices.ContainsFunc(co.table.Members, func(mb assignment.Member) bool { return mb.Host != co.self })
+}
+
+// noteWitness records that a member knows the table of a revision. It reports whether moves have
+// waited for that.
+func (co *Core) noteWitness(now clock.Instant, host ident.Host, revision assignment.Revision) bool {
+	if host == co.self || revision <= co.witnessedRevision {
+		return false
+	}
+	co.witnessedRevision = revision
+	waited := false
+	for _, mv := range co.moves {
+		if mv.step == Give && mv.blocked {
+			mv.checkAt, co.movesDueAt, waited = now, now, true
+		}
+	}
+	return waited
 }
 
 func (mv *move) enterStep(now clock.Instant, step Step) {
--- a/internal/ownership/renewal/renewal.go
+++ b/internal/ownership/renewal/renewal.go
@@ -4,7 +4,9 @@
 // so that a domain that is cut off keeps its keys.
 //
 // The core does no I/O. It renews only the grants of the newest table, and only
-// while that table was confirmed a short time ago.
+// while that table was confirmed a short time ago. While the table is uncertain, since the store
+// may have lost a newer one, it continues the grants that this host has given and gives none anew:
+// their upstreams hold them, so nobody else was given the keys.
 //
 //	co := renewal.New("a-1")
 //	cmds := co.Update(now, renewal.TickMsg{})
@@ -48,10 +50,17 @@
 	Domains map[ident.Upstream]ident.Domain
 	// Incarnations holds those of the upstreams that are known.
 	Incarnations map[ident.Upstream]roster.Incarnation
+	// Uncertain means that the table is not known to be at least as new as the one that was
+	// confirmed last.
+	Uncertain bool
 }
 
-// ConfirmMsg reports that the table was still in force at the time At.
-type ConfirmMsg struct{ At clock.Instant }
+// ConfirmMsg reports that the table was still in force at the time At. An uncertain one allows to
+// continue grants only.
+type ConfirmMsg struct {
+	At        clock.Instant
+	Uncertain bool
+}
 
 // ResultMsg is the result of one RenewCmd. Reached is false if a call could not
 // reach the upstream. Superseded means that the upstream has seen a higher epoch.
@@ -65,6 +74,8 @@
 	// Unconfirmed means that the table has to be confirmed again before the upstream,
 	// which may have restarted, gets a call.
 	Unconfirmed bool
+	// Taken holds the shares whose grants the upstream took.
+	Taken []assignment.Share
 }
 
 // TickMsg reports that time has passed.
@@ -74,6 +85,18 @@
 type RenewCmd struct {
 	Upstream ident.Upstream
 	Shares   []assignment.Share
+	// Until is when the last call may start: the upstream holds what is continued until then.
+	Until clock.Instant
+}
+
+// continueTTL is how long after a grant another one continues it: the upstream still holds the
+// first one when the second one arrives.
+const continueTTL = GrantTTL - CallTimeout
+
+// takenGrant is a grant that an upstream took from this host. The call started at at or later.
+type takenGrant struct {
+	assignment.Share
+	at clock.Instant
 }
 
 // state is the state of one upstream's renewals.
@@ -89,6 +112,8 @@
 	answered bool
 	// unconfirmed renewals start again with the next confirmation.
 	unconfirmed bool
+	// taken holds the newest grants that it took.
+	taken []takenGrant
 }
 
 // Core schedules the renewals of one host. It is not safe for concurrent use.
@@ -98,6 +123,8 @@
 	// confirmedAt is when the table was last confirmed, valid if everConfirmed.
 	confirmedAt   clock.Instant
 	everConfirmed bool
+	// certainAt is when it was last confirmed by one that was not uncertain.
+	certainAt clock.Instant
 }
 
 // New returns the core of a host.
@@ -111,21 +138,33 @@
 	case TableMsg:
 		co.handleTable(now, ms)
 	case ConfirmMsg:
-		co.confirmedAt, co.everConfirmed = max(co.confirmedAt, ms.At), true
-		for _, st := range co.states {
-			if st.unconfirmed {
-				st.unconfirmed, st.due = false, min(st.due, now)
-			}
-		}
+		co.handleConfirm(now, ms)
 	case ResultMsg:
 		co.handleResult(now, ms)
 	}
 	return co.startDueRenewals(now)
 }
 
+// handleConfirm makes the renewals due that have waited for a confirmation.
+func (co *Core) handleConfirm(now clock.Instant, ms ConfirmMsg) {
+	co.confirmedAt, co.everConfirmed = max(co.confirmedAt, ms.At), true
+	if ms.Uncertain {
+		return
+	}
+	co.certainAt = max(co.certainAt, ms.At)
+	for _, st := range co.states {
+		if st.unconfirmed {
+			st.unconfirmed, st.due = false, min(st.due, now)
+		}
+	}
+}
+
 // handleTable adopts the shares of the upstreams that this host renews. It leaves
 // out moving shares, so that the old owner's grants expire.
 func (co *Core) handleTable(now clock.Instant, ms TableMsg) {
+	if ms.Uncertain {
+		co.certainAt = 0
+	}
 	assigned := map[ident.Upstream][]assignment.Share{}
 	isRenewer := map[ident.Upstream]bool{}
 	for _, sh := range ms.Table.Shares {
@@ -200,6 +239,7 @@
 		return
 	}
 	st.inFlight, st.superseded, st.answered = false, ms.Superseded, ms.Answered
+	st.noteTaken(now, ms.Taken)
 	if ms.Unconfirmed {
 		st.unconfirmed, st.due = true, min(st.due, now.Add(retryDelay))
 		return
@@ -212,6 +252,32 @@
 	st.due = min(st.due, now.Add(retryDelay))
 }
 
+// noteTaken records which grants the upstream took with the newest renewal.
+func (st *state) noteTaken(now clock.Instant, shares []assignment.Share) {
+	st.taken = slices.DeleteFunc(st.taken, func(tg takenGrant) bool { return now.Sub(tg.at) > continueTTL })
+	for _, sh := range shares {
+		st.taken = append(st.taken, takenGrant{sh, st.startedAt})
+	}
+}
+
+// continued returns the shares whose grants the upstream has taken from this host and still holds,
+// and until when a renewal continues all of them.
+func (st *state) continued(now clock.Instant) (shares []assignment.Share, until clock.Instant) {
+	until = clock.Never
+	for _, sh := range st.shares {
+		end := clock.Instant(0)
+		for _, tg := range st.taken {
+			if tg.Owner == sh.Owner && tg.Service == sh.Service && tg.Contains(sh.From) && tg.Contains(sh.To) {
+				end = max(end, tg.at.Add(continueTTL))
+			}
+		}
+		if now < end {
+			shares, until = append(shares, sh), min(until, end)
+		}
+	}
+	return shares, until
+}
+
 func (co *Core) startDueRenewals(now clock.Instant) []RenewCmd {
 	if !co.everConfirmed || now.Sub(co.confirmedAt) > ConfirmTTL {
 		return nil
@@ -222,8 +288,15 @@
 		if st.inFlight || now.Before(co.dueAt(st)) {
 			continue
 		}
+		shares, until := st.shares, clock.Never
+		if co.certainAt < co.confirmedAt {
+			if shares, until = st.continued(now); len(shares) == 0 {
+				st.unconfirmed, st.due = true, now.Add(retryDelay)
+				continue
+			}
+		}
 		st.inFlight, st.startedAt, st.due = true, now, now.Add(renewInterval)
-		cmds = append(cmds, RenewCmd{Upstream: id, Shares: st.shares})
+		cmds = append(cmds, RenewCmd{Upstream: id, Shares: shares, Until: until})
 	}
 	return cmds
 }
--- a/internal/ownership/renewal/renewal_test.go
+++ b/internal/ownership/renewal/renewal_test.go
@@ -83,3 +83,76 @@
 		})
 	}
 }
+
+// TestUncertainTable guards against grants that are given anew by a table that may be older than one that
+// the store has lost: another upstream may have the keys. Those that the upstream holds go on.
+func TestUncertainTable(t *testing.T) {
+	const service = ident.Service("s")
+	share := func(from, to keyspace.Key, epoch keyspace.Epoch) assignment.Share {
+		return assignment.Share{Service: service, Range: keyspace.Range{From: from, To: to}, Owner: assignment.Claim{Upstream: "u", Epoch: epoch}}
+	}
+	whole := share(0, keyspace.Last, 1)
+	cases := map[string]struct {
+		// taken holds the grants that the upstream took at first.
+		taken []assignment.Share
+		// after is the time from that renewal to the next one that is due.
+		after time.Duration
+		// table holds the shares since then, nil for the same.
+		table []assignment.Share
+		want  []assignment.Share
+	}{
+		"the upstream holds it":             {taken: []assignment.Share{whole}, after: 1100 * time.Millisecond, want: []assignment.Share{whole}},
+		"it did not take it":                {after: 1100 * time.Millisecond},
+		"its grant may have run out":        {taken: []assignment.Share{whole}, after: renewal.GrantTTL - renewal.CallTimeout + time.Millisecond},
+		"it holds it for the shortest time": {taken: []assignment.Share{whole}, after: renewal.GrantTTL - renewal.CallTimeout - time.Millisecond, want: []assignment.Share{whole}},
+		"it holds it by another epoch":      {taken: []assignment.Share{whole}, after: 1100 * time.Millisecond, table: []assignment.Share{share(0, keyspace.Last, 2)}},
+		"it holds a part of it":             {taken: []assignment.Share{share(0, 99, 1)}, after: 1100 * time.Millisecond},
+		"it holds more":                     {taken: []assignment.Share{whole}, after: 1100 * time.Millisecond, table: []assignment.Share{share(0, 99, 1)}, want: []assignment.Share{share(0, 99, 1)}},
+		"it holds one of two":               {taken: []assignment.Share{share(0, 99, 1)}, after: 1100 * time.Millisecond, table: []assignment.Share{share(0, 99, 1), share(100, keyspace.Last, 3)}, want: []assignment.Share{share(0, 99, 1)}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			gm := NewWithT(t)
+			co, now := renewal.New("a"), clock.Instant(time.Hour)
+			adopt := func(shares []assignment.Share, uncertain bool) []renewal.RenewCmd {
+				return co.Update(now, renewal.TableMsg{
+					Uncertain: uncertain,
+					Table:     &assignment.Table{Members: []assignment.Member{{Host: "a", Domain: "d", Alive: true}}, Shares: shares},
+					Domains:   map[ident.Upstream]ident.Domain{"u": "d"},
+				})
+			}
+			adopt([]assignment.Share{whole}, false)
+			gm.Expect(co.Update(now, renewal.ConfirmMsg{At: now})).To(HaveLen(1))
+			takenAt := now
+			gm.Expect(co.Update(now, renewal.ResultMsg{Upstream: "u", Reached: true, Taken: tc.taken})).To(BeEmpty())
+			// Nothing is confirmed any more until then.
+			now = now.Add(tc.after)
+			var cmds []renewal.RenewCmd
+			if tc.table != nil {
+				// The last confirmation was not of this table.
+				cmds = adopt(tc.table, true)
+			}
+			cmds = append(cmds, co.Update(now, renewal.ConfirmMsg{At: now, Uncertain: true})...)
+			if tc.want == nil {
+				gm.Expect(cmds).To(BeEmpty())
+				gm.Expect(co.Next(now)).To(BeNumerically(">", now), "the loop must not spin")
+			} else {
+				gm.Expect(cmds).To(HaveLen(1))
+				gm.Expect(cmds[0].Shares).To(Equal(tc.want))
+				gm.Expect(cmds[0].Until).To(Equal(takenAt.Add(renewal.GrantTTL - renewal.CallTimeout)))
+				co.Update(now, renewal.ResultMsg{Upstream: "u", Reached: true, Taken: tc.want})
+			}
+			// One that is older does not end it, a newer one does.
+			co.Update(now, renewal.ConfirmMsg{At: now.Add(-time.Millisecond)})
+			now = now.Add(1100 * time.Millisecond)
+			current := []assignment.Share{whole}
+			if tc.table != nil {
+				current = tc.table
+			}
+			cmds = co.Update(now, renewal.ConfirmMsg{At: now})
+			gm.Expect(cmds).To(HaveLen(1))
+			gm.Expect(cmds[0].Shares).To(Equal(current))
+			gm.Expect(cmds[0].Until).To(Equal(clock.Never))
+		})
+	}
+}
--- a/internal/peer/protocol/message.go
+++ b/internal/peer/protocol/message.go
@@ -36,6 +36,7 @@
 	operatorRowsNumber
 	memberDeltaNumber
 	packedRosterNumber
+	uncertainNumber
 )
 
 func (Status) number() uint8     { return statusNumber }
@@ -48,13 +49,17 @@
 func (Roster) number() uint8     { return rosterNumber }
 func (DoneAck) number() uint8    { return doneAckNumber }
 
-// number of a recovering heartbeat is another one, so that builds that do not know it
+// number of a recovering or uncertain heartbeat is another one, so that builds that do not know it
 // take it for no confirmation.
 func (ms Heartbeat) number() uint8 {
-	if ms.Recovering {
+	switch {
+	case ms.Recovering:
 		return recoveringNumber
+	case ms.Uncertain:
+		return uncertainNumber
+	default:
+		return heartbeatNumber
 	}
-	return heartbeatNumber
 }
 
 func (Leaving) number() uint8     { return leavingNumber }
@@ -128,6 +133,11 @@
 			ms.codeAlone(cd)
 			ms.Recovering = true
 		})
+	case uncertainNumber:
+		msg = decode(cd, func(ms *Heartbeat) {
+			ms.codeAlone(cd)
+			ms.Uncertain = true
+		})
 	case leavingNumber:
 		msg = decode(cd, func(ms *Leaving) { ms.code(cd) })
 	case pauseNumber:
--- a/internal/peer/protocol/protocol_test.go
+++ b/internal/peer/protocol/protocol_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -30,9 +31,10 @@
 				{Upstream: "u", Answers: 2, WorkTime: 300 * time.Millisecond, Failures: 1, LatencyPercent: 140, UnreachedFor: time.Second, Superseded: true},
 				{Upstream: "v", Answers: 1, WorkTime: 100 * time.Millisecond, LatencyPercent: 60},
 			},
-			OperatorRows: 1<<40 + 6,
+			OperatorRows: 1<<40 + 6, Uncertain: true,
 		},
 		"heartbeat":           alone,
+		"uncertainHeartbeat":  protocol.Heartbeat{Term: 1 << 33, Leader: "a", Revision: 9, RowVersion: 1 << 44, SendsOperatorRows: true, Uncertain: true},
 		"recoveringHeartbeat": protocol.Heartbeat{Term: 1 << 33, Leader: "a", Revision: 9, RowVersion: 1 << 44, SendsOperatorRows: true, Recovering: true},
 		"packedRoster":        protocol.PackedRoster{Term: 3, Version: 5, GraceLeft: time.Second, Part: 1, Parts: 2, Body: "{}"},
 		"operatorRows":        protocol.OperatorRows{Version: 1<<44 + 6, Part: 1, Parts: 2, Body: "{}"},
@@ -86,15 +88,18 @@
 	rf := messages()["refusal"].(protocol.Refusal)
 	rf.Asker = protocol.Process{}
 	st := messages()["status"].(protocol.Status)
+	st.Uncertain = false
+	certain := st
+	certain.Upstreams = slices.Clone(st.Upstreams)
 	for ix := range st.Upstreams {
 		st.Upstreams[ix].LatencyPercent = 0
 	}
 	noPercents := st
 	st.OperatorRows = 0
-	hb, recovering := messages()["heartbeat"].(protocol.Heartbeat), messages()["recoveringHeartbeat"].(protocol.Heartbeat)
-	hb.SendsOperatorRows, recovering.SendsOperatorRows = false, false
+	hb, recovering, uncertain := messages()["heartbeat"].(protocol.Heartbeat), messages()["recoveringHeartbeat"].(protocol.Heartbeat), messages()["uncertainHeartbeat"].(protocol.Heartbeat)
+	hb.SendsOperatorRows, recovering.SendsOperatorRows, uncertain.SendsOperatorRows = false, false, false
 	return map[string][]protocol.Msg{
-		"status": {st, noPercents}, "heartbeat": {hb}, "recoveringHeartbeat": {recovering},
+		"status": {st, noPercents, certain}, "heartbeat": {hb}, "recoveringHeartbeat": {recovering}, "uncertainHeartbeat": {uncertain},
 		"ask": {noFingerprint, noSize}, "permit": {unwatched, pm}, "refusal": {rf}, "queued": {protocol.Queued{Ticket: 9}}, "doneAck": {protocol.DoneAck{Ticket: 9}},
 	}
 }
--- a/internal/peer/protocol/range_test.go
+++ b/internal/peer/protocol/range_test.go
@@ -78,8 +78,8 @@
 func TestKeysOutOfRange(t *testing.T) {
 	datagram := protocol.Encode(protocol.Status{Keys: []protocol.KeyLoad{{Key: keyspace.Last, Count: 1}}})
 	// The key, 0xffff, takes three bytes; 0x1ffff is the same with another last one. A byte
-	// each follows for the count, the upstreams and the operator rows.
-	ix := len(datagram) - 4
+	// each follows for the count, the upstreams, the operator rows and Uncertain.
+	ix := len(datagram) - 5
 	NewWithT(t).Expect(datagram[ix]).To(BeEquivalentTo(0x03))
 	datagram[ix] = 0x07
 	_, err := protocol.Decode(datagram)
--- a/internal/peer/protocol/status.go
+++ b/internal/peer/protocol/status.go
@@ -60,6 +60,9 @@
 	// OperatorRows is 0 if the member takes no operator rows from the leader, as one of an
 	// earlier build. Otherwise it is 1 more than the store's version of those that it knows.
 	OperatorRows uint64
+	// Uncertain reports that the member knows its assignment from a leader, or with a row, that was
+	// uncertain. See Heartbeat.
+	Uncertain bool
 }
 
 // Heartbeat is the leader's heartbeat, the reply to a status.
@@ -83,6 +86,10 @@
 	// copy and this leader does not know yet whether its own is the newest. It
 	// confirms nothing. Heartbeats with an assignment never have it.
 	Recovering bool
+	// Uncertain says that the store may have lost a newer assignment than this leader's: it
+	// confirms only grants that their upstreams hold. Heartbeats with an assignment never have
+	// it; those of an uncertain leader have no Echo, so that they confirm nothing.
+	Uncertain bool
 }
 
 // Freshness states how recent the leader's data from the store is. Members whose
@@ -144,6 +151,7 @@
 	for ix := range ms.Upstreams {
 		latencyPercent(cd, &ms.Upstreams[ix].LatencyPercent)
 	}
+	addedBoolean(cd, &ms.Uncertain)
 }
 
 // latencyPercent codes a processing time in percent of the usual one.
