OWNER: nothing is uncertain in the store's first era; a held body is not read again

After a change of leader its first broadcast echoes no status, which members took for the sign of an uncertain leader: they gave no grants anew until the next heartbeat, up to 0.4 s later. In the first era the store has lost nothing, so an assignment of that era is never uncertain.

Also by reading: a state that waits for certainty is not due again at once within the last 0.15 s of a confirmation, and a body that was read to its end leaves the connection to the next request.

--- a/internal/ownership/agent/heartbeat.go
+++ b/internal/ownership/agent/heartbeat.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"chervilwalk/internal/base/clock"
+	"chervilwalk/internal/base/era"
 	"chervilwalk/internal/base/ident"
 	"chervilwalk/internal/catalog/assignment"
 	"chervilwalk/internal/ownership/election"
@@ -102,8 +103,8 @@
 		return
 	}
 	newer := ms.Table.Revision > co.table.Revision
-	// An uncertain leader sends no echo with it.
-	uncertain := ms.Heartbeat.Echo == 0
+	// An uncertain leader sends no echo with it. In its first era the store has lost nothing.
+	uncertain := ms.Heartbeat.Echo == 0 && era.Of(ms.Table.Revision) > 0
 	co.adopt(now, ms.Table, uncertain)
 	co.toldUncertain = co.toldUncertain || newer && uncertain
 	co.handleHeartbeat(now, HeartbeatMsg{Heartbeat: ms.Heartbeat, From: ms.From})
--- a/internal/ownership/renewal/renewal.go
+++ b/internal/ownership/renewal/renewal.go
@@ -291,7 +291,7 @@
 		shares, until := st.shares, clock.Never
 		if co.certainAt < co.confirmedAt {
 			if shares, until = st.continued(now); len(shares) == 0 {
-				st.unconfirmed, st.due = true, now.Add(retryDelay)
+				st.unconfirmed, st.startedAt, st.due = true, now, now.Add(retryDelay)
 				continue
 			}
 		}
--- a/internal/serving/httpserver/body.go
+++ b/internal/serving/httpserver/body.go
@@ -36,6 +36,10 @@
 
 // Read implements io.Reader.
 func (bd *Body) Read(buf []byte) (int, error) {
+	if bd.complete() {
+		// The connection may be read for the next request already.
+		return 0, io.EOF
+	}
 	bd.beginRead()
 	count, err := bd.read(buf)
 	bd.noteRead(err)
