--- a/internal/serving/httpserver/order_test.go
+++ b/internal/serving/httpserver/order_test.go
@@ -187,6 +187,7 @@
 		"one behind it":                         {paths: []string{"/waits", "/waits"}, statuses: []int{502, 502}},
 		"one behind it that has not been begun": {paths: []string{"/file/waits", "/a"}, statuses: []int{502, 503}},
 		"one that may not run twice":            {paths: []string{"/waits", "POST /a"}, statuses: []int{502}},
+		"an upload of which a part has come":    {paths: []string{"UPLOAD /waits"}, statuses: []int{502}},
 		"its caller has left":                   {paths: []string{"/waits"}, leaves: true},
 	}
 	for name, tc := range cases {
@@ -218,7 +219,12 @@
 				if before, after, named := strings.Cut(path, " "); named {
 					method, path = before, after
 				}
-				_, err = io.WriteString(conn, method+" "+path+" HTTP/1.1\r\nHost: h\r\n\r\n")
+				text := method + " " + path + " HTTP/1.1\r\nHost: h\r\n\r\n"
+				if method == "UPLOAD" {
+					text = upload(false, "", uploadBytes, uploadBytes-1)
+					text = strings.Replace(text, "/upload", path, 1)
+				}
+				_, err = io.WriteString(conn, text)
 				gm.Expect(err).NotTo(HaveOccurred())
 			}
 			gm.Eventually(begun, "2s").Should(Receive())
