Proxy: a crash in the middle of a long answer to an order is reported again

Cause: since an attempt of an order has a context that ends with the server, and send ends it when it returns. What reads the answer after that took the end for the caller's leaving, for which no crash is reported. Seen by reading the whole change once more; no test sent an order with a long answer that breaks off. Ruled out: that other paths use the context later; the transport lets go of it in Send.

--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -843,6 +843,10 @@
 		"internal/serving/httpserver/watch.go", "	for cn.watching {", "	for false {",
 		[]string{"-run=TestSlowUploads|TestCallerLeavesBehindLongBody", "./internal/serving/httpserver"},
 	},
+	"a crash under an order that is answered at length is not reported": {
+		"internal/serving/proxy/attempt.go", "(ctx.Err() == nil || !ex.repeatable())", "ctx.Err() == nil",
+		[]string{"-run=TestCrashDuringLongAnswer", "./internal/serving/proxy"},
+	},
 	"grants end a renewal earlier than they may": {
 		"internal/ownership/renewal/renewal.go", "	if st.startedAt < last {", "	if false {",
 		[]string{"-run=TestLastRenewal", "./internal/ownership/renewal"},
--- a/internal/serving/proxy/attempt.go
+++ b/internal/serving/proxy/attempt.go
@@ -16,16 +16,16 @@
 
 // send sends the request to the permit's upstream and releases the permit.
 func (ex *exchange) send(ctx context.Context, pm *Permit) (*transport.Answer, error) {
-	callerCtx := ctx
+	runCtx := ctx
 	if !ex.repeatable() {
 		// A request that may not be repeated is finished even if its caller leaves.
 		kept, cancel := withoutCaller(ctx)
 		defer cancel()
-		ctx = kept
+		runCtx = kept
 	}
-	sendCtx, cancel := ctx, context.CancelFunc(func() {})
+	sendCtx, cancel := runCtx, context.CancelFunc(func() {})
 	if pm.Watched {
-		sendCtx, cancel = cancelLater(ctx, watchTime)
+		sendCtx, cancel = cancelLater(runCtx, watchTime)
 	}
 	defer cancel()
 	hd := endToEndHeader(ex.rq.Header)
@@ -37,12 +37,12 @@
 		Repeatable: ex.repeatable(), Deadline: ex.answerBy, RestDeadline: ex.deadline.Add(answerGrace),
 	}
 	if ex.rq.Rest != nil {
-		ex.rest = &callerRest{Body: ex.rq.Rest, ctx: callerCtx}
+		ex.rest = &callerRest{Body: ex.rq.Rest, ctx: ctx}
 		rq.Rest = ex.rest
 	}
 	an, err := ex.px.cf.Connections.Send(sendCtx, transport.Target{ID: pm.Upstream, Address: pm.Address}, rq)
 	done := protocol.Done{Service: ex.service, Upstream: pm.Upstream, Took: time.Since(began)}
-	outcome := ex.outcome(ctx, an, err)
+	outcome := ex.outcome(runCtx, an, err)
 	if outcome == permit.TimedOut && ex.callerLeaves() {
 		// The upstream had less than the time in which it must answer.
 		outcome = permit.Withdrawn
@@ -67,7 +67,7 @@
 			switch {
 			case errors.Is(end, io.EOF):
 				ex.noteRun(pm, outcome, an, nil)
-			case end != nil && ctx.Err() == nil:
+			case end != nil && (ctx.Err() == nil || !ex.repeatable()):
 				done.Outcome = uint8(permit.Broken)
 				if transport.IsClosed(end) {
 					ex.px.cf.OnCrash(*pm, ex.end.Fingerprint)
--- a/internal/serving/proxy/proxy_test.go
+++ b/internal/serving/proxy/proxy_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"maps"
 	"net"
 	"net/http"
@@ -608,6 +609,63 @@
 	}
 }
 
+// TestCrashDuringLongAnswer guards against an upstream that crashes under a request, again and again, and
+// nobody learns of it, since a part of its answer was passed on.
+func TestCrashDuringLongAnswer(t *testing.T) {
+	cases := map[string]struct {
+		path string
+		// leaves means that the caller has left when the answer breaks off.
+		leaves, want bool
+	}{
+		"lookup":                    {path: "/lookup", want: true},
+		"lookup, its caller leaves": {path: "/lookup", leaves: true},
+		"order":                     {path: "/order", want: true},
+		"order, its caller leaves":  {path: "/order", leaves: true, want: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			gm := NewWithT(t)
+			crash := make(chan struct{})
+			server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, rq *http.Request) {
+				rw.Header().Set("Id", rq.Header.Get("Id"))
+				rw.Header().Set("Seal", "s")
+				_, _ = rw.Write(make([]byte, 2*transport.BufferBytes))
+				_ = http.NewResponseController(rw).Flush()
+				<-crash
+				panic(http.ErrAbortHandler)
+			}))
+			t.Cleanup(server.Close)
+			pl := transport.New(func(hd http.Header) ident.Request { return ident.Request(hd.Get("Id")) })
+			defer pl.Close()
+			st, crashed := state(t), false
+			pm := &permits{addresses: []string{server.Listener.Addr().String()}}
+			px := proxy.New(proxy.Config{
+				State: func() *desired.State { return st }, Permits: pm, Connections: pl, CallerHeaders: testHeaders{}, UpstreamHeaders: testHeaders{},
+				Budget: proxy.NewBudget(1, func() float64 { return 10 }),
+				OnEnd:  func(proxy.End) {}, OnKeyedRequest: func(ident.Service, keyspace.Key) {},
+				OnLeaving: func(ident.Upstream) {}, OnPause: func(proxy.Permit, time.Duration) {}, OnLimit: func(proxy.Permit, time.Time, rate.Limit, error) {},
+				OnCrash: func(proxy.Permit, ident.Fingerprint) { crashed = true }, OnAnswer: func(proxy.Permit, ident.Fingerprint) {}, OnAbandoned: func(proxy.Permit, ident.Fingerprint) {},
+				Suspect: func(ident.Fingerprint) bool { return false }, EndsAt: func() time.Time { return time.Time{} },
+			})
+			ctx, leave := context.WithCancel(t.Context())
+			defer leave()
+			rs := px.Serve(ctx, &httpserver.Request{Method: http.MethodPost, URI: tc.path, Header: http.Header{"Id": {"r"}}, Arrived: time.Now()})
+			gm.Expect(rs).NotTo(BeNil())
+			gm.Expect(rs.Rest).NotTo(BeNil())
+			if tc.leaves {
+				leave()
+			}
+			close(crash)
+			_, err := io.Copy(io.Discard, rs.Rest)
+			gm.Expect(err).To(HaveOccurred())
+			gm.Expect(rs.Rest.Close()).To(Succeed())
+			gm.Expect(crashed).To(Equal(tc.want))
+			gm.Expect(pm.outcomes).To(Equal([]permit.Outcome{permit.Broken}))
+		})
+	}
+}
+
 // TestCallerLeavesBeforeCrash guards against a crash that is not counted since its caller has left.
 func TestCallerLeavesBeforeCrash(t *testing.T) {
 	const crashDelay = 60 * time.Millisecond
