OWNER: a grant that is continued is as old as the renewal that gave it

While an assignment is uncertain, a host continues what the upstream took from it less than 3.6 s ago. The time was that of the newest renewal of the upstream, also for the result of an earlier one: if the upstream was assigned to another host and back again while a renewal was under way, its result passed for newer than it was, by some tenths of a second, and the upstream might hold nothing any more.

Ruled out: that the assignment can't go back and forth within a call's 0.4 s; members are lost and heard again in one commit interval.

A renewal says when it began, and its result says so again. TestResultOfEarlierRenewal fails without it (the mutant does the same).

--- a/internal/fleet/gateway/grantclient.go
+++ b/internal/fleet/gateway/grantclient.go
@@ -86,7 +86,7 @@
 func (gw *Gateway) renewUpstream(cmd renewal.RenewCmd) {
 	ep, known := (*gw.endpoints.Load())[cmd.Upstream]
 	go func() {
-		result := renewal.ResultMsg{Upstream: cmd.Upstream, Reached: known}
+		result := renewal.ResultMsg{Upstream: cmd.Upstream, Reached: known, StartedAt: cmd.StartedAt}
 		for _, sh := range cmd.Shares {
 			if !known || !gw.mayRenew(sh) || gw.clock.Now() >= cmd.Until {
 				break
--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -847,6 +847,10 @@
 		"internal/serving/proxy/attempt.go", "(ctx.Err() == nil || !ex.repeatable())", "ctx.Err() == nil",
 		[]string{"-run=TestCrashDuringLongAnswer", "./internal/serving/proxy"},
 	},
+	"the result of an earlier renewal counts as one of the newest": {
+		"internal/ownership/renewal/renewal.go", "takenGrant{sh, ms.StartedAt}", "takenGrant{sh, st.startedAt}",
+		[]string{"-run=TestResultOfEarlierRenewal", "./internal/ownership/renewal"},
+	},
 	"grants end a renewal earlier than they may": {
 		"internal/ownership/renewal/renewal.go", "	if st.startedAt < last {", "	if false {",
 		[]string{"-run=TestLastRenewal", "./internal/ownership/renewal"},
--- a/internal/ownership/agent/simulation_test.go
+++ b/internal/ownership/agent/simulation_test.go
@@ -596,7 +596,7 @@
 	// The shares before ix were granted.
 	answered := ix > 0
 	done := func(reached, superseded bool) {
-		sim.deliver(ho, core, agent.RenewedMsg{Upstream: cmd.Upstream, Reached: reached, Answered: answered, Superseded: superseded, Taken: cmd.Shares[:ix]})
+		sim.deliver(ho, core, agent.RenewedMsg{Upstream: cmd.Upstream, Reached: reached, Answered: answered, Superseded: superseded, Taken: cmd.Shares[:ix], StartedAt: cmd.StartedAt})
 	}
 	if up := sim.findUpstream(cmd.Upstream); ix == 0 && up.up {
 		if cn, known := ho.connections[up.id]; !known || cn.incarnation != up.incarnation {
--- a/internal/ownership/renewal/renewal.go
+++ b/internal/ownership/renewal/renewal.go
@@ -74,8 +74,9 @@
 	// Unconfirmed means that the table has to be confirmed again before the upstream,
 	// which may have restarted, gets a call.
 	Unconfirmed bool
-	// Taken holds the shares whose grants the upstream took.
-	Taken []assignment.Share
+	// Taken holds the shares whose grants the upstream took, StartedAt is that of the RenewCmd.
+	Taken     []assignment.Share
+	StartedAt clock.Instant
 }
 
 // TickMsg reports that time has passed.
@@ -85,15 +86,16 @@
 type RenewCmd struct {
 	Upstream ident.Upstream
 	Shares   []assignment.Share
-	// Until is when the last call may start: the upstream holds what is continued until then.
-	Until clock.Instant
+	// StartedAt is when the renewal began. Until is when its last call may start: the upstream
+	// holds what is continued until then.
+	StartedAt, Until clock.Instant
 }
 
 // continueTTL is how long after a grant another one continues it: the upstream still holds the
 // first one when the second one arrives.
 const continueTTL = GrantTTL - CallTimeout
 
-// takenGrant is a grant that an upstream took from this host. The call started at at or later.
+// takenGrant is a grant that an upstream took from this host. Its call began at this time or later.
 type takenGrant struct {
 	assignment.Share
 	at clock.Instant
@@ -239,7 +241,7 @@
 		return
 	}
 	st.inFlight, st.superseded, st.answered = false, ms.Superseded, ms.Answered
-	st.noteTaken(now, ms.Taken)
+	st.noteTaken(now, ms)
 	if ms.Unconfirmed {
 		st.unconfirmed, st.due = true, min(st.due, now.Add(retryDelay))
 		return
@@ -252,11 +254,12 @@
 	st.due = min(st.due, now.Add(retryDelay))
 }
 
-// noteTaken records which grants the upstream took with the newest renewal.
-func (st *state) noteTaken(now clock.Instant, shares []assignment.Share) {
+// noteTaken records which grants the upstream took. The result may be that of a renewal from before the
+// upstream was assigned to this host again.
+func (st *state) noteTaken(now clock.Instant, ms ResultMsg) {
 	st.taken = slices.DeleteFunc(st.taken, func(tg takenGrant) bool { return now.Sub(tg.at) > continueTTL })
-	for _, sh := range shares {
-		st.taken = append(st.taken, takenGrant{sh, st.startedAt})
+	for _, sh := range ms.Taken {
+		st.taken = append(st.taken, takenGrant{sh, ms.StartedAt})
 	}
 }
 
@@ -296,7 +299,7 @@
 			}
 		}
 		st.inFlight, st.startedAt, st.due = true, now, now.Add(renewInterval)
-		cmds = append(cmds, RenewCmd{Upstream: id, Shares: shares, Until: until})
+		cmds = append(cmds, RenewCmd{Upstream: id, Shares: shares, StartedAt: now, Until: until})
 	}
 	return cmds
 }
--- a/internal/ownership/renewal/renewal_test.go
+++ b/internal/ownership/renewal/renewal_test.go
@@ -124,7 +124,7 @@
 			adopt([]assignment.Share{whole}, false)
 			gm.Expect(co.Update(now, renewal.ConfirmMsg{At: now})).To(HaveLen(1))
 			takenAt := now
-			gm.Expect(co.Update(now, renewal.ResultMsg{Upstream: "u", Reached: true, Taken: tc.taken})).To(BeEmpty())
+			gm.Expect(co.Update(now, renewal.ResultMsg{Upstream: "u", Reached: true, Taken: tc.taken, StartedAt: now})).To(BeEmpty())
 			// Nothing is confirmed any more until then.
 			now = now.Add(tc.after)
 			var cmds []renewal.RenewCmd
@@ -140,7 +140,7 @@
 				gm.Expect(cmds).To(HaveLen(1))
 				gm.Expect(cmds[0].Shares).To(Equal(tc.want))
 				gm.Expect(cmds[0].Until).To(Equal(takenAt.Add(renewal.GrantTTL - renewal.CallTimeout)))
-				co.Update(now, renewal.ResultMsg{Upstream: "u", Reached: true, Taken: tc.want})
+				co.Update(now, renewal.ResultMsg{Upstream: "u", Reached: true, Taken: tc.want, StartedAt: now})
 			}
 			// One that is older does not end it, a newer one does.
 			co.Update(now, renewal.ConfirmMsg{At: now.Add(-time.Millisecond)})
@@ -156,3 +156,29 @@
 		})
 	}
 }
+
+// TestResultOfEarlierRenewal guards against a grant that passes for newer than it is: the upstream was assigned
+// to another host and back again while the renewal was under way, and may hold nothing any more.
+func TestResultOfEarlierRenewal(t *testing.T) {
+	gm := NewWithT(t)
+	co, now := renewal.New("a"), clock.Instant(time.Hour)
+	whole := assignment.Share{Service: "s", Range: keyspace.Range{To: keyspace.Last}, Owner: assignment.Claim{Upstream: "u", Epoch: 1}}
+	adopt := func(domain ident.Domain) []renewal.RenewCmd {
+		return co.Update(now, renewal.TableMsg{
+			Table: &assignment.Table{
+				Members: []assignment.Member{{Host: "a", Domain: "d", Alive: true}, {Host: "b", Domain: "e", Alive: true}}, Shares: []assignment.Share{whole},
+			},
+			Domains: map[ident.Upstream]ident.Domain{"u": domain},
+		})
+	}
+	adopt("d")
+	first := co.Update(now, renewal.ConfirmMsg{At: now})
+	gm.Expect(first).To(HaveLen(1))
+	adopt("e")
+	now = now.Add(300 * time.Millisecond)
+	second := adopt("d")
+	gm.Expect(second).To(HaveLen(1))
+	co.Update(now, renewal.ResultMsg{Upstream: "u", Reached: true, Taken: first[0].Shares, StartedAt: first[0].StartedAt})
+	now = first[0].StartedAt.Add(renewal.GrantTTL - renewal.CallTimeout + time.Millisecond)
+	gm.Expect(co.Update(now, renewal.ConfirmMsg{At: now, Uncertain: true})).To(BeEmpty())
+}
