Gateway: hosts that ask before their leader has rows get the suspects with them

Cause: a host without rows gets the suspects with its first rows, so that it serves nothing before it knows them. A leader without rows of its own when the host asked sent the rows later as an ordinary change, without suspects; they came with its next broadcast.

The leader remembers which takers had no rows by their newest status. Sets without suspects are still encoded once for all.

TestSuspectsComeWithFirstRows failed before (0 suspects of 1).

--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -189,7 +189,7 @@
 		config: cf,
 		self:   assignment.Member{Host: st.Host, Domain: st.Domain, Address: st.PeerAddress, Incarnation: uint64(time.Now().UnixMicro()), Fitness: max(int(100*fitness(st)), 1), Alive: true},
 		events: make(chan any, eventBuffer), done: make(chan struct{}), rereadOperators: make(chan struct{}, 1), relayedRows: make(chan rowAnswer, 1),
-		rowsWake: make(chan struct{}, 1), entriesWake: make(chan struct{}, 1), rowRelay: rowRelay{takers: map[netip.AddrPort]bool{}}, roster: roster.New(),
+		rowsWake: make(chan struct{}, 1), entriesWake: make(chan struct{}, 1), rowRelay: rowRelay{takers: map[netip.AddrPort]bool{}, starting: map[netip.AddrPort]bool{}}, roster: roster.New(),
 		restoredColdUntil: map[ident.Domain]clock.Instant{}, evacuatedAt: map[ident.Domain]clock.Instant{}, permits: permit.New(),
 		grantClients: grantClients{clients: map[grantClientID]*grantClient{}}, announcements: newAnnouncements(), reportParts: map[ident.Host]*assignmentParts{},
 	}
--- a/internal/fleet/gateway/restart_test.go
+++ b/internal/fleet/gateway/restart_test.go
@@ -78,7 +78,7 @@
 	lg := eventlog.New(io.Discard, string(host))
 	tb.Cleanup(lg.Close)
 	gw.config.Log = lg
-	gw.rowRelay.takers = map[netip.AddrPort]bool{}
+	gw.rowRelay.takers, gw.rowRelay.starting = map[netip.AddrPort]bool{}, map[netip.AddrPort]bool{}
 	gw.agent = agent.New(gw.self, 1)
 	gw.permitClient = newPermitClient(gw)
 	gw.permitClient.lastTicket.Store(0)
--- a/internal/fleet/gateway/rowfeed_test.go
+++ b/internal/fleet/gateway/rowfeed_test.go
@@ -195,17 +195,54 @@
 		config.Value[ix] = byte(ident.Weight("value", fmt.Sprint(ix)))
 	}
 	leader.rowRelay.rows, leader.rowRelay.version, leader.cache.operatorVersion = []platform.Row{config}, 8, 6
-	leader.sendOperatorRows(leader.clock.Now(), netip.MustParseAddrPort("10.0.0.2:1"), true)
+	leader.sendRowSet(leader.clock.Now(), netip.MustParseAddrPort("10.0.0.2:1"), true)
 	gm.Expect(len(nw.inFlight)).To(BeNumerically(">", 2))
 	nw.deliver()
 	gm.Expect(starts.relayedRows).To(Receive(Equal(rowAnswer{[]platform.Row{config}, 6, true})))
 	gm.Expect(starts.suspects.core.Crashes(deadly)).To(Equal(3))
 	starts.operatorVersion.Store(6)
-	leader.sendOperatorRows(leader.clock.Now(), netip.MustParseAddrPort("10.0.0.2:1"), false)
+	leader.sendRowSet(leader.clock.Now(), netip.MustParseAddrPort("10.0.0.2:1"), false)
 	nw.deliver()
 	gm.Expect(starts.relayedRows).NotTo(Receive(), "they are known")
 }
 
+// TestSuspectsComeWithFirstRows guards against hosts that get their desired state, and so serve, before they
+// know the requests that crash upstreams, as they have asked a leader that had no rows itself yet.
+func TestSuspectsComeWithFirstRows(t *testing.T) {
+	const deadly = ident.Fingerprint(7)
+	for name, tc := range map[string]struct {
+		// known is the version of the rows that the member knows, 0 for none.
+		known uint64
+		want  int
+	}{"a host that starts": {want: 1}, "one that serves": {known: 4}} {
+		t.Run(name, func(t *testing.T) {
+			gm := NewWithT(t)
+			gw, base := leadingGateway(t, 3, 2, 2)
+			gw.source = operatorRows{}
+			nw, now, mb := gw.socket.(testSocket).nw, gw.clock.Now(), base.Members[1]
+			for run, upstream := range []ident.Upstream{"u", "v", "w"} {
+				gw.recordCrash(now, "", quarantine.CrashMsg{Fingerprint: deadly, Upstream: upstream, Incarnation: 1, Run: protocol.Run(run)}, "attempt")
+			}
+			st := protocol.Status{Member: mb, Term: gw.agent.Term(), SentAt: now, OperatorRows: tc.known + 1}
+			gw.handleDatagram(datagramEvent{st, netip.MustParseAddrPort(mb.Address)})
+			nw.inFlight = nil
+			gw.noteOperatorRows(now, operatorStateEvent{rows: []platform.Row{{Key: "config", Value: []byte("{}"), Version: 5}}, version: 6, changedVersion: 5})
+			body := ""
+			for _, dg := range nw.inFlight {
+				msg, err := protocol.Decode(dg.content)
+				gm.Expect(err).NotTo(HaveOccurred())
+				if rows, isRows := msg.(protocol.OperatorRows); isRows && dg.to.String() == mb.Address {
+					body += rows.Body
+				}
+			}
+			set, err := protocol.DecodeRowSet([]byte(body))
+			gm.Expect(err).NotTo(HaveOccurred())
+			gm.Expect(set.Rows).To(HaveLen(1))
+			gm.Expect(set.Suspects).To(HaveLen(tc.want))
+		})
+	}
+}
+
 // TestReportsOfNewerRows guards against a leader that keeps an older desired state although a
 // domain's reader knows a newer one, and against a reader that reports without end.
 func TestReportsOfNewerRows(t *testing.T) {
--- a/internal/fleet/gateway/rowrelay.go
+++ b/internal/fleet/gateway/rowrelay.go
@@ -24,6 +24,8 @@
 	version platform.Version
 	// takers holds the addresses of the members that take rows from this host while it leads.
 	takers map[netip.AddrPort]bool
+	// starting holds those of them that have no rows yet.
+	starting map[netip.AddrPort]bool
 	// encoded is the row set that was encoded last, without suspects.
 	encoded        []byte
 	encodedVersion platform.Version
@@ -71,12 +73,16 @@
 	if !gw.agent.Leading() {
 		return
 	}
-	delete(gw.rowRelay.takers, from)
+	rl := &gw.rowRelay
+	delete(rl.takers, from)
+	delete(rl.starting, from)
 	if st.OperatorRows > 0 {
-		gw.rowRelay.takers[from] = true
-		// A host that has no rows must know the suspects before it serves.
-		if starts := st.OperatorRows == 1; starts || st.OperatorRows-1 < gw.cache.operatorVersion {
-			gw.sendOperatorRows(now, from, starts)
+		rl.takers[from] = true
+		if st.OperatorRows == 1 {
+			rl.starting[from] = true
+		}
+		if rl.starting[from] || st.OperatorRows-1 < gw.cache.operatorVersion {
+			gw.sendOperatorRows(now, from)
 		}
 	}
 	if st.RosterVersion < gw.cache.changedVersion {
@@ -94,7 +100,7 @@
 	gw.rowRelay.rows, gw.rowRelay.version = ev.rows, ev.version
 	gw.broadcastOperatorRows(now)
 	if first {
-		gw.tellDomain(func(to netip.AddrPort) { gw.sendOperatorRows(now, to, true) })
+		gw.tellDomain(func(to netip.AddrPort) { gw.sendRowSet(now, to, true) })
 	}
 }
 
@@ -120,23 +126,33 @@
 	}
 	for _, mb := range gw.table.Load().Members {
 		if to, err := netip.ParseAddrPort(mb.Address); err == nil && mb.Alive && gw.rowRelay.takers[to] {
-			gw.sendOperatorRows(now, to, false)
+			gw.sendOperatorRows(now, to)
 		}
 	}
 }
 
-// sendOperatorRows sends the operator rows to a host, with the suspects if it starts. Their version
-// is that of their last change, as in heartbeats.
-func (gw *Gateway) sendOperatorRows(now clock.Instant, to netip.AddrPort, starts bool) {
+// sendOperatorRows sends the operator rows to a host. One that has none must know the suspects
+// before it serves.
+func (gw *Gateway) sendOperatorRows(now clock.Instant, to netip.AddrPort) {
+	gw.sendRowSet(now, to, gw.rowRelay.starting[to])
+}
+
+// sendRowSet sends the operator rows to a host, with the suspects if it starts. Their version is that
+// of their last change, as in heartbeats.
+func (gw *Gateway) sendRowSet(now clock.Instant, to netip.AddrPort, starts bool) {
 	rl := &gw.rowRelay
 	if rl.version == 0 {
 		return
 	}
+	var suspects []protocol.Suspect
+	if starts {
+		suspects = gw.suspects.core.Suspects(now, maxStored)
+	}
 	body := rl.encoded
-	if starts || rl.encodedVersion != rl.version {
-		body = protocol.EncodeRowSet(gw.rowSetMessage(now, starts))
+	if len(suspects) > 0 || rl.encodedVersion != rl.version {
+		body = protocol.EncodeRowSet(gw.rowSetMessage(suspects))
 	}
-	if !starts {
+	if len(suspects) == 0 {
 		rl.encoded, rl.encodedVersion = body, rl.version
 	}
 	chunks := assignmentChunks(string(body))
@@ -145,14 +161,11 @@
 	}
 }
 
-func (gw *Gateway) rowSetMessage(now clock.Instant, starts bool) protocol.RowSet {
-	set := protocol.RowSet{Table: gw.source.table(), Version: gw.cache.operatorVersion}
+func (gw *Gateway) rowSetMessage(suspects []protocol.Suspect) protocol.RowSet {
+	set := protocol.RowSet{Table: gw.source.table(), Version: gw.cache.operatorVersion, Suspects: suspects}
 	for _, rw := range gw.rowRelay.rows {
 		set.Rows = append(set.Rows, protocol.OperatorRow{Key: rw.Key, Value: string(rw.Value), Version: uint64(rw.Version)})
 	}
-	if starts {
-		set.Suspects = gw.suspects.core.Suspects(now, maxStored)
-	}
 	return set
 }
 
@@ -233,7 +246,7 @@
 	}
 	rl.reports++
 	gw.config.Log.Event("operatorRowsReported", eventlog.Fields{"leader": from.String(), "version": rl.version, "leaderHas": hb.OperatorVersion})
-	gw.sendOperatorRows(now, from, false)
+	gw.sendOperatorRows(now, from)
 }
 
 // checkSilentLeader requests a read if this host relies on a leader for changes that has not
--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -851,6 +851,10 @@
 		"internal/ownership/renewal/renewal.go", "takenGrant{sh, ms.StartedAt}", "takenGrant{sh, st.startedAt}",
 		[]string{"-run=TestResultOfEarlierRenewal", "./internal/ownership/renewal"},
 	},
+	"the first rows of a host that starts come without the suspects": {
+		"internal/fleet/gateway/rowrelay.go", "gw.sendRowSet(now, to, gw.rowRelay.starting[to])", "gw.sendRowSet(now, to, false)",
+		[]string{"-run=TestSuspectsComeWithFirstRows", "./internal/fleet/gateway"},
+	},
 	"grants end a renewal earlier than they may": {
 		"internal/ownership/renewal/renewal.go", "	if st.startedAt < last {", "	if false {",
 		[]string{"-run=TestLastRenewal", "./internal/ownership/renewal"},
