OWNER: a member that the table takes for lost may have led since

The first leader of an era looked only at the members that the table names as alive. One that it takes for lost may have come back and led in the seconds that the store has lost; if it has restarted since, it has forgotten as well, and may be one of two hosts that knew where keys went.

Found by reading; no run has shown two owners by it. Ruled out: to count lost members that nobody hears, since every host that was removed for good would make the assignment uncertain for 20 s.

TestLostAssignments: "it and the leader have restarted" failed before.

--- a/internal/ownership/leader/recovery.go
+++ b/internal/ownership/leader/recovery.go
@@ -141,11 +141,12 @@
 	reported, silent, forgotten := 0, 0, 0
 	for _, mb := range co.table.Members {
 		switch {
+		case rc.forgotten[mb.Host]:
+			// One that the table takes for lost may have led since.
+			forgotten++
 		case !mb.Alive:
 		case rc.reported[mb.Host]:
 			reported++
-		case rc.forgotten[mb.Host]:
-			forgotten++
 		default:
 			silent++
 		}
@@ -167,8 +168,8 @@
 }
 
 // lostGrantsExpireAt returns when all grants of a lost assignment have expired; lost is false if there
-// can be none that this leader does not know. It gets how many living members of the table have
-// reported, have restarted, and have not been heard.
+// can be none that this leader does not know. It gets how many members of the table have reported, have
+// restarted, and have not been heard.
 func (rc *recovery) lostGrantsExpireAt(reported, forgotten, unheard int) (at clock.Instant, lost bool) {
 	switch {
 	case rc.certain, !rc.doubted && reported > 0 && forgotten+unheard <= 1:
--- a/internal/ownership/leader/recovery_test.go
+++ b/internal/ownership/leader/recovery_test.go
@@ -44,6 +44,8 @@
 		silent
 		doubts
 		lost
+		// lostBefore is a member that the table takes for lost, and that has restarted since.
+		lostBefore
 	)
 	// ended and away are how long a lost grant may be valid at most: its host has ended, or may be
 	// cut off.
@@ -59,6 +61,8 @@
 		"one of two has restarted":                  {members: []int{restarted, remembers}},
 		"one is silent":                             {members: []int{remembers, silent, remembers}},
 		"one was lost before":                       {members: []int{restarted, lost, remembers}},
+		"one was lost before and has restarted":     {members: []int{remembers, lostBefore, remembers}},
+		"it and the leader have restarted":          {members: []int{restarted, lostBefore, remembers}, want: ended},
 		"the only one that lived has restarted":     {members: []int{restarted, lost}, want: ended},
 		"two have restarted":                        {members: []int{restarted, restarted, remembers, remembers}, want: ended},
 		"all have restarted":                        {members: []int{restarted, restarted, restarted}, want: ended},
@@ -74,7 +78,7 @@
 			now := clock.Instant(time.Hour)
 			tb := recoveredTable(len(tc.members))
 			for ix, fate := range tc.members {
-				tb.Members[ix].Alive = fate != lost
+				tb.Members[ix].Alive = fate != lost && fate != lostBefore
 			}
 			co := leader.New(now, tb, election.Row{Term: 1, Host: "h1"}, 1)
 			if tc.members[0] == doubts {
@@ -101,7 +105,7 @@
 						continue
 					}
 					mb := tb.Members[ix]
-					if fate == restarted {
+					if fate == restarted || fate == lostBefore {
 						mb.Incarnation = 2
 					}
 					handle(co.Update(now, leader.StatusMsg{
