Mutants: the guard of the suspects that come with rows, as it reads now

The mutant takes the same guard away in its new form. Its test fails without the guard, as before; the guards of all other mutants were looked for, and each occurs once.

--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -432,7 +432,7 @@
 		[]string{"-run=TestRowSources", "./internal/fleet/gateway"},
 	},
 	"a host that starts serves before it knows the suspects": {
-		"internal/fleet/gateway/rowrelay.go", "set.Suspects = gw.suspects.core.Suspects(now, maxStored)", "set.Suspects = nil",
+		"internal/fleet/gateway/rowrelay.go", "suspects = gw.suspects.core.Suspects(now, maxStored)", "suspects = nil",
 		[]string{"-run=TestSuspectsComeWithRows", "./internal/fleet/gateway"},
 	},
 	"rows of another host count as deleted if one is malformed": {
