Tests: grants after a change of leader in the store's first era

TestFirstBroadcastOfALeader fails without the guard in its case "in the first era" and passes with it; so does the new mutant. The product is as it was.

--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -683,6 +683,10 @@
 		"internal/ownership/leader/recovery.go", "		co.Freeze(expiresAt)\n", "		_ = expiresAt\n",
 		[]string{"-run=TestDisturbances", "./internal/ownership/agent"},
 	},
+	"a first broadcast in the first era is taken for uncertain": {
+		"internal/ownership/agent/heartbeat.go", "era.Of(ms.Table.Revision) > 0", "era.Of(ms.Table.Revision) >= 0",
+		[]string{"-run=TestFirstBroadcastOfALeader", "./internal/ownership/agent"},
+	},
 	"the first claim of an era does not say that its assignment is uncertain": {
 		"internal/ownership/election/election.go", "rw.Frozen, rw.Uncertain = MaxFrozen, true", "rw.Frozen = MaxFrozen",
 		[]string{"-run=TestFirstClaimOfEra", "./internal/ownership/election"},
