--- a/internal/stand/deployment/deadly_test.go
+++ b/internal/stand/deployment/deadly_test.go
@@ -330,12 +330,18 @@
 	return le.askedAt
 }
 
+// logTime returns the time of a log line.
+func logTime(gm *WithT, text string) time.Time {
+	at, err := time.Parse(time.RFC3339, text)
+	gm.Expect(err).NotTo(HaveOccurred())
+	return at
+}
+
 // firstCrashes returns when a host first saw or heard of a crash under a request, by fingerprint.
 func firstCrashes(gm *WithT, lg *logBuffer) map[string]time.Time {
 	first := map[string]time.Time{}
 	for _, found := range regexp.MustCompile(`(?m)^(\S+) .*event=(?:requestSuspected|requestQuarantined|request .*cause=broken) .*fingerprint=(\S+)`).FindAllStringSubmatch(lg.String(), -1) {
-		at, err := time.Parse(time.RFC3339, found[1])
-		gm.Expect(err).NotTo(HaveOccurred())
+		at := logTime(gm, found[1])
 		if known, seen := first[found[2]]; !seen || at.Before(known) {
 			first[found[2]] = at
 		}
@@ -360,8 +366,7 @@
 	}
 	silent := silentHolders(gm, lg)
 	for _, found := range regexp.MustCompile(`(?m)^(\S+) .*event=request .*cause=(\S+) .*request=(`+prefix+`\S*) .*status=(\d+) tookMs=(\d+).*$`).FindAllStringSubmatch(lg.String(), -1) {
-		at, err := time.Parse(time.RFC3339, found[1])
-		gm.Expect(err).NotTo(HaveOccurred())
+		at := logTime(gm, found[1])
 		askedAt := at.Add(-time.Duration(number(cmp.Or(field(found[0], refusedAfter), found[5]))) * time.Millisecond)
 		if silentAt := silent[found[3]]; silentAt.After(askedAt) && !silentAt.After(at) {
 			askedAt = silentAt
@@ -371,27 +376,22 @@
 	return ends
 }
 
-// silentHolders returns when the holder fell silent at which a request waited, by request. That the
-// request waited there, as one that may run, shows when the holder gives it up later.
+// silentHolders returns, by request, when the holder at which it waited fell silent. The holder's
+// own line, written when it gives the request up, shows that it waited there.
 func silentHolders(gm *WithT, lg *logBuffer) map[string]time.Time {
 	silent := map[string]time.Time{}
-	parse := func(text string) time.Time {
-		at, err := time.Parse(time.RFC3339, text)
-		gm.Expect(err).NotTo(HaveOccurred())
-		return at
-	}
 	gaveUp := map[string][]string{}
 	for _, found := range regexp.MustCompile(`(?m)^(\S+) host=(\S+) event=refused ahead=.* request=(\S+) .*waitedMs=(\d+)`).FindAllStringSubmatch(lg.String(), -1) {
 		gaveUp[found[2]+" "+found[3]] = found
 	}
 	for _, found := range regexp.MustCompile(`(?m)^(\S+) .*event=holderSilent holder=(\S+) request=(\S+) `).FindAllStringSubmatch(lg.String(), -1) {
-		silentAt, end := parse(found[1]), gaveUp[found[2]+" "+found[3]]
+		silentAt, end := logTime(gm, found[1]), gaveUp[found[2]+" "+found[3]]
 		if end == nil {
 			continue
 		}
 		waited, err := strconv.Atoi(end[4])
 		gm.Expect(err).NotTo(HaveOccurred())
-		endedAt := parse(end[1])
+		endedAt := logTime(gm, end[1])
 		if endedAt.After(silentAt) && endedAt.Add(-time.Duration(waited)*time.Millisecond).Before(silentAt) {
 			silent[found[3]] = silentAt
 		}
@@ -399,8 +399,8 @@
 	return silent
 }
 
-// TestRefusedAfterSilentHolder guards against late refusals that are excused by a holder at which
-// the request did not wait, and against others that count as late since it waited as it may.
+// TestRefusedAfterSilentHolder guards against late refusals that are excused although the request did
+// not wait at the holder that fell silent, and against counting the time that it did wait there.
 func TestRefusedAfterSilentHolder(t *testing.T) {
 	t.Parallel()
 	const (
