Tests: an old leader that isn't the holder, without killing all hosts

It needs a leader that doesn't hold the orders' permits and killed the leader until that was so. By the kept log each of five next leaders held them, as the next holder is chosen among the hosts that are left, until no host was left: a fault of the test.

A killed host is started again now. Its permits come back to it, so that the next leader has none.

--- a/internal/stand/deployment/deadly_test.go
+++ b/internal/stand/deployment/deadly_test.go
@@ -138,12 +138,16 @@
 		onHost(pattern, func(_ *deployment.Deployment, found *deployment.Host) { host = found })(gm, dp, lg)
 		return host
 	}
-	// A holder of that build refuses nothing, so the leader must be another host.
+	// A holder of that build refuses nothing, so the leader must be another host. One that is killed
+	// is started again: it gets its permits back, but not the lead.
 	old := named(leaderLine)
 	for dp.Load(t.Context(), 60, 500*time.Millisecond); old == named(orderHolderLine); dp.Load(t.Context(), 60, 500*time.Millisecond) {
-		dp.KillHost(old)
-		gm.Eventually(func() *deployment.Host { return named(leaderLine) }, 10*time.Second, 50*time.Millisecond).ShouldNot(Equal(old), lg.String)
+		killed := old
+		dp.KillHost(killed)
+		gm.Eventually(func() *deployment.Host { return named(leaderLine) }, 10*time.Second, 50*time.Millisecond).ShouldNot(Equal(killed), lg.String)
 		old = named(leaderLine)
+		gm.Expect(dp.StartHost(killed)).To(Succeed())
+		gm.Eventually(lg.String, 10*time.Second, 50*time.Millisecond).Should(MatchRegexp("host=%s event=memberJoined host=%s ", old.Name, killed.Name))
 	}
 	old.MakeOld(func(datagram []byte) bool {
 		msg, err := protocol.Decode(datagram)
