Tests: an upstream that waits for certainty as a confirmation ends

TestUncertainUntilLastConfirmationEnds fails without the guard, 1.85 s after the confirmation, and passes with it; so does the new mutant. The product is as it was.

--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -699,6 +699,10 @@
 		"internal/ownership/renewal/renewal.go", "		if now < end {", "		if end > 0 {",
 		[]string{"-run=TestUncertainTable", "./internal/ownership/renewal"},
 	},
+	"an upstream that waits for a certain assignment is due at once": {
+		"internal/ownership/renewal/renewal.go", "st.unconfirmed, st.startedAt, st.due = true, now, now.Add(retryDelay)", "st.unconfirmed, st.due = true, now.Add(retryDelay)",
+		[]string{"-run=TestUncertainUntilLastConfirmationEnds", "./internal/ownership/renewal"},
+	},
 	"an uncertain assignment is as good as confirmed": {
 		"internal/ownership/renewal/renewal.go", "	if ms.Uncertain {\n		co.certainAt = 0\n	}\n", "",
 		[]string{"-run=TestUncertainTable", "./internal/ownership/renewal"},
--- a/internal/ownership/renewal/renewal_test.go
+++ b/internal/ownership/renewal/renewal_test.go
@@ -182,3 +182,23 @@
 	now = first[0].StartedAt.Add(renewal.GrantTTL - renewal.CallTimeout + time.Millisecond)
 	gm.Expect(co.Update(now, renewal.ConfirmMsg{At: now, Uncertain: true})).To(BeEmpty())
 }
+
+// TestUncertainUntilLastConfirmationEnds guards against a loop that spins in the last moments of a
+// confirmation, while an upstream waits for a certain assignment.
+func TestUncertainUntilLastConfirmationEnds(t *testing.T) {
+	gm := NewWithT(t)
+	co, confirmedAt := renewal.New("a"), clock.Instant(time.Hour)
+	co.Update(confirmedAt, renewal.TableMsg{
+		Uncertain: true,
+		Table: &assignment.Table{
+			Members: []assignment.Member{{Host: "a", Domain: "d", Alive: true}},
+			Shares:  []assignment.Share{{Service: "s", Range: keyspace.Range{To: keyspace.Last}, Owner: assignment.Claim{Upstream: "u", Epoch: 1}}},
+		},
+		Domains: map[ident.Upstream]ident.Domain{"u": "d"},
+	})
+	gm.Expect(co.Update(confirmedAt, renewal.ConfirmMsg{At: confirmedAt, Uncertain: true})).To(BeEmpty())
+	for now := confirmedAt; now.Sub(confirmedAt) <= renewal.ConfirmTTL; now = now.Add(time.Millisecond) {
+		gm.Expect(co.Update(now, nil)).To(BeEmpty())
+		gm.Expect(co.Next(now)).To(BeNumerically(">", now), "%s after the confirmation", now.Sub(confirmedAt))
+	}
+}
