Tests: an upload that is read again behind its end

Without its guard the head of the next request had the 10 s of a body instead of its own second.

TestReadBehindUpload fails without the guard in both cases (no 408 within 4 s) and passes with it; so does the new mutant. The product is as it was.

--- a/internal/mutants_test.go
+++ b/internal/mutants_test.go
@@ -847,6 +847,10 @@
 		"internal/serving/proxy/callerrest.go", "	if cr.ctx.Err() == nil {", "	if true {",
 		[]string{"-run=TestCallerLeavesDuringUpload", "./internal/serving/proxy"},
 	},
+	"a body is read again behind its end": {
+		"internal/serving/httpserver/body.go", "	if bd.complete() {\n", "	if false {\n",
+		[]string{"-run=TestReadBehindUpload", "./internal/serving/httpserver"},
+	},
 	"a body is watched while it is read": {
 		"internal/serving/httpserver/watch.go", "	for cn.watching {", "	for false {",
 		[]string{"-run=TestSlowUploads|TestCallerLeavesBehindLongBody", "./internal/serving/httpserver"},
--- a/internal/serving/httpserver/watch_test.go
+++ b/internal/serving/httpserver/watch_test.go
@@ -194,3 +194,34 @@
 		gm.Expect(text).To(Equal(fmt.Sprint(want)))
 	}
 }
+
+// TestReadBehindUpload guards against a body that is read again behind its end, while the connection is
+// read for the next request, and replaces the deadline of that request.
+func TestReadBehindUpload(t *testing.T) {
+	for name, chunked := range map[string]bool{"a body with a length": false, "a body in chunks": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			gm := NewWithT(t)
+			ended, again := make(chan struct{}), make(chan struct{})
+			conn, from := serveWithin(t, func(_ context.Context, rq *httpserver.Request) *httpserver.Response {
+				_, _ = io.Copy(io.Discard, rq.Rest)
+				close(ended)
+				<-again
+				count, err := rq.Rest.Read(make([]byte, 1))
+				return &httpserver.Response{Status: http.StatusOK, Header: http.Header{}, Body: fmt.Append(nil, count, " ", err)}
+			}, limits)
+			_, err := io.WriteString(conn, upload(chunked, "", uploadBytes, uploadBytes)+"GET /next HTT")
+			gm.Expect(err).NotTo(HaveOccurred())
+			gm.Eventually(ended, "2s").Should(BeClosed())
+			// The next request has its deadline by then.
+			time.Sleep(100 * time.Millisecond)
+			close(again)
+			rs, text := readResponse(t, from)
+			gm.Expect(rs.StatusCode).To(Equal(http.StatusOK))
+			gm.Expect(text).To(Equal("0 EOF"))
+			gm.Expect(conn.SetReadDeadline(time.Now().Add(4 * limits().HeaderTimeout))).To(Succeed())
+			rs, _ = readResponse(t, from)
+			gm.Expect(rs.StatusCode).To(Equal(http.StatusRequestTimeout))
+		})
+	}
+}
